--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: install test demo check format soak
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --editable '.[dev]' --constraint constraints.txt
+	touch $@
+
+test: install
+	$(PYTHON) -W error::ResourceWarning -m unittest discover --start-directory fulmarshore --top-level-directory . --pattern '*_test.py'
+
+demo: install
+	$(PYTHON) -m fulmarshore demo
+
+check: install
+	$(VENV)/bin/ruff format --check fulmarshore
+	$(VENV)/bin/ruff check fulmarshore
+
+format: install
+	$(VENV)/bin/ruff check --fix fulmarshore
+	$(VENV)/bin/ruff format fulmarshore
--- /dev/null
+++ b/fulmarshore/adapters/datagrams.py
@@ -0,0 +1,115 @@
+"""UDP sockets behind callbacks of the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from fulmarshore.core.records import Address
+
+RECEIVE_BYTES = 65_535
+RECEIVE_BATCH = 64
+"""Datagrams taken from one socket before the others get their turn."""
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+
+Receive = Callable[[bytes, Address], None]
+
+
+class DatagramSocket:
+    """A bound or connected UDP socket that hands datagrams to a callback.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The loop that watches the socket.
+    receive : callable
+        Called with each datagram and its source.
+    fail : callable, optional
+        Called when a connected peer is reported gone.
+    """
+
+    __slots__ = ("_loop", "_receive", "_fail", "_socket", "_connected", "dropped")
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        receive: Receive,
+        fail: Callable[[], None] | None = None,
+    ) -> None:
+        self._loop = loop
+        self._receive = receive
+        self._fail = fail
+        self._connected = False
+        self.dropped = 0
+        self._socket: socket.socket | None = None
+
+    def bind(
+        self, address: Address, buffer_bytes: int = SOCKET_BUFFER_BYTES
+    ) -> Address:
+        """Bind to an address and return the one in use."""
+        self._open(address.host, buffer_bytes)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(address)
+        self._watch()
+        return Address(*self._socket.getsockname()[:2])
+
+    def connect(self, address: Address) -> None:
+        """Connect to a peer: only its datagrams are received."""
+        self._open(address.host, 0)
+        self._socket.connect(address)
+        self._connected = True
+        self._watch()
+
+    def send(self, payload: bytes, destination: Address | None = None) -> None:
+        """Send a datagram; one that the kernel has no room for is dropped."""
+        if self._socket is None:
+            return
+        try:
+            if destination is None:
+                self._socket.send(payload)
+            else:
+                self._socket.sendto(payload, destination)
+        except ConnectionRefusedError:
+            self.dropped += 1
+            if self._fail is not None:
+                self._fail()
+        except OSError:
+            self.dropped += 1
+
+    def close(self) -> None:
+        """Close the socket; further sends are ignored."""
+        if self._socket is None:
+            return
+        self._loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+        self._socket = None
+
+    def _open(self, host: str, buffer_bytes: int) -> None:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        if not buffer_bytes:
+            return
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
+
+    def _watch(self) -> None:
+        self._loop.add_reader(self._socket.fileno(), self._read)
+
+    def _read(self) -> None:
+        for _ in range(RECEIVE_BATCH):
+            if self._socket is None:
+                return
+            try:
+                payload, source = self._socket.recvfrom(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except ConnectionRefusedError:
+                if self._connected and self._fail is not None:
+                    self._fail()
+                return
+            except OSError:
+                self.dropped += 1
+                return
+            self._receive(payload, source)
--- /dev/null
+++ b/fulmarshore/adapters/links.py
@@ -0,0 +1,148 @@
+"""Control links over pyzmq: one ROUTER at a control host, DEALERs elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import zmq
+import zmq.asyncio
+
+from fulmarshore.core.codec import decode_control, encode
+from fulmarshore.core.records import Address, ControlMessage, Malformed
+
+SEND_QUEUE_FRAMES = 1000
+
+ReceiveMessage = Callable[[str, ControlMessage], None]
+
+
+class LinkServer:
+    """The control host's end of all links.
+
+    Parameters
+    ----------
+    context : zmq.asyncio.Context
+        The context of the process.
+    address : Address
+        Where subscribers and operators connect.
+    receive : callable
+        Called with the peer's name and the message.
+    """
+
+    def __init__(
+        self,
+        context: zmq.asyncio.Context,
+        address: Address,
+        receive: ReceiveMessage,
+    ) -> None:
+        self._receive = receive
+        self.malformed = 0
+        self._socket = context.socket(zmq.ROUTER)
+        self._socket.setsockopt(zmq.LINGER, 200)
+        self._socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
+        self._socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        self._socket.bind(format_endpoint(address))
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, peer: str, message: ControlMessage) -> None:
+        """Send a message to a peer; dropped where the peer is gone."""
+        frames = [bytes.fromhex(peer), encode(message)]
+        _send_frames(self._socket, frames)
+
+    def close(self) -> None:
+        """Close all links."""
+        self._task.cancel()
+        self._socket.close()
+
+    async def _run(self) -> None:
+        while True:
+            frames = await self._socket.recv_multipart()
+            if len(frames) != 2:
+                self.malformed += 1
+                continue
+            peer = frames[0].hex()
+            message = decode_control(frames[1], peer)
+            if isinstance(message, Malformed):
+                self.malformed += 1
+                continue
+            self._receive(peer, message)
+
+
+class LinkClient:
+    """Links from one process to its control hosts, by name.
+
+    Parameters
+    ----------
+    context : zmq.asyncio.Context
+        The context of the process.
+    controls : dict of str to Address
+        Control hosts by the name of the link.
+    receive : callable
+        Called with the name of the link and the message.
+    """
+
+    def __init__(
+        self,
+        context: zmq.asyncio.Context,
+        controls: dict[str, Address],
+        receive: ReceiveMessage,
+    ) -> None:
+        self._context = context
+        self._controls = controls
+        self._receive = receive
+        self.malformed = 0
+        self._links: dict[str, tuple[zmq.asyncio.Socket, asyncio.Task]] = {}
+
+    def send(self, name: str, message: ControlMessage) -> None:
+        """Send a message on a link, opening it if needed."""
+        if name not in self._links:
+            self._open(name)
+        _send_frames(self._links[name][0], [encode(message)])
+
+    def replace(self, name: str) -> None:
+        """Close a link that went silent; the next message opens a new one."""
+        held = self._links.pop(name, None)
+        if held is None:
+            return
+        held[1].cancel()
+        held[0].close(linger=0)
+
+    def close(self) -> None:
+        """Close all links."""
+        for sock, task in self._links.values():
+            task.cancel()
+            sock.close(linger=200)
+        self._links.clear()
+
+    def _open(self, name: str) -> None:
+        sock = self._context.socket(zmq.DEALER)
+        sock.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
+        sock.connect(format_endpoint(self._controls[name]))
+        task = asyncio.get_running_loop().create_task(self._run(name, sock))
+        self._links[name] = (sock, task)
+
+    async def _run(self, name: str, sock: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await sock.recv_multipart()
+            message = decode_control(frames[-1], name)
+            if isinstance(message, Malformed):
+                self.malformed += 1
+                continue
+            self._receive(name, message)
+
+
+def format_endpoint(address: Address) -> str:
+    """Return the endpoint of an address as zmq takes it."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"tcp://{host}:{address.port}"
+
+
+def _send_frames(sock: zmq.asyncio.Socket, frames: list[bytes]) -> None:
+    future = sock.send_multipart(frames, flags=zmq.DONTWAIT)
+    future.add_done_callback(_ignore_unsent)
+
+
+def _ignore_unsent(future: asyncio.Future) -> None:
+    """Take the error of a frame that had no room: heartbeats find it out."""
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/fulmarshore/adapters/parameters.py
@@ -0,0 +1,69 @@
+"""Types of the command line's flags, with errors that name what is allowed."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+
+import click
+
+from fulmarshore.core.records import Address
+
+NAME_PATTERN = re.compile(r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")
+MAX_PORT = 65_535
+
+
+class AddressType(click.ParamType):
+    """``HOST:PORT`` with a numeric IP address."""
+
+    name = "host:port"
+
+    def convert(
+        self,
+        value: str | Address,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Address:
+        """Return the address or fail with what is allowed."""
+        if isinstance(value, Address):
+            return value
+        address = parse_address(value)
+        if address is None:
+            self.fail(
+                f"{value!r}: allowed is IP:PORT with a port of 0 to {MAX_PORT}",
+                param,
+                ctx,
+            )
+        return address
+
+
+class NameType(click.ParamType):
+    """A name of a host, an availability zone or a service."""
+
+    name = "name"
+
+    def convert(
+        self, value: str, param: click.Parameter | None, ctx: click.Context | None
+    ) -> str:
+        """Return the name or fail with what is allowed."""
+        if not NAME_PATTERN.match(value):
+            allowed = "lower-case letters, digits and '-', at most 63"
+            self.fail(f"{value!r}: allowed are {allowed}", param, ctx)
+        return value
+
+
+def parse_address(text: str) -> Address | None:
+    """Parse ``HOST:PORT``; None where it is no numeric IP address and port."""
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
+        return None
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return Address(host, int(port))
+
+
+ADDRESS = AddressType()
+NAME = NameType()
--- /dev/null
+++ b/fulmarshore/adapters/proxy.py
@@ -0,0 +1,69 @@
+"""The PROXY protocol v2 header that a fabric puts in front of a datagram.
+
+The header is read and written by the ``proxy-protocol`` library. An answer to
+a datagram that came behind a header goes back to the fabric behind the same
+header.
+"""
+
+from __future__ import annotations
+
+import socket
+from functools import lru_cache
+from ipaddress import IPv4Address, IPv6Address
+
+from proxyprotocol import ProxyProtocolSyntaxError
+from proxyprotocol.result import ProxyResultIPv4, ProxyResultIPv6
+from proxyprotocol.v2 import ProxyProtocolV2
+
+from fulmarshore.core.records import Address, Malformed
+
+FIXED_HEADER_BYTES = 16
+MAX_HEADER_BYTES = 536
+_CACHED_HEADERS = 65_536
+
+_codec = ProxyProtocolV2()
+
+
+def split_header(frame: bytes, peer: str) -> tuple[bytes, bytes] | Malformed:
+    """Split a datagram into its PROXY header and the caller's payload."""
+    if len(frame) < FIXED_HEADER_BYTES:
+        return Malformed("split_header", peer, f"{len(frame)} bytes")
+    size = FIXED_HEADER_BYTES + int.from_bytes(frame[14:16], "big")
+    if size > min(len(frame), MAX_HEADER_BYTES):
+        return Malformed("split_header", peer, f"header of {size} bytes")
+    return frame[:size], frame[size:]
+
+
+@lru_cache(maxsize=_CACHED_HEADERS)
+def decode_header(header: bytes) -> Address | Malformed:
+    """Return the caller's address that a PROXY header names."""
+    try:
+        result = _codec.unpack(header)
+    except (ProxyProtocolSyntaxError, ValueError, IndexError) as error:
+        return Malformed("decode_header", "", str(error))
+    except Exception as error:  # noqa: BLE001
+        # The library raises errors of struct and of its own on garbage.
+        return Malformed("decode_header", "", repr(error))
+    if not isinstance(result, ProxyResultIPv4 | ProxyResultIPv6):
+        return Malformed("decode_header", "", "no IP address in the header")
+    if result.protocol != socket.SOCK_DGRAM:
+        return Malformed("decode_header", "", "not a datagram header")
+    return Address(str(result.source[0]), result.source[1])
+
+
+@lru_cache(maxsize=_CACHED_HEADERS)
+def encode_header(source: Address, destination: Address) -> bytes:
+    """Return the PROXY header of a datagram from a caller to a service."""
+    if ":" in source.host:
+        result = ProxyResultIPv6(
+            (IPv6Address(source.host), source.port),
+            (IPv6Address(destination.host), destination.port),
+            protocol=socket.SOCK_DGRAM,
+        )
+        return _codec.pack(result)
+    result = ProxyResultIPv4(
+        (IPv4Address(source.host), source.port),
+        (IPv4Address(destination.host), destination.port),
+        protocol=socket.SOCK_DGRAM,
+    )
+    return _codec.pack(result)
--- /dev/null
+++ b/fulmarshore/admission/__init__.py
@@ -0,0 +1,1 @@
+"""What an upstream bears, and work that runs once."""
--- /dev/null
+++ b/fulmarshore/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of accepted changes."""
--- /dev/null
+++ b/fulmarshore/agreement/state_test.py
@@ -0,0 +1,100 @@
+from unittest import TestCase
+
+from fulmarshore.agreement.state import State, answer_change, apply_command
+from fulmarshore.core.records import (
+    Change,
+    ChangeStatus,
+    Expire,
+    Identity,
+    Join,
+    Kind,
+    Member,
+    Profile,
+    Removed,
+    Service,
+    Zone,
+)
+
+PROFILE = Profile("feed", Kind.FEED)
+SERVICE = Service("mendbook", "feed", "127.0.0.1", 7000)
+
+
+def submit(state, change):
+    decided = answer_change(state, change)
+    if decided is not None:
+        return state, decided
+    return apply_command(state, state.index + 1, change)
+
+
+class StateTest(TestCase):
+    def test_equal_numbers_have_one_winner(self):
+        state, first = submit(State(), Change(1, "ann", [Zone("a")], []))
+        state, second = submit(state, Change(1, "ben", [Zone("b")], []))
+        self.assertEqual(first.status, ChangeStatus.ACCEPTED)
+        self.assertEqual(second.status, ChangeStatus.CONFLICT)
+        self.assertEqual((second.winner, second.next_number), ("ann", 2))
+
+    def test_a_resend_gets_the_first_answer(self):
+        change = Change(1, "ann", [Zone("a")], [])
+        state, first = submit(State(), change)
+        state, _ = submit(state, Change(2, "ben", [Zone("a", True)], []))
+        state, again = submit(state, change)
+        self.assertEqual(again, first)
+        self.assertTrue(state.view.items[("Zone", "a")].item.out)
+
+    def test_everything_wrong_is_reported_at_once(self):
+        bad = Change(
+            1,
+            "ann",
+            [
+                Service("x", "nothing", "nowhere", 0),
+                Profile("UPPER", Kind.FEED, deadline=-1.0, retry_budget=2.0),
+            ],
+            [Removed(0, "Zone", "absent"), Removed(0, "Member", "m")],
+        )
+        _, reply = submit(State(), bad)
+        self.assertEqual(reply.status, ChangeStatus.INVALID)
+        told = "\n".join(reply.errors)
+        for field in (
+            "profile = nothing",
+            "host = nowhere",
+            "port = 0",
+            "name = 'UPPER'",
+            "deadline = -1.0",
+            "retry_budget = 2.0",
+            "name = absent",
+            "type = Member",
+        ):
+            self.assertIn(field, told)
+
+    def test_two_services_cannot_share_an_address(self):
+        other = Service("ribplans", "feed", "127.0.0.1", 7000)
+        _, reply = submit(State(), Change(1, "a", [PROFILE, SERVICE, other], []))
+        self.assertEqual(reply.status, ChangeStatus.INVALID)
+
+    def test_a_profile_in_use_cannot_be_removed(self):
+        state, _ = submit(State(), Change(1, "a", [PROFILE, SERVICE], []))
+        _, reply = submit(state, Change(2, "a", [], [Removed(0, "Profile", "feed")]))
+        self.assertEqual(reply.status, ChangeStatus.INVALID)
+
+    def test_membership_follows_incarnations(self):
+        old = Member("m", 1, "mendbook", "z", "127.0.0.1", 1)
+        new = Member("m", 2, "mendbook", "z", "127.0.0.1", 2)
+        table = [
+            ("joins", [Join(old)], 1),
+            ("restarted", [Join(old), Join(new)], 2),
+            ("late join of the former self", [Join(new), Join(old)], 2),
+            (
+                "late expiry of the former self",
+                [Join(new), Expire(Identity("m", 1))],
+                2,
+            ),
+            ("expired", [Join(new), Expire(Identity("m", 2))], None),
+        ]
+        for label, commands, incarnation in table:
+            with self.subTest(label):
+                state = State()
+                for index, command in enumerate(commands, start=1):
+                    state, _ = apply_command(state, index, command)
+                held = state.view.items.get(("Member", "m"))
+                self.assertEqual(held.item.incarnation if held else None, incarnation)
--- /dev/null
+++ b/fulmarshore/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The measurements."""
--- /dev/null
+++ b/fulmarshore/commands/daemons.py
@@ -0,0 +1,77 @@
+"""The commands that run the daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from fulmarshore.adapters.parameters import ADDRESS, NAME
+from fulmarshore.core.records import Address
+from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
+from fulmarshore.daemons.control import ControlDaemon, ControlSettings
+from fulmarshore.daemons.entry import EntryDaemon, EntrySettings, Fabric
+
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 1_000_000
+
+
+def _add_shared(command: Callable[..., Any]) -> Callable[..., Any]:
+    options = [
+        click.option("--name", type=NAME, required=True, help="Name of this host."),
+        click.option("--zone", type=NAME, required=True, help="Availability zone."),
+        click.option("--metrics", type=ADDRESS, help="Where metrics are served."),
+        click.option("--seed", type=int, help="Seed of random choices."),
+    ]
+    for option in reversed(options):
+        command = option(command)
+    return command
+
+
+def _add_controls(command: Callable[..., Any]) -> Callable[..., Any]:
+    return click.option(
+        "--control",
+        "controls",
+        type=ADDRESS,
+        multiple=True,
+        required=True,
+        envvar="FULMARSHORE_CONTROL",
+        help="Link address of a control host; repeat for each.",
+    )(command)
+
+
+@click.command()
+@_add_shared
+@_add_controls
+@click.option("--data", type=ADDRESS, required=True, help="Address towards agents.")
+@click.option("--service-host", type=str, help="Bind services here instead.")
+@click.option(
+    "--fabric", type=click.Choice([mode.value for mode in Fabric]), default="direct"
+)
+def entry(controls: tuple[Address, ...], fabric: str, **settings: Any) -> None:
+    """Run an entry host."""
+    EntryDaemon(
+        EntrySettings(controls=controls, fabric=Fabric(fabric), **settings)
+    ).run()
+
+
+@click.command()
+@_add_shared
+@_add_controls
+@click.option("--data", type=ADDRESS, required=True, help="Address towards entries.")
+@click.option("--service", type=NAME, required=True, help="Service of the upstream.")
+@click.option("--upstream", type=ADDRESS, required=True, help="The upstream's address.")
+@click.option("--slots", type=click.IntRange(1, MAX_SLOTS), default=1)
+@click.option("--connections", type=click.IntRange(1, MAX_CONNECTIONS), default=2000)
+def agent(controls: tuple[Address, ...], **settings: Any) -> None:
+    """Run the agent beside an upstream."""
+    AgentDaemon(AgentSettings(controls=controls, **settings)).run()
+
+
+@click.command()
+@_add_shared
+@click.option("--listen", type=ADDRESS, required=True, help="Address of the links.")
+def control(**settings: Any) -> None:
+    """Run a control host."""
+    ControlDaemon(ControlSettings(controls=(), **settings)).run()
--- /dev/null
+++ b/fulmarshore/commands/main.py
@@ -0,0 +1,20 @@
+"""The command ``fulmarshore``: daemons, operators' commands, demo, benches."""
+
+from __future__ import annotations
+
+import click
+
+from fulmarshore.commands.benches import bench
+from fulmarshore.commands.daemons import agent, control, entry
+from fulmarshore.commands.operators import apply, status, zone
+from fulmarshore.commands.trials import demo
+
+
+@click.group(context_settings={"auto_envvar_prefix": "FULMARSHORE"})
+@click.version_option(package_name="fulmarshore")
+def cli() -> None:
+    """Run and operate the fulmarshore layer-4 load balancer."""
+
+
+for command in (entry, agent, control, apply, zone, status, demo, bench):
+    cli.add_command(command)
--- /dev/null
+++ b/fulmarshore/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records and pure helpers that every role shares."""
--- /dev/null
+++ b/fulmarshore/core/codec.py
@@ -0,0 +1,78 @@
+"""Encoding and decoding of messages between our processes and to disk."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from fulmarshore.core.records import (
+    Command,
+    ControlMessage,
+    DataMessage,
+    Malformed,
+    RequestMessage,
+)
+
+MAX_DATAGRAM_BYTES = 65_507
+MAX_LINK_FRAME_BYTES = 16 * 1024 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+encode = _encoder.encode
+
+_data_decoder = msgspec.msgpack.Decoder(DataMessage)
+_control_decoder = msgspec.msgpack.Decoder(ControlMessage)
+_request_decoder = msgspec.msgpack.Decoder(RequestMessage)
+_command_decoder = msgspec.msgpack.Decoder(Command)
+
+
+def decode_data(frame: bytes, peer: str) -> DataMessage | Malformed:
+    """Decode a datagram of the data path.
+
+    Parameters
+    ----------
+    frame : bytes
+        The datagram as received.
+    peer : str
+        The sender, for the error.
+
+    Returns
+    -------
+    message : DataMessage or Malformed
+        The message, or what is wrong with the frame.
+    """
+    return _decode(_data_decoder, frame, MAX_DATAGRAM_BYTES, "decode_data", peer)
+
+
+def decode_control(frame: bytes, peer: str) -> ControlMessage | Malformed:
+    """Decode a frame of a control link."""
+    return _decode(
+        _control_decoder, frame, MAX_LINK_FRAME_BYTES, "decode_control", peer
+    )
+
+
+def decode_request(frame: bytes, peer: str) -> RequestMessage | Malformed:
+    """Decode the record that a caller or an upstream states in front of a body."""
+    return _decode(_request_decoder, frame, MAX_DATAGRAM_BYTES, "decode_request", peer)
+
+
+def decode_command(frame: bytes, peer: str) -> Command | Malformed:
+    """Decode a command of the replicated log."""
+    return _decode(
+        _command_decoder, frame, MAX_LINK_FRAME_BYTES, "decode_command", peer
+    )
+
+
+def _decode(
+    decoder: msgspec.msgpack.Decoder[Any],
+    frame: bytes,
+    limit: int,
+    step: str,
+    peer: str,
+) -> Any:
+    if len(frame) > limit:
+        return Malformed(step, peer, f"{len(frame)} bytes, allowed are {limit}")
+    try:
+        return decoder.decode(frame)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return Malformed(step, peer, str(error))
--- /dev/null
+++ b/fulmarshore/core/phases.py
@@ -0,0 +1,28 @@
+"""What a datagram tells about its place in its flow."""
+
+from __future__ import annotations
+
+from fulmarshore.core.records import Phase, Protocol
+
+_QUIC_LONG_HEADER = 0x80
+_QUIC_FIXED_BIT = 0x40
+_QUIC_TYPE_MASK = 0x30
+_QUIC_INITIAL = 0x00
+
+
+def find_phase(protocol: Protocol, payload: bytes) -> Phase:
+    """Classify a caller's datagram.
+
+    Only QUIC's invariant header bits are looked at (RFC 8999, RFC 9000):
+    an Initial packet opens, every other packet belongs to an open flow.
+    """
+    if protocol == Protocol.REQUEST:
+        return Phase.OPENING
+    if protocol != Protocol.QUIC or not payload:
+        return Phase.UNKNOWN
+    first = payload[0]
+    if not first & _QUIC_FIXED_BIT:
+        return Phase.UNKNOWN
+    if first & _QUIC_LONG_HEADER and first & _QUIC_TYPE_MASK == _QUIC_INITIAL:
+        return Phase.OPENING
+    return Phase.MIDDLE
--- /dev/null
+++ b/fulmarshore/core/records.py
@@ -0,0 +1,759 @@
+"""Every record that the roles exchange, keep or return.
+
+All records are small, immutable and free of behaviour. Messages and
+declarations are ``msgspec`` structs, so that one library encodes them on the
+wire and on disk. Outcomes are frozen dataclasses: an operation that can fail
+returns one instead of raising.
+
+Times are seconds as ``float`` unless a name says otherwise; sizes are bytes.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import NamedTuple, Union
+
+from msgspec import Struct
+
+# --------------------------------------------------------------------------
+# Identities
+# --------------------------------------------------------------------------
+
+
+class Address(NamedTuple):
+    """An IP address in numeric form and a port, as sockets take it."""
+
+    host: str
+    port: int
+
+
+class Record(Struct, frozen=True, array_like=True, tag=True):
+    """Base of every record that is encoded for the wire or the disk."""
+
+
+class Identity(Record, frozen=True):
+    """One life of one process.
+
+    Parameters
+    ----------
+    name : str
+        Name of the host, unique in a region.
+    incarnation : int
+        Grows with every start of the process, so that a restarted process
+        is told apart from its former self.
+    """
+
+    name: str
+    incarnation: int
+
+
+# --------------------------------------------------------------------------
+# Declarations: what operators define and processes announce
+# --------------------------------------------------------------------------
+
+
+class Protocol(enum.StrEnum):
+    """What the payload of a service tells about its flows."""
+
+    OPAQUE = "opaque"
+    QUIC = "quic"
+    REQUEST = "request"
+    TCP = "tcp"
+
+
+class Kind(enum.StrEnum):
+    """The kind of traffic that a profile treats."""
+
+    FEED = "feed"
+    DOWNLOAD = "download"
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+class Profile(Record, frozen=True):
+    """How the traffic of a service is treated.
+
+    Parameters
+    ----------
+    name : str
+        Unique name of the profile.
+    kind : Kind
+        The kind of traffic.
+    queue_length : int
+        Requests that may wait at one agent.
+    queue_timeout : float
+        Longest wait of a request in the queue, in seconds.
+    deadline : float
+        Deadline given to a request that states none, in seconds.
+    retry_budget : float
+        Retries allowed as a share of first tries.
+    idle_timeout : float
+        A flow without packets for this long ends, in seconds.
+    slow_start : float
+        Time over which a cold upstream is expected to warm, in seconds.
+    drain_timeout : float
+        Longest time that a draining upstream keeps its flows, in seconds.
+    """
+
+    name: str
+    kind: Kind
+    queue_length: int = 64
+    queue_timeout: float = 2.0
+    deadline: float = 10.0
+    retry_budget: float = 0.1
+    idle_timeout: float = 300.0
+    slow_start: float = 30.0
+    drain_timeout: float = 3600.0
+
+
+class Service(Record, frozen=True):
+    """A service: the address callers use and the profile it runs under."""
+
+    name: str
+    profile: str
+    host: str
+    port: int
+    protocol: Protocol = Protocol.OPAQUE
+
+
+class Zone(Record, frozen=True):
+    """An availability zone, in service or taken out."""
+
+    name: str
+    out: bool = False
+
+
+class MemberState(enum.StrEnum):
+    """The state of an announced upstream."""
+
+    ACCEPTING = "accepting"
+    DRAINING = "draining"
+
+
+class Member(Record, frozen=True):
+    """An upstream as its agent announced it.
+
+    Parameters
+    ----------
+    name, incarnation : str, int
+        Identity of the agent.
+    service, zone : str
+        What the upstream serves and where it runs.
+    host, port : str, int
+        Data address of the agent.
+    slots : int
+        Requests that the upstream works on at once when warm.
+    connections : int
+        Flows that the upstream holds at most.
+    state : MemberState
+        Whether new flows may be opened.
+    stream_port : int
+        Port of the agent for byte streams; 0 where it serves none.
+    """
+
+    name: str
+    incarnation: int
+    service: str
+    zone: str
+    host: str
+    port: int
+    slots: int = 1
+    connections: int = 2000
+    state: MemberState = MemberState.ACCEPTING
+    stream_port: int = 0
+
+
+class EntryHost(Record, frozen=True):
+    """An entry host as it announced itself."""
+
+    name: str
+    incarnation: int
+    zone: str
+    host: str
+    port: int
+
+
+Declaration = Union[Profile, Service, Zone]
+Announcement = Union[Member, EntryHost]
+Item = Union[Profile, Service, Zone, Member, EntryHost]
+
+
+class Versioned(Record, frozen=True):
+    """An item and the version of the configuration that last changed it."""
+
+    version: int
+    item: Item
+
+
+class Removed(Record, frozen=True):
+    """The removal of an item, by its type and name, at a version."""
+
+    version: int
+    item_type: str
+    name: str
+
+
+# --------------------------------------------------------------------------
+# Data path: messages between entry hosts and agents
+# --------------------------------------------------------------------------
+
+
+class Phase(enum.IntEnum):
+    """What the protocol of a packet tells about its place in the flow."""
+
+    UNKNOWN = 0
+    OPENING = 1
+    MIDDLE = 2
+    END = 3
+
+
+class Forward(Record, frozen=True, gc=False):
+    """A caller's packet on its way to the upstream.
+
+    Parameters
+    ----------
+    service : str
+        The service that the caller addressed.
+    target, incarnation : str, int
+        Identity of the agent that shall handle the packet.
+    version : int
+        Version of the configuration in force at the sender.
+    flow : bytes, 16 bytes
+        Key of the flow.
+    phase : Phase
+        What the protocol tells.
+    caller_host, caller_port : str, int
+        Address of the caller.
+    entry : str
+        Name of the entry host that received the packet.
+    hops : int
+        Agents that have passed the packet on.
+    assigned : bool
+        The home of the flow chose the target as its owner.
+    payload : bytes
+        The datagram as the caller sent it.
+    """
+
+    service: str
+    target: str
+    incarnation: int
+    version: int
+    flow: bytes
+    phase: int
+    caller_host: str
+    caller_port: int
+    entry: str
+    hops: int
+    assigned: bool
+    payload: bytes
+
+
+class Answer(Record, frozen=True, gc=False):
+    """An upstream's packet on its way to the caller."""
+
+    service: str
+    owner: str
+    incarnation: int
+    version: int
+    flow: bytes
+    caller_host: str
+    caller_port: int
+    payload: bytes
+
+
+class Reason(enum.StrEnum):
+    """Why a packet or request was not delivered to an upstream."""
+
+    FLOW_UNKNOWN = "flow_unknown"
+    NO_UPSTREAM = "no_upstream"
+    FULL = "full"
+    ZONE_OUT = "zone_out"
+    DRAINING = "draining"
+    NOT_SETTLED = "not_settled"
+    WRONG_SERVICE = "wrong_service"
+    WRONG_INCARNATION = "wrong_incarnation"
+    TOO_MANY_HOPS = "too_many_hops"
+    MALFORMED = "malformed"
+    EXPIRED = "expired"
+    CANCELLED = "cancelled"
+    SHED = "shed"
+    STOPPING = "stopping"
+    UPSTREAM_GONE = "upstream_gone"
+    IDLE = "idle"
+
+
+class Refusal(Record, frozen=True, gc=False):
+    """The agent did not deliver a packet; tells the entry host why."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flow: bytes
+    caller_host: str
+    caller_port: int
+    reason: Reason
+
+
+class Declined(Record, frozen=True):
+    """The chosen owner had no room; the packet goes back to the home."""
+
+    agent: str
+    incarnation: int
+    version: int
+    flows: int
+    packet: Forward
+
+
+class Released(Record, frozen=True):
+    """The owner tells the home that a flow has ended."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flow: bytes
+
+
+class LoadReport(Record, frozen=True):
+    """How much an agent holds and may hold, for its peers of the service."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flows: int
+    limit: int
+
+
+class OwnedFlow(Record, frozen=True):
+    """A flow and the identity of the agent that owns it."""
+
+    flow: bytes
+    owner: str
+    incarnation: int
+
+
+class Takeover(Record, frozen=True):
+    """A new home asks a peer for what it knows about some buckets.
+
+    From its answer on, the peer passes openings in these buckets to the
+    sender instead of admitting them itself.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    buckets: list[int]
+
+
+class TakeoverReply(Record, frozen=True):
+    """What a peer owns or remembers in the buckets that it gave up."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    buckets: list[int]
+    flows: list[OwnedFlow]
+
+
+# --------------------------------------------------------------------------
+# Requests: the record that a caller states in front of its body
+# --------------------------------------------------------------------------
+
+
+class Request(Record, frozen=True):
+    """A caller's request as it travels to the upstream.
+
+    Parameters
+    ----------
+    service, caller : str
+        Who asks whom.
+    number : int
+        Identity of the request, unique for the caller.
+    attempt : int
+        0 for the first try, one more for each resend.
+    timeout : float
+        Time left until the deadline, in seconds, when the packet was sent.
+    idempotent : bool
+        Whether running the request twice is harmless.
+    cancel : bool
+        Asks to give the request up; carries no body.
+    body : bytes
+        The work itself.
+    """
+
+    service: str
+    caller: str
+    number: int
+    attempt: int
+    timeout: float
+    idempotent: bool
+    cancel: bool
+    body: bytes
+
+
+class Verdict(enum.StrEnum):
+    """The outcome that a caller hears about a request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Response(Record, frozen=True):
+    """The outcome of a request, as the caller or an agent receives it.
+
+    From an upstream, ``NOT_RUN`` means that it shed the request unrun.
+    """
+
+    service: str
+    caller: str
+    number: int
+    attempt: int
+    verdict: Verdict
+    reason: str
+    body: bytes
+
+
+RequestMessage = Union[Request, Response]
+
+# --------------------------------------------------------------------------
+# Control links: messages between control, entry hosts, agents and operators
+# --------------------------------------------------------------------------
+
+
+class Freshness(Record, frozen=True):
+    """A stamp that only a leader in touch with a majority renews."""
+
+    term: int
+    stamp: int
+
+
+class Subscribe(Record, frozen=True):
+    """Announces a process and asks for everything after a version."""
+
+    identity: Identity
+    announcement: Announcement
+    version: int
+
+
+class Heartbeat(Record, frozen=True):
+    """Renews the lease of a process and tells the version it has in force."""
+
+    identity: Identity
+    version: int
+
+
+class Leave(Record, frozen=True):
+    """A process ends its own membership."""
+
+    identity: Identity
+
+
+class Delta(Record, frozen=True):
+    """What changed after ``since`` up to ``version``.
+
+    ``since == 0`` makes it a snapshot that replaces everything older.
+    """
+
+    since: int
+    version: int
+    items: list[Versioned]
+    removed: list[Removed]
+
+
+class DeltaRequest(Record, frozen=True):
+    """A process that sees a newer version on the data path asks for it."""
+
+    sender: Identity
+    version: int
+
+
+class HeartbeatReply(Record, frozen=True):
+    """Control's half of the two-way heartbeat."""
+
+    control: str
+    freshness: Freshness
+    version: int
+    known: bool
+
+
+class Change(Record, frozen=True):
+    """An operator's numbered change of the configuration."""
+
+    number: int
+    operator: str
+    items: list[Declaration]
+    removed: list[Removed]
+
+
+class ChangeStatus(enum.StrEnum):
+    """What became of a change."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    UNAVAILABLE = "unavailable"
+
+
+class ChangeReply(Record, frozen=True):
+    """The answer to a change: the same for every resend of it.
+
+    Parameters
+    ----------
+    number : int
+        Number of the change.
+    status : ChangeStatus
+        What became of it.
+    version : int
+        The version that put it in force, or 0.
+    winner : str
+        With a conflict, the operator whose change took the number.
+    errors : list of str
+        With an invalid change, everything that is wrong with it.
+    next_number : int
+        The lowest number still free.
+    """
+
+    number: int
+    status: ChangeStatus
+    version: int
+    winner: str
+    errors: list[str]
+    next_number: int
+
+
+class StatusRequest(Record, frozen=True):
+    """Asks a control host for all that it knows."""
+
+
+class ProcessStatus(Record, frozen=True):
+    """What control knows about one subscribed process."""
+
+    identity: Identity
+    role: str
+    zone: str
+    version: int
+    age: float
+
+
+class StatusReply(Record, frozen=True):
+    """All that a control host knows: configuration, members, versions."""
+
+    control: str
+    leader: str
+    freshness: Freshness
+    view: Delta
+    processes: list[ProcessStatus]
+    next_number: int
+
+
+DataMessage = Union[
+    Forward,
+    Answer,
+    Refusal,
+    Declined,
+    Released,
+    LoadReport,
+    Takeover,
+    TakeoverReply,
+    Delta,
+    DeltaRequest,
+]
+ControlMessage = Union[
+    Subscribe,
+    Heartbeat,
+    Leave,
+    Delta,
+    HeartbeatReply,
+    Change,
+    ChangeReply,
+    StatusRequest,
+    StatusReply,
+]
+
+# --------------------------------------------------------------------------
+# Commands of the replicated log
+# --------------------------------------------------------------------------
+
+
+class Join(Record, frozen=True):
+    """Puts an announced process into the membership."""
+
+    announcement: Announcement
+
+
+class Expire(Record, frozen=True):
+    """Ends the membership of a process that left or lost its lease."""
+
+    identity: Identity
+
+
+Command = Union[Change, Join, Expire]
+
+# --------------------------------------------------------------------------
+# Events and effects of the cores
+# --------------------------------------------------------------------------
+
+
+class Datagram(Struct, frozen=True, gc=False):
+    """Event: a caller's datagram reached a service address of an entry host."""
+
+    service: str
+    source: Address
+    payload: bytes
+
+
+class PeerMessage(Struct, frozen=True):
+    """Event: a message arrived on the data path."""
+
+    source: Address
+    message: DataMessage
+
+
+class UpstreamDatagram(Struct, frozen=True, gc=False):
+    """Event: the upstream sent a datagram on the socket of a flow."""
+
+    flow: bytes
+    payload: bytes
+
+
+class UpstreamGone(Struct, frozen=True):
+    """Event: the socket of a flow reports that the upstream is not there."""
+
+    flow: bytes
+
+
+class LinkMessage(Struct, frozen=True):
+    """Event: a message arrived on a control link."""
+
+    peer: str
+    message: ControlMessage
+
+
+class Tick(Struct, frozen=True):
+    """Event: time has passed."""
+
+
+class Stop(Struct, frozen=True):
+    """Event: a planned stop begins."""
+
+
+class SendCaller(Struct, frozen=True, gc=False):
+    """Effect: send a datagram from the service's address to a caller."""
+
+    service: str
+    destination: Address
+    payload: bytes
+
+
+class SendPeer(Struct, frozen=True, gc=False):
+    """Effect: send a message on the data path."""
+
+    destination: Address
+    message: DataMessage
+
+
+class SendUpstream(Struct, frozen=True, gc=False):
+    """Effect: send a datagram to the upstream from the socket of a flow.
+
+    The adapter opens the socket with the first datagram of a flow.
+    """
+
+    flow: bytes
+    payload: bytes
+
+
+class CloseUpstream(Struct, frozen=True):
+    """Effect: close the socket of a flow."""
+
+    flow: bytes
+
+
+class SendLink(Struct, frozen=True):
+    """Effect: send a message on a control link."""
+
+    peer: str
+    message: ControlMessage
+
+
+class Stopped(Struct, frozen=True):
+    """Effect: the planned stop is complete, the process may exit."""
+
+
+class TimelineEvent(Record, frozen=True):
+    """Effect: a change of state worth a place on the time line.
+
+    Parameters
+    ----------
+    kind : str
+        What happened, in snake case.
+    service, flow, peer : str
+        What it concerns; empty where it does not apply.
+    detail : str
+        Further facts for a person.
+    """
+
+    kind: str
+    service: str = ""
+    flow: str = ""
+    peer: str = ""
+    detail: str = ""
+
+
+Event = Union[
+    Datagram, PeerMessage, UpstreamDatagram, UpstreamGone, LinkMessage, Tick, Stop
+]
+Effect = Union[
+    SendCaller,
+    SendPeer,
+    SendUpstream,
+    CloseUpstream,
+    SendLink,
+    Stopped,
+    TimelineEvent,
+]
+
+# --------------------------------------------------------------------------
+# Outcomes
+# --------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """A frame that is no message of ours."""
+
+    step: str
+    peer: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidItem:
+    """A declaration that is refused, with the field and the value at fault."""
+
+    step: str
+    peer: str
+    item: str
+    field: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return the error as one line for a person."""
+        return f"{self.item}: {self.field} = {self.value}: allowed is {self.allowed}"
+
+
+@dataclass(frozen=True, slots=True)
+class OutOfOrder:
+    """A delta that does not fit the version in force."""
+
+    step: str
+    peer: str
+    have: int
+    since: int
+    version: int
--- /dev/null
+++ b/fulmarshore/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The thin processes around the cores."""
--- /dev/null
+++ b/fulmarshore/daemons/agent.py
@@ -0,0 +1,134 @@
+"""The agent daemon: one data socket, and one upstream socket for each flow."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.adapters.metrics import Gauges
+from fulmarshore.adapters.peers import PeerSocket
+from fulmarshore.core.records import (
+    Address,
+    CloseUpstream,
+    Effect,
+    Event,
+    Identity,
+    Member,
+    SendPeer,
+    SendUpstream,
+    UpstreamDatagram,
+    UpstreamGone,
+)
+from fulmarshore.daemons.process import (
+    Daemon,
+    ProcessSettings,
+    draw_incarnation,
+    format_link,
+)
+from fulmarshore.membership.subscriber import Subscriber
+from fulmarshore.routing.agent import AgentCore
+
+
+class AgentSettings(ProcessSettings, frozen=True, kw_only=True):
+    """Settings of an agent.
+
+    Parameters
+    ----------
+    data : Address
+        Where entry hosts and other agents reach this agent.
+    service : str
+        The service of the upstream.
+    upstream : Address
+        Where the upstream listens.
+    slots, connections : int
+        What the warm upstream bears.
+    """
+
+    data: Address
+    service: str
+    upstream: Address
+    slots: int = 1
+    connections: int = 2000
+
+
+class AgentDaemon(Daemon):
+    """Runs the core of an agent on real sockets."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        super().__init__("agent", settings)
+        self.core: AgentCore | None = None
+        self._data: PeerSocket | None = None
+        self._upstreams: dict[bytes, DatagramSocket] = {}
+
+    def open(self) -> None:
+        """Open the data socket and create the core."""
+        loop = asyncio.get_running_loop()
+        self._data = PeerSocket(loop, self.dispatch, self.counters)
+        data = self._data.bind(self.settings.data)
+        settings = self.settings
+        identity = Identity(settings.name, draw_incarnation())
+        announcement = Member(
+            identity.name,
+            identity.incarnation,
+            settings.service,
+            settings.zone,
+            data.host,
+            data.port,
+            settings.slots,
+            settings.connections,
+        )
+        controls = [format_link(address) for address in settings.controls]
+        subscriber = Subscriber(identity, announcement, controls, self.random)
+        self.core = AgentCore(subscriber)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._data.close()
+        for sock in self._upstreams.values():
+            sock.close()
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Hand an event to the core."""
+        return self.core.handle(event, now)
+
+    def carry_out(self, effect: Effect) -> None:
+        """Send to entry hosts, agents and the upstream."""
+        match effect:
+            case SendUpstream(flow=flow, payload=payload):
+                self._find_upstream(flow).send(payload)
+            case SendPeer(destination=destination, message=message):
+                self._data.send(message, destination)
+            case CloseUpstream(flow=flow):
+                sock = self._upstreams.pop(flow, None)
+                if sock is not None:
+                    sock.close()
+
+    def read_gauges(self) -> Gauges:
+        """Return the current values for the metrics."""
+        return {
+            "version": self.core.table.version,
+            "flows": len(self.core.flows),
+            "directory_flows": len(self.core.directory),
+        }
+
+    def list_counters(self) -> list[Counter[str]]:
+        """Return the counters for the metrics."""
+        return [self.counters, self.core.counters, self.core.subscriber.counters]
+
+    def _find_upstream(self, flow: bytes) -> DatagramSocket:
+        sock = self._upstreams.get(flow)
+        if sock is not None:
+            return sock
+
+        def receive(payload: bytes, source: Address) -> None:
+            self.dispatch(UpstreamDatagram(flow, payload))
+
+        def fail() -> None:
+            loop.call_soon(self.dispatch, UpstreamGone(flow))
+
+        loop = asyncio.get_running_loop()
+        sock = DatagramSocket(loop, receive, fail)
+        sock.connect(self.settings.upstream)
+        self._upstreams[flow] = sock
+        return sock
--- /dev/null
+++ b/fulmarshore/daemons/process.py
@@ -0,0 +1,195 @@
+"""What every daemon shares: clock, loop, signals, logs, metrics, links."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from abc import ABC, abstractmethod
+from collections import Counter
+from random import Random
+
+import logbook
+import uvloop
+import zmq.asyncio
+from msgspec import Struct
+
+from fulmarshore.adapters.links import LinkClient
+from fulmarshore.adapters.metrics import CoreCollector, Gauges, serve_metrics
+from fulmarshore.core.records import (
+    Address,
+    ControlMessage,
+    Effect,
+    Event,
+    LinkMessage,
+    SendLink,
+    Stop,
+    Stopped,
+    Tick,
+    TimelineEvent,
+)
+
+TICK_INTERVAL_S = 0.05
+
+log = logbook.Logger("fulmarshore")
+
+
+class ProcessSettings(Struct, frozen=True, kw_only=True):
+    """Settings that all daemons share.
+
+    Parameters
+    ----------
+    name, zone : str
+        Name of the host and its availability zone.
+    controls : tuple of Address
+        The control hosts' link addresses.
+    metrics : Address or None
+        Where the metrics are served.
+    seed : int or None
+        Seed of the process's random choices; None draws one.
+    """
+
+    name: str
+    zone: str
+    controls: tuple[Address, ...]
+    metrics: Address | None = None
+    seed: int | None = None
+
+
+class Daemon(ABC):
+    """Runs a core: events in, effects out, until the core has stopped.
+
+    Parameters
+    ----------
+    role : str
+        entry, agent or control.
+    settings : ProcessSettings
+        The settings of the process.
+    """
+
+    def __init__(self, role: str, settings: ProcessSettings) -> None:
+        self.role = role
+        self.settings = settings
+        self.random = Random(settings.seed)
+        self.counters: Counter[str] = Counter()
+        self.context: zmq.asyncio.Context | None = None
+        self.links: LinkClient | None = None
+        self._done: asyncio.Event | None = None
+
+    @abstractmethod
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Hand an event to the core."""
+
+    @abstractmethod
+    def carry_out(self, effect: Effect) -> None:
+        """Carry out an effect that is the role's own."""
+
+    @abstractmethod
+    def open(self) -> None:
+        """Open the sockets of the role."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the sockets of the role."""
+
+    def read_gauges(self) -> Gauges:
+        """Return the current values for the metrics."""
+        return {}
+
+    def list_counters(self) -> list[Counter[str]]:
+        """Return the counters for the metrics."""
+        return [self.counters]
+
+    def dispatch(self, event: Event) -> None:
+        """Hand an event to the core and carry out what it returns."""
+        self.execute(self.handle(event, time.monotonic()))
+
+    def execute(self, effects: list[Effect]) -> None:
+        """Carry out effects in their order."""
+        for effect in effects:
+            match effect:
+                case SendLink(peer=peer, message=message):
+                    self.send_link(peer, message)
+                case TimelineEvent():
+                    self.note(effect)
+                case Stopped():
+                    self._done.set()
+                case _:
+                    self.carry_out(effect)
+
+    def send_link(self, peer: str, message: ControlMessage) -> None:
+        """Send a message on a control link."""
+        if self.links is not None:
+            self.links.send(peer, message)
+
+    def note(self, event: TimelineEvent) -> None:
+        """Log a change of state."""
+        log.info(
+            "{} service={} flow={} peer={} {}",
+            event.kind,
+            event.service,
+            event.flow,
+            event.peer,
+            event.detail,
+        )
+
+    def run(self) -> None:
+        """Run until the core has stopped."""
+        handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
+        with handler.applicationbound():
+            uvloop.run(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._done = asyncio.Event()
+        self.context = zmq.asyncio.Context()
+        if self.settings.controls:
+            names = {
+                format_link(address): address for address in self.settings.controls
+            }
+            self.links = LinkClient(self.context, names, self._take_link)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop)
+        self.open()
+        server = None
+        if self.settings.metrics is not None:
+            collector = CoreCollector(self.role, self.list_counters(), self.read_gauges)
+            server, _ = serve_metrics(self.settings.metrics, collector)
+        log.info("{} {} started, pid {}", self.role, self.settings.name, os.getpid())
+        while not self._done.is_set():
+            self.dispatch(Tick())
+            await self._wait_tick()
+        await asyncio.sleep(TICK_INTERVAL_S)
+        self.close()
+        if self.links is not None:
+            self.links.close()
+        if server is not None:
+            server.shutdown()
+            server.server_close()
+        self.context.destroy(linger=200)
+        log.info("{} {} stopped", self.role, self.settings.name)
+
+    async def _wait_tick(self) -> None:
+        try:
+            await asyncio.wait_for(self._done.wait(), TICK_INTERVAL_S)
+        except TimeoutError:
+            return
+
+    def _take_link(self, peer: str, message: ControlMessage) -> None:
+        self.dispatch(LinkMessage(peer, message))
+
+    def _stop(self) -> None:
+        log.info("{} {} stopping", self.role, self.settings.name)
+        self.dispatch(Stop())
+
+
+def format_link(address: Address) -> str:
+    """Return the name of the link to a control host."""
+    return f"{address.host}:{address.port}"
+
+
+def draw_incarnation() -> int:
+    """Return an incarnation above that of every earlier start on this host."""
+    return time.time_ns() // 1_000
--- /dev/null
+++ b/fulmarshore/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there and which configuration is in force."""
--- /dev/null
+++ b/fulmarshore/membership/subscriber.py
@@ -0,0 +1,150 @@
+"""The subscriber's side of a control link: view, lease and freshness."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from fulmarshore.core.records import (
+    Announcement,
+    Delta,
+    Effect,
+    Freshness,
+    Heartbeat,
+    HeartbeatReply,
+    Identity,
+    Leave,
+    LinkMessage,
+    SendLink,
+    Subscribe,
+    TimelineEvent,
+)
+from fulmarshore.membership.view import View, apply_delta
+
+HEARTBEAT_INTERVAL_S = 0.5
+SILENCE_TIMEOUT_S = 1.5
+"""A control host that says nothing, or nothing fresh, for this long is left."""
+
+
+class Subscriber:
+    """Keeps the newest view from any of the control hosts.
+
+    Parameters
+    ----------
+    identity : Identity
+        This life of this process.
+    announcement : Member or EntryHost
+        What the process announces.
+    controls : list of str
+        Names of the links to the control hosts, in the order of preference.
+    random : Random
+        Source of the choice of the next control host.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        announcement: Announcement,
+        controls: list[str],
+        random: Random,
+    ) -> None:
+        assert controls, "a subscriber needs a control host"
+        self.identity = identity
+        self.announcement = announcement
+        self.view = View()
+        self.counters: Counter[str] = Counter()
+        self.lease_renewed = float("-inf")
+        self._controls = list(controls)
+        self._random = random
+        self._current = random.randrange(len(controls))
+        self._freshness = Freshness(0, 0)
+        self._fresh_at = float("-inf")
+        self._sent_at = float("-inf")
+        self._subscribed = False
+
+    @property
+    def control(self) -> str:
+        """Name of the link to the control host in use."""
+        return self._controls[self._current]
+
+    def announce(self, announcement: Announcement) -> list[Effect]:
+        """Replace the announcement, such as by one that drains."""
+        self.announcement = announcement
+        self._subscribed = False
+        return [self._subscribe()]
+
+    def leave(self) -> list[Effect]:
+        """End the membership at every control host."""
+        return [SendLink(name, Leave(self.identity)) for name in self._controls]
+
+    def tick(self, now: float) -> list[Effect]:
+        """Send heartbeats, and move on from a control host that is silent."""
+        effects: list[Effect] = []
+        if self._fresh_at == float("-inf"):
+            self._fresh_at = now
+        if now - self._fresh_at > SILENCE_TIMEOUT_S:
+            effects += self._move(now)
+        if now - self._sent_at < HEARTBEAT_INTERVAL_S:
+            return effects
+        self._sent_at = now
+        if not self._subscribed:
+            effects.append(self._subscribe())
+            return effects
+        beat = Heartbeat(self.identity, self.view.version)
+        effects.append(SendLink(self.control, beat))
+        return effects
+
+    def handle(self, event: LinkMessage, now: float) -> list[Effect]:
+        """Take a message from a control host."""
+        match event.message:
+            case Delta() as delta:
+                return self.apply(delta, event.peer)
+            case HeartbeatReply() as reply:
+                return self._take_reply(event.peer, reply, now)
+        self.counters["unexpected_link_message"] += 1
+        return []
+
+    def apply(self, delta: Delta, peer: str) -> list[Effect]:
+        """Bring the view forward by a delta from any peer."""
+        view, errors = apply_delta(self.view, delta)
+        if errors:
+            self.counters["delta_out_of_order"] += 1
+            return [SendLink(self.control, self._subscribe().message)]
+        if view is self.view:
+            return []
+        self.view = view
+        self.counters["deltas_applied"] += 1
+        return [
+            TimelineEvent("view_applied", peer=peer, detail=f"version {view.version}")
+        ]
+
+    def _take_reply(self, peer: str, reply: HeartbeatReply, now: float) -> list[Effect]:
+        stamp = (reply.freshness.term, reply.freshness.stamp)
+        if stamp > (self._freshness.term, self._freshness.stamp):
+            self._freshness = reply.freshness
+            self._fresh_at = now
+            if reply.known:
+                self.lease_renewed = now
+        if peer != self.control:
+            return []
+        if reply.known:
+            self._subscribed = True
+        if not reply.known or reply.version > self.view.version:
+            return [self._subscribe()]
+        return []
+
+    def _subscribe(self) -> SendLink:
+        message = Subscribe(self.identity, self.announcement, self.view.version)
+        return SendLink(self.control, message)
+
+    def _move(self, now: float) -> list[Effect]:
+        left = self.control
+        step = 1 if len(self._controls) <= 2 else self._random.choice((1, 2))
+        self._current = (self._current + step) % len(self._controls)
+        self._subscribed = False
+        self._fresh_at = now
+        self._sent_at = float("-inf")
+        self.counters["control_moves"] += 1
+        return [
+            TimelineEvent("control_moved", peer=self.control, detail=f"from {left}")
+        ]
--- /dev/null
+++ b/fulmarshore/membership/view.py
@@ -0,0 +1,131 @@
+"""The configuration and membership in force at a process.
+
+A view is a set of items, each stamped with the version that last changed it.
+Versions only go up: nothing older is ever applied over something newer.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from fulmarshore.core.records import (
+    Delta,
+    Item,
+    OutOfOrder,
+    Removed,
+    Versioned,
+)
+
+MAX_REMOVED = 4096
+"""Removals that a view remembers for deltas, the newest ones."""
+
+Key = tuple[str, str]
+
+
+class View(Struct, frozen=True):
+    """All items in force at one version.
+
+    Parameters
+    ----------
+    version : int
+        Version of the newest change in the view.
+    items : dict
+        Stamped items by type name and name.
+    removed : tuple of Removed
+        The newest removals, oldest first.
+    horizon : int
+        Removals up to this version may be forgotten.
+    """
+
+    version: int = 0
+    items: dict[Key, Versioned] = {}
+    removed: tuple[Removed, ...] = ()
+    horizon: int = 0
+
+
+def get_key(item: Item) -> Key:
+    """Return the key of an item: its type name and its name."""
+    return type(item).__name__, item.name
+
+
+def change_view(
+    view: View, version: int, items: list[Item], removed: list[Removed]
+) -> View:
+    """Return the view after a change of some items at a version."""
+    delta = Delta(
+        since=view.version,
+        version=version,
+        items=[Versioned(version, item) for item in items],
+        removed=[Removed(version, gone.item_type, gone.name) for gone in removed],
+    )
+    changed, errors = apply_delta(view, delta)
+    assert not errors, errors
+    return changed
+
+
+def apply_delta(view: View, delta: Delta) -> tuple[View, list[OutOfOrder]]:
+    """Bring a view forward by a delta.
+
+    Parameters
+    ----------
+    view : View
+        The view in force.
+    delta : Delta
+        Changes since a version not above the view's; ``since == 0`` replaces
+        the view.
+
+    Returns
+    -------
+    view : View
+        The newer view, or the same one where the delta does not fit.
+    errors : list of OutOfOrder
+        Why the delta was not applied. A delta that brings nothing newer is
+        ignored without an error.
+    """
+    if delta.version <= view.version:
+        return view, []
+    if delta.since > view.version:
+        error = OutOfOrder("apply_delta", "", view.version, delta.since, delta.version)
+        return view, [error]
+    items = {} if delta.since == 0 else dict(view.items)
+    for gone in delta.removed:
+        key = (gone.item_type, gone.name)
+        held = items.get(key)
+        if held is not None and held.version > gone.version:
+            continue
+        items.pop(key, None)
+    for stamped in delta.items:
+        key = get_key(stamped.item)
+        held = items.get(key)
+        if held is not None and held.version > stamped.version:
+            continue
+        items[key] = stamped
+    removed, horizon = _merge_removed(view, delta)
+    assert delta.version > view.version, "versions only go up"
+    return View(delta.version, items, removed, horizon), []
+
+
+def make_delta(view: View, since: int) -> Delta:
+    """Return what changed after a version: a snapshot if that is too old."""
+    if since < view.horizon or since > view.version:
+        since = 0
+    if since == 0:
+        return Delta(0, view.version, list(view.items.values()), [])
+    items = []
+    for stamped in view.items.values():
+        if stamped.version <= since:
+            continue
+        items.append(stamped)
+    removed = [gone for gone in view.removed if gone.version > since]
+    return Delta(since, view.version, items, removed)
+
+
+def _merge_removed(view: View, delta: Delta) -> tuple[tuple[Removed, ...], int]:
+    if delta.since == 0:
+        return (), delta.version
+    known = set(view.removed)
+    merged = view.removed + tuple(gone for gone in delta.removed if gone not in known)
+    if len(merged) <= MAX_REMOVED:
+        return merged, view.horizon
+    dropped = len(merged) - MAX_REMOVED
+    return merged[dropped:], merged[dropped - 1].version
--- /dev/null
+++ b/fulmarshore/membership/view_test.py
@@ -0,0 +1,58 @@
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+import fulmarshore.standins.profiles  # noqa: F401
+from fulmarshore.core.records import Delta, Removed, Versioned, Zone
+from fulmarshore.membership.view import (
+    View,
+    apply_delta,
+    change_view,
+    make_delta,
+)
+
+NAMES = ("a", "b", "c", "d")
+
+
+def build_history(steps):
+    views = [View()]
+    for version, (name, gone) in enumerate(steps, start=1):
+        items = [] if gone else [Zone(name, version % 2 == 0)]
+        removed = [Removed(0, "Zone", name)] if gone else []
+        views.append(change_view(views[-1], version, items, removed))
+    return views
+
+
+class ViewTest(TestCase):
+    @given(
+        st.lists(st.tuples(st.sampled_from(NAMES), st.booleans()), max_size=20),
+        st.data(),
+    )
+    def test_delta_from_any_version_gives_the_same_view(self, steps, data):
+        views = build_history(steps)
+        start = data.draw(st.integers(0, len(steps)))
+        delta = make_delta(views[-1], start)
+        reached, errors = apply_delta(views[start], delta)
+        self.assertEqual(errors, [])
+        self.assertEqual(reached.items, views[-1].items)
+        self.assertEqual(reached.version, views[-1].version)
+
+    def test_nothing_older_is_applied(self):
+        view = change_view(View(), 5, [Zone("a", True)], [])
+        table = [
+            ("older snapshot", Delta(0, 4, [Versioned(4, Zone("a", False))], [])),
+            ("same version", Delta(0, 5, [Versioned(5, Zone("a", False))], [])),
+            ("older delta", Delta(2, 3, [Versioned(3, Zone("a", False))], [])),
+        ]
+        for label, delta in table:
+            with self.subTest(label):
+                reached, errors = apply_delta(view, delta)
+                self.assertIs(reached, view)
+                self.assertEqual(errors, [])
+
+    def test_gap_is_an_error(self):
+        view = change_view(View(), 5, [Zone("a", True)], [])
+        reached, errors = apply_delta(view, Delta(7, 8, [], []))
+        self.assertIs(reached, view)
+        self.assertEqual((errors[0].have, errors[0].since), (5, 7))
--- /dev/null
+++ b/fulmarshore/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a packet: buckets, rows, homes, owners."""
--- /dev/null
+++ b/fulmarshore/routing/table.py
@@ -0,0 +1,121 @@
+"""Rows of candidates for each bucket, derived from the view in force."""
+
+from __future__ import annotations
+
+from fulmarshore.core.hashing import score_candidate
+from fulmarshore.core.records import (
+    EntryHost,
+    Member,
+    MemberState,
+    Profile,
+    Service,
+    Zone,
+)
+from fulmarshore.membership.view import View
+
+
+class ServiceTable:
+    """The members of one service and their order in each bucket.
+
+    Parameters
+    ----------
+    service : Service
+        The declaration of the service.
+    profile : Profile
+        The profile it runs under.
+    members : tuple of Member
+        Reachable members by name: accepting or draining, in a zone that is
+        not taken out.
+    """
+
+    __slots__ = ("service", "profile", "members", "accepting", "by_name", "_rows")
+
+    def __init__(
+        self, service: Service, profile: Profile, members: tuple[Member, ...]
+    ) -> None:
+        self.service = service
+        self.profile = profile
+        self.members = members
+        self.accepting = tuple(
+            member for member in members if member.state == MemberState.ACCEPTING
+        )
+        self.by_name = {member.name: member for member in members}
+        self._rows: dict[int, tuple[Member, ...]] = {}
+
+    def get_row(self, bucket: int) -> tuple[Member, ...]:
+        """Return the accepting members in the order of the bucket, home first."""
+        row = self._rows.get(bucket)
+        if row is None:
+            row = self._order(bucket)
+            self._rows[bucket] = row
+        return row
+
+    def _order(self, bucket: int) -> tuple[Member, ...]:
+        name = self.service.name
+        scored = []
+        for member in self.accepting:
+            weight = float(max(member.connections, 1))
+            score = score_candidate(name, bucket, member.name, weight)
+            scored.append((-score, member.name, member))
+        scored.sort(key=lambda entry: entry[:2])
+        return tuple(entry[2] for entry in scored)
+
+
+class Table:
+    """Everything that routing needs of a view.
+
+    Parameters
+    ----------
+    view : View
+        The view in force.
+    previous : Table, optional
+        The table it replaces; services that did not change keep their rows.
+    """
+
+    __slots__ = ("version", "services", "zones_out", "entries", "profiles")
+
+    def __init__(self, view: View, previous: Table | None = None) -> None:
+        self.version = view.version
+        self.services: dict[str, ServiceTable] = {}
+        self.zones_out: set[str] = set()
+        self.entries: dict[str, EntryHost] = {}
+        self.profiles: dict[str, Profile] = {}
+        declared: list[Service] = []
+        members: list[Member] = []
+        for stamped in view.items.values():
+            match stamped.item:
+                case Profile() as profile:
+                    self.profiles[profile.name] = profile
+                case Service() as service:
+                    declared.append(service)
+                case Zone(name=name, out=True):
+                    self.zones_out.add(name)
+                case Member() as member:
+                    members.append(member)
+                case EntryHost() as entry:
+                    self.entries[entry.name] = entry
+        self._build_services(declared, members, previous)
+
+    def _build_services(
+        self, declared: list[Service], members: list[Member], previous: Table | None
+    ) -> None:
+        grouped: dict[str, list[Member]] = {service.name: [] for service in declared}
+        for member in members:
+            if member.zone in self.zones_out or member.service not in grouped:
+                continue
+            grouped[member.service].append(member)
+        for service in declared:
+            profile = self.profiles.get(service.profile)
+            if profile is None:
+                continue
+            reachable = tuple(sorted(grouped[service.name], key=lambda m: m.name))
+            kept = previous.services.get(service.name) if previous else None
+            if (
+                kept is not None
+                and kept.members == reachable
+                and kept.service == service
+                and kept.profile == profile
+            ):
+                self.services[service.name] = kept
+                continue
+            self.services[service.name] = ServiceTable(service, profile, reachable)
--- /dev/null
+++ b/fulmarshore/standins/fabric.py
@@ -0,0 +1,94 @@
+"""A fabric: hands every datagram to an entry host drawn at random."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from msgspec import Struct
+
+from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.adapters.proxy import decode_header, encode_header, split_header
+from fulmarshore.core.records import Address, Malformed
+
+
+class Disturbance(Struct, frozen=True):
+    """Shares of datagrams that the fabric disturbs.
+
+    Parameters
+    ----------
+    loss, duplication, delay : float
+        Shares of 1.
+    delay_s : float
+        How long a delayed datagram is held back, which reorders it.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay: float = 0.0
+    delay_s: float = 0.02
+
+
+class FabricAddress:
+    """One service address that the fabric serves.
+
+    Parameters
+    ----------
+    service : Address
+        The address that callers use.
+    entries : list of Address
+        The entry hosts' addresses of the service; may be changed meanwhile.
+    random : Random
+        Draws the entry host of each datagram.
+    disturbance : Disturbance
+        What happens to datagrams on the way.
+    """
+
+    def __init__(
+        self,
+        service: Address,
+        entries: list[Address],
+        random: Random,
+        disturbance: Disturbance | None = None,
+    ) -> None:
+        self.service = service
+        self.entries = entries
+        self.disturbance = disturbance or Disturbance()
+        self._random = random
+        self._loop = asyncio.get_running_loop()
+        self._outer = DatagramSocket(self._loop, self._take_caller)
+        self._inner = DatagramSocket(self._loop, self._take_entry)
+
+    def open(self) -> None:
+        """Open the service address and the side towards the entry hosts."""
+        self._outer.bind(self.service)
+        self._inner.bind(Address("127.0.0.1", 0))
+
+    def close(self) -> None:
+        """Close both sides."""
+        self._outer.close()
+        self._inner.close()
+
+    def _take_caller(self, payload: bytes, source: Address) -> None:
+        disturbance = self.disturbance
+        if self._random.random() < disturbance.loss:
+            return
+        copies = 2 if self._random.random() < disturbance.duplication else 1
+        frame = encode_header(Address(*source), self.service) + payload
+        for _ in range(copies):
+            if self._random.random() < disturbance.delay:
+                self._loop.call_later(disturbance.delay_s, self._spray, frame)
+                continue
+            self._spray(frame)
+
+    def _spray(self, frame: bytes) -> None:
+        self._inner.send(frame, self._random.choice(self.entries))
+
+    def _take_entry(self, frame: bytes, source: Address) -> None:
+        parts = split_header(frame, source[0])
+        if isinstance(parts, Malformed):
+            return
+        caller = decode_header(parts[0])
+        if isinstance(caller, Malformed):
+            return
+        self._outer.send(parts[1], caller)
--- /dev/null
+++ b/fulmarshore/standins/network.py
@@ -0,0 +1,175 @@
+"""A fake of the links: carries the effects of cores to each other.
+
+Time is simulated, every choice comes from one seed, and nothing else of the
+world is imitated. Effects towards callers, upstreams and disks end in
+``outbox`` or at the callback given for a node.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from msgspec import Struct
+
+from fulmarshore.core.records import (
+    Address,
+    Effect,
+    Event,
+    LinkMessage,
+    PeerMessage,
+    SendLink,
+    SendPeer,
+    Tick,
+)
+
+TICK_INTERVAL_S = 0.05
+
+
+class Core(Protocol):
+    """What the network needs of a core."""
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take one event and return what is to be done."""
+
+
+class Faults(Struct, frozen=True):
+    """Shares of messages that the network disturbs, and its delays.
+
+    Parameters
+    ----------
+    loss, duplication : float
+        Shares of 1.
+    min_delay, max_delay : float
+        Bounds of the delay of a message, in seconds.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    min_delay: float = 0.0005
+    max_delay: float = 0.002
+
+
+Observe = Callable[["Node", Effect, float], None]
+
+
+class Node:
+    """A core in the network, with its name, address and clock."""
+
+    __slots__ = ("name", "address", "core", "observe", "running")
+
+    def __init__(
+        self, name: str, address: Address, core: Core, observe: Observe | None
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.core = core
+        self.observe = observe
+        self.running = True
+
+
+class FakeNetwork:
+    """Delivers messages between cores in simulated time.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of delays, losses and duplicates.
+    faults : Faults
+        What happens to messages; may be replaced at any time.
+    """
+
+    def __init__(self, seed: int, faults: Faults | None = None) -> None:
+        self.now = 0.0
+        self.faults = faults or Faults()
+        self.random = Random(seed)
+        self.nodes: dict[str, Node] = {}
+        self.outbox: list[tuple[float, str, Effect]] = []
+        self._by_address: dict[Address, str] = {}
+        self._cut: set[tuple[str, str]] = set()
+        self._queue: list[tuple[float, int, str, Event]] = []
+        self._sequence = 0
+
+    def add(
+        self,
+        name: str,
+        core: Core,
+        address: Address | None = None,
+        observe: Observe | None = None,
+    ) -> Node:
+        """Add a core, or replace the one of that name after a restart."""
+        address = address or Address("127.0.0.1", 10_000 + len(self.nodes))
+        node = Node(name, address, core, observe)
+        self.nodes[name] = node
+        self._by_address[address] = name
+        self._push(self.now, name, Tick())
+        return node
+
+    def stop(self, name: str) -> None:
+        """Crash a core: it takes no events from now on."""
+        self.nodes[name].running = False
+
+    def cut(self, source: str, destination: str) -> None:
+        """Lose everything from one core to another, silently."""
+        self._cut.add((source, destination))
+
+    def part(self, left: list[str], right: list[str]) -> None:
+        """Lose everything between two groups, in both directions."""
+        for one in left:
+            for other in right:
+                self.cut(one, other)
+                self.cut(other, one)
+
+    def heal(self) -> None:
+        """End all partitions."""
+        self._cut.clear()
+
+    def inject(self, name: str, event: Event) -> None:
+        """Hand an event to a core now."""
+        self._deliver(self.nodes[name], event)
+
+    def run(self, seconds: float) -> None:
+        """Run for a time."""
+        until = self.now + seconds
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, name, event = heapq.heappop(self._queue)
+            node = self.nodes.get(name)
+            if node is None or not node.running:
+                continue
+            if isinstance(event, Tick):
+                self._push(self.now + TICK_INTERVAL_S, name, event)
+            self._deliver(node, event)
+        self.now = until
+
+    def _deliver(self, node: Node, event: Event) -> None:
+        for effect in node.core.handle(event, self.now):
+            self._carry(node, effect)
+
+    def _carry(self, node: Node, effect: Effect) -> None:
+        match effect:
+            case SendPeer(destination=destination, message=message):
+                target = self._by_address.get(Address(*destination))
+                self._transmit(node.name, target, PeerMessage(node.address, message))
+            case SendLink(peer=peer, message=message):
+                self._transmit(node.name, peer, LinkMessage(node.name, message))
+            case _ if node.observe is not None:
+                node.observe(node, effect, self.now)
+            case _:
+                self.outbox.append((self.now, node.name, effect))
+
+    def _transmit(self, source: str, target: str | None, event: Event) -> None:
+        if target not in self.nodes or (source, target) in self._cut:
+            return
+        faults = self.faults
+        copies = 1 + (self.random.random() < faults.duplication)
+        for _ in range(copies):
+            if self.random.random() < faults.loss:
+                continue
+            delay = self.random.uniform(faults.min_delay, faults.max_delay)
+            self._push(self.now + delay, target, event)
+
+    def _push(self, at: float, name: str, event: Event) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (at, self._sequence, name, event))
--- /dev/null
+++ b/fulmarshore/standins/processes.py
@@ -0,0 +1,58 @@
+"""Starts and stops the daemons of a trial; only drivers and benches use it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+STOP_TIMEOUT_S = 5.0
+
+
+class Processes:
+    """The daemons that a trial started, by name.
+
+    Parameters
+    ----------
+    log_folder : Path
+        Where the daemons' logs go, one file each.
+    """
+
+    def __init__(self, log_folder: Path) -> None:
+        self._folder = log_folder
+        self._running: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self, name: str, *arguments: str) -> None:
+        """Start a daemon with the arguments of the command line."""
+        root = str(Path(__file__).resolve().parents[2])
+        environment = {**os.environ, "PYTHONPATH": root}
+        with open(self._folder / f"{name}.log", "ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "fulmarshore",
+                *arguments,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self._running[name] = process
+
+    def signal(self, name: str, number: int = signal.SIGTERM) -> None:
+        """Send a signal to a daemon."""
+        self._running[name].send_signal(number)
+
+    async def wait(self, name: str) -> int:
+        """Wait for a daemon's end and return its exit code."""
+        return await self._running.pop(name).wait()
+
+    async def stop_all(self) -> None:
+        """Stop every daemon that still runs."""
+        for process in self._running.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self._running.values():
+            await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
+        self._running.clear()
--- /dev/null
+++ b/fulmarshore/standins/upstream.py
@@ -0,0 +1,43 @@
+"""An upstream that answers every datagram with its name and the datagram."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.core.records import Address
+
+
+class EchoUpstream:
+    """Answers ``name|payload`` and remembers who sent what.
+
+    Parameters
+    ----------
+    name, service : str
+        Name of the upstream and its service; a payload that does not begin
+        with the service's name is counted as misdelivered.
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.callers: set[Address] = set()
+        self.misdelivered = 0
+        self.last_packet_at = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._socket = DatagramSocket(self._loop, self._take)
+
+    def open(self) -> Address:
+        """Open the upstream and return its address."""
+        return self._socket.bind(Address("127.0.0.1", 0))
+
+    def close(self) -> None:
+        """Close the upstream."""
+        self._socket.close()
+
+    def _take(self, payload: bytes, source: Address) -> None:
+        self.last_packet_at = self._loop.time()
+        self.callers.add(source)
+        if not payload.startswith(self.service.encode() + b"|"):
+            self.misdelivered += 1
+        self._socket.send(self.name.encode() + b"|" + payload, source)
