Let operators drain one upstream and read the accepted changes

Drain is a declared item, kept by control and obeyed by table and agent; it stands for the name, so a restarted upstream stays drained. HistoryRequest reads accepted changes back from the decisions of the log.

Test: path_test, seen failing when the table ignores Drain.

--- a/fulmarshore/agreement/validation.py
+++ b/fulmarshore/agreement/validation.py
@@ -139,8 +139,8 @@
     errors = []
     for gone in change.removed:
         label = f"{gone.item_type.lower()} {gone.name}"
-        if gone.item_type not in ("Profile", "Service", "Zone"):
-            allowed = "Profile, Service or Zone"
+        if gone.item_type not in ("Profile", "Service", "Zone", "Drain"):
+            allowed = "Profile, Service, Zone or Drain"
             errors.append(_error(change, label, "type", gone.item_type, allowed))
             continue
         if (gone.item_type, gone.name) not in view.items:
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -124,6 +124,16 @@
     out: bool = False
 
 
+class Drain(Record, frozen=True):
+    """An operator's wish that an upstream gets no new flows.
+
+    It stands for the name of the upstream, whatever its incarnation, until
+    an operator takes it back.
+    """
+
+    name: str
+
+
 class MemberState(enum.StrEnum):
     """The state of an announced upstream."""
 
@@ -174,9 +184,9 @@
     port: int
 
 
-Declaration = Union[Profile, Service, Zone]
+Declaration = Union[Profile, Service, Zone, Drain]
 Announcement = Union[Member, EntryHost]
-Item = Union[Profile, Service, Zone, Member, EntryHost]
+Item = Union[Profile, Service, Zone, Drain, Member, EntryHost]
 
 
 class Versioned(Record, frozen=True):
@@ -527,6 +537,35 @@
     next_number: int
 
 
+class HistoryRequest(Record, frozen=True):
+    """Asks for the newest accepted changes below a number.
+
+    Parameters
+    ----------
+    before : int
+        Only numbers below this one; 0 asks from the newest on.
+    limit : int
+        At most so many.
+    """
+
+    before: int
+    limit: int
+
+
+class HistoryEntry(Record, frozen=True):
+    """An accepted change and the version that put it in force."""
+
+    version: int
+    change: Change
+
+
+class HistoryReply(Record, frozen=True):
+    """Accepted changes, the newest first."""
+
+    control: str
+    entries: list[HistoryEntry]
+
+
 class StatusRequest(Record, frozen=True):
     """Asks a control host for all that it knows."""
 
@@ -574,6 +613,8 @@
     ChangeReply,
     StatusRequest,
     StatusReply,
+    HistoryRequest,
+    HistoryReply,
 ]
 
 # --------------------------------------------------------------------------
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+from fulmarshore.agreement.history import list_history
 from fulmarshore.agreement.state import State, answer_change, apply_command
 from fulmarshore.core.records import (
     Change,
@@ -13,6 +14,7 @@
     Expire,
     Freshness,
     Heartbeat,
+    HistoryRequest,
     Leave,
     LinkMessage,
     SendLink,
@@ -76,6 +78,9 @@
                 return self._submit([Expire(message.identity)])
             case Change() as change:
                 return self._change(event.peer, change)
+            case HistoryRequest() as request:
+                reply = list_history(self.state, self.name, request)
+                return [SendLink(event.peer, reply)]
             case StatusRequest():
                 return [SendLink(event.peer, self._describe(now))]
         self.counters["unexpected_link_message"] += 1
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -207,7 +207,8 @@
         if packet.phase in (Phase.MIDDLE, Phase.END):
             return self._refuse(packet, Reason.FLOW_UNKNOWN)
         has_room = self.gate.has_room(len(self.flows), now)
-        if has_room and self.member.state == MemberState.ACCEPTING:
+        drained = self.member.name in self.table.drained
+        if has_room and not drained and self.member.state == MemberState.ACCEPTING:
             return self._admit(packet, now)
         declined = Declined(
             self.member.name,
--- a/fulmarshore/routing/path_test.py
+++ b/fulmarshore/routing/path_test.py
@@ -8,12 +8,14 @@
     Address,
     Change,
     Datagram,
+    Drain,
     EntryHost,
     Identity,
     Kind,
     LinkMessage,
     Member,
     Profile,
+    Removed,
     SendCaller,
     SendUpstream,
     Service,
@@ -124,6 +126,19 @@
         self.assertEqual(len(late), 40)
         self.assertNotIn("agent1", {path.owners[key] for key in late})
 
+    def test_upstream_drained_by_an_operator_gets_flows_again_once_undrained(self):
+        path = Path(6)
+        path.change(Drain("agent1"))
+        path.network.run(1.0)
+        path.send_all(range(1, 41))
+        self.assertNotIn("agent1", path.owners.values())
+        path.number += 1
+        change = Change(path.number, "test", [], [Removed(0, "Drain", "agent1")])
+        path.network.inject("control", LinkMessage("test", change))
+        path.network.run(1.0)
+        path.send_all(range(41, 121))
+        self.assertIn("agent1", path.owners.values())
+
     def test_zone_out_ends_its_flows_and_gets_nothing_more(self):
         path = Path(5)
         path.send_all(range(1, 41))
--- a/fulmarshore/routing/table.py
+++ b/fulmarshore/routing/table.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from fulmarshore.core.hashing import score_candidate
 from fulmarshore.core.records import (
+    Drain,
     EntryHost,
     Member,
     MemberState,
@@ -72,12 +75,13 @@
         The table it replaces; services that did not change keep their rows.
     """
 
-    __slots__ = ("version", "services", "zones_out", "entries", "profiles")
+    __slots__ = ("version", "services", "zones_out", "entries", "profiles", "drained")
 
     def __init__(self, view: View, previous: Table | None = None) -> None:
         self.version = view.version
         self.services: dict[str, ServiceTable] = {}
         self.zones_out: set[str] = set()
+        self.drained: set[str] = set()
         self.entries: dict[str, EntryHost] = {}
         self.profiles: dict[str, Profile] = {}
         declared: list[Service] = []
@@ -90,6 +94,8 @@
                     declared.append(service)
                 case Zone(name=name, out=True):
                     self.zones_out.add(name)
+                case Drain(name=name):
+                    self.drained.add(name)
                 case Member() as member:
                     members.append(member)
                 case EntryHost() as entry:
@@ -103,6 +109,8 @@
         for member in members:
             if member.zone in self.zones_out or member.service not in grouped:
                 continue
+            if member.name in self.drained:
+                member = replace(member, state=MemberState.DRAINING)
             grouped[member.service].append(member)
         for service in declared:
             profile = self.profiles.get(service.profile)
