--- /dev/null
+++ b/fulmarshore/bench/capacity.py
@@ -0,0 +1,193 @@
+"""Slopes of state and processor time over the size of a region.
+
+Every figure is taken in one process over the pure cores: encoded bytes,
+traced memory and processor time for views, tables and flows of growing size.
+"""
+
+from __future__ import annotations
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+
+from msgspec import Struct
+
+from fulmarshore.core.codec import decode_control, encode
+from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
+from fulmarshore.core.records import (
+    Address,
+    Datagram,
+    EntryHost,
+    Identity,
+    Item,
+    Kind,
+    Member,
+    Profile,
+    Service,
+    Zone,
+)
+from fulmarshore.membership.subscriber import Subscriber
+from fulmarshore.membership.view import View, apply_delta, change_view, make_delta
+from fulmarshore.routing.entry import EntryCore
+from fulmarshore.routing.table import Table
+
+ENDPOINTS = (10, 100, 1000, 2170)
+ENDPOINTS_PER_SERVICE = 4
+ENDPOINTS_PER_ENTRY_HOST = 11
+ZONES = 3
+FLOWS = 20_000
+ROUNDS = 5
+
+
+class RegionSlope(Struct, frozen=True):
+    """What a region of some endpoints costs one process.
+
+    Parameters
+    ----------
+    endpoints, services : int
+        Size of the region.
+    snapshot_bytes : int
+        The encoded view.
+    decode_ms, change_ms, table_ms : float
+        Processor time to decode and apply a snapshot, to apply a change of
+        one item, and to rebuild the table after it.
+    view_bytes, table_bytes, rows_bytes : int
+        Memory of the view, of the table, and of all rows of all buckets.
+    """
+
+    endpoints: int
+    services: int
+    snapshot_bytes: int
+    decode_ms: float
+    change_ms: float
+    table_ms: float
+    view_bytes: int
+    table_bytes: int
+    rows_bytes: int
+
+
+class FlowSlope(Struct, frozen=True):
+    """What flows cost an entry host: memory of a flow, time to open one."""
+
+    flows: int
+    bytes_per_flow: float
+    open_us: float
+
+
+class CapacityReport(Struct, frozen=True):
+    """All slopes of one run."""
+
+    regions: list[RegionSlope]
+    entry_flows: FlowSlope
+
+
+def run(seed: int = 1) -> CapacityReport:
+    """Measure all slopes."""
+    regions = [measure_region(endpoints) for endpoints in ENDPOINTS]
+    return CapacityReport(regions, measure_entry_flows(seed))
+
+
+def measure_region(endpoints: int) -> RegionSlope:
+    """Measure the view and the table of a region of some endpoints."""
+    items = list_items(endpoints)
+    source = change_view(View(), 1, items, [])
+    frame = encode(make_delta(source, 0))
+    view, view_bytes = _trace(lambda: _decode(frame))
+    table, table_bytes = _trace(lambda: Table(view))
+    _, rows_bytes = _trace(lambda: _fill_rows(table))
+    member = next(item for item in items if isinstance(item, Member))
+    changed = change_view(view, 2, [member], [])
+    return RegionSlope(
+        endpoints=endpoints,
+        services=len(table.services),
+        snapshot_bytes=len(frame),
+        decode_ms=_time(lambda: _decode(frame)),
+        change_ms=_time(lambda: change_view(view, 2, [member], [])),
+        table_ms=_time(lambda: Table(changed, table)),
+        view_bytes=view_bytes,
+        table_bytes=table_bytes,
+        rows_bytes=rows_bytes,
+    )
+
+
+def measure_entry_flows(seed: int) -> FlowSlope:
+    """Measure what an entry host remembers of flows."""
+    identity = Identity("entry", 1)
+    host = EntryHost("entry", 1, "zone-0", "127.0.0.1", 1)
+    core = EntryCore(Subscriber(identity, host, ["control"], Random(seed)))
+    core.subscriber.apply(make_delta(_make_view(100), 0), "")
+    core.table = Table(core.subscriber.view)
+    events = [
+        Datagram("service-0", Address(f"10.0.{n >> 8 & 255}.{n & 255}", n), b"x")
+        for n in range(FLOWS)
+    ]
+    _, used = _trace(lambda: _open_flows(core, events))
+    core = EntryCore(core.subscriber)
+    core.table = Table(core.subscriber.view)
+    open_ms = _time(lambda: _open_flows(core, events), rounds=1)
+    return FlowSlope(FLOWS, used / FLOWS, open_ms * 1000 / FLOWS)
+
+
+def list_items(endpoints: int) -> list[Item]:
+    """Return the items of a region of some endpoints."""
+    services = max(endpoints // ENDPOINTS_PER_SERVICE, 1)
+    items: list[Item] = [Profile("feed", Kind.FEED)]
+    items += [Zone(f"zone-{number}") for number in range(ZONES)]
+    for number in range(services):
+        host = f"10.9.{number >> 8}.{number & 255}"
+        items.append(Service(f"service-{number}", "feed", host, 443))
+    for number in range(endpoints):
+        service = f"service-{number % services}"
+        host = f"10.1.{number >> 8}.{number & 255}"
+        zone = f"zone-{number % ZONES}"
+        name = f"host-{number:05d}"
+        items.append(Member(name, 1_700_000_000_000_000, service, zone, host, 7000))
+    for number in range(endpoints // ENDPOINTS_PER_ENTRY_HOST):
+        name = f"entry-{number:04d}"
+        host = f"10.2.{number >> 8}.{number & 255}"
+        items.append(EntryHost(name, 1_700_000_000_000_000, "zone-0", host, 7000))
+    return items
+
+
+def _make_view(endpoints: int) -> View:
+    return change_view(View(), 1, list_items(endpoints), [])
+
+
+def _decode(frame: bytes) -> View:
+    view, errors = apply_delta(View(), decode_control(frame, "bench"))
+    assert not errors, errors
+    return view
+
+
+def _fill_rows(table: Table) -> None:
+    for service in table.services.values():
+        for bucket in range(BUCKETS_PER_SERVICE):
+            service.get_row(bucket)
+
+
+def _open_flows(core: EntryCore, events: list[Datagram]) -> None:
+    for event in events:
+        core.handle(event, 0.0)
+
+
+def _trace(make: Callable[[], object]) -> tuple[object, int]:
+    """Return what a function makes and the bytes that stay allocated."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return made, used
+
+
+def _time(call: Callable[[], object], rounds: int = ROUNDS) -> float:
+    """Return the least processor time of a call over some rounds, in ms."""
+    best = float("inf")
+    for _ in range(rounds):
+        started = time.process_time()
+        call()
+        best = min(best, time.process_time() - started)
+    return best * 1000
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -2,9 +2,44 @@
 
 from __future__ import annotations
 
+import json
+
 import click
+import msgspec
+from msgspec import Struct
+from tabulate import tabulate
+
+from fulmarshore.bench import capacity as capacity_bench
 
 
 @click.group()
 def bench() -> None:
     """Run one of the measurements."""
+
+
+def show_report(report: Struct, as_json: bool) -> None:
+    """Print a report: tables of its lists and records, or JSON."""
+    fields = msgspec.to_builtins(report)
+    if as_json:
+        click.echo(json.dumps(fields))
+        return
+    plain = {}
+    for name, value in fields.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            click.echo(f"{name}:")
+            click.echo(tabulate(value, headers="keys"))
+            continue
+        if isinstance(value, dict):
+            click.echo(f"{name}:")
+            click.echo(tabulate(value.items()))
+            continue
+        plain[name] = value
+    if plain:
+        click.echo(tabulate(plain.items()))
+
+
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def capacity(as_json: bool) -> None:
+    """Measure the slopes of state and time over the size of a region."""
+    show_report(capacity_bench.run(), as_json)
