Share rows between buckets

Cause: each of 1,024 buckets of a service kept its own tuple and a dictionary slot, 73 MB at 542 services, more than a quarter of the 256 MB of a node. A service of four members has at most 24 orders. Ruled out: fewer buckets (imbalance of hashing grows). Conclusion: rows are a list of references to shared orders.

--- a/fulmarshore/routing/table.py
+++ b/fulmarshore/routing/table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fulmarshore.core.hashing import score_candidate
+from fulmarshore.core.hashing import BUCKETS_PER_SERVICE, score_candidate
 from fulmarshore.core.records import (
     EntryHost,
     Member,
@@ -13,6 +13,8 @@
 )
 from fulmarshore.membership.view import View
 
+Row = tuple[Member, ...]
+
 
 class ServiceTable:
     """The members of one service and their order in each bucket.
@@ -28,7 +30,15 @@
         not taken out.
     """
 
-    __slots__ = ("service", "profile", "members", "accepting", "by_name", "_rows")
+    __slots__ = (
+        "service",
+        "profile",
+        "members",
+        "accepting",
+        "by_name",
+        "_rows",
+        "_orders",
+    )
 
     def __init__(
         self, service: Service, profile: Profile, members: tuple[Member, ...]
@@ -40,17 +50,19 @@
             member for member in members if member.state == MemberState.ACCEPTING
         )
         self.by_name = {member.name: member for member in members}
-        self._rows: dict[int, tuple[Member, ...]] = {}
+        self._rows: list[Row | None] = [None] * BUCKETS_PER_SERVICE
+        # A service has few members and so few orders of them: buckets share.
+        self._orders: dict[tuple[str, ...], Row] = {}
 
-    def get_row(self, bucket: int) -> tuple[Member, ...]:
+    def get_row(self, bucket: int) -> Row:
         """Return the accepting members in the order of the bucket, home first."""
-        row = self._rows.get(bucket)
+        row = self._rows[bucket]
         if row is None:
             row = self._order(bucket)
             self._rows[bucket] = row
         return row
 
-    def _order(self, bucket: int) -> tuple[Member, ...]:
+    def _order(self, bucket: int) -> Row:
         name = self.service.name
         scored = []
         for member in self.accepting:
@@ -58,7 +70,9 @@
             score = score_candidate(name, bucket, member.name, weight)
             scored.append((-score, member.name, member))
         scored.sort(key=lambda entry: entry[:2])
-        return tuple(entry[2] for entry in scored)
+        order = tuple(entry[1] for entry in scored)
+        row = tuple(entry[2] for entry in scored)
+        return self._orders.setdefault(order, row)
 
 
 class Table:
