--- a/fulmarshore/standins/caller.py
+++ b/fulmarshore/standins/caller.py
@@ -18,10 +18,19 @@
     answered first, or when several datagrams in a row stay unanswered.
     """
 
-    def __init__(self, service: str, address: Address, interval: float) -> None:
+    def __init__(
+        self,
+        service: str,
+        address: Address,
+        interval: float,
+        answer_timeout: float = ANSWER_TIMEOUT_S,
+        attempts: int = MAX_ATTEMPTS,
+    ) -> None:
         self.service = service
         self.address = address
         self.interval = interval
+        self._answer_timeout = answer_timeout
+        self._attempts = attempts
         self.upstream = ""
         self.opened = 0
         self.broken = 0
@@ -48,6 +57,10 @@
             else:
                 self.refused += 1
             self._reopen()
+        self.close()
+
+    def close(self) -> None:
+        """Close the flow's socket."""
         self._socket.close()
 
     def _reopen(self) -> None:
@@ -59,11 +72,11 @@
     async def _exchange(self) -> bool:
         self._number += 1
         payload = f"{self.service}|{self._number}".encode()
-        for _ in range(MAX_ATTEMPTS):
+        for _ in range(self._attempts):
             self._answered = self._loop.create_future()
             self._socket.send(payload)
             try:
-                name = await asyncio.wait_for(self._answered, ANSWER_TIMEOUT_S)
+                name = await asyncio.wait_for(self._answered, self._answer_timeout)
             except TimeoutError:
                 continue
             return self._check(name)
--- /dev/null
+++ b/fulmarshore/standins/cluster.py
@@ -0,0 +1,181 @@
+"""A small cluster of real daemons on loopback, for process tests and benches."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from urllib.request import urlopen
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from fulmarshore.commands.operator import fetch_status, submit_change
+from fulmarshore.core.records import (
+    Address,
+    ChangeReply,
+    ChangeStatus,
+    Declaration,
+    EntryHost,
+    Member,
+    StatusReply,
+)
+from fulmarshore.standins.processes import Processes
+
+ZONE = "zone-a"
+WAIT_TIMEOUT_S = 15.0
+POLL_INTERVAL_S = 0.02
+
+Reached = Callable[[], bool]
+
+
+class Cluster:
+    """One control host with entry hosts and agents added as asked.
+
+    Parameters
+    ----------
+    folder : Path
+        Where logs go.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes = Processes(folder)
+        self.controls = [find_address()]
+        self.metrics: dict[str, Address] = {}
+        self._names: set[str] = set()
+
+    async def start_control(self) -> None:
+        """Start the control host."""
+        await self.processes.start(
+            "control",
+            *("control", "--name", "control", "--zone", ZONE),
+            *("--listen", format_address(self.controls[0])),
+        )
+
+    async def start_entry(self, name: str, service_host: str, *more: str) -> None:
+        """Start an entry host that binds services on an address of its own."""
+        metrics = self._add(name)
+        await self.processes.start(
+            name,
+            *("entry", "--name", name, "--zone", ZONE, "--metrics", metrics),
+            *("--control", format_address(self.controls[0])),
+            *("--data", "127.0.0.1:0", "--service-host", service_host, *more),
+        )
+
+    async def start_agent(
+        self, name: str, service: str, upstream: Address, *more: str
+    ) -> None:
+        """Start the agent of an upstream."""
+        metrics = self._add(name)
+        data = () if "--data" in more else ("--data", "127.0.0.1:0")
+        await self.processes.start(
+            name,
+            *("agent", "--name", name, "--zone", ZONE, "--metrics", metrics),
+            *("--control", format_address(self.controls[0]), *data),
+            *("--service", service, "--upstream", format_address(upstream), *more),
+        )
+
+    async def apply(self, items: list[Declaration]) -> None:
+        """Put declarations in force at the control host."""
+        reply = await asyncio.to_thread(submit_change, self.controls, "test", items, [])
+        if isinstance(reply, ChangeReply) and reply.status == ChangeStatus.ACCEPTED:
+            return
+        raise RuntimeError(f"change not accepted: {reply!r}")
+
+    async def wait_settled(self) -> StatusReply:
+        """Wait until all started processes have the same version in force."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAIT_TIMEOUT_S
+        while loop.time() < until:
+            status = await asyncio.to_thread(fetch_status, self.controls)
+            if isinstance(status, StatusReply) and self._is_settled(status):
+                return status
+            await asyncio.sleep(POLL_INTERVAL_S)
+        raise TimeoutError(f"not settled: {sorted(self._names)}")
+
+    async def end(self, name: str, number: int) -> int:
+        """Signal a process, wait for its end and return its exit code."""
+        self._names.discard(name)
+        self.processes.signal(name, number)
+        return await asyncio.wait_for(self.processes.wait(name), WAIT_TIMEOUT_S)
+
+    async def read_counters(self, name: str) -> dict[str, float]:
+        """Return the counters by kind and the gauges by name; empty before start."""
+        found: dict[str, float] = {}
+        try:
+            text = await asyncio.to_thread(_fetch_metrics, self.metrics[name])
+        except OSError:
+            return found
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                kind = sample.labels.get("kind", sample.name)
+                found[kind] = found.get(kind, 0.0) + sample.value
+        return found
+
+    async def wait_counter(self, name: str, kind: str, least: float) -> float:
+        """Wait until a counter of a process has reached a value."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAIT_TIMEOUT_S
+        while loop.time() < until:
+            value = (await self.read_counters(name)).get(kind, 0.0)
+            if value >= least:
+                return value
+            await asyncio.sleep(POLL_INTERVAL_S)
+        raise TimeoutError(f"{name} {kind} stayed below {least}")
+
+    async def close(self) -> None:
+        """Kill what still runs."""
+        await self.processes.stop_all()
+
+    def _add(self, name: str) -> str:
+        self._names.add(name)
+        self.metrics[name] = find_address()
+        return format_address(self.metrics[name])
+
+    def _is_settled(self, status: StatusReply) -> bool:
+        current = {
+            process.identity.name
+            for process in status.processes
+            if process.version == status.view.version
+        }
+        return self._names <= current
+
+
+async def wait_until(reached: Reached) -> None:
+    """Wait until a condition holds."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + WAIT_TIMEOUT_S
+    while not reached():
+        if loop.time() > until:
+            raise TimeoutError("the condition was not reached")
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def find_member(status: StatusReply, name: str) -> Member | EntryHost:
+    """Return the announcement of a process."""
+    for stamped in status.view.items:
+        if not isinstance(stamped.item, Member | EntryHost):
+            continue
+        if stamped.item.name == name:
+            return stamped.item
+    raise LookupError(name)
+
+
+def find_address(host: str = "127.0.0.1") -> Address:
+    """Return an address with a port that is free now, for TCP."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as probe:
+        probe.bind((host, 0))
+        return Address(*probe.getsockname()[:2])
+
+
+def format_address(address: Address) -> str:
+    """Return an address as flags take it."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
+
+
+def _fetch_metrics(address: Address) -> str:
+    with urlopen(f"http://{format_address(address)}/metrics", timeout=5) as reply:
+        return reply.read().decode()
--- a/fulmarshore/standins/upstream.py
+++ b/fulmarshore/standins/upstream.py
@@ -22,6 +22,7 @@
         self.name = name
         self.service = service
         self.callers: set[Address] = set()
+        self.packets = 0
         self.misdelivered = 0
         self.last_packet_at = 0.0
         self._loop = asyncio.get_running_loop()
@@ -37,6 +38,7 @@
 
     def _take(self, payload: bytes, source: Address) -> None:
         self.last_packet_at = self._loop.time()
+        self.packets += 1
         self.callers.add(source)
         if not payload.startswith(self.service.encode() + b"|"):
             self.misdelivered += 1
