--- a/fulmarshore/commands/declarations_test.py
+++ b/fulmarshore/commands/declarations_test.py
@@ -45,7 +45,15 @@
 port = 70000
 """
 PIECES = ["[[zone]]", "[[service]]", "[[profile]]", "[zone]", 'name = "a"', "name = 1"]
-PIECES += ["port = 1e9", 'kind = "feed"', "deadline = inf", "state = 'out'", "[[", "\0"]
+PIECES += [
+    "port = 1e9",
+    'kind = "feed"',
+    "deadline = inf",
+    "state = 'out'",
+    "[[",
+    "\0",
+    "zone = 3",
+]
 
 
 def load(*texts):
@@ -82,6 +90,12 @@
                 self.assertEqual(len(found), 1, lines)
                 self.assertIn("0.toml: ", found[0])
 
+    def test_tables_in_place_of_lists_are_errors(self):
+        for text in ("zone = 3", "[zone]\nname = 'a'", "zone = ['a']"):
+            with self.subTest(text):
+                _, errors = load(text)
+                self.assertIn("[[zone]]", errors[0].allowed)
+
     def test_duplicates_name_the_first_file(self):
         zone = '[[zone]]\nname = "a"\n'
         _, errors = load(zone, zone)
