Probe trial ports for UDP as well as TCP

Cause: daemons/path_test failed at times with EADDRINUSE while other runs share the machine, since the free port was looked for with TCP only.

--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -163,11 +163,20 @@
 
 
 def find_address(host: str = "127.0.0.1") -> Address:
-    """Return an address with a port that is free now, for TCP."""
+    """Return an address with a port that is free now, for TCP and UDP."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    with socket.socket(family, socket.SOCK_STREAM) as probe:
-        probe.bind((host, 0))
-        return Address(*probe.getsockname()[:2])
+    while True:
+        with (
+            socket.socket(family, socket.SOCK_STREAM) as stream,
+            socket.socket(family, socket.SOCK_DGRAM) as datagram,
+        ):
+            stream.bind((host, 0))
+            address = Address(*stream.getsockname()[:2])
+            try:
+                datagram.bind(address)
+            except OSError:
+                continue
+            return address
 
 
 def format_address(address: Address) -> str:
