Time line: zones, drains, services, upstreams and ends of flows as events

Events name what a delta changes rather than only its version; ends of flows are one event for each reason and second, since an upstream that goes takes thousands of flows with it.

--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -19,6 +19,7 @@
     Subscribe,
     TimelineEvent,
 )
+from fulmarshore.membership.changes import describe_delta
 from fulmarshore.membership.view import View, apply_delta
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -112,11 +113,10 @@
             return [SendLink(self.control, self._subscribe().message)]
         if view is self.view:
             return []
+        events = describe_delta(self.view, delta, peer)
         self.view = view
         self.counters["deltas_applied"] += 1
-        return [
-            TimelineEvent("view_applied", peer=peer, detail=f"version {view.version}")
-        ]
+        return list[Effect](events)
 
     def _take_reply(self, peer: str, reply: HeartbeatReply, now: float) -> list[Effect]:
         stamp = (reply.freshness.term, reply.freshness.stamp)
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -38,12 +38,12 @@
     Stop,
     Stopped,
     Tick,
-    TimelineEvent,
     UpstreamDatagram,
     UpstreamGone,
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
+from fulmarshore.routing.endings import EndingReport
 from fulmarshore.routing.flows import Directory, Flow
 from fulmarshore.routing.table import ServiceTable, Table
 
@@ -70,6 +70,7 @@
         self.flows: dict[bytes, Flow] = {}
         self.directory = Directory()
         self.gate = Gate(self.member)
+        self._endings = EndingReport()
         self._loads: dict[str, LoadReport] = {}
         self._reported_flows = -1
         self._reported_at = float("-inf")
@@ -367,8 +368,6 @@
         effects: list[Effect] = []
         for key in list(self.flows):
             effects += self._end_flow(key, reason)
-        if effects:
-            effects.append(TimelineEvent("flows_ended", detail=reason))
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
@@ -379,6 +378,7 @@
         effects = self.subscriber.tick(now)
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
+        effects += self._endings.collect(self.member.service, self.counters, now)
         return effects
 
     def _report_load(self, now: float) -> list[Effect]:
