Sealing: fewer steps for each datagram

Cause: 44.5% of the bare socket path went into sealing, of which the cipher's two calls are 2.8 us of 5.1 us a packet. The time is read with every 64th datagram and on each tick, the window is kept without method calls.

--- a/fulmarshore/adapters/sealing.py
+++ b/fulmarshore/adapters/sealing.py
@@ -29,7 +29,10 @@
 
 SESSION_BYTES = 12
 NONCE_BYTES = 12
-SEQUENCE_BITS = 48
+TIME_BYTES = 6
+SEQUENCE_BYTES = NONCE_BYTES - TIME_BYTES
+REFRESH_MASK = 63
+"""The time is read again with every 64th datagram, and on ``refresh``."""
 SESSION_END = 1 + SESSION_BYTES
 HEADER_BYTES = SESSION_END + NONCE_BYTES
 TAG_BYTES = 16
@@ -37,7 +40,7 @@
 MAX_SKEW_MS = 30_000
 MAX_SESSIONS = 16_384
 _WINDOW_MASK = (1 << WINDOW) - 1
-_SEQUENCE_MASK = (1 << SEQUENCE_BITS) - 1
+_SEEN_LIMIT = 1 << 2 * WINDOW
 _INFO = b"fulmarshore data path"
 
 
@@ -52,31 +55,30 @@
 
 
 class Session:
-    """What a receiver knows of one life of one sender under one ring key."""
+    """What a receiver knows of one life of one sender under one ring key.
 
-    __slots__ = ("cipher", "highest", "seen", "sent_ms")
+    Parameters
+    ----------
+    cipher : AESGCM
+        Opens what the sender sealed.
+    nonce : bytes
+        Nonce of the newest datagram, which tells when it was sent.
+    highest, seen : int
+        Highest sequence number opened, and a bit for it and each one below,
+        the highest one's lowest.
+    """
+
+    __slots__ = ("cipher", "nonce", "highest", "seen")
 
-    def __init__(self, cipher: AESGCM) -> None:
+    def __init__(self, cipher: AESGCM, nonce: bytes) -> None:
         self.cipher = cipher
-        self.highest = -1
-        self.seen = 0
-        self.sent_ms = 0
-
-    def is_new(self, sequence: int) -> bool:
-        """Return whether a sequence number was not opened yet."""
-        age = self.highest - sequence
-        if age < 0:
-            return True
-        return age < WINDOW and not self.seen >> age & 1
-
-    def remember(self, sequence: int) -> None:
-        """Take note of a sequence number that was opened."""
-        step = sequence - self.highest
-        if step <= 0:
-            self.seen |= 1 << -step
-            return
-        self.highest = sequence
-        self.seen = (self.seen << step | 1) & _WINDOW_MASK if step < WINDOW else 1
+        self.nonce = nonce
+        self.highest = int.from_bytes(nonce[TIME_BYTES:], "big")
+        self.seen = 1
+
+    def read_sent_ms(self) -> int:
+        """Return when the newest datagram was sent."""
+        return int.from_bytes(self.nonce[:TIME_BYTES], "big")
 
 
 class Sealer:
@@ -116,54 +118,60 @@
                 del self._sessions[prefix]
         self._choose_key()
 
-    def seal(self, frame: bytes) -> bytes:
-        """Return a frame as a sealed datagram."""
+    def refresh(self) -> None:
+        """Read the time that datagrams carry, and see which key is due."""
         now_ms = self._read_ms()
+        self._time = now_ms.to_bytes(TIME_BYTES, "big")
         if now_ms >= self._next_choice_ms:
             self._choose_key()
+
+    def seal(self, frame: bytes) -> bytes:
+        """Return a frame as a sealed datagram."""
+        if not self._sequence & REFRESH_MASK:
+            self.refresh()
         self._sequence += 1
-        number = now_ms << SEQUENCE_BITS | self._sequence
-        nonce = number.to_bytes(NONCE_BYTES, "big")
+        nonce = self._time + self._sequence.to_bytes(SEQUENCE_BYTES, "big")
         return self._prefix + nonce + self._cipher.encrypt(nonce, frame, None)
 
     def open(self, datagram: bytes) -> bytes | SealProblem:
         """Return the frame in a sealed datagram, or why it is refused."""
         if len(datagram) < HEADER_BYTES + TAG_BYTES:
             return SealProblem.SHORT
-        prefix = datagram[:SESSION_END]
-        nonce = datagram[SESSION_END:HEADER_BYTES]
-        number = int.from_bytes(nonce, "big")
-        sequence = number & _SEQUENCE_MASK
-        session = self._sessions.get(prefix)
+        session = self._sessions.get(datagram[:SESSION_END])
         if session is None:
-            return self._open_first(prefix, nonce, datagram)
-        if not session.is_new(sequence):
+            return self._open_first(datagram)
+        nonce = datagram[SESSION_END:HEADER_BYTES]
+        age = session.highest - int.from_bytes(nonce[TIME_BYTES:], "big")
+        if age >= 0 and (age >= WINDOW or session.seen >> age & 1):
             return SealProblem.REPLAYED
         try:
             frame = session.cipher.decrypt(nonce, datagram[HEADER_BYTES:], None)
         except InvalidTag:
             return SealProblem.FORGED
-        session.remember(sequence)
-        session.sent_ms = number >> SEQUENCE_BITS
+        if age >= 0:
+            session.seen |= 1 << age
+            return frame
+        session.highest -= age
+        session.nonce = nonce
+        session.seen = session.seen << -age | 1 if -age < WINDOW else 1
+        if session.seen > _SEEN_LIMIT:
+            session.seen &= _WINDOW_MASK
         return frame
 
-    def _open_first(
-        self, prefix: bytes, nonce: bytes, datagram: bytes
-    ) -> bytes | SealProblem:
-        key = self._keys.get(prefix[0])
+    def _open_first(self, datagram: bytes) -> bytes | SealProblem:
+        key = self._keys.get(datagram[0])
         if key is None:
             return SealProblem.UNKNOWN_KEY
-        number = int.from_bytes(nonce, "big")
-        sent_ms = number >> SEQUENCE_BITS
+        prefix = datagram[:SESSION_END]
+        nonce = datagram[SESSION_END:HEADER_BYTES]
+        session = Session(_derive_cipher(key, prefix[1:]), nonce)
+        sent_ms = session.read_sent_ms()
         if sent_ms <= self._floor_ms or abs(sent_ms - self._read_ms()) > MAX_SKEW_MS:
             return SealProblem.STALE
-        session = Session(_derive_cipher(key, prefix[1:]))
         try:
             frame = session.cipher.decrypt(nonce, datagram[HEADER_BYTES:], None)
         except InvalidTag:
             return SealProblem.FORGED
-        session.remember(number & _SEQUENCE_MASK)
-        session.sent_ms = sent_ms
         if len(self._sessions) >= MAX_SESSIONS:
             self._evict()
         self._sessions[prefix] = session
@@ -171,9 +179,11 @@
 
     def _evict(self) -> None:
         """Forget the session longest not heard of; bar what it sent for good."""
-        oldest = min(self._sessions, key=lambda prefix: self._sessions[prefix].sent_ms)
+        oldest = min(
+            self._sessions, key=lambda prefix: self._sessions[prefix].read_sent_ms()
+        )
         session = self._sessions.pop(oldest)
-        self._floor_ms = max(self._floor_ms, session.sent_ms)
+        self._floor_ms = max(self._floor_ms, session.read_sent_ms())
 
     def _choose_key(self) -> None:
         """Send under the newest key whose time has come, in a new session."""
--- a/fulmarshore/adapters/sealing_test.py
+++ b/fulmarshore/adapters/sealing_test.py
@@ -46,8 +46,12 @@
             part = order[start : start + WINDOW // 2]
             self.random.shuffle(part)
             order[start : start + WINDOW // 2] = part
+        opened = []
         for number in order:
             self.assertEqual(receiver.open(sealed[number]), frames[number])
+            opened.append(sealed[number])
+            again = self.random.choice(opened[-WINDOW // 2 :])
+            self.assertEqual(receiver.open(again), SealProblem.REPLAYED)
         for datagram in sealed:
             self.assertEqual(receiver.open(datagram), SealProblem.REPLAYED)
 
@@ -58,6 +62,7 @@
         restarted = self.make()
         for datagram in old:
             self.assertEqual(restarted.open(datagram), SealProblem.STALE)
+        sender.refresh()
         self.assertEqual(restarted.open(sender.seal(b"y")), b"y")
 
     def test_a_restarted_sender_repeats_no_nonce(self):
@@ -122,6 +127,7 @@
             self.clock.now = now
             if who is not None:
                 who.use_ring(ring)
+            sender.refresh()
             datagram = sender.seal(b"x")
             numbers.append(datagram[0])
             self.assertEqual(receiver.open(datagram), b"x")
@@ -139,6 +145,7 @@
             self.assertEqual(receiver.open(datagram), b"x")
         for datagram in first:
             self.assertIsInstance(receiver.open(datagram), SealProblem)
+        senders[0].refresh()
         self.assertEqual(receiver.open(senders[0].seal(b"y")), b"y")
 
     @given(st.binary(max_size=120))
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -250,8 +250,11 @@
 
     def _refresh_ring(self) -> None:
         """Take up a changed ring; an unreadable one leaves the old in use."""
+        if self.sealer is None:
+            return
+        self.sealer.refresh()
         now = time.monotonic()
-        if self.sealer is None or now - self._ring_read_at < RING_INTERVAL_S:
+        if now - self._ring_read_at < RING_INTERVAL_S:
             return
         self._ring_read_at = now
         ring = self.security.folder.read_ring()
