--- a/fulmarshore/core/codec_test.py
+++ b/fulmarshore/core/codec_test.py
@@ -16,7 +16,7 @@
     Zone,
 )
 
-PACKET = Forward("mendbook", "a", 7, 3, b"k" * 16, 1, "::1", 9, "e", 0, False, b"xyz")
+PACKET = Forward("mendbook", "a", 7, 3, b"k" * 16, 1, "::1", 9, "e", 0, 0, b"xyz")
 DELTA = Delta(0, 4, [Versioned(4, Zone("khomas-a"))], [Removed(3, "Zone", "x")])
 DECODERS = [
     codec.decode_data,
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -229,8 +229,10 @@
         Name of the entry host that received the packet.
     hops : int
         Agents that have passed the packet on.
-    assigned : bool
-        The home of the flow chose the target as its owner.
+    assignment : int
+        Number under which the home of the flow chose the target as its
+        owner; 0 for a packet that no home has arbitrated. Numbers of one
+        home only go up, and a later home of the bucket starts above.
     payload : bytes
         The datagram as the caller sent it.
     """
@@ -245,7 +247,7 @@
     caller_port: int
     entry: str
     hops: int
-    assigned: bool
+    assignment: int
     payload: bytes
 
 
@@ -307,17 +309,53 @@
 
 
 class Released(Record, frozen=True):
-    """The owner tells the home that a flow has ended."""
+    """The owner tells the home that a flow has ended.
+
+    Parameters
+    ----------
+    assignment : int
+        The last assignment of the flow that the owner has seen: the home
+        keeps a flow that it has assigned again in the meantime.
+    """
 
     service: str
     agent: str
     incarnation: int
     version: int
     flow: bytes
+    assignment: int
+
+
+class FlowCheck(Record, frozen=True):
+    """The home asks an owner which of some flows it still holds.
+
+    The owner answers with a `Released` for each that it does not hold.
+
+    Parameters
+    ----------
+    flows : list of OwnedFlow
+        What the home remembers.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flows: list[OwnedFlow]
 
 
 class LoadReport(Record, frozen=True):
-    """How much an agent holds and may hold, for its peers of the service."""
+    """How much an agent holds and may hold, for its peers of the service.
+
+    Parameters
+    ----------
+    flows, limit : int
+        Flows held and flows that may be held.
+    number : int
+        Grows with each report of an agent, so that a late one is ignored.
+    assignment : int
+        The newest assignment of the receiver that ``flows`` reflects.
+    """
 
     service: str
     agent: str
@@ -325,14 +363,17 @@
     version: int
     flows: int
     limit: int
+    number: int
+    assignment: int
 
 
 class OwnedFlow(Record, frozen=True):
-    """A flow and the identity of the agent that owns it."""
+    """A flow, the identity of its owner and its last assignment."""
 
     flow: bytes
     owner: str
     incarnation: int
+    assignment: int = 0
 
 
 class Takeover(Record, frozen=True):
@@ -350,7 +391,20 @@
 
 
 class TakeoverReply(Record, frozen=True):
-    """What a peer owns or remembers in the buckets that it gave up."""
+    """What a peer owns or remembers in the buckets that it gave up.
+
+    Parameters
+    ----------
+    version : int
+        The version of the `Takeover` that is answered.
+    buckets : list of int
+        Buckets given up, with all of their flows in this message.
+    flows : list of OwnedFlow
+        Flows in these buckets.
+    complete : list of int
+        Those of the buckets that the sender itself arbitrated until now: the
+        flows listed are all that there are, and nobody else need be asked.
+    """
 
     service: str
     agent: str
@@ -358,6 +412,7 @@
     version: int
     buckets: list[int]
     flows: list[OwnedFlow]
+    complete: list[int]
 
 
 # --------------------------------------------------------------------------
@@ -558,6 +613,7 @@
     Refusal,
     Declined,
     Released,
+    FlowCheck,
     LoadReport,
     Takeover,
     TakeoverReply,
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -22,6 +22,7 @@
     DeltaRequest,
     Effect,
     Event,
+    FlowCheck,
     Forward,
     LinkMessage,
     LoadReport,
@@ -37,6 +38,8 @@
     SendUpstream,
     Stop,
     Stopped,
+    Takeover,
+    TakeoverReply,
     Tick,
     TimelineEvent,
     UpstreamDatagram,
@@ -44,12 +47,22 @@
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
-from fulmarshore.routing.flows import Directory, Flow
+from fulmarshore.routing.arbitration import Arbiter, get_ballot
+from fulmarshore.routing.flows import Directory, Flow, IdleQueue
+from fulmarshore.routing.held import HeldPackets
+from fulmarshore.routing.homes import Homes
+from fulmarshore.routing.reports import Reporter
 from fulmarshore.routing.table import ServiceTable, Table
 
-MAX_HOPS = 4
-LOAD_INTERVAL_S = 0.25
+MAX_HOPS = 12
+"""Bounds what agents may pass one packet on, whatever their tables say."""
 IDLE_SCAN_INTERVAL_S = 1.0
+MAX_FLOWS_PER_REPLY = 800
+"""Keeps a `TakeoverReply` far below the size of a datagram."""
+MAX_DECLINED = 4096
+"""Assignments that an agent remembers to have declined."""
+DELTA_INTERVAL_S = 0.1
+"""Time between two requests for a newer view that packets wait for."""
 
 
 class AgentCore:
@@ -68,26 +81,42 @@
         self.table = Table(subscriber.view)
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
-        self.directory = Directory()
         self.gate = Gate(self.member)
-        self._loads: dict[str, LoadReport] = {}
-        self._reported_flows = -1
-        self._reported_at = float("-inf")
+        self.arbiter = Arbiter(self.member.name, self.counters)
+        self.homes = Homes(self.member.name, self.member.incarnation)
+        self.held = HeldPackets()
+        self._idle = IdleQueue()
+        self._reporter = Reporter(self.member.name, self.member.incarnation)
+        self._declined: dict[bytes, int] = {}
+        self._newest_seen: tuple[int, Address] | None = None
+        self._delta_asked_at = float("-inf")
         self._scanned_at = float("-inf")
         self._stopping_at = float("inf")
 
+    @property
+    def directory(self) -> Directory:
+        """What this agent remembers of flows that others own."""
+        return self.arbiter.directory
+
+    @property
+    def service(self) -> ServiceTable | None:
+        """The table of this agent's service, if it is declared."""
+        return self.table.services.get(self.member.service)
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
         match event:
-            case PeerMessage():
-                return self._handle_peer(event, now)
+            case PeerMessage(message=Forward() as packet, source=source):
+                return self._take_packet(packet, source, now)
             case UpstreamDatagram():
                 return self._answer(event, now)
+            case PeerMessage():
+                return self._handle_peer(event, now)
             case UpstreamGone(flow=flow):
                 return self._end_flow(flow, Reason.UPSTREAM_GONE)
             case LinkMessage():
                 effects = self.subscriber.handle(event, now)
-                return effects + self._update_table()
+                return effects + self._update_table(now)
             case Tick():
                 return self._tick(now)
             case Stop():
@@ -96,26 +125,34 @@
 
     def _handle_peer(self, event: PeerMessage, now: float) -> list[Effect]:
         match event.message:
-            case Forward() as packet:
-                return self._take_packet(packet, event.source, now)
-            case Declined() as declined:
-                return self._retry_declined(declined, now)
-            case Released() as released:
-                if released.service == self.member.service:
-                    self.directory.forget(released.flow)
-                return []
-            case LoadReport() as report:
-                if report.service == self.member.service:
-                    self._loads[report.agent] = report
-                return []
             case Delta() as delta:
                 effects = self.subscriber.apply(delta, event.source[0])
-                return effects + self._update_table()
+                return effects + self._update_table(now)
             case DeltaRequest() as request:
                 delta = make_delta(self.subscriber.view, request.version)
                 return [SendPeer(event.source, delta)]
+            case message if self.service is None:
+                return self._drop(Reason.NO_UPSTREAM)
+            case message if getattr(message, "service", None) != self.member.service:
+                if not isinstance(message, Declined):
+                    return self._drop(Reason.WRONG_SERVICE)
+                return self._retry_declined(message, event.source, now)
+            case Released() as released:
+                self.arbiter.release(released)
+                return []
+            case LoadReport() as report:
+                self.arbiter.take_report(self.service, report)
+                return []
+            case Takeover() as ask:
+                return self._give_buckets(ask, event.source, now)
+            case TakeoverReply() as reply:
+                return self._take_buckets(reply, now)
+            case FlowCheck() as check:
+                return self._answer_check(check, event.source)
         return self._drop(Reason.MALFORMED)
 
+    # Packets ---------------------------------------------------------------
+
     def _take_packet(
         self, packet: Forward, source: Address, now: float
     ) -> list[Effect]:
@@ -126,89 +163,117 @@
             return self._drop(Reason.WRONG_INCARNATION)
         effects: list[Effect] = []
         if packet.version != self.table.version:
-            effects += self._compare_versions(packet.version, source)
+            effects += self._compare_versions(packet.version, source, now)
         flow = self.flows.get(packet.flow)
         if flow is not None:
-            self._touch(flow, packet, now)
-            effects.append(SendUpstream(packet.flow, packet.payload))
+            effects.append(self._deliver(flow, packet, now))
             return effects
-        if packet.assigned:
-            return effects + self._take_assigned(packet, source, now)
-        return effects + self._route(packet, now)
+        return effects + self._route(packet, source, now)
 
-    def _route(self, packet: Forward, now: float) -> list[Effect]:
-        service = self.table.services.get(self.member.service)
+    def _deliver(self, flow: Flow, packet: Forward, now: float) -> SendUpstream:
+        flow.last_active = now
+        if packet.assignment > flow.assignment:
+            flow.assignment = packet.assignment
+        if flow.entry != packet.entry:
+            flow.entry = packet.entry
+            flow.entry_address = self._find_entry(packet.entry)
+        self.counters["delivered"] += 1
+        return SendUpstream(packet.flow, packet.payload)
+
+    def _route(self, packet: Forward, source: Address, now: float) -> list[Effect]:
+        """Handle a packet of a flow that this agent does not hold."""
+        if self.member.zone in self.table.zones_out:
+            return self._drop(Reason.ZONE_OUT)
+        service = self.service
         if service is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
-        owned = self.directory.find(packet.flow)
-        if owned is not None:
-            return self._pass_to_owner(service, owned, packet, now)
-        row = service.get_row(find_bucket(packet.flow))
-        if row and row[0].name != self.member.name:
-            return self._pass_on(row[0], packet, packet.assigned)
+        bucket = find_bucket(packet.flow)
+        if packet.assignment:
+            if get_ballot(packet.assignment) >= self.homes.get_ballot(bucket):
+                return self._take_assigned(packet, source, now)
+            self.counters["assignments_outdated"] += 1
+            packet = msgspec.structs.replace(packet, assignment=0)
+        if bucket in self.homes.settled:
+            return self._arbitrate(service, packet, now)
+        promise = self.homes.find_promise(bucket)
+        if promise is not None:
+            version = max(promise.version, packet.version)
+            return self._pass_on(
+                promise.agent, promise.incarnation, promise.address, packet, version
+            )
+        if packet.version > self.table.version or self.homes.is_awaited(bucket):
+            return self._hold(packet, source, now)
+        home = service.get_home(bucket)
+        if home is None:
+            return self._refuse(packet, Reason.NO_UPSTREAM)
+        if home.name == self.member.name:
+            return self._hold(packet, source, now)
+        return self._pass_to(home, packet)
+
+    def _arbitrate(
+        self, service: ServiceTable, packet: Forward, now: float
+    ) -> list[Effect]:
+        """Find or choose the owner of a flow in a bucket that is settled."""
+        owner = self.arbiter.find_owner(service, packet.flow)
+        if owner is not None:
+            return self._assign(owner, packet, False, now)
         if packet.phase in (Phase.MIDDLE, Phase.END):
             return self._refuse(packet, Reason.FLOW_UNKNOWN)
         return self._open(service, packet, now)
 
-    def _pass_to_owner(
-        self, service: ServiceTable, owned: OwnedFlow, packet: Forward, now: float
-    ) -> list[Effect]:
-        owner = service.by_name.get(owned.owner)
-        if owner is None or owner.incarnation != owned.incarnation:
-            self.directory.forget(packet.flow)
-            return self._route(packet, now)
-        return self._pass_on(owner, packet, True)
-
     def _open(self, service: ServiceTable, packet: Forward, now: float) -> list[Effect]:
-        owner = self._choose_owner(service, now)
+        entry = self.directory.find(packet.flow)
+        tried = entry.tried if entry is not None else ()
+        own_share = self._find_own_share(now)
+        owner = self.arbiter.choose_owner(service, tried, own_share, now)
         if owner is None:
-            return self._refuse(packet, Reason.FULL)
-        owned = OwnedFlow(packet.flow, owner.name, owner.incarnation)
-        self.directory.remember(owned)
+            self.directory.forget(packet.flow)
+            has_accepting = bool(service.accepting)
+            return self._refuse(
+                packet, Reason.FULL if has_accepting else Reason.NO_UPSTREAM
+            )
         if owner.name == self.member.name:
+            self.directory.forget(packet.flow)
             return self._admit(packet, now)
-        self._expect_flow(owner)
         self.counters["handed_over"] += 1
-        return self._pass_on(owner, packet, True)
-
-    def _choose_owner(self, service: ServiceTable, now: float) -> Member | None:
-        """Return the accepting member with most room, itself on a tie."""
-        best: Member | None = None
-        best_share = 1.0
-        for member in service.accepting:
-            share = self._find_share(member, now)
-            if share < best_share or (
-                share == best_share and share < 1.0 and member.name == self.member.name
-            ):
-                best, best_share = member, share
-        return best
-
-    def _find_share(self, member: Member, now: float) -> float:
-        if member.name == self.member.name:
-            return len(self.flows) / max(self.gate.get_limit(now), 1)
-        report = self._loads.get(member.name)
-        if report is None or report.incarnation != member.incarnation:
-            return 0.0
-        return report.flows / max(report.limit, 1)
-
-    def _expect_flow(self, owner: Member) -> None:
-        report = self._loads.get(owner.name)
-        if report is None or report.incarnation != owner.incarnation:
-            report = LoadReport(
-                owner.service, owner.name, owner.incarnation, 0, 0, owner.connections
-            )
-        changed = msgspec.structs.replace(report, flows=report.flows + 1)
-        self._loads[owner.name] = changed
+        return self._assign(owner, packet, True, now)
+
+    def _find_own_share(self, now: float) -> float:
+        if self.member.state != MemberState.ACCEPTING:
+            return 1.0
+        if not self.gate.has_room(len(self.flows), now):
+            return 1.0
+        return len(self.flows) / max(self.gate.get_limit(now), 1)
+
+    def _assign(
+        self, owner: Member, packet: Forward, is_new: bool, now: float
+    ) -> list[Effect]:
+        number = self.arbiter.assign(
+            packet.flow, owner, self.table.version, is_new, now
+        )
+        packet = msgspec.structs.replace(packet, assignment=number)
+        return self._pass_to(owner, packet)
 
     def _take_assigned(
         self, packet: Forward, source: Address, now: float
     ) -> list[Effect]:
         """Admit a flow that its home gave to this agent, or give it back."""
+        self._reporter.note_assignment(source, packet.assignment)
         if packet.phase in (Phase.MIDDLE, Phase.END):
-            return self._refuse(packet, Reason.FLOW_UNKNOWN)
-        has_room = self.gate.has_room(len(self.flows), now)
-        if has_room and self.member.state == MemberState.ACCEPTING:
+            refusal = self._refuse(packet, Reason.FLOW_UNKNOWN)
+            return [*refusal, SendPeer(source, self._release(packet))]
+        declined = self._declined.get(packet.flow, 0) >= packet.assignment
+        if not declined and self._find_own_share(now) < 1.0:
             return self._admit(packet, now)
+        return self._decline(packet, source)
+
+    def _decline(self, packet: Forward, source: Address) -> list[Effect]:
+        # A later copy of the same assignment must not be admitted: the home
+        # is going to choose another owner.
+        held = self._declined.pop(packet.flow, 0)
+        self._declined[packet.flow] = max(held, packet.assignment)
+        if len(self._declined) > MAX_DECLINED:
+            del self._declined[next(iter(self._declined))]
         declined = Declined(
             self.member.name,
             self.member.incarnation,
@@ -219,58 +284,88 @@
         self.counters["declined"] += 1
         return [SendPeer(source, declined)]
 
-    def _retry_declined(self, declined: Declined, now: float) -> list[Effect]:
+    def _retry_declined(
+        self, declined: Declined, source: Address, now: float
+    ) -> list[Effect]:
         packet = declined.packet
-        owned = self.directory.find(packet.flow)
-        if owned is None or owned.owner != declined.agent:
-            return []
-        self.directory.forget(packet.flow)
-        service = self.table.services.get(self.member.service)
-        if service is None or packet.hops >= MAX_HOPS:
-            return self._refuse(packet, Reason.FULL)
-        limit = max(declined.flows, 1)
-        self._loads[declined.agent] = LoadReport(
-            self.member.service,
-            declined.agent,
-            declined.incarnation,
-            declined.version,
-            limit,
-            limit,
-        )
+        service = self.service
+        if service is None or packet.service != self.member.service:
+            return self._drop(Reason.WRONG_SERVICE)
+        is_due = self.arbiter.decline(service, declined, now)
+        packet = msgspec.structs.replace(packet, assignment=0, hops=1)
+        flow = self.flows.get(packet.flow)
+        if flow is not None:
+            return [self._deliver(flow, packet, now)]
+        if not is_due or find_bucket(packet.flow) not in self.homes.settled:
+            return self._route(packet, source, now)
         return self._open(service, packet, now)
 
     def _admit(self, packet: Forward, now: float) -> list[Effect]:
-        if not self.gate.has_room(len(self.flows), now):
-            self.directory.forget(packet.flow)
-            return self._refuse(packet, Reason.FULL)
-        assert self.member.state == MemberState.ACCEPTING or not packet.assigned
+        assert self.member.state == MemberState.ACCEPTING, "no new flow in a drain"
+        assert packet.service == self.member.service, "no foreign service"
+        assert self.member.zone not in self.table.zones_out, "nothing to a zone out"
         caller = Address(packet.caller_host, packet.caller_port)
         address = self._find_entry(packet.entry)
-        flow = Flow(packet.flow, caller, packet.entry, address, now)
+        flow = Flow(packet.flow, caller, packet.entry, address, packet.assignment, now)
         self.flows[packet.flow] = flow
+        self._idle.add(flow, now)
         self.counters["flows_opened"] += 1
         return [SendUpstream(packet.flow, packet.payload)]
 
-    def _pass_on(self, member: Member, packet: Forward, assigned: bool) -> list[Effect]:
+    def _hold(self, packet: Forward, source: Address, now: float) -> list[Effect]:
+        if not self.held.hold(packet, source, now):
+            return self._refuse(packet, Reason.NOT_SETTLED)
+        self.counters["held"] += 1
+        return []
+
+    def _resume_held(self, now: float) -> list[Effect]:
+        """Route the packets that wait, now that something has changed."""
+        effects: list[Effect] = []
+        waiting = []
+        for entry in self.held.take_all():
+            _, packet, source = entry
+            flow = self.flows.get(packet.flow)
+            if flow is not None:
+                effects.append(self._deliver(flow, packet, now))
+            elif self._must_wait(packet):
+                waiting.append(entry)
+            else:
+                effects += self._route(packet, source, now)
+        self.held.restore(waiting)
+        return effects
+
+    def _must_wait(self, packet: Forward) -> bool:
+        bucket = find_bucket(packet.flow)
+        if bucket in self.homes.settled or self.homes.find_promise(bucket):
+            return False
+        if self.homes.is_awaited(bucket):
+            return True
+        return packet.version > self.table.version
+
+    def _pass_to(self, member: Member, packet: Forward) -> list[Effect]:
+        address = Address(member.host, member.port)
+        version = max(self.table.version, packet.version)
+        return self._pass_on(member.name, member.incarnation, address, packet, version)
+
+    def _pass_on(
+        self,
+        name: str,
+        incarnation: int,
+        address: Address,
+        packet: Forward,
+        version: int,
+    ) -> list[Effect]:
         if packet.hops >= MAX_HOPS:
             return self._refuse(packet, Reason.TOO_MANY_HOPS)
         self.counters["passed_on"] += 1
         passed = msgspec.structs.replace(
             packet,
-            target=member.name,
-            incarnation=member.incarnation,
-            version=self.table.version,
+            target=name,
+            incarnation=incarnation,
+            version=version,
             hops=packet.hops + 1,
-            assigned=assigned,
         )
-        return [SendPeer(Address(member.host, member.port), passed)]
-
-    def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
-        flow.last_active = now
-        if flow.entry != packet.entry:
-            flow.entry = packet.entry
-            flow.entry_address = self._find_entry(packet.entry)
-        self.counters["delivered"] += 1
+        return [SendPeer(address, passed)]
 
     def _find_entry(self, name: str) -> Address | None:
         entry = self.table.entries.get(name)
@@ -305,17 +400,16 @@
         )
         return [SendPeer(flow.entry_address, answer)]
 
+    # Ends of flows ---------------------------------------------------------
+
     def _end_flow(self, key: bytes, reason: Reason) -> list[Effect]:
-        if self.flows.pop(key, None) is None:
+        flow = self.flows.pop(key, None)
+        if flow is None:
             return []
         self.counters[f"flows_ended_{reason}"] += 1
         effects: list[Effect] = [CloseUpstream(key)]
-        service = self.table.services.get(self.member.service)
-        self.directory.forget(key)
-        if service is None:
-            return effects
-        row = service.get_row(find_bucket(key))
-        if not row or row[0].name == self.member.name:
+        address = self._find_home(find_bucket(key))
+        if address is None:
             return effects
         released = Released(
             self.member.service,
@@ -323,8 +417,49 @@
             self.member.incarnation,
             self.table.version,
             key,
+            flow.assignment,
         )
-        effects.append(SendPeer(Address(row[0].host, row[0].port), released))
+        effects.append(SendPeer(address, released))
+        return effects
+
+    def _find_home(self, bucket: int) -> Address | None:
+        """Return where the home of a bucket is reached, if it is another."""
+        service = self.service
+        if service is None or bucket in self.homes.settled:
+            return None
+        promise = self.homes.find_promise(bucket)
+        if promise is not None:
+            return promise.address
+        home = service.get_home(bucket)
+        if home is None or home.name == self.member.name:
+            return None
+        return Address(home.host, home.port)
+
+    def _release(self, packet: Forward) -> Released:
+        return Released(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.table.version,
+            packet.flow,
+            packet.assignment,
+        )
+
+    def _answer_check(self, check: FlowCheck, source: Address) -> list[Effect]:
+        """Tell the home which of the flows it remembers have ended."""
+        effects: list[Effect] = []
+        for owned in check.flows:
+            if owned.flow in self.flows or owned.incarnation != self.member.incarnation:
+                continue
+            released = Released(
+                self.member.service,
+                self.member.name,
+                self.member.incarnation,
+                self.table.version,
+                owned.flow,
+                owned.assignment,
+            )
+            effects.append(SendPeer(source, released))
         return effects
 
     def _refuse(self, packet: Forward, reason: Reason) -> list[Effect]:
@@ -344,23 +479,124 @@
         )
         return [SendPeer(address, refusal)]
 
-    def _compare_versions(self, version: int, source: Address) -> list[Effect]:
-        if version > self.table.version:
+    # Take-over of buckets --------------------------------------------------
+
+    def _ask_for_buckets(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for member, ask in self.homes.list_asks(now):
+            self.counters["takeovers_asked"] += 1
+            effects.append(SendPeer(Address(member.host, member.port), ask))
+        return effects
+
+    def _give_buckets(self, ask: Takeover, source: Address, now: float) -> list[Effect]:
+        if ask.version < self.table.version:
+            return [SendPeer(source, make_delta(self.subscriber.view, ask.version))]
+        effects: list[Effect] = []
+        if ask.version > self.table.version:
             request = DeltaRequest(self.subscriber.identity, self.table.version)
-            return [SendPeer(source, request)]
+            effects.append(SendPeer(source, request))
+        given, complete = self.homes.give(ask, source, now)
+        own = self._list_own(set(given))
+        part: list[int] = []
+        flows: list[OwnedFlow] = []
+        for bucket in given:
+            found = own.get(bucket, []) + self.directory.list_flows(bucket)
+            if part and len(flows) + len(found) > MAX_FLOWS_PER_REPLY:
+                effects.append(self._reply(ask, source, part, flows, complete))
+                part, flows = [], []
+            part.append(bucket)
+            flows += found
+        if part:
+            effects.append(self._reply(ask, source, part, flows, complete))
+        self.counters["buckets_given"] += len(given)
+        return effects
+
+    def _reply(
+        self,
+        ask: Takeover,
+        source: Address,
+        buckets: list[int],
+        flows: list[OwnedFlow],
+        complete: list[int],
+    ) -> SendPeer:
+        known = set(complete)
+        reply = TakeoverReply(
+            ask.service,
+            self.member.name,
+            self.member.incarnation,
+            ask.version,
+            buckets,
+            flows,
+            [bucket for bucket in buckets if bucket in known],
+        )
+        return SendPeer(source, reply)
+
+    def _list_own(self, buckets: set[int]) -> dict[int, list[OwnedFlow]]:
+        found: dict[int, list[OwnedFlow]] = {}
+        identity = self.subscriber.identity
+        for flow in self.flows.values():
+            bucket = find_bucket(flow.key)
+            if bucket not in buckets:
+                continue
+            owned = OwnedFlow(
+                flow.key, identity.name, identity.incarnation, flow.assignment
+            )
+            found.setdefault(bucket, []).append(owned)
+        return found
+
+    def _take_buckets(self, reply: TakeoverReply, now: float) -> list[Effect]:
+        if not self.homes.is_answer(reply):
+            self.counters["takeover_replies_late"] += 1
+            return []
+        self.arbiter.import_flows(reply.agent, reply.flows, now)
+        settled = self.homes.take_answer(reply)
+        if not settled:
+            return []
+        self.counters["buckets_taken"] += len(settled)
+        return self._resume_held(now)
+
+    # Versions and time -----------------------------------------------------
+
+    def _compare_versions(
+        self, version: int, source: Address, now: float
+    ) -> list[Effect]:
+        if version > self.table.version:
+            if self._newest_seen is None or version >= self._newest_seen[0]:
+                self._newest_seen = (version, source)
+            return self._ask_for_delta(now)
         return [SendPeer(source, make_delta(self.subscriber.view, version))]
 
-    def _update_table(self) -> list[Effect]:
+    def _ask_for_delta(self, now: float) -> list[Effect]:
+        """Ask whoever has shown a newer version, again until it is here."""
+        if self._newest_seen is None or now - self._delta_asked_at < DELTA_INTERVAL_S:
+            return []
+        self._delta_asked_at = now
+        request = DeltaRequest(self.subscriber.identity, self.table.version)
+        return [SendPeer(self._newest_seen[1], request)]
+
+    def _update_table(self, now: float) -> list[Effect]:
         view = self.subscriber.view
         if view.version == self.table.version:
             return []
         assert view.version > self.table.version, "versions only go up"
-        self.table = Table(view, self.table)
+        previous = self.table
+        self.table = Table(view, previous)
+        self._delta_asked_at = float("-inf")
+        if self._newest_seen is not None and view.version >= self._newest_seen[0]:
+            self._newest_seen = None
         for flow in self.flows.values():
             flow.entry_address = self._find_entry(flow.entry)
+        zone = self.member.zone
+        if self.table.zone_versions.get(zone) != previous.zone_versions.get(zone):
+            # The zone may have been out in a version that was never seen here.
+            self.homes.unsettle()
+        for bucket in self.homes.follow(self.service, view.version):
+            # What is left of an earlier time as home may be outdated.
+            self.directory.forget_bucket(bucket)
+        self.arbiter.follow(self.service)
         if self.member.zone in self.table.zones_out:
             return self._end_all(Reason.ZONE_OUT)
-        return []
+        return self._ask_for_buckets(now) + self._resume_held(now)
 
     def _end_all(self, reason: Reason) -> list[Effect]:
         effects: list[Effect] = []
@@ -371,57 +607,71 @@
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
-        if now >= self._stopping_at or (
-            self._stopping_at < float("inf") and not self.flows
-        ):
+        if self._is_done(now):
             return [*self.subscriber.leave(), Stopped()]
         effects = self.subscriber.tick(now)
+        effects += self._ask_for_delta(now)
+        effects += self._ask_for_buckets(now)
+        for packet in self.held.take_expired(now):
+            effects += self._refuse(packet, Reason.NOT_SETTLED)
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
         return effects
 
     def _report_load(self, now: float) -> list[Effect]:
-        if now - self._reported_at < LOAD_INTERVAL_S:
+        service = self.service
+        if service is None or self.member.name not in service.by_name:
             return []
-        if len(self.flows) == self._reported_flows:
-            return []
-        service = self.table.services.get(self.member.service)
-        if service is None:
-            return []
-        self._reported_at = now
-        self._reported_flows = len(self.flows)
-        report = LoadReport(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
+        reports = self._reporter.list_reports(
+            service,
             self.table.version,
             len(self.flows),
             self.gate.get_limit(now),
+            now,
         )
-        effects: list[Effect] = []
-        for member in service.members:
-            if member.name == self.member.name:
-                continue
-            effects.append(SendPeer(Address(member.host, member.port), report))
-        return effects
+        return [SendPeer(address, report) for address, report in reports]
 
     def _reclaim_idle(self, now: float) -> list[Effect]:
         if now - self._scanned_at < IDLE_SCAN_INTERVAL_S:
             return []
         self._scanned_at = now
-        service = self.table.services.get(self.member.service)
+        service = self.service
         if service is None:
             return []
         timeout = service.profile.idle_timeout
         effects: list[Effect] = []
-        for flow in list(self.flows.values()):
-            if now - flow.last_active < timeout:
-                continue
+        for flow in self._idle.take_idle(self.flows, timeout, now):
             effects += self._end_flow(flow.key, Reason.IDLE)
+        for bucket in self.directory.list_buckets():
+            if self.homes.is_lapsed(bucket, now):
+                self.directory.forget_bucket(bucket)
+        return effects + self._check_directory(service, now)
+
+    def _check_directory(self, service: ServiceTable, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for owner, flows in self.arbiter.list_checks(service, now):
+            check = FlowCheck(
+                self.member.service,
+                self.member.name,
+                self.member.incarnation,
+                self.table.version,
+                flows,
+            )
+            effects.append(SendPeer(Address(owner.host, owner.port), check))
         return effects
 
+    def _is_done(self, now: float) -> bool:
+        """Return whether a planned stop has nothing more to wait for."""
+        if self._stopping_at == float("inf"):
+            return False
+        if now >= self._stopping_at:
+            return True
+        service = self.service
+        has_successor = service is not None and bool(service.accepting)
+        return not self.flows and not (self.homes.settled and has_successor)
+
     def _begin_stop(self, now: float) -> list[Effect]:
-        service = self.table.services.get(self.member.service)
+        service = self.service
         timeout = service.profile.drain_timeout if service else 0.0
         self._stopping_at = now + timeout
         return self.drain()
--- /dev/null
+++ b/fulmarshore/routing/arbitration.py
@@ -0,0 +1,222 @@
+"""What a home decides: who owns a flow, and who gets a new one."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from fulmarshore.core.records import (
+    Declined,
+    LoadReport,
+    Member,
+    OwnedFlow,
+    Released,
+)
+from fulmarshore.routing.flows import Directory, Entry
+from fulmarshore.routing.loads import FULL_MEMORY_S, Loads
+from fulmarshore.routing.table import ServiceTable
+
+ASSIGNMENT_BITS = 24
+"""Low bits of an assignment count; the bits above are the home's version."""
+CHECK_INTERVAL_S = 2.0
+CHECK_BATCH = 64
+"""Flows asked about at a time; bounds the cost of a check."""
+PACKET_LIFE_S = 5.0
+"""No packet arrives later than this after it was sent."""
+
+
+def get_ballot(assignment: int) -> int:
+    """Return the version of the view under which an assignment was made."""
+    return assignment >> ASSIGNMENT_BITS
+
+
+class Arbiter:
+    """Remembers the owners of the flows an agent is home of, and chooses new ones.
+
+    Parameters
+    ----------
+    name : str
+        Name of the agent.
+    """
+
+    __slots__ = (
+        "name",
+        "directory",
+        "loads",
+        "counters",
+        "_count",
+        "_checked_at",
+        "_unchecked",
+    )
+
+    def __init__(self, name: str, counters: Counter[str]) -> None:
+        self.name = name
+        self.directory = Directory()
+        self.loads = Loads()
+        self.counters = counters
+        self._count = 0
+        self._checked_at = float("-inf")
+        self._unchecked: list[int] = []
+
+    def find_owner(self, service: ServiceTable, flow: bytes) -> Member | None:
+        """Return the remembered owner of a flow, if it still lives."""
+        entry = self.directory.find(flow)
+        if entry is None:
+            return None
+        owner = service.by_name.get(entry.owner)
+        alive = owner is not None and owner.incarnation == entry.incarnation
+        if alive and entry.owner != self.name:
+            return owner
+        self.directory.forget(flow)
+        return None
+
+    def choose_owner(
+        self,
+        service: ServiceTable,
+        tried: tuple[str, ...],
+        own_share: float,
+        now: float,
+    ) -> Member | None:
+        """Return the accepting member with most room, itself on a tie.
+
+        Parameters
+        ----------
+        service : ServiceTable
+            The members.
+        tried : tuple of str
+            Members that have declined this flow.
+        own_share : float
+            Share of its own limit that is taken; 1 and more is full.
+        now : float
+            The time, in seconds.
+
+        Returns
+        -------
+        owner : Member or None
+            None only where every member has declined, or has had no room
+            within the last few milliseconds.
+        """
+        best: Member | None = None
+        best_share = float("inf")
+        for member in service.accepting:
+            if member.name in tried:
+                continue
+            if member.name == self.name:
+                if own_share < 1.0 and own_share <= best_share:
+                    best, best_share = member, own_share
+                continue
+            load = self.loads.find(member)
+            if now - load.full_at < FULL_MEMORY_S:
+                continue
+            share = load.find_share()
+            if share < best_share:
+                best, best_share = member, share
+        return best
+
+    def assign(
+        self, flow: bytes, owner: Member, version: int, is_new: bool, now: float
+    ) -> int:
+        """Note that a packet of a flow goes to its owner; return the number."""
+        self._count += 1
+        assignment = (version << ASSIGNMENT_BITS) + self._count
+        entry = self.directory.find(flow)
+        if entry is None:
+            entry = Entry(owner.name, owner.incarnation, assignment, now)
+            self.directory.remember(flow, entry)
+        entry.owner = owner.name
+        entry.incarnation = owner.incarnation
+        entry.assignment = assignment
+        entry.touched_at = now
+        if is_new:
+            self.loads.expect(owner, assignment)
+        else:
+            entry.tried = ()
+        return assignment
+
+    def decline(self, service: ServiceTable, declined: Declined, now: float) -> bool:
+        """Note that an owner had no room; True where a new one is due."""
+        member = service.by_name.get(declined.agent)
+        if member is not None and member.incarnation == declined.incarnation:
+            assignment = declined.packet.assignment
+            self.loads.decline(member, declined.flows, assignment, now)
+        entry = self.directory.find(declined.packet.flow)
+        if entry is None or entry.owner != declined.agent:
+            return False
+        if entry.assignment != declined.packet.assignment:
+            return False
+        entry.tried = (*entry.tried, declined.agent)
+        return True
+
+    def release(self, released: Released) -> None:
+        """Forget a flow that has ended, unless it was assigned again since."""
+        entry = self.directory.find(released.flow)
+        if entry is None or entry.owner != released.agent:
+            return
+        if entry.incarnation != released.incarnation:
+            return
+        if entry.assignment != released.assignment:
+            self.counters["released_late"] += 1
+            return
+        self.directory.forget(released.flow)
+
+    def import_flows(self, sender: str, flows: list[OwnedFlow], now: float) -> None:
+        """Take in what a peer owns or remembers in buckets taken over."""
+        for owned in flows:
+            if owned.owner == self.name:
+                continue
+            entry = self.directory.find(owned.flow)
+            if entry is not None and not self._is_better(entry, owned, sender):
+                continue
+            fresh = Entry(owned.owner, owned.incarnation, owned.assignment, now)
+            self.directory.remember(owned.flow, fresh)
+
+    def _is_better(self, entry: Entry, owned: OwnedFlow, sender: str) -> bool:
+        if entry.owner == owned.owner:
+            return owned.assignment > entry.assignment
+        # The owner's own word goes before what a former home remembers.
+        self.counters["owners_conflicting"] += 1
+        return owned.owner == sender
+
+    def take_report(self, service: ServiceTable, report: LoadReport) -> None:
+        """Take in the load of a peer, unless it is one of a former self."""
+        member = service.by_name.get(report.agent)
+        if member is None or member.incarnation != report.incarnation:
+            self.counters["reports_late"] += 1
+            return
+        if not self.loads.take_report(member, report):
+            self.counters["reports_late"] += 1
+
+    def follow(self, service: ServiceTable | None) -> None:
+        """Forget loads of members that a newer table no longer holds."""
+        self.loads.keep_only(set(service.by_name) if service is not None else set())
+
+    def list_checks(
+        self, service: ServiceTable, now: float
+    ) -> list[tuple[Member, list[OwnedFlow]]]:
+        """Return flows to ask their owners about, some at a time.
+
+        A lost `Released` would leave a flow here for good; over the rounds
+        every flow that was long quiet is asked about.
+        """
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return []
+        self._checked_at = now
+        if not self._unchecked:
+            self._unchecked = self.directory.list_buckets()
+        asked: dict[str, list[OwnedFlow]] = {}
+        count = 0
+        while self._unchecked and count < CHECK_BATCH:
+            bucket = self._unchecked.pop()
+            for owned in self.directory.list_quiet(bucket, now - PACKET_LIFE_S):
+                asked.setdefault(owned.owner, []).append(owned)
+                count += 1
+        checks = []
+        for name, flows in asked.items():
+            member = service.by_name.get(name)
+            for start in range(0, len(flows), CHECK_BATCH):
+                part = flows[start : start + CHECK_BATCH]
+                if member is None or member.incarnation != part[0].incarnation:
+                    for owned in part:
+                        self.directory.forget(owned.flow)
+                    continue
+                checks.append((member, part))
+        return checks
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -135,7 +135,7 @@
             event.source[1],
             self.name,
             0,
-            False,
+            0,
             event.payload,
         )
         return SendPeer(hint.address, packet)
@@ -162,10 +162,7 @@
         return fresh
 
     def _make_hint(self, service: ServiceTable, flow: bytes) -> Hint | None:
-        row = service.get_row(find_bucket(flow))
-        home = row[0] if row else None
-        if home is None and service.members:
-            home = service.members[0]
+        home = service.get_home(find_bucket(flow))
         if home is None:
             return None
         return self._point(flow, home)
--- a/fulmarshore/routing/flows.py
+++ b/fulmarshore/routing/flows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import Address, OwnedFlow
 
@@ -9,46 +11,151 @@
 class Flow:
     """A flow that this agent's upstream serves."""
 
-    __slots__ = ("key", "caller", "entry", "entry_address", "last_active")
+    __slots__ = (
+        "key",
+        "caller",
+        "entry",
+        "entry_address",
+        "last_active",
+        "assignment",
+    )
 
     def __init__(
-        self, key: bytes, caller: Address, entry: str, address: Address, now: float
+        self,
+        key: bytes,
+        caller: Address,
+        entry: str,
+        address: Address | None,
+        assignment: int,
+        now: float,
     ) -> None:
         self.key = key
         self.caller = caller
         self.entry = entry
         self.entry_address = address
+        self.assignment = assignment
         self.last_active = now
 
 
+class IdleQueue:
+    """Finds idle flows without looking at each of them again and again.
+
+    A flow is looked at when it could have become idle at the earliest, so
+    each costs one look for each time-out that passes, and none for a packet.
+    """
+
+    __slots__ = ("_queue",)
+
+    def __init__(self) -> None:
+        self._queue: deque[tuple[float, Flow]] = deque()
+
+    def add(self, flow: Flow, now: float) -> None:
+        """Watch a flow that has just been opened."""
+        self._queue.append((now, flow))
+
+    def take_idle(
+        self, flows: dict[bytes, Flow], timeout: float, now: float
+    ) -> list[Flow]:
+        """Return the open flows that have been idle for the time-out."""
+        idle = []
+        queue = self._queue
+        while queue and now - queue[0][0] >= timeout:
+            _, flow = queue.popleft()
+            if flows.get(flow.key) is not flow:
+                continue
+            if now - flow.last_active >= timeout:
+                idle.append(flow)
+                continue
+            self._requeue(flow)
+        return idle
+
+    def _requeue(self, flow: Flow) -> None:
+        # The queue is ordered by the time of the last look, not of the last
+        # packet: an entry that is too late by less than one look is harmless.
+        last = self._queue[-1][0] if self._queue else flow.last_active
+        self._queue.append((max(last, flow.last_active), flow))
+
+
+class Entry:
+    """What the home remembers of a flow that another agent owns."""
+
+    __slots__ = ("owner", "incarnation", "assignment", "tried", "touched_at")
+
+    def __init__(
+        self, owner: str, incarnation: int, assignment: int, now: float
+    ) -> None:
+        self.owner = owner
+        self.incarnation = incarnation
+        self.assignment = assignment
+        self.tried: tuple[str, ...] = ()
+        self.touched_at = now
+
+
 class Directory:
-    """Owners of the flows in the buckets that an agent is home of."""
+    """Owners of the flows in the buckets that an agent is home of.
+
+    Flows that the home owns itself are not in it.
+    """
 
-    __slots__ = ("_owners",)
+    __slots__ = ("_buckets", "_size")
 
     def __init__(self) -> None:
-        self._owners: dict[bytes, OwnedFlow] = {}
+        self._buckets: dict[int, dict[bytes, Entry]] = {}
+        self._size = 0
 
     def __len__(self) -> int:
-        return len(self._owners)
+        return self._size
 
-    def find(self, flow: bytes) -> OwnedFlow | None:
-        """Return the remembered owner of a flow."""
-        return self._owners.get(flow)
+    def find(self, flow: bytes) -> Entry | None:
+        """Return what is remembered of a flow."""
+        held = self._buckets.get(find_bucket(flow))
+        return held.get(flow) if held else None
 
-    def remember(self, owned: OwnedFlow) -> None:
+    def remember(self, flow: bytes, entry: Entry) -> None:
         """Remember the owner of a flow."""
-        self._owners[owned.flow] = owned
+        held = self._buckets.setdefault(find_bucket(flow), {})
+        self._size += flow not in held
+        held[flow] = entry
 
     def forget(self, flow: bytes) -> None:
         """Forget a flow, if it is known."""
-        self._owners.pop(flow, None)
+        bucket = find_bucket(flow)
+        held = self._buckets.get(bucket)
+        if not held or held.pop(flow, None) is None:
+            return
+        self._size -= 1
+        if not held:
+            del self._buckets[bucket]
+
+    def forget_bucket(self, bucket: int) -> None:
+        """Forget all flows in a bucket."""
+        held = self._buckets.pop(bucket, None)
+        if held:
+            self._size -= len(held)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self._buckets.clear()
+        self._size = 0
+
+    def list_buckets(self) -> list[int]:
+        """Return the buckets in which flows are remembered."""
+        return list(self._buckets)
+
+    def list_flows(self, bucket: int) -> list[OwnedFlow]:
+        """Return the remembered flows in a bucket."""
+        found = []
+        for flow, entry in self._buckets.get(bucket, {}).items():
+            owned = OwnedFlow(flow, entry.owner, entry.incarnation, entry.assignment)
+            found.append(owned)
+        return found
 
-    def list_buckets(self, buckets: set[int]) -> list[OwnedFlow]:
-        """Return the remembered flows in some buckets."""
+    def list_quiet(self, bucket: int, before: float) -> list[OwnedFlow]:
+        """Return the flows in a bucket that were not assigned since a time."""
         found = []
-        for owned in self._owners.values():
-            if find_bucket(owned.flow) not in buckets:
+        for flow, entry in self._buckets.get(bucket, {}).items():
+            if entry.touched_at > before:
                 continue
+            owned = OwnedFlow(flow, entry.owner, entry.incarnation, entry.assignment)
             found.append(owned)
         return found
--- /dev/null
+++ b/fulmarshore/routing/held.py
@@ -0,0 +1,56 @@
+"""Packets that wait until it is known who arbitrates their flow."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from fulmarshore.core.records import Address, Forward
+
+MAX_HELD_PACKETS = 2048
+MAX_HELD_BYTES = 4 * 1024 * 1024
+HOLD_TIMEOUT_S = 5.0
+"""Longer than a lease, after which a silent peer is waited for no more."""
+
+
+class HeldPackets:
+    """A bounded queue of packets, in the order of their arrival."""
+
+    __slots__ = ("_queue", "_bytes")
+
+    def __init__(self) -> None:
+        self._queue: deque[tuple[float, Forward, Address]] = deque()
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def hold(self, packet: Forward, source: Address, now: float) -> bool:
+        """Keep a packet; False where there is no room for it."""
+        size = len(packet.payload)
+        if len(self._queue) >= MAX_HELD_PACKETS or self._bytes + size > MAX_HELD_BYTES:
+            return False
+        self._queue.append((now, packet, source))
+        self._bytes += size
+        return True
+
+    def take_all(self) -> list[tuple[float, Forward, Address]]:
+        """Return and drop all packets, with the times of their arrival."""
+        taken = list(self._queue)
+        self._queue.clear()
+        self._bytes = 0
+        return taken
+
+    def restore(self, taken: list[tuple[float, Forward, Address]]) -> None:
+        """Put back packets that go on waiting, ahead of newer ones."""
+        for entry in reversed(taken):
+            self._queue.appendleft(entry)
+            self._bytes += len(entry[1].payload)
+
+    def take_expired(self, now: float) -> list[Forward]:
+        """Return and drop the packets that have waited too long."""
+        expired = []
+        while self._queue and now - self._queue[0][0] >= HOLD_TIMEOUT_S:
+            _, packet, _ = self._queue.popleft()
+            self._bytes -= len(packet.payload)
+            expired.append(packet)
+        return expired
--- /dev/null
+++ b/fulmarshore/routing/homes.py
@@ -0,0 +1,260 @@
+"""Which buckets an agent arbitrates: the take-over from the former home.
+
+Every version of the view names one home for each bucket. An agent that its
+view makes home of a bucket asks the other members of the service, and admits
+flows there once it has settled:
+
+* the former home answers: it lists all flows of the bucket, and no other
+  answer is needed; or
+* every member in the view has answered, each with what it owns or remembers.
+
+An answer is a promise: from then on the peer arbitrates in the bucket no
+more, passes openings to the asker, and takes no assignment that a home of an
+older version made. As all promises name a version, and versions only go up,
+two agents never both arbitrate one bucket.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
+from fulmarshore.core.records import (
+    Address,
+    Member,
+    Takeover,
+    TakeoverReply,
+)
+from fulmarshore.routing.table import ServiceTable
+
+RETRY_INTERVAL_S = 0.1
+GIVEN_MEMORY_S = 10.0
+"""The flows of a bucket given away are remembered for this long."""
+MAX_BUCKETS_PER_MESSAGE = 400
+"""Keeps a `Takeover` below 1,400 bytes."""
+
+
+class Promise(Struct, frozen=True):
+    """A bucket that this agent gave to another.
+
+    Parameters
+    ----------
+    version : int
+        Version of the view that made the other agent home.
+    agent, incarnation : str, int
+        Who asked.
+    address : Address
+        Where the other agent asked from.
+    complete : bool
+        Whether this agent arbitrated the bucket until then, and still
+        remembers its flows.
+    given_at : float
+        Time of the promise, in seconds.
+    """
+
+    version: int
+    agent: str
+    incarnation: int
+    address: Address
+    complete: bool
+    given_at: float
+
+
+class Homes:
+    """The buckets that one agent arbitrates, awaits or has given away.
+
+    Parameters
+    ----------
+    name, incarnation : str, int
+        Identity of the agent.
+    """
+
+    __slots__ = (
+        "_name",
+        "_incarnation",
+        "_version",
+        "_service",
+        "_members",
+        "_asked_at",
+        "settled",
+        "awaited",
+        "promises",
+    )
+
+    def __init__(self, name: str, incarnation: int) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._version = 0
+        self._service: ServiceTable | None = None
+        self._members: dict[str, Member] = {}
+        self._asked_at = float("-inf")
+        self.settled: dict[int, int] = {}
+        self.awaited: dict[int, set[str]] = {}
+        self.promises: dict[int, Promise] = {}
+
+    def follow(self, service: ServiceTable | None, version: int) -> list[int]:
+        """Take in a newer table; asks under older versions start again.
+
+        Returns
+        -------
+        awaited : list of int
+            Buckets about which the peers are going to be asked.
+        """
+        assert version >= self._version, "versions only go up"
+        unchanged = service is self._service and not self.awaited
+        self._version = version
+        self._service = service
+        if unchanged:
+            return []
+        self._members = {}
+        self.awaited = {}
+        if not self._is_member(service):
+            self.settled = {}
+            return []
+        self._members = {m.name: m for m in service.members if m.name != self._name}
+        self._await_buckets(service)
+        return list(self.awaited)
+
+    def unsettle(self) -> None:
+        """Stop arbitrating until every member has been asked anew."""
+        self.settled = {}
+        self._service = None
+
+    def is_awaited(self, bucket: int) -> bool:
+        """Return whether the bucket is this agent's, once it has settled."""
+        return bucket in self.awaited
+
+    def find_promise(self, bucket: int) -> Promise | None:
+        """Return to whom a bucket was given, unless the view is newer."""
+        promise = self.promises.get(bucket)
+        if promise is None or promise.version < self._version:
+            return None
+        return promise
+
+    def get_ballot(self, bucket: int) -> int:
+        """Return the version below which assignments are not taken."""
+        promise = self.promises.get(bucket)
+        promised = promise.version if promise is not None else 0
+        return max(promised, self.settled.get(bucket, 0))
+
+    def list_asks(self, now: float) -> list[tuple[Member, Takeover]]:
+        """Return the questions that are due, first ones and repeated ones."""
+        if not self.awaited or now - self._asked_at < RETRY_INTERVAL_S:
+            return []
+        self._asked_at = now
+        open_for: dict[str, list[int]] = {name: [] for name in self._members}
+        for bucket, names in self.awaited.items():
+            for name in names:
+                open_for[name].append(bucket)
+        asks = []
+        for name, buckets in open_for.items():
+            for start in range(0, len(buckets), MAX_BUCKETS_PER_MESSAGE):
+                part = buckets[start : start + MAX_BUCKETS_PER_MESSAGE]
+                asks.append((self._members[name], self._ask(part)))
+        return asks
+
+    def give(
+        self, ask: Takeover, source: Address, now: float
+    ) -> tuple[list[int], list[int]]:
+        """Give buckets to the agent that asks for them.
+
+        Returns
+        -------
+        given, complete : list of int
+            The buckets given, and those of them that this agent arbitrated.
+        """
+        given = []
+        complete = []
+        for bucket in ask.buckets:
+            held = self.promises.get(bucket)
+            if held is not None and held.version > ask.version:
+                continue
+            was_home = bucket in self.settled or _is_repeated(held, ask)
+            self.settled.pop(bucket, None)
+            self.awaited.pop(bucket, None)
+            self.promises[bucket] = Promise(
+                ask.version, ask.agent, ask.incarnation, source, was_home, now
+            )
+            given.append(bucket)
+            if was_home:
+                complete.append(bucket)
+        return given, complete
+
+    def is_lapsed(self, bucket: int, now: float) -> bool:
+        """Return whether the flows of a bucket are remembered for nobody.
+
+        They are kept for a while after the bucket was given away, in case
+        the answer was lost.
+        """
+        if bucket in self.settled or bucket in self.awaited:
+            return False
+        held = self.promises.get(bucket)
+        if held is None:
+            return True
+        if now - held.given_at < GIVEN_MEMORY_S:
+            return False
+        self.promises[bucket] = replace(held, complete=False)
+        return True
+
+    def is_answer(self, reply: TakeoverReply) -> bool:
+        """Return whether an answer belongs to the questions now open."""
+        member = self._members.get(reply.agent)
+        if member is None or member.incarnation != reply.incarnation:
+            return False
+        return reply.version == self._version
+
+    def take_answer(self, reply: TakeoverReply) -> list[int]:
+        """Take an answer, and return the buckets that it settles."""
+        assert self.is_answer(reply), "late answers are dropped first"
+        complete = set(reply.complete)
+        settled = []
+        for bucket in reply.buckets:
+            names = self.awaited.get(bucket)
+            if names is None:
+                continue
+            names.discard(reply.agent)
+            if names and bucket not in complete:
+                continue
+            self._settle(bucket)
+            settled.append(bucket)
+        return settled
+
+    def _is_member(self, service: ServiceTable | None) -> bool:
+        if service is None:
+            return False
+        member = service.by_name.get(self._name)
+        return member is not None and member.incarnation == self._incarnation
+
+    def _ask(self, buckets: list[int]) -> Takeover:
+        service = self._service.service.name
+        return Takeover(service, self._name, self._incarnation, self._version, buckets)
+
+    def _await_buckets(self, service: ServiceTable) -> None:
+        self._asked_at = float("-inf")
+        for bucket in range(BUCKETS_PER_SERVICE):
+            if bucket in self.settled:
+                continue
+            home = service.get_home(bucket)
+            if home is None or home.name != self._name:
+                continue
+            promise = self.promises.get(bucket)
+            if promise is not None and promise.version >= self._version:
+                continue
+            if not self._members:
+                self._settle(bucket)
+                continue
+            self.awaited[bucket] = set(self._members)
+
+    def _settle(self, bucket: int) -> None:
+        promise = self.promises.pop(bucket, None)
+        assert promise is None or promise.version < self._version
+        self.awaited.pop(bucket, None)
+        self.settled[bucket] = self._version
+
+
+def _is_repeated(held: Promise | None, ask: Takeover) -> bool:
+    """Return whether the former home is asked again for what it gave then."""
+    if held is None or not held.complete or held.version != ask.version:
+        return False
+    return held.agent == ask.agent and held.incarnation == ask.incarnation
--- /dev/null
+++ b/fulmarshore/routing/loads.py
@@ -0,0 +1,81 @@
+"""How much room the members of a service have, as one home sees it.
+
+A report is late by nature. So a home counts in every flow that it has
+assigned since, until a report says that it reflects the assignment.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from fulmarshore.core.records import LoadReport, Member
+
+MAX_EXPECTED = 4096
+"""Assignments remembered for a member that reports nothing."""
+FULL_MEMORY_S = 0.01
+"""A member that had no room is not asked again within this time."""
+
+
+class Load:
+    """What a home knows about the load of one member."""
+
+    __slots__ = ("incarnation", "flows", "limit", "number", "full_at", "expected")
+
+    def __init__(self, incarnation: int, limit: int) -> None:
+        self.incarnation = incarnation
+        self.flows = 0
+        self.limit = limit
+        self.number = 0
+        self.full_at = float("-inf")
+        self.expected: deque[int] = deque(maxlen=MAX_EXPECTED)
+
+    def find_share(self) -> float:
+        """Return the share of the limit that is taken; 1 and more is full."""
+        return (self.flows + len(self.expected)) / max(self.limit, 1)
+
+
+class Loads:
+    """The loads of the other members of the service."""
+
+    __slots__ = ("_loads",)
+
+    def __init__(self) -> None:
+        self._loads: dict[str, Load] = {}
+
+    def find(self, member: Member) -> Load:
+        """Return the load of this incarnation of a member."""
+        load = self._loads.get(member.name)
+        if load is None or load.incarnation != member.incarnation:
+            load = Load(member.incarnation, member.connections)
+            self._loads[member.name] = load
+        return load
+
+    def take_report(self, member: Member, report: LoadReport) -> bool:
+        """Take in a report; False where a newer one is known."""
+        load = self.find(member)
+        if report.number <= load.number:
+            return False
+        load.number = report.number
+        load.flows = report.flows
+        load.limit = report.limit
+        while load.expected and load.expected[0] <= report.assignment:
+            load.expected.popleft()
+        return True
+
+    def expect(self, member: Member, assignment: int) -> None:
+        """Count in a flow that was just assigned to a member."""
+        self.find(member).expected.append(assignment)
+
+    def decline(self, member: Member, flows: int, assignment: int, now: float) -> None:
+        """Note that a member had no room for an assignment."""
+        load = self.find(member)
+        load.full_at = now
+        if assignment in load.expected:
+            load.expected.remove(assignment)
+        load.flows = max(load.flows, flows)
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget members that are gone."""
+        for name in list(self._loads):
+            if name not in names:
+                del self._loads[name]
--- /dev/null
+++ b/fulmarshore/routing/reports.py
@@ -0,0 +1,95 @@
+"""What an agent tells its peers about its own load, and when."""
+
+from __future__ import annotations
+
+from fulmarshore.core.records import Address, LoadReport
+from fulmarshore.routing.table import ServiceTable
+
+REPORT_INTERVAL_S = 0.25
+"""Longest time that a change of the load stays unreported."""
+KEEPALIVE_INTERVAL_S = 2.0
+"""A report is repeated after this time, in case one was lost."""
+SIGNIFICANT_SHARE = 0.02
+"""A change by this share of the flows is reported at once."""
+MIN_INTERVAL_S = 0.02
+
+
+class Reporter:
+    """Decides when a report is due and makes it.
+
+    Parameters
+    ----------
+    name, incarnation : str, int
+        Identity of the agent.
+    """
+
+    __slots__ = (
+        "_name",
+        "_incarnation",
+        "_number",
+        "_flows",
+        "_limit",
+        "_reported_at",
+        "_seen",
+    )
+
+    def __init__(self, name: str, incarnation: int) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._number = 0
+        self._flows = -1
+        self._limit = -1
+        self._reported_at = float("-inf")
+        self._seen: dict[Address, int] = {}
+
+    def note_assignment(self, home: Address, assignment: int) -> None:
+        """Note that the load reflects an assignment of a home from now on."""
+        if assignment > self._seen.get(home, 0):
+            self._seen[home] = assignment
+
+    def list_reports(
+        self, service: ServiceTable, version: int, flows: int, limit: int, now: float
+    ) -> list[tuple[Address, LoadReport]]:
+        """Return the reports that are due, one for each peer."""
+        if not self._is_due(flows, limit, now):
+            return []
+        self._reported_at = now
+        self._flows = flows
+        self._limit = limit
+        self._number += 1
+        reports = []
+        seen: dict[Address, int] = {}
+        for member in service.members:
+            if member.name == self._name:
+                continue
+            address = Address(member.host, member.port)
+            assignment = self._seen.get(address, 0)
+            if assignment:
+                seen[address] = assignment
+            report = LoadReport(
+                member.service,
+                self._name,
+                self._incarnation,
+                version,
+                flows,
+                limit,
+                self._number,
+                assignment,
+            )
+            reports.append((address, report))
+        self._seen = seen
+        return reports
+
+    def _is_due(self, flows: int, limit: int, now: float) -> bool:
+        waited = now - self._reported_at
+        if waited >= KEEPALIVE_INTERVAL_S:
+            return True
+        if flows == self._flows and limit == self._limit:
+            return False
+        if waited >= REPORT_INTERVAL_S:
+            return True
+        if waited < MIN_INTERVAL_S:
+            return False
+        has_room_again = self._flows >= self._limit and flows < limit
+        changed = abs(flows - self._flows)
+        return has_room_again or changed >= SIGNIFICANT_SHARE * max(flows, 1)
--- a/fulmarshore/routing/table.py
+++ b/fulmarshore/routing/table.py
@@ -43,17 +43,28 @@
         self._rows: dict[int, tuple[Member, ...]] = {}
 
     def get_row(self, bucket: int) -> tuple[Member, ...]:
-        """Return the accepting members in the order of the bucket, home first."""
+        """Return the accepting members in the order of the bucket, home first.
+
+        Where no member accepts, the row holds those that drain.
+        """
         row = self._rows.get(bucket)
         if row is None:
             row = self._order(bucket)
             self._rows[bucket] = row
         return row
 
+    def get_home(self, bucket: int) -> Member | None:
+        """Return the member that arbitrates the flows in a bucket.
+
+        Where none accepts, one of those that drain still finds the owners.
+        """
+        row = self.get_row(bucket)
+        return row[0] if row else None
+
     def _order(self, bucket: int) -> tuple[Member, ...]:
         name = self.service.name
         scored = []
-        for member in self.accepting:
+        for member in self.accepting or self.members:
             weight = float(max(member.connections, 1))
             score = score_candidate(name, bucket, member.name, weight)
             scored.append((-score, member.name, member))
@@ -72,12 +83,20 @@
         The table it replaces; services that did not change keep their rows.
     """
 
-    __slots__ = ("version", "services", "zones_out", "entries", "profiles")
+    __slots__ = (
+        "version",
+        "services",
+        "zones_out",
+        "zone_versions",
+        "entries",
+        "profiles",
+    )
 
     def __init__(self, view: View, previous: Table | None = None) -> None:
         self.version = view.version
         self.services: dict[str, ServiceTable] = {}
         self.zones_out: set[str] = set()
+        self.zone_versions: dict[str, int] = {}
         self.entries: dict[str, EntryHost] = {}
         self.profiles: dict[str, Profile] = {}
         declared: list[Service] = []
@@ -88,8 +107,10 @@
                     self.profiles[profile.name] = profile
                 case Service() as service:
                     declared.append(service)
-                case Zone(name=name, out=True):
-                    self.zones_out.add(name)
+                case Zone(name=name, out=out):
+                    self.zone_versions[name] = stamped.version
+                    if out:
+                        self.zones_out.add(name)
                 case Member() as member:
                     members.append(member)
                 case EntryHost() as entry:
