--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -124,6 +124,16 @@
     out: bool = False
 
 
+class Drain(Record, frozen=True):
+    """An operator's wish that an upstream gets no new flows.
+
+    It stands for the name of the upstream, whatever its incarnation, until
+    an operator takes it back.
+    """
+
+    name: str
+
+
 class MemberState(enum.StrEnum):
     """The state of an announced upstream."""
 
@@ -174,9 +184,9 @@
     port: int
 
 
-Declaration = Union[Profile, Service, Zone]
+Declaration = Union[Profile, Service, Zone, Drain]
 Announcement = Union[Member, EntryHost]
-Item = Union[Profile, Service, Zone, Member, EntryHost]
+Item = Union[Profile, Service, Zone, Drain, Member, EntryHost]
 
 
 class Versioned(Record, frozen=True):
@@ -497,10 +507,14 @@
 
 
 class Heartbeat(Record, frozen=True):
-    """Renews the lease of a process and tells the version it has in force."""
+    """Renews the lease of a process and tells the version it has in force.
+
+    ``clock`` is the sender's hybrid logical clock, put in as it is sent.
+    """
 
     identity: Identity
     version: int
+    clock: int = 0
 
 
 class Leave(Record, frozen=True):
@@ -535,6 +549,7 @@
     freshness: Freshness
     version: int
     known: bool
+    clock: int = 0
 
 
 class Change(Record, frozen=True):
@@ -582,6 +597,35 @@
     next_number: int
 
 
+class HistoryRequest(Record, frozen=True):
+    """Asks for the newest accepted changes below a number.
+
+    Parameters
+    ----------
+    before : int
+        Only numbers below this one; 0 asks from the newest on.
+    limit : int
+        At most so many.
+    """
+
+    before: int
+    limit: int
+
+
+class HistoryEntry(Record, frozen=True):
+    """An accepted change and the version that put it in force."""
+
+    version: int
+    change: Change
+
+
+class HistoryReply(Record, frozen=True):
+    """Accepted changes, the newest first."""
+
+    control: str
+    entries: list[HistoryEntry]
+
+
 class StatusRequest(Record, frozen=True):
     """Asks a control host for all that it knows."""
 
@@ -630,6 +674,8 @@
     ChangeReply,
     StatusRequest,
     StatusReply,
+    HistoryRequest,
+    HistoryReply,
 ]
 
 # --------------------------------------------------------------------------
@@ -761,6 +807,29 @@
     detail: str = ""
 
 
+class TimelineEntry(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """An event on the time line, as files hold it.
+
+    Parameters
+    ----------
+    clock : int
+        Value of the hybrid logical clock.
+    host, role : str
+        The process that saw the event.
+    kind, service, flow, peer, detail : str
+        As in ``TimelineEvent``.
+    """
+
+    clock: int
+    host: str
+    role: str
+    kind: str
+    service: str = ""
+    flow: str = ""
+    peer: str = ""
+    detail: str = ""
+
+
 Event = Union[
     Datagram, PeerMessage, UpstreamDatagram, UpstreamGone, LinkMessage, Tick, Stop
 ]
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -103,6 +103,12 @@
         """The table of this agent's service, if it is declared."""
         return self.table.services.get(self.member.service)
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new flows may be opened here, as far as is known."""
+        drained = self.member.name in self.table.drained
+        return self.member.state == MemberState.ACCEPTING and not drained
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
         match event:
@@ -239,7 +245,7 @@
         return self._assign(owner, packet, True, now)
 
     def _find_own_share(self, now: float) -> float:
-        if self.member.state != MemberState.ACCEPTING:
+        if not self.is_accepting:
             return 1.0
         if not self.gate.has_room(len(self.flows), now):
             return 1.0
@@ -301,7 +307,7 @@
         return self._open(service, packet, now)
 
     def _admit(self, packet: Forward, now: float) -> list[Effect]:
-        assert self.member.state == MemberState.ACCEPTING, "no new flow in a drain"
+        assert self.is_accepting, "no new flow in a drain"
         assert packet.service == self.member.service, "no foreign service"
         assert self.member.zone not in self.table.zones_out, "nothing to a zone out"
         caller = Address(packet.caller_host, packet.caller_port)
--- a/fulmarshore/routing/table.py
+++ b/fulmarshore/routing/table.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from fulmarshore.core.hashing import BUCKETS_PER_SERVICE, score_candidate
 from fulmarshore.core.records import (
+    Drain,
     EntryHost,
     Member,
     MemberState,
@@ -104,6 +107,7 @@
         "zone_versions",
         "entries",
         "profiles",
+        "drained",
     )
 
     def __init__(self, view: View, previous: Table | None = None) -> None:
@@ -111,6 +115,7 @@
         self.services: dict[str, ServiceTable] = {}
         self.zones_out: set[str] = set()
         self.zone_versions: dict[str, int] = {}
+        self.drained: set[str] = set()
         self.entries: dict[str, EntryHost] = {}
         self.profiles: dict[str, Profile] = {}
         declared: list[Service] = []
@@ -125,6 +130,8 @@
                     self.zone_versions[name] = stamped.version
                     if out:
                         self.zones_out.add(name)
+                case Drain(name=name):
+                    self.drained.add(name)
                 case Member() as member:
                     members.append(member)
                 case EntryHost() as entry:
@@ -138,6 +145,8 @@
         for member in members:
             if member.zone in self.zones_out or member.service not in grouped:
                 continue
+            if member.name in self.drained:
+                member = replace(member, state=MemberState.DRAINING)
             grouped[member.service].append(member)
         for service in declared:
             profile = self.profiles.get(service.profile)
