--- /dev/null
+++ b/fulmarshore/agreement/replica.py
@@ -0,0 +1,383 @@
+"""The core of one replica of the log: terms, roles, and what waits for the disk.
+
+Elections, replication and snapshots are in their own modules as functions
+over the replica. Nothing is acknowledged to anybody, and no own vote or entry
+counts, before the disk has reported it synced.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from random import Random
+
+from fulmarshore.agreement import election, joining, replication, snapshots
+from fulmarshore.agreement.log import Log
+from fulmarshore.agreement.progress import OwnEntries, OwnVote, Progress, Role
+from fulmarshore.core.records import (
+    AppendReply,
+    AppendRequest,
+    Applied,
+    ChunkReply,
+    Command,
+    ControlMessage,
+    DiskRecord,
+    Effect,
+    Event,
+    FileHeader,
+    Freshness,
+    JoinReply,
+    JoinRequest,
+    LinkMessage,
+    LogBase,
+    LogEntry,
+    Recovered,
+    ReplicaId,
+    Restored,
+    SendLink,
+    Snapshot,
+    SnapshotChunk,
+    Store,
+    Stored,
+    TermVote,
+    Tick,
+    TimelineEvent,
+    Truncation,
+    VoteReply,
+    VoteRequest,
+    Voters,
+)
+
+REPLICA_MESSAGES = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotChunk,
+    ChunkReply,
+    JoinRequest,
+    JoinReply,
+)
+
+
+class Replica:
+    """One replica of the log.
+
+    Parameters
+    ----------
+    recovered : Recovered
+        What the disk holds.
+    peers : list of str
+        Names of the other control hosts.
+    random : Random
+        Source of the election timeouts.
+    bootstrap : bool
+        Start the group if no peer belongs to one.
+    """
+
+    def __init__(
+        self,
+        recovered: Recovered,
+        peers: list[str],
+        random: Random,
+        bootstrap: bool = False,
+    ) -> None:
+        self.identity = recovered.replica
+        self.peers = list(peers)
+        self.random = random
+        self.bootstrap = bootstrap and not recovered.term_vote.group
+        self.counters: Counter[str] = Counter()
+        self.group = recovered.term_vote.group
+        self.term = recovered.term_vote.term
+        self.vote = recovered.term_vote.vote
+        self.log = Log(recovered.base, list(recovered.entries))
+        self.snapshot = recovered.snapshot
+        self.generation = recovered.generation
+        self.role = Role.FOLLOWER
+        self.leader: ReplicaId | None = None
+        self.commit = self.snapshot.index if self.snapshot else 0
+        self.applied = self.commit
+        self.voters = self._list_voters()
+        self.progress: dict[ReplicaId, Progress] = {}
+        self.votes: set[ReplicaId] = set()
+        self.election_at: float | None = None
+        self.leader_heard_at = float("-inf")
+        self.freshness = Freshness(0, 0)
+        self.beat = 0
+        self.beat_at = float("-inf")
+        self.joined_at = float("-inf")
+        self.started_at: float | None = None
+        self.incoming: snapshots.Incoming | None = None
+        self._leader_of_term: tuple[int, ReplicaId] | None = None
+        self._restored = False
+        self._sequence = 0
+        self._stored = 0
+        self._effects: list[Effect] = []
+        self._records: list[DiskRecord] = []
+        self._replace = False
+        self._waiting: deque[tuple[int, SendLink | OwnVote | OwnEntries]] = deque()
+        self._held: list[SendLink | OwnVote | OwnEntries] = []
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether the replica leads its group."""
+        return self.role == Role.LEADER
+
+    @property
+    def current_voters(self) -> list[ReplicaId]:
+        """The replicas that vote, from the newest such entry in the log."""
+        return self.voters[-1][1].replicas
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether the replica may stand for election."""
+        return self.identity in self.current_voters
+
+    @property
+    def majority(self) -> int:
+        """Votes that make a majority."""
+        return len(self.current_voters) // 2 + 1
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take one event and return what is to be done."""
+        if self.started_at is None:
+            self._start(now)
+        match event:
+            case Tick():
+                self._tick(now)
+            case Stored(sequence=sequence):
+                self._release(sequence, now)
+            case LinkMessage(peer=peer, message=message):
+                self._receive(peer, message, now)
+        return self.drain(now)
+
+    def propose(self, command: Command, now: float) -> tuple[LogEntry, list[Effect]]:
+        """Append a command to the leader's log."""
+        assert self.is_leader, "only a leader proposes"
+        entry = replication.append_command(self, command)
+        replication.send_news(self, now)
+        return entry, self.drain(now)
+
+    def compact(self, state: bytes, now: float) -> list[Effect]:
+        """Take a snapshot of the state at the last entry applied."""
+        snapshots.compact(self, state)
+        return self.drain(now)
+
+    def drain(self, now: float) -> list[Effect]:
+        """Return the effects gathered, with the disk's part in one ``Store``."""
+        while True:
+            self._settle(now)
+            if not self._records and not self._replace:
+                break
+            self._store()
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def list_silent(self, now: float, timeout: float) -> list[str]:
+        """Return the hosts that have not answered the leader for some time."""
+        silent = []
+        for identity, progress in self.progress.items():
+            if identity == self.identity or now - progress.heard_at < timeout:
+                continue
+            silent.append(identity.name)
+        return silent
+
+    # What the modules of the replica use.
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect."""
+        self._effects.append(effect)
+
+    def note(self, kind: str, peer: str = "", detail: str = "") -> None:
+        """Add an event of the time line."""
+        self.emit(TimelineEvent(kind, peer=peer, detail=detail))
+
+    def emit_stored(self, effect: SendLink | OwnVote | OwnEntries) -> None:
+        """Add an effect that waits until everything so far is synced."""
+        self._held.append(effect)
+
+    def write(self, record: DiskRecord) -> None:
+        """Append a record to the log file."""
+        self._records.append(record)
+
+    def write_term(self) -> None:
+        """Write group, term and vote to the log file."""
+        self.write(TermVote(self.group, self.term, self.vote))
+
+    def rewrite(self) -> None:
+        """Replace the log file by all that the replica holds."""
+        self.generation += 1
+        self._replace = True
+        self._records = [FileHeader(self.identity, self.generation)]
+        self.write_term()
+        self.write(self.log.base)
+        if self.snapshot is not None:
+            self.write(self.snapshot)
+        self._records += self.log.entries
+
+    def step_down(self, term: int) -> None:
+        """Become a follower, in a newer term with no vote given."""
+        assert term >= self.term, "terms only go up"
+        if term > self.term:
+            self.term = term
+            self.vote = None
+            self.leader = None
+            self.write_term()
+        if self.role == Role.LEADER:
+            self.note("leader_stepped_down", detail=f"term {self.term}")
+            self.leader = None
+        self.role = Role.FOLLOWER
+        self.progress = {}
+        self.votes = set()
+
+    def follow(self, leader: ReplicaId, now: float) -> None:
+        """Take a replica as the leader of the current term."""
+        self.claim_term(leader)
+        if self.role != Role.FOLLOWER:
+            self.step_down(self.term)
+        if self.leader != leader:
+            self.note("leader_known", peer=leader.name, detail=f"term {self.term}")
+        self.leader = leader
+        self.leader_heard_at = now
+        election.reset_timeout(self, now)
+
+    def claim_term(self, leader: ReplicaId) -> None:
+        """Check that a term has only one leader."""
+        if self._leader_of_term is not None and self._leader_of_term[0] == self.term:
+            assert self._leader_of_term[1] == leader, "a term has one leader"
+        self._leader_of_term = (self.term, leader)
+
+    def append(self, entry: LogEntry) -> None:
+        """Append an entry to the log and to the log file."""
+        self.log.append(entry)
+        self.write(entry)
+        if isinstance(entry.command, Voters):
+            self.voters.append((entry.index, entry.command))
+
+    def truncate(self, index: int) -> None:
+        """Drop entries that another leader has replaced."""
+        assert index > self.commit, "a committed entry is never overwritten"
+        self.log.truncate(index)
+        self.write(Truncation(index))
+        self.voters = [held for held in self.voters if held[0] < index]
+
+    def advance_commit(self, index: int) -> None:
+        """Commit the entries up to an index and hand them to the state."""
+        assert index <= self.log.last_index, "only entries held are committed"
+        self.commit = max(self.commit, index)
+        while self.applied < self.commit:
+            self.applied += 1
+            self.emit(Applied(self.log.get(self.applied)))
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace the state and the log up to a snapshot."""
+        assert snapshot.index > self.commit, "versions only go up"
+        held = self.log.base.index <= snapshot.index <= self.log.last_index
+        if held and self.log.find_term(snapshot.index) == snapshot.term:
+            self.log.drop_until(snapshot.index)
+        else:
+            self.log.reset(LogBase(snapshot.index, snapshot.term))
+        self.snapshot = snapshot
+        self.commit = snapshot.index
+        self.applied = snapshot.index
+        self.voters = self._list_voters()
+        self.emit(Restored(snapshot))
+        self.rewrite()
+
+    def find_voters(self, index: int) -> Voters:
+        """Return the voters in force at an index."""
+        return [held for held in self.voters if held[0] <= index][-1][1]
+
+    # The replica's own steps.
+
+    def _start(self, now: float) -> None:
+        self.started_at = now
+        election.reset_timeout(self, now)
+        if self.snapshot is not None:
+            self.emit(Restored(self.snapshot))
+        if self.generation == 0:
+            self.rewrite()
+
+    def _list_voters(self) -> list[tuple[int, Voters]]:
+        first = self.snapshot.voters if self.snapshot else Voters([])
+        index = self.snapshot.index if self.snapshot else 0
+        found = [(index if self.snapshot else 0, first)]
+        for entry in self.log.entries:
+            if entry.index > index and isinstance(entry.command, Voters):
+                found.append((entry.index, entry.command))
+        return found
+
+    def _tick(self, now: float) -> None:
+        if self.is_leader:
+            replication.tick_leader(self, now)
+            return
+        joining.tick(self, now)
+        election.tick(self, now)
+
+    def _receive(self, peer: str, message: ControlMessage, now: float) -> None:
+        if isinstance(message, JoinRequest):
+            joining.answer_join(self, peer, message, now)
+            return
+        if isinstance(message, JoinReply):
+            joining.take_reply(self, message, now)
+            return
+        if not self._is_ours(message):
+            return
+        match message:
+            case VoteRequest():
+                election.answer_vote(self, peer, message, now)
+            case VoteReply():
+                election.take_vote(self, message, now)
+            case AppendRequest():
+                replication.take_entries(self, peer, message, now)
+            case AppendReply():
+                replication.take_reply(self, message, now)
+            case SnapshotChunk():
+                snapshots.take_chunk(self, peer, message, now)
+            case ChunkReply():
+                snapshots.take_reply(self, message, now)
+
+    def _is_ours(self, message: ControlMessage) -> bool:
+        """Whether a message belongs to this group and is for this disk."""
+        request = isinstance(message, VoteRequest | AppendRequest | SnapshotChunk)
+        if request and message.target != self.identity:
+            self.counters["dropped_other_disk"] += 1
+            return False
+        if message.group == self.group:
+            return True
+        if self.group or not isinstance(message, AppendRequest | SnapshotChunk):
+            self.counters["dropped_other_group"] += 1
+            return False
+        joining.adopt_group(self, message.group)
+        return True
+
+    def _release(self, sequence: int, now: float) -> None:
+        assert sequence <= self._sequence, "only what was asked for is stored"
+        self._stored = max(self._stored, sequence)
+
+    def _settle(self, now: float) -> None:
+        """Carry out what waited for the disk, as far as it is synced."""
+        while self._waiting and self._waiting[0][0] <= self._stored:
+            self._carry_out(self._waiting.popleft()[1], now)
+        if self._records or self._replace or self._stored < self._sequence:
+            return
+        while self._held:
+            self._carry_out(self._held.pop(0), now)
+
+    def _store(self) -> None:
+        self._sequence += 1
+        self.emit(Store(self._sequence, self._records, self._replace))
+        for effect in self._held:
+            self._waiting.append((self._sequence, effect))
+        self._records = []
+        self._replace = False
+        self._held = []
+
+    def _carry_out(self, effect: SendLink | OwnVote | OwnEntries, now: float) -> None:
+        match effect:
+            case SendLink():
+                self.emit(effect)
+            case OwnVote(term=term):
+                election.count_own(self, term, now)
+            case OwnEntries(term=term, index=index):
+                replication.count_own(self, term, index, now)
--- /dev/null
+++ b/fulmarshore/agreement/snapshots.py
@@ -0,0 +1,129 @@
+"""Snapshots: taken by each replica, sent in parts to one that is far behind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fulmarshore.agreement import replication
+from fulmarshore.agreement.progress import Progress
+from fulmarshore.core.codec import encode
+from fulmarshore.core.records import (
+    AppendReply,
+    ChunkReply,
+    ReplicaId,
+    SendLink,
+    Snapshot,
+    SnapshotChunk,
+)
+
+if TYPE_CHECKING:
+    from fulmarshore.agreement.replica import Replica
+
+CHUNK_BYTES = 64 * 1024
+KEPT_ENTRIES = 512
+"""Entries kept below a snapshot, for replicas that are a little behind."""
+
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+class Incoming:
+    """A snapshot that is being received."""
+
+    __slots__ = ("term", "index", "data")
+
+    def __init__(self, term: int, index: int) -> None:
+        self.term = term
+        self.index = index
+        self.data = bytearray()
+
+
+def compact(replica: Replica, state: bytes) -> None:
+    """Take a snapshot at the last entry applied and drop older entries."""
+    index = replica.applied
+    term = replica.log.find_term(index)
+    replica.snapshot = Snapshot(index, term, replica.find_voters(index), state)
+    replica.log.drop_until(max(replica.log.base.index, index - KEPT_ENTRIES))
+    replica.counters["snapshots_taken"] += 1
+    replica.rewrite()
+
+
+def send_chunk(replica: Replica, target: ReplicaId, progress: Progress) -> None:
+    """Send the next part of the snapshot."""
+    snapshot = replica.snapshot
+    assert snapshot is not None, "a log with a base has a snapshot"
+    if progress.snapshot_index != snapshot.index:
+        progress.snapshot_index = snapshot.index
+        progress.snapshot_offset = 0
+    content = encode(snapshot)
+    start = progress.snapshot_offset
+    chunk = SnapshotChunk(
+        replica.group,
+        replica.identity,
+        target,
+        replica.term,
+        snapshot.index,
+        start,
+        len(content),
+        content[start : start + CHUNK_BYTES],
+        replica.beat,
+    )
+    replica.counters["snapshot_chunks_sent"] += 1
+    replica.emit(SendLink(target.name, chunk))
+
+
+def take_chunk(
+    replica: Replica, peer: str, chunk: SnapshotChunk, now: float
+) -> None:
+    """Take a part of a snapshot; install it once it is whole."""
+    if chunk.term < replica.term:
+        _reply(replica, peer, chunk, 0)
+        return
+    if chunk.term > replica.term:
+        replica.step_down(chunk.term)
+    replica.follow(chunk.sender, now)
+    if chunk.index <= replica.commit:
+        _reply_held(replica, peer, chunk)
+        return
+    incoming = replica.incoming
+    if incoming is None or (incoming.term, incoming.index) != (chunk.term, chunk.index):
+        incoming = replica.incoming = Incoming(chunk.term, chunk.index)
+    if chunk.offset == len(incoming.data):
+        incoming.data += chunk.data
+    if len(incoming.data) < chunk.total:
+        _reply(replica, peer, chunk, len(incoming.data))
+        return
+    replica.incoming = None
+    replica.install(_decoder.decode(bytes(incoming.data)))
+    replica.counters["snapshots_installed"] += 1
+    _reply_held(replica, peer, chunk)
+
+
+def take_reply(replica: Replica, reply: ChunkReply, now: float) -> None:
+    """Go on with the next part."""
+    if reply.term > replica.term:
+        replica.step_down(reply.term)
+        return
+    progress = replication.hear(replica, reply.sender, reply.term, reply.beat, now)
+    if progress is None or reply.index != progress.snapshot_index:
+        return
+    if progress.next_index > replica.log.base.index:
+        return
+    progress.snapshot_offset = reply.offset
+    progress.waiting = True
+    send_chunk(replica, reply.sender, progress)
+
+
+def _reply(replica: Replica, peer: str, chunk: SnapshotChunk, offset: int) -> None:
+    reply = ChunkReply(
+        replica.group, replica.identity, replica.term, chunk.index, offset, chunk.beat
+    )
+    replica.emit_stored(SendLink(peer, reply))
+
+
+def _reply_held(replica: Replica, peer: str, chunk: SnapshotChunk) -> None:
+    reply = AppendReply(
+        replica.group, replica.identity, replica.term, True, chunk.index, chunk.beat
+    )
+    replica.emit_stored(SendLink(peer, reply))
--- a/fulmarshore/agreement/state.py
+++ b/fulmarshore/agreement/state.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+import msgspec
 from msgspec import Struct
 from msgspec.structs import replace
+from xxhash import xxh3_128_digest
 
 from fulmarshore.agreement.validation import check_change
+from fulmarshore.core.codec import encode
 from fulmarshore.core.records import (
+    Batch,
     Change,
     ChangeReply,
     ChangeStatus,
@@ -20,16 +24,33 @@
     Identity,
     Join,
     Member,
+    Noop,
     Removed,
+    Voters,
 )
-from fulmarshore.membership.view import View, change_view
+from fulmarshore.membership.view import Key, View, change_view, get_key
 
+MAX_DECISIONS = 10_000
+"""Accepted changes whose answers are kept, the newest ones."""
+MAX_LIVES = 16_384
+"""Names whose newest life is remembered, the newest ones."""
+LEFT = 1 << 62
+"""Revision of a process that has ended its membership itself."""
 
-class Decision(Struct, frozen=True):
-    """The change that took a number, and the answer it got."""
 
-    change: Change
-    reply: ChangeReply
+class Decision(Struct, frozen=True, array_like=True):
+    """The change that took a number, and the version that put it in force."""
+
+    digest: bytes
+    operator: str
+    version: int
+
+
+class Life(Struct, frozen=True, array_like=True):
+    """The newest announcement that was taken from a name."""
+
+    incarnation: int
+    revision: int
 
 
 class State(Struct, frozen=True):
@@ -42,15 +63,31 @@
     view : View
         Configuration and membership in force.
     decisions : dict of int to Decision
-        The accepted change of each number.
+        The accepted change of each number, the newest ones.
     next_number : int
         The lowest number not yet taken by a change.
+    lives : dict
+        The newest life of each name, also of those that are gone.
     """
 
     index: int = 0
     view: View = View()
     decisions: dict[int, Decision] = {}
     next_number: int = 1
+    lives: dict[Key, Life] = {}
+
+
+_decoder = msgspec.msgpack.Decoder(State)
+
+
+def encode_state(state: State) -> bytes:
+    """Return the state as it stands in a snapshot."""
+    return encode(state)
+
+
+def decode_state(content: bytes) -> State:
+    """Return the state of a snapshot; an empty one is that of a new group."""
+    return _decoder.decode(content) if content else State()
 
 
 def apply_command(
@@ -70,24 +107,42 @@
     match command:
         case Change():
             return _apply_change(state, command)
-        case Join(announcement=announcement):
-            return _apply_join(state, announcement), None
-        case Expire(identity=identity):
-            return _apply_expire(state, identity), None
+        case Join() | Expire():
+            return _apply_memberships(state, [command]), None
+        case Batch(commands=commands):
+            return _apply_memberships(state, commands), None
+        case Noop() | Voters():
+            return state, None
     raise AssertionError(f"unexpected command {command!r}")
 
 
-def answer_change(state: State, change: Change) -> ChangeReply | None:
-    """Return the answer to a change that the state already decides.
+def answer_decided(state: State, change: Change) -> ChangeReply | None:
+    """Return the answer to a change whose number is taken, for good.
 
     None means that the change has to go through the log.
     """
     decision = state.decisions.get(change.number)
-    if decision is not None:
-        if decision.change == change:
-            return decision.reply
-        winner = decision.change.operator
-        return _make_reply(state, change, ChangeStatus.CONFLICT, winner=winner)
+    if decision is None:
+        if 0 < change.number < state.next_number:
+            return _make_reply(state, change, ChangeStatus.FORGOTTEN)
+        return None
+    if decision.digest == digest_change(change):
+        return ChangeReply(
+            change.number,
+            ChangeStatus.ACCEPTED,
+            decision.version,
+            "",
+            [],
+            change.number + 1,
+        )
+    return _make_reply(state, change, ChangeStatus.CONFLICT, winner=decision.operator)
+
+
+def answer_change(state: State, change: Change) -> ChangeReply | None:
+    """Return the answer to a change that cannot take its number, else None."""
+    decided = answer_decided(state, change)
+    if decided is not None:
+        return decided
     errors = check_change(state.view, state.next_number, change)
     if errors:
         lines = [str(error) for error in errors]
@@ -95,6 +150,11 @@
     return None
 
 
+def digest_change(change: Change) -> bytes:
+    """Return what tells a change apart from every other of its number."""
+    return xxh3_128_digest(encode(change))
+
+
 def _apply_change(state: State, change: Change) -> tuple[State, ChangeReply]:
     decided = answer_change(state, change)
     if decided is not None:
@@ -102,43 +162,99 @@
     view = change_view(
         state.view, state.index, list(change.items), list(change.removed)
     )
-    state = replace(state, view=view, next_number=change.number + 1)
-    reply = _make_reply(state, change, ChangeStatus.ACCEPTED, version=state.index)
-    decisions = {**state.decisions, change.number: Decision(change, reply)}
-    return replace(state, decisions=decisions), reply
+    assert change.number == state.next_number, "numbers are taken in order"
+    decisions = dict(state.decisions)
+    decisions[change.number] = Decision(
+        digest_change(change), change.operator, state.index
+    )
+    decisions.pop(change.number - MAX_DECISIONS, None)
+    state = replace(
+        state, view=view, next_number=change.number + 1, decisions=decisions
+    )
+    return state, answer_decided(state, change)
 
 
 def _make_reply(
     state: State,
     change: Change,
     status: ChangeStatus,
-    version: int = 0,
     winner: str = "",
     errors: list[str] | None = None,
 ) -> ChangeReply:
     return ChangeReply(
-        change.number, status, version, winner, errors or [], state.next_number
+        change.number, status, 0, winner, errors or [], state.next_number
     )
 
 
-def _apply_join(state: State, announcement: Member | EntryHost) -> State:
-    key = (type(announcement).__name__, announcement.name)
-    held = state.view.items.get(key)
-    if held is not None:
-        if held.item.incarnation > announcement.incarnation:
-            return state
-        if held.item == announcement:
-            return state
-    return replace(state, view=change_view(state.view, state.index, [announcement], []))
+def _apply_memberships(state: State, commands: list[Join | Expire]) -> State:
+    lives = dict(state.lives)
+    items: dict[Key, Member | EntryHost] = {}
+    gone: dict[Key, Removed] = {}
+    for command in commands:
+        match command:
+            case Join():
+                _join(lives, items, gone, command)
+            case Expire():
+                _expire(state, lives, items, gone, command)
+    changed = []
+    for key, item in items.items():
+        held = state.view.items.get(key)
+        if held is None or held.item != item:
+            changed.append(item)
+    removed = []
+    for key, entry in gone.items():
+        if key in state.view.items:
+            removed.append(entry)
+    while len(lives) > MAX_LIVES:
+        lives.pop(next(iter(lives)))
+    state = replace(state, lives=lives)
+    if not changed and not removed:
+        return state
+    return replace(state, view=change_view(state.view, state.index, changed, removed))
 
 
-def _apply_expire(state: State, identity: Identity) -> State:
-    gone = []
+def _join(
+    lives: dict[Key, Life],
+    items: dict[Key, Member | EntryHost],
+    gone: dict[Key, Removed],
+    command: Join,
+) -> None:
+    announcement = command.announcement
+    key = get_key(announcement)
+    held = lives.get(key)
+    if held is not None and (held.incarnation, held.revision) > (
+        announcement.incarnation,
+        command.revision,
+    ):
+        return
+    lives.pop(key, None)
+    lives[key] = Life(announcement.incarnation, command.revision)
+    gone.pop(key, None)
+    items[key] = announcement
+
+
+def _expire(
+    state: State,
+    lives: dict[Key, Life],
+    items: dict[Key, Member | EntryHost],
+    gone: dict[Key, Removed],
+    command: Expire,
+) -> None:
+    identity = command.identity
     for kind in (Member.__name__, EntryHost.__name__):
-        held = state.view.items.get((kind, identity.name))
-        if held is None or held.item.incarnation != identity.incarnation:
+        key = (kind, identity.name)
+        life = lives.get(key)
+        if command.left and _is_newer(identity, life):
+            lives.pop(key, None)
+            lives[key] = Life(identity.incarnation, LEFT)
+        held = items.get(key)
+        if held is None and key in state.view.items:
+            held = state.view.items[key].item
+        if held is None or held.incarnation != identity.incarnation:
             continue
-        gone.append(Removed(state.index, kind, identity.name))
-    if not gone:
-        return state
-    return replace(state, view=change_view(state.view, state.index, [], gone))
+        items.pop(key, None)
+        gone[key] = Removed(state.index, kind, identity.name)
+
+
+def _is_newer(identity: Identity, life: Life | None) -> bool:
+    return life is not None and life.incarnation <= identity.incarnation
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -434,11 +434,16 @@
 
 
 class Subscribe(Record, frozen=True):
-    """Announces a process and asks for everything after a version."""
+    """Announces a process and asks for everything after a version.
+
+    ``revision`` grows with every announcement of one life of a process, so
+    that a late copy of an earlier one is told apart.
+    """
 
     identity: Identity
     announcement: Announcement
     version: int
+    revision: int = 0
 
 
 class Heartbeat(Record, frozen=True):
@@ -498,6 +503,7 @@
     CONFLICT = "conflict"
     INVALID = "invalid"
     UNAVAILABLE = "unavailable"
+    FORGOTTEN = "forgotten"
 
 
 class ChangeReply(Record, frozen=True):
@@ -541,6 +547,30 @@
     age: float
 
 
+class ReplicaId(Record, frozen=True):
+    """A disk of a control host: a replaced disk makes another replica.
+
+    Parameters
+    ----------
+    name : str
+        Name of the control host.
+    disk : str
+        Drawn at random when the data folder is first used.
+    """
+
+    name: str
+    disk: str
+
+
+class ReplicaStatus(Record, frozen=True):
+    """What the leader knows about one replica; ``age`` is seconds unheard."""
+
+    replica: ReplicaId
+    role: str
+    match: int
+    age: float
+
+
 class StatusReply(Record, frozen=True):
     """All that a control host knows: configuration, members, versions."""
 
@@ -550,6 +580,141 @@
     view: Delta
     processes: list[ProcessStatus]
     next_number: int
+    term: int = 0
+    commit: int = 0
+    replicas: list[ReplicaStatus] = []
+
+
+# --------------------------------------------------------------------------
+# Links between control hosts: the replicated log
+# --------------------------------------------------------------------------
+
+
+class VoteRequest(Record, frozen=True):
+    """A candidate asks for a vote, or with ``trial`` whether it would get it."""
+
+    group: str
+    sender: ReplicaId
+    target: ReplicaId
+    term: int
+    last_index: int
+    last_term: int
+    trial: bool
+
+
+class VoteReply(Record, frozen=True):
+    """Answer to a request for a vote; ``term`` is the one asked for if granted."""
+
+    group: str
+    sender: ReplicaId
+    term: int
+    granted: bool
+    trial: bool
+
+
+class AppendRequest(Record, frozen=True):
+    """The leader's entries after an index, and its half of the heartbeat.
+
+    ``beat`` numbers the leader's messages; its greatest one that a majority
+    has answered is the stamp.
+    """
+
+    group: str
+    sender: ReplicaId
+    target: ReplicaId
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: list[LogEntry]
+    commit: int
+    stamp: int
+    beat: int
+
+
+class AppendReply(Record, frozen=True):
+    """How far the sender's synced log agrees with the leader's.
+
+    Without ``success``, ``match`` is the index after which the leader has to
+    go on.
+    """
+
+    group: str
+    sender: ReplicaId
+    term: int
+    success: bool
+    match: int
+    beat: int
+
+
+class SnapshotChunk(Record, frozen=True):
+    """A part of the leader's encoded snapshot."""
+
+    group: str
+    sender: ReplicaId
+    target: ReplicaId
+    term: int
+    index: int
+    offset: int
+    total: int
+    data: bytes
+    beat: int
+
+
+class ChunkReply(Record, frozen=True):
+    """How many bytes of a snapshot the sender holds."""
+
+    group: str
+    sender: ReplicaId
+    term: int
+    index: int
+    offset: int
+    beat: int
+
+
+class JoinRequest(Record, frozen=True):
+    """A replica without a vote asks to be taken in.
+
+    With ``bootstrap`` it would start the group if nobody else has one.
+    """
+
+    group: str
+    sender: ReplicaId
+    bootstrap: bool
+
+
+class JoinReply(Record, frozen=True):
+    """Tells a replica without a vote which group there is; may be none."""
+
+    group: str
+    sender: ReplicaId
+    bootstrap: bool
+
+
+class Relay(Record, frozen=True):
+    """A control host hands a peer's message on to the leader."""
+
+    peer: str
+    message: Subscribe | Leave | Change | StatusRequest
+
+
+class RelayReply(Record, frozen=True):
+    """The leader's answer to a peer of another control host."""
+
+    peer: str
+    message: ChangeReply | StatusReply
+
+
+class HeardReport(Record, frozen=True):
+    """The processes that a control host heard since its last report."""
+
+    control: str
+    heard: list[Heartbeat]
+
+
+class HeardReply(Record, frozen=True):
+    """The leader's half of the report."""
+
+    control: str
 
 
 DataMessage = Union[
@@ -574,6 +739,18 @@
     ChangeReply,
     StatusRequest,
     StatusReply,
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotChunk,
+    ChunkReply,
+    JoinRequest,
+    JoinReply,
+    Relay,
+    RelayReply,
+    HeardReport,
+    HeardReply,
 ]
 
 # --------------------------------------------------------------------------
@@ -585,15 +762,86 @@
     """Puts an announced process into the membership."""
 
     announcement: Announcement
+    revision: int = 0
 
 
 class Expire(Record, frozen=True):
     """Ends the membership of a process that left or lost its lease."""
 
     identity: Identity
+    left: bool = False
+
+
+class Batch(Record, frozen=True):
+    """Joins and expiries that take effect at one version."""
+
+    commands: list[Join | Expire]
+
+
+class Noop(Record, frozen=True):
+    """The entry with which a leader begins its term."""
 
 
-Command = Union[Change, Join, Expire]
+class Voters(Record, frozen=True):
+    """The replicas that vote from this entry on."""
+
+    replicas: list[ReplicaId]
+
+
+Command = Union[Change, Join, Expire, Batch, Noop, Voters]
+
+
+class LogEntry(Record, frozen=True):
+    """A command at its place in the replicated log."""
+
+    index: int
+    term: int
+    command: Command
+
+
+# --------------------------------------------------------------------------
+# Records of the log file
+# --------------------------------------------------------------------------
+
+
+class FileHeader(Record, frozen=True):
+    """First record of a log file; the generation grows with each new file."""
+
+    replica: ReplicaId
+    generation: int
+
+
+class TermVote(Record, frozen=True):
+    """The group, the newest term and the vote given in it."""
+
+    group: str
+    term: int
+    vote: ReplicaId | None
+
+
+class LogBase(Record, frozen=True):
+    """The entry before the first one in the file."""
+
+    index: int
+    term: int
+
+
+class Snapshot(Record, frozen=True):
+    """All that the log adds up to at an index."""
+
+    index: int
+    term: int
+    voters: Voters
+    state: bytes
+
+
+class Truncation(Record, frozen=True):
+    """Entries from an index on are void."""
+
+    index: int
+
+
+DiskRecord = Union[FileHeader, TermVote, LogBase, Snapshot, LogEntry, Truncation]
 
 # --------------------------------------------------------------------------
 # Events and effects of the cores
@@ -643,6 +891,12 @@
     """Event: a planned stop begins."""
 
 
+class Stored(Struct, frozen=True):
+    """Event: everything up to a ``Store`` is synced."""
+
+    sequence: int
+
+
 class SendCaller(Struct, frozen=True, gc=False):
     """Effect: send a datagram from the service's address to a caller."""
 
@@ -681,6 +935,35 @@
     message: ControlMessage
 
 
+class ReplaceLink(Struct, frozen=True):
+    """Effect: close a link that went silent; the next message opens another."""
+
+    peer: str
+
+
+class Store(Struct, frozen=True):
+    """Effect: append records to the log file, or replace the file by them.
+
+    Answered by ``Stored`` once synced, in the order of the sequence.
+    """
+
+    sequence: int
+    records: list[DiskRecord]
+    replace: bool = False
+
+
+class Applied(Struct, frozen=True):
+    """Effect: an entry is committed; the state machine takes it."""
+
+    entry: LogEntry
+
+
+class Restored(Struct, frozen=True):
+    """Effect: a snapshot replaces the state."""
+
+    snapshot: Snapshot
+
+
 class Stopped(Struct, frozen=True):
     """Effect: the planned stop is complete, the process may exit."""
 
@@ -706,7 +989,7 @@
 
 
 Event = Union[
-    Datagram, PeerMessage, UpstreamDatagram, UpstreamGone, LinkMessage, Tick, Stop
+    Datagram, PeerMessage, UpstreamDatagram, UpstreamGone, LinkMessage, Tick, Stop, Stored
 ]
 Effect = Union[
     SendCaller,
@@ -716,6 +999,10 @@
     SendLink,
     Stopped,
     TimelineEvent,
+    ReplaceLink,
+    Store,
+    Applied,
+    Restored,
 ]
 
 # --------------------------------------------------------------------------
@@ -748,6 +1035,31 @@
         return f"{self.item}: {self.field} = {self.value}: allowed is {self.allowed}"
 
 
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a log file holds; ``cut`` bytes of an unsynced tail were dropped."""
+
+    replica: ReplicaId
+    generation: int
+    term_vote: TermVote
+    base: LogBase
+    snapshot: Snapshot | None
+    entries: list[LogEntry]
+    size: int
+    cut: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DamagedFile:
+    """A file that lost or changed what had been synced."""
+
+    step: str
+    peer: str
+    file: str
+    offset: int
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class OutOfOrder:
     """A delta that does not fit the version in force."""
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -24,6 +24,7 @@
     Effect,
     Event,
     LinkMessage,
+    ReplaceLink,
     SendLink,
     Stop,
     Stopped,
@@ -112,6 +113,8 @@
             match effect:
                 case SendLink(peer=peer, message=message):
                     self.send_link(peer, message)
+                case ReplaceLink(peer=peer):
+                    self.replace_link(peer)
                 case TimelineEvent():
                     self.note(effect)
                 case Stopped():
@@ -124,6 +127,12 @@
         if self.links is not None:
             self.links.send(peer, message)
 
+    def replace_link(self, peer: str) -> None:
+        """Close a link that went silent; the next message opens another."""
+        self.counters["links_replaced"] += 1
+        if self.links is not None:
+            self.links.replace(peer)
+
     def note(self, event: TimelineEvent) -> None:
         """Log a change of state."""
         log.info(
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -1,15 +1,21 @@
-"""Control's side of the links: leases, subscriptions and pushed deltas."""
+"""Control's side of the links: subscriptions, pushed deltas, and leases.
+
+Every control host has the subscriptions of the processes that chose it. The
+leader alone has the leases: it hears from the other control hosts which
+processes they heard, and judges by its own clock.
+"""
 
 from __future__ import annotations
 
 from fulmarshore.core.records import (
     Announcement,
-    Command,
     Effect,
+    EntryHost,
     Expire,
     Freshness,
     Heartbeat,
     HeartbeatReply,
+    Identity,
     Join,
     Leave,
     Member,
@@ -17,7 +23,7 @@
     SendLink,
     Subscribe,
 )
-from fulmarshore.membership.view import View, make_delta
+from fulmarshore.membership.view import View, get_key, make_delta
 
 LEASE_S = 3.0
 """A process that is not heard of for this long loses its membership."""
@@ -26,19 +32,29 @@
 class Subscription:
     """A process that is served by this control host."""
 
-    __slots__ = ("peer", "identity", "announcement", "version", "sent", "heard_at")
+    __slots__ = ("peer", "subscribe", "version", "sent", "heard_at", "reported_at")
 
     def __init__(self, peer: str, message: Subscribe, now: float) -> None:
         self.peer = peer
-        self.identity = message.identity
-        self.announcement = message.announcement
+        self.subscribe = message
         self.version = message.version
         self.sent = message.version
         self.heard_at = now
+        self.reported_at = float("-inf")
+
+    @property
+    def identity(self) -> Identity:
+        """The process that subscribed."""
+        return self.subscribe.identity
+
+    @property
+    def announcement(self) -> Announcement:
+        """What the process announces."""
+        return self.subscribe.announcement
 
 
 class Registry:
-    """Subscriptions and leases at one control host.
+    """Subscriptions at one control host.
 
     Parameters
     ----------
@@ -50,12 +66,13 @@
         self.name = name
         self.subscriptions: dict[str, Subscription] = {}
 
-    def subscribe(self, peer: str, message: Subscribe, now: float) -> None:
-        """Take in a subscriber, or the new announcement of one."""
+    def subscribe(self, peer: str, message: Subscribe, now: float) -> bool:
+        """Take in a subscriber; False for a late message of a former life."""
         held = self.subscriptions.get(message.identity.name)
-        if held and held.identity.incarnation > message.identity.incarnation:
-            return
+        if held is not None and _get_order(held.subscribe) > _get_order(message):
+            return False
         self.subscriptions[message.identity.name] = Subscription(peer, message, now)
+        return True
 
     def heartbeat(
         self,
@@ -65,7 +82,7 @@
         freshness: Freshness,
         now: float,
     ) -> list[Effect]:
-        """Renew a lease and answer with this host's half of the heartbeat."""
+        """Answer a heartbeat with this host's half of it."""
         held = self.subscriptions.get(message.identity.name)
         known = held is not None and held.identity == message.identity
         if known:
@@ -84,51 +101,160 @@
     def push(self, view: View) -> list[Effect]:
         """Send what is new to every subscriber."""
         effects: list[Effect] = []
+        deltas = {}
         for subscription in self.subscriptions.values():
             if subscription.sent >= view.version:
                 continue
-            delta = make_delta(view, subscription.sent)
+            if subscription.sent not in deltas:
+                deltas[subscription.sent] = make_delta(view, subscription.sent)
+            delta = deltas[subscription.sent]
             subscription.sent = view.version
             effects.append(SendLink(subscription.peer, delta))
         return effects
 
-    def list_joins(self, view: View) -> list[Command]:
-        """Return the commands that bring announcements into the view."""
-        commands: list[Command] = []
+    def drop_silent(self, now: float) -> None:
+        """Forget subscribers that went silent or moved to another host."""
+        for name, subscription in list(self.subscriptions.items()):
+            if now - subscription.heard_at >= LEASE_S:
+                del self.subscriptions[name]
+
+    def list_heard(self, now: float) -> list[Heartbeat]:
+        """Return a heartbeat for each process heard since the last report."""
+        heard = []
+        for subscription in self.subscriptions.values():
+            if subscription.heard_at <= subscription.reported_at:
+                continue
+            subscription.reported_at = now
+            heard.append(Heartbeat(subscription.identity, subscription.version))
+        return heard
+
+    def list_unjoined(self, view: View) -> list[Subscribe]:
+        """Return what subscribers announced and the view does not have."""
+        found = []
         for subscription in self.subscriptions.values():
-            announcement = subscription.announcement
-            held = view.items.get(_get_key(announcement))
-            if held is not None and held.item == announcement:
+            held = view.items.get(get_key(subscription.announcement))
+            if held is not None and held.item == subscription.announcement:
+                continue
+            found.append(subscription.subscribe)
+        return found
+
+
+class Lease:
+    """When a process was last heard of, and the version it had in force."""
+
+    __slots__ = ("identity", "heard_at", "version")
+
+    def __init__(self, identity: Identity, heard_at: float, version: int) -> None:
+        self.identity = identity
+        self.heard_at = heard_at
+        self.version = version
+
+
+class Leases:
+    """The leases of all members, judged by the leader's clock."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, Lease] = {}
+        self.wanted: dict[tuple[str, str], Subscribe] = {}
+        self._proposed: dict[str, int] = {}
+
+    def reset(self, view: View, now: float) -> None:
+        """Give every member a full lease, as a new leader does."""
+        self.held = {}
+        self.wanted = {}
+        self._proposed = {}
+        for identity, _ in _list_members(view):
+            self.held[identity.name] = Lease(identity, now, 0)
+
+    def hear(self, beat: Heartbeat, now: float) -> None:
+        """Renew the lease of a process."""
+        lease = self.held.get(beat.identity.name)
+        if lease is None or lease.identity.incarnation < beat.identity.incarnation:
+            self.held[beat.identity.name] = Lease(beat.identity, now, beat.version)
+            return
+        if lease.identity == beat.identity:
+            lease.heard_at = now
+            lease.version = beat.version
+
+    def want(self, message: Subscribe, now: float) -> None:
+        """Take an announcement that shall get into the membership."""
+        key = get_key(message.announcement)
+        held = self.wanted.get(key)
+        if held is None or _get_order(held) <= _get_order(message):
+            self.wanted[key] = message
+        self.hear(Heartbeat(message.identity, message.version), now)
+
+    def leave(self, message: Leave) -> None:
+        """End the lease of a process that left."""
+        for key, held in list(self.wanted.items()):
+            if held.identity == message.identity:
+                del self.wanted[key]
+
+    def list_joins(self, view: View) -> list[Join]:
+        """Return the commands for announcements that the view does not have."""
+        commands = []
+        for message in self.wanted.values():
+            held = view.items.get(get_key(message.announcement))
+            if held is not None and held.item == message.announcement:
                 continue
-            commands.append(Join(announcement))
+            commands.append(Join(message.announcement, message.revision))
+        self.wanted = {}
         return commands
 
-    def list_expired(self, view: View, now: float) -> list[Command]:
-        """Return the commands that end memberships without a lease."""
-        commands: list[Command] = []
-        for subscription in list(self.subscriptions.values()):
-            if now - subscription.heard_at < LEASE_S:
+    def list_expired(self, view: View, applied: int, now: float) -> list[Expire]:
+        """Return the commands that end memberships without a lease.
+
+        One that is under way is not proposed again.
+        """
+        commands = []
+        for identity, _ in _list_members(view):
+            lease = self.held.get(identity.name)
+            if lease is None or lease.identity.incarnation < identity.incarnation:
+                self.held[identity.name] = Lease(identity, now, 0)
                 continue
-            del self.subscriptions[subscription.identity.name]
-            commands.append(Expire(subscription.identity))
+            newer = lease.identity.incarnation > identity.incarnation
+            if not newer and now - lease.heard_at < LEASE_S:
+                continue
+            if self._proposed.get(identity.name, 0) > applied:
+                continue
+            commands.append(Expire(identity))
         return commands
 
-    def list_processes(self, now: float) -> list[ProcessStatus]:
-        """Return what is known about every subscriber."""
+    def note_proposed(self, commands: list[Expire], index: int) -> None:
+        """Remember under which index commands are under way."""
+        for command in commands:
+            self._proposed[command.identity.name] = index
+
+    def drop_gone(self, view: View, now: float) -> None:
+        """Forget processes that are no longer members and silent."""
+        names = {identity.name for identity, _ in _list_members(view)}
+        for name, lease in list(self.held.items()):
+            if name not in names and now - lease.heard_at >= LEASE_S:
+                del self.held[name]
+                self._proposed.pop(name, None)
+
+    def list_processes(self, view: View, now: float) -> list[ProcessStatus]:
+        """Return what is known about every member."""
         found = []
-        for subscription in self.subscriptions.values():
-            announcement = subscription.announcement
+        for identity, announcement in _list_members(view):
+            lease = self.held.get(identity.name)
+            if lease is None or lease.identity != identity:
+                continue
             role = "agent" if isinstance(announcement, Member) else "entry"
-            status = ProcessStatus(
-                subscription.identity,
-                role,
-                announcement.zone,
-                subscription.version,
-                now - subscription.heard_at,
-            )
-            found.append(status)
+            age = now - lease.heard_at
+            zone = announcement.zone
+            found.append(ProcessStatus(identity, role, zone, lease.version, age))
         return found
 
 
-def _get_key(announcement: Announcement) -> tuple[str, str]:
-    return type(announcement).__name__, announcement.name
+def _list_members(view: View) -> list[tuple[Identity, Announcement]]:
+    found = []
+    for stamped in view.items.values():
+        item = stamped.item
+        if isinstance(item, Member | EntryHost):
+            found.append((Identity(item.name, item.incarnation), item))
+    return found
+
+
+def _get_order(message: Subscribe) -> tuple[int, int]:
+    return message.identity.incarnation, message.revision
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -15,6 +15,7 @@
     Identity,
     Leave,
     LinkMessage,
+    ReplaceLink,
     SendLink,
     Subscribe,
     TimelineEvent,
@@ -61,6 +62,7 @@
         self._fresh_at = float("-inf")
         self._sent_at = float("-inf")
         self._subscribed = False
+        self._revision = 0
 
     @property
     def control(self) -> str:
@@ -70,6 +72,7 @@
     def announce(self, announcement: Announcement) -> list[Effect]:
         """Replace the announcement, such as by one that drains."""
         self.announcement = announcement
+        self._revision += 1
         self._subscribed = False
         return [self._subscribe()]
 
@@ -134,7 +137,9 @@
         return []
 
     def _subscribe(self) -> SendLink:
-        message = Subscribe(self.identity, self.announcement, self.view.version)
+        message = Subscribe(
+            self.identity, self.announcement, self.view.version, self._revision
+        )
         return SendLink(self.control, message)
 
     def _move(self, now: float) -> list[Effect]:
@@ -146,5 +151,6 @@
         self._sent_at = float("-inf")
         self.counters["control_moves"] += 1
         return [
+            ReplaceLink(left),
             TimelineEvent("control_moved", peer=self.control, detail=f"from {left}")
         ]
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -16,16 +16,44 @@
 
 from fulmarshore.core.records import (
     Address,
+    AppendReply,
+    ChangeReply,
+    ChunkReply,
+    Delta,
     Effect,
     Event,
+    HeardReply,
+    HeartbeatReply,
+    JoinReply,
     LinkMessage,
     PeerMessage,
+    RelayReply,
+    ReplaceLink,
     SendLink,
     SendPeer,
+    StatusReply,
+    Store,
+    Stored,
     Tick,
+    VoteReply,
 )
+from fulmarshore.standins.disk import FakeDisk
 
 TICK_INTERVAL_S = 0.05
+DISK_DELAY_S = 0.004
+
+LINK_ANSWERS = (
+    AppendReply,
+    ChangeReply,
+    ChunkReply,
+    Delta,
+    HeardReply,
+    HeartbeatReply,
+    JoinReply,
+    RelayReply,
+    StatusReply,
+    VoteReply,
+)
 
 
 class Core(Protocol):
@@ -58,7 +86,7 @@
 class Node:
     """A core in the network, with its name, address and clock."""
 
-    __slots__ = ("name", "address", "core", "observe", "running")
+    __slots__ = ("name", "address", "core", "observe", "running", "disk")
 
     def __init__(
         self, name: str, address: Address, core: Core, observe: Observe | None
@@ -68,6 +96,11 @@
         self.core = core
         self.observe = observe
         self.running = True
+        self.disk: FakeDisk | None = None
+
+
+class SyncDue(Struct, frozen=True):
+    """The oldest write of a node's disk is due to be synced."""
 
 
 class FakeNetwork:
@@ -89,7 +122,8 @@
         self.outbox: list[tuple[float, str, Effect]] = []
         self._by_address: dict[Address, str] = {}
         self._cut: set[tuple[str, str]] = set()
-        self._queue: list[tuple[float, int, str, Event]] = []
+        self._muted: set[tuple[str, str]] = set()
+        self._queue: list[tuple[float, int, Node, Event | SyncDue]] = []
         self._sequence = 0
 
     def add(
@@ -98,13 +132,18 @@
         core: Core,
         address: Address | None = None,
         observe: Observe | None = None,
+        disk: FakeDisk | None = None,
     ) -> Node:
-        """Add a core, or replace the one of that name after a restart."""
+        """Add a core, or replace the one of that name after a restart.
+
+        Without a disk, everything that the core stores is synced at once.
+        """
         address = address or Address("127.0.0.1", 10_000 + len(self.nodes))
         node = Node(name, address, core, observe)
+        node.disk = disk
         self.nodes[name] = node
         self._by_address[address] = name
-        self._push(self.now, name, Tick())
+        self._push(self.now, node, Tick())
         return node
 
     def stop(self, name: str) -> None:
@@ -122,6 +161,13 @@
                 self.cut(one, other)
                 self.cut(other, one)
 
+    def mute(self, source: str, peer: str) -> None:
+        """Make the link that a core opened to another go silent for good.
+
+        Only a new link in its place works again.
+        """
+        self._muted.add((source, peer))
+
     def heal(self) -> None:
         """End all partitions."""
         self._cut.clear()
@@ -134,12 +180,14 @@
         """Run for a time."""
         until = self.now + seconds
         while self._queue and self._queue[0][0] <= until:
-            self.now, _, name, event = heapq.heappop(self._queue)
-            node = self.nodes.get(name)
-            if node is None or not node.running:
+            self.now, _, node, event = heapq.heappop(self._queue)
+            if not node.running or self.nodes.get(node.name) is not node:
                 continue
+            if isinstance(event, SyncDue):
+                sequence = node.disk.sync()
+                event = Stored(sequence)
             if isinstance(event, Tick):
-                self._push(self.now + TICK_INTERVAL_S, name, event)
+                self._push(self.now + TICK_INTERVAL_S, node, event)
             self._deliver(node, event)
         self.now = until
 
@@ -154,6 +202,14 @@
                 self._transmit(node.name, target, PeerMessage(node.address, message))
             case SendLink(peer=peer, message=message):
                 self._transmit(node.name, peer, LinkMessage(node.name, message))
+            case Store() if node.disk is not None:
+                node.disk.submit(effect)
+                delay = self.random.uniform(0.0, DISK_DELAY_S)
+                self._push(self.now + delay, node, SyncDue())
+            case Store():
+                self._deliver(node, Stored(effect.sequence))
+            case ReplaceLink(peer=peer):
+                self._muted.discard((node.name, peer))
             case _ if node.observe is not None:
                 node.observe(node, effect, self.now)
             case _:
@@ -162,14 +218,27 @@
     def _transmit(self, source: str, target: str | None, event: Event) -> None:
         if target not in self.nodes or (source, target) in self._cut:
             return
+        if self._muted and self._is_muted(source, target, event):
+            return
         faults = self.faults
         copies = 1 + (self.random.random() < faults.duplication)
         for _ in range(copies):
             if self.random.random() < faults.loss:
                 continue
             delay = self.random.uniform(faults.min_delay, faults.max_delay)
-            self._push(self.now + delay, target, event)
+            self._push(self.now + delay, self.nodes[target], event)
+
+    def _is_muted(self, source: str, target: str, event: Event) -> bool:
+        """Whether a message takes a link that went silent.
+
+        Answers take the link of the question.
+        """
+        if not isinstance(event, LinkMessage):
+            return False
+        if isinstance(event.message, LINK_ANSWERS):
+            return (target, source) in self._muted
+        return (source, target) in self._muted
 
-    def _push(self, at: float, name: str, event: Event) -> None:
+    def _push(self, at: float, node: Node, event: Event | SyncDue) -> None:
         self._sequence += 1
-        heapq.heappush(self._queue, (at, self._sequence, name, event))
+        heapq.heappush(self._queue, (at, self._sequence, node, event))
