--- /dev/null
+++ b/fulmarshore/adapters/disk.py
@@ -0,0 +1,281 @@
+"""The log file of a control host on a real disk, synced by its own thread."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import queue
+import secrets
+import stat
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from fulmarshore.agreement.storage import (
+    LOG_FILE,
+    MARK_FILE,
+    MARK_SLOT_BYTES,
+    encode_mark,
+    encode_record,
+    read_log,
+    read_mark,
+)
+from fulmarshore.core.records import (
+    DamagedFile,
+    FileHeader,
+    LogBase,
+    Recovered,
+    ReplicaId,
+    Store,
+    TermVote,
+)
+
+LOCK_FILE = "lock"
+FOLDER_MODE = 0o700
+FILE_MODE = 0o600
+DISK_ID_BYTES = 8
+CHECK_MODE_MASK = 0o077
+
+Done = Callable[[int], None]
+Fail = Callable[[OSError], None]
+
+
+@dataclass(frozen=True, slots=True)
+class FolderRefused:
+    """A data folder that cannot be used, and why."""
+
+    step: str
+    peer: str
+    folder: str
+    detail: str
+
+
+class DataFolder:
+    """The data folder of one control host, locked while it is open.
+
+    Parameters
+    ----------
+    path : Path
+        The folder; made if it is not there.
+    name : str
+        Name of the control host.
+    """
+
+    def __init__(self, path: Path, name: str) -> None:
+        self.path = path
+        self.name = name
+        self._lock: int | None = None
+
+    def open(self) -> FolderRefused | None:
+        """Make, check and lock the folder."""
+        try:
+            self.path.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
+            mode = stat.S_IMODE(self.path.stat().st_mode)
+            if mode & CHECK_MODE_MASK:
+                return self._refuse(f"mode {mode:03o}, allowed is {FOLDER_MODE:03o}")
+            flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+            self._lock = os.open(self.path / LOCK_FILE, flags, FILE_MODE)
+        except OSError as error:
+            return self._refuse(error.strerror or str(error))
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self.close()
+            return self._refuse("another process uses it")
+        return None
+
+    def read(self) -> Recovered | DamagedFile:
+        """Read the log file; an empty folder gives a new replica.
+
+        Of a torn tail that was never synced, the bytes are cut off.
+        """
+        log = self.path / LOG_FILE
+        mark = self.path / MARK_FILE
+        if not log.exists() and not mark.exists():
+            return make_new_replica(self.name)
+        content = log.read_bytes() if log.exists() else b""
+        marked = read_mark(mark.read_bytes()) if mark.exists() else None
+        if marked is None and _is_first_write(content):
+            # The first file was written and nothing was acknowledged yet.
+            return make_new_replica(self.name)
+        outcome = read_log(content, marked, self.name)
+        if isinstance(outcome, Recovered) and outcome.cut:
+            os.truncate(log, outcome.size)
+        return outcome
+
+    def put_aside(self) -> str:
+        """Rename damaged files, so that the host starts as a new replica."""
+        suffix = f"damaged-{secrets.token_hex(4)}"
+        for name in (LOG_FILE, MARK_FILE):
+            path = self.path / name
+            if path.exists():
+                path.rename(self.path / f"{name}.{suffix}")
+        _sync_folder(self.path)
+        return suffix
+
+    def close(self) -> None:
+        """Release the lock."""
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
+
+    def _refuse(self, detail: str) -> FolderRefused:
+        return FolderRefused("open_data_folder", self.name, str(self.path), detail)
+
+
+class FileDisk:
+    """Carries out ``Store`` in order, on a thread of its own.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder.
+    recovered : Recovered
+        What was read at the start.
+    done : callable
+        Called on the thread with the sequence of the newest write synced.
+    fail : callable
+        Called on the thread with the error; nothing is written after it.
+    """
+
+    def __init__(
+        self, folder: Path, recovered: Recovered, done: Done, fail: Fail
+    ) -> None:
+        self._folder = folder
+        self._done = done
+        self._fail = fail
+        self._generation = recovered.generation
+        self._size = recovered.size
+        self._slot = 0
+        self._log: int | None = None
+        self._mark: int | None = None
+        self._queue: queue.SimpleQueue[Store | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
+        self._thread.start()
+
+    def submit(self, store: Store) -> None:
+        """Take a write."""
+        self._queue.put(store)
+
+    def close(self) -> None:
+        """Finish all writes and end the thread."""
+        self._queue.put(None)
+        self._thread.join()
+        for descriptor in (self._log, self._mark):
+            if descriptor is not None:
+                os.close(descriptor)
+
+    def _run(self) -> None:
+        try:
+            self._open_mark()
+            if self._generation:
+                self._log = self._open(LOG_FILE, os.O_APPEND)
+            while True:
+                batch, is_last = self._take_batch()
+                if batch:
+                    self._write(batch)
+                    self._done(batch[-1].sequence)
+                if is_last:
+                    return
+        except OSError as error:
+            self._fail(error)
+
+    def _take_batch(self) -> tuple[list[Store], bool]:
+        """Wait for a write, and take all that wait: one sync serves them."""
+        first = self._queue.get()
+        batch = []
+        while first is not None:
+            batch.append(first)
+            if self._queue.empty():
+                return batch, False
+            first = self._queue.get()
+        return batch, True
+
+    def _write(self, batch: list[Store]) -> None:
+        frames = b""
+        for store in batch:
+            content = b"".join(encode_record(record) for record in store.records)
+            if not store.replace:
+                frames += content
+                continue
+            frames = b""
+            self._replace(store, content)
+        if frames:
+            _write_all(self._log, frames)
+            os.fdatasync(self._log)
+            self._size += len(frames)
+        self._write_mark()
+
+    def _replace(self, store: Store, content: bytes) -> None:
+        header = store.records[0]
+        assert isinstance(header, FileHeader), "a file starts with its header"
+        temporary = f"{LOG_FILE}.new"
+        descriptor = self._open(temporary, os.O_TRUNC)
+        _write_all(descriptor, content)
+        os.fsync(descriptor)
+        os.close(descriptor)
+        os.rename(self._folder / temporary, self._folder / LOG_FILE)
+        _sync_folder(self._folder)
+        if self._log is not None:
+            os.close(self._log)
+        self._log = self._open(LOG_FILE, os.O_APPEND)
+        self._generation = header.generation
+        self._size = len(content)
+        self._write_mark()
+
+    def _write_mark(self) -> None:
+        slot = encode_mark(self._generation, self._size)
+        os.pwrite(self._mark, slot, self._slot * MARK_SLOT_BYTES)
+        os.fdatasync(self._mark)
+        self._slot = 1 - self._slot
+
+    def _open_mark(self) -> None:
+        self._mark = self._open(MARK_FILE, 0)
+        if os.fstat(self._mark).st_size >= 2 * MARK_SLOT_BYTES:
+            self._slot = self._find_older_slot()
+            return
+        os.ftruncate(self._mark, 2 * MARK_SLOT_BYTES)
+        os.fsync(self._mark)
+        _sync_folder(self._folder)
+
+    def _find_older_slot(self) -> int:
+        """Return the slot to write first: never the one that is newest."""
+        content = os.pread(self._mark, 2 * MARK_SLOT_BYTES, 0)
+        newest = read_mark(content)
+        return 1 if newest == read_mark(content[:MARK_SLOT_BYTES]) else 0
+
+    def _open(self, name: str, flags: int) -> int:
+        flags |= os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        return os.open(self._folder / name, flags, FILE_MODE)
+
+
+def make_new_replica(name: str) -> Recovered:
+    """Return what a new disk holds: an identity of its own and nothing else."""
+    identity = ReplicaId(name, secrets.token_hex(DISK_ID_BYTES))
+    term_vote = TermVote("", 0, None)
+    return Recovered(identity, 0, term_vote, LogBase(0, 0), None, [], 0)
+
+
+def _is_first_write(content: bytes) -> bool:
+    """Whether a log file without a mark can only be that of a new replica."""
+    if not content:
+        return True
+    outcome = read_log(content, (0, 0), "")
+    if isinstance(outcome, DamagedFile):
+        return False
+    return outcome.generation == 1 and not outcome.term_vote.group
+
+
+def _write_all(descriptor: int, content: bytes) -> None:
+    view = memoryview(content)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/fulmarshore/adapters/parameters.py
+++ b/fulmarshore/adapters/parameters.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import re
+from typing import NamedTuple
 
 import click
 
@@ -52,6 +53,33 @@
         return value
 
 
+class Peer(NamedTuple):
+    """Another control host: its name and the address of its links."""
+
+    name: str
+    address: Address
+
+
+class PeerType(click.ParamType):
+    """``NAME=HOST:PORT`` with a numeric IP address."""
+
+    name = "name=host:port"
+
+    def convert(
+        self,
+        value: str | Peer,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Peer:
+        """Return the peer or fail with what is allowed."""
+        if isinstance(value, Peer):
+            return value
+        name, _, address = value.partition("=")
+        return Peer(
+            NAME.convert(name, param, ctx), ADDRESS.convert(address, param, ctx)
+        )
+
+
 def parse_address(text: str) -> Address | None:
     """Parse ``HOST:PORT``; None where it is no numeric IP address and port."""
     host, _, port = text.rpartition(":")
@@ -67,3 +95,4 @@
 
 ADDRESS = AddressType()
 NAME = NameType()
+PEER = PeerType()
--- a/fulmarshore/agreement/election.py
+++ b/fulmarshore/agreement/election.py
@@ -43,9 +43,7 @@
         replica.emit(request)
 
 
-def answer_vote(
-    replica: Replica, peer: str, request: VoteRequest, now: float
-) -> None:
+def answer_vote(replica: Replica, peer: str, request: VoteRequest, now: float) -> None:
     """Give or refuse a vote, or tell whether it would be given."""
     heard = now - replica.leader_heard_at < MIN_ELECTION_TIMEOUT_S
     if heard or replica.is_leader:
--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -48,9 +48,7 @@
         replica.emit(SendLink(peer, request))
 
 
-def answer_join(
-    replica: Replica, peer: str, request: JoinRequest, now: float
-) -> None:
+def answer_join(replica: Replica, peer: str, request: JoinRequest, now: float) -> None:
     """Take in a learner, and tell it which group there is."""
     reply = JoinReply(replica.group, replica.identity, replica.bootstrap)
     replica.emit(SendLink(peer, reply))
--- a/fulmarshore/agreement/snapshots.py
+++ b/fulmarshore/agreement/snapshots.py
@@ -73,9 +73,7 @@
     replica.emit(SendLink(target.name, chunk))
 
 
-def take_chunk(
-    replica: Replica, peer: str, chunk: SnapshotChunk, now: float
-) -> None:
+def take_chunk(replica: Replica, peer: str, chunk: SnapshotChunk, now: float) -> None:
     """Take a part of a snapshot; install it once it is whole."""
     if chunk.term < replica.term:
         _reply(replica, peer, chunk, 0)
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import click
 
-from fulmarshore.adapters.parameters import ADDRESS, NAME
+from fulmarshore.adapters.parameters import ADDRESS, NAME, PEER, Peer
 from fulmarshore.core.records import Address
 from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
 from fulmarshore.daemons.control import ControlDaemon, ControlSettings
@@ -72,6 +74,32 @@
 @click.command()
 @_add_shared
 @click.option("--listen", type=ADDRESS, required=True, help="Address of the links.")
-def control(**settings: Any) -> None:
+@click.option(
+    "--peer",
+    "peers",
+    type=PEER,
+    multiple=True,
+    help="NAME=IP:PORT of another control host of the region; repeat for each.",
+)
+@click.option(
+    "--data-folder",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder of the log, mode 0700; without it nothing is kept.",
+)
+@click.option(
+    "--bootstrap",
+    is_flag=True,
+    help="First start of a region: begin a group if no peer has one.",
+)
+def control(peers: tuple[Peer, ...], **settings: Any) -> None:
     """Run a control host."""
-    ControlDaemon(ControlSettings(controls=(), **settings)).run()
+    addresses = {peer.name: peer.address for peer in peers}
+    if addresses and settings["data_folder"] is None:
+        raise click.UsageError("--peer: allowed only together with --data-folder")
+    daemon = ControlDaemon(ControlSettings(controls=(), peers=addresses, **settings))
+    refused = daemon.prepare()
+    if refused is not None:
+        value = f"{refused.folder!r}: {refused.detail}"
+        raise click.BadParameter(value, param_hint="--data-folder")
+    daemon.run()
+    sys.exit(daemon.exit_code)
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -989,7 +989,14 @@
 
 
 Event = Union[
-    Datagram, PeerMessage, UpstreamDatagram, UpstreamGone, LinkMessage, Tick, Stop, Stored
+    Datagram,
+    PeerMessage,
+    UpstreamDatagram,
+    UpstreamGone,
+    LinkMessage,
+    Tick,
+    Stop,
+    Stored,
 ]
 Effect = Union[
     SendCaller,
--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -1,18 +1,32 @@
-"""The control daemon: links to subscribers and operators."""
+"""The control daemon: links to subscribers, operators and other control hosts."""
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
+from pathlib import Path
 
-from fulmarshore.adapters.links import LinkServer
+from fulmarshore.adapters.disk import (
+    DataFolder,
+    FileDisk,
+    FolderRefused,
+    make_new_replica,
+)
+from fulmarshore.adapters.links import LinkClient, LinkServer
 from fulmarshore.adapters.metrics import Gauges
+from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
     Address,
     ControlMessage,
+    DamagedFile,
     Effect,
     Event,
+    LinkMessage,
+    Recovered,
+    Store,
+    Stored,
 )
-from fulmarshore.daemons.process import Daemon, ProcessSettings
+from fulmarshore.daemons.process import Daemon, ProcessSettings, log
 from fulmarshore.membership.control import ControlCore
 
 
@@ -22,47 +36,143 @@
     Parameters
     ----------
     listen : Address
-        Where subscribers and operators connect.
+        Where subscribers, operators and other control hosts connect.
+    peers : dict of str to Address
+        The other control hosts of the region, by name.
+    data_folder : Path or None
+        Where the log file lives; None keeps nothing, for a trial alone.
+    bootstrap : bool
+        Start the group if no peer belongs to one: for the first start.
     """
 
     listen: Address
+    peers: dict[str, Address] = {}
+    data_folder: Path | None = None
+    bootstrap: bool = False
 
 
 class ControlDaemon(Daemon):
-    """Runs the core of a control host on real links."""
+    """Runs the core of a control host on real links and a real disk."""
 
     def __init__(self, settings: ControlSettings) -> None:
         super().__init__("control", settings)
-        self.core = ControlCore(settings.name)
+        self.core: ControlCore | None = None
+        self.refused: FolderRefused | None = None
+        self._folder: DataFolder | None = None
+        self._disk: FileDisk | None = None
         self._server: LinkServer | None = None
+        self._clients: LinkClient | None = None
+        self._failed = False
+
+    def prepare(self) -> FolderRefused | None:
+        """Open the data folder and read the log file, before the links."""
+        settings = self.settings
+        recovered = make_new_replica(settings.name)
+        bootstrap = settings.bootstrap
+        if settings.data_folder is None:
+            log.warn("no data folder: nothing survives this process")
+            bootstrap = True
+        else:
+            self._folder = DataFolder(settings.data_folder, settings.name)
+            refused = self._folder.open()
+            if refused is not None:
+                return refused
+            recovered = self._recover()
+        replica = Replica(recovered, list(settings.peers), self.random, bootstrap)
+        self.core = ControlCore(settings.name, replica)
+        self._recovered = recovered
+        return None
 
     def open(self) -> None:
-        """Open the links."""
+        """Open the links and start the disk."""
+        loop = asyncio.get_running_loop()
+        if self._folder is not None:
+
+            def done(sequence: int) -> None:
+                loop.call_soon_threadsafe(self.dispatch, Stored(sequence))
+
+            def fail(error: OSError) -> None:
+                loop.call_soon_threadsafe(self._fail_disk, error)
+
+            self._disk = FileDisk(self._folder.path, self._recovered, done, fail)
+        self._clients = LinkClient(self.context, self.settings.peers, self._take_link)
         self._server = LinkServer(self.context, self.settings.listen, self._take_link)
 
     def close(self) -> None:
-        """Close the links."""
+        """Close the links and the disk."""
         self._server.close()
+        self._clients.close()
+        if self._disk is not None:
+            self._disk.close()
+        if self._folder is not None:
+            self._folder.close()
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Hand an event to the core."""
         return self.core.handle(event, now)
 
     def send_link(self, peer: str, message: ControlMessage) -> None:
-        """Send a message to a subscriber or an operator."""
-        self._server.send(peer, message)
+        """Send a message to a subscriber, an operator or a control host."""
+        if peer in self.settings.peers:
+            self._clients.send(peer, message)
+            return
+        if peer:
+            self._server.send(peer, message)
+
+    def replace_link(self, peer: str) -> None:
+        """Close the link to a control host that went silent."""
+        self.counters["links_replaced"] += 1
+        self._clients.replace(peer)
 
     def carry_out(self, effect: Effect) -> None:
-        """Refuse effects that a control host never has."""
-        raise AssertionError(f"unexpected effect {effect!r}")
+        """Write to the disk."""
+        assert isinstance(effect, Store), f"unexpected effect {effect!r}"
+        if self._disk is not None:
+            self._disk.submit(effect)
+            return
+        asyncio.get_running_loop().call_soon(self.dispatch, Stored(effect.sequence))
 
     def read_gauges(self) -> Gauges:
         """Return the current values for the metrics."""
+        replica = self.core.replica
         return {
             "version": self.core.state.view.version,
             "subscribers": len(self.core.registry.subscriptions),
+            "term": replica.term,
+            "commit": replica.commit,
+            "leader": int(replica.is_leader),
+            "voters": len(replica.current_voters),
         }
 
     def list_counters(self) -> list[Counter[str]]:
         """Return the counters for the metrics."""
-        return [self.counters, self.core.counters]
+        return [self.counters, self.core.counters, self.core.replica.counters]
+
+    def _take_link(self, peer: str, message: ControlMessage) -> None:
+        self.dispatch(LinkMessage(peer, message))
+
+    def _recover(self) -> Recovered:
+        outcome = self._folder.read()
+        if isinstance(outcome, DamagedFile):
+            suffix = self._folder.put_aside()
+            log.error(
+                "{} damaged at byte {}: {}; put aside as {}.{}, "
+                "this host comes back as a new replica",
+                outcome.file,
+                outcome.offset,
+                outcome.detail,
+                outcome.file,
+                suffix,
+            )
+            self.counters["log_damaged"] += 1
+            return make_new_replica(self.settings.name)
+        if outcome.cut:
+            log.warn("{} unsynced bytes of the log were cut off", outcome.cut)
+            self.counters["log_tail_cut"] += 1
+        return outcome
+
+    def _fail_disk(self, error: OSError) -> None:
+        """Stop at once: what the disk holds is not known any more."""
+        log.error("disk of {} failed: {}", self.settings.name, error)
+        self.exit_code = 1
+        self._done.set()
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -77,6 +77,7 @@
         self.counters: Counter[str] = Counter()
         self.context: zmq.asyncio.Context | None = None
         self.links: LinkClient | None = None
+        self.exit_code = 0
         self._done: asyncio.Event | None = None
 
     @abstractmethod
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -152,5 +152,5 @@
         self.counters["control_moves"] += 1
         return [
             ReplaceLink(left),
-            TimelineEvent("control_moved", peer=self.control, detail=f"from {left}")
+            TimelineEvent("control_moved", peer=self.control, detail=f"from {left}"),
         ]
