Randomised runs of whole control hosts, history checked for linearizability

Cause: nothing showed that an accepted change survives. Each run draws crashes, power losses, replaced disks, silent and one-way partitions, links that go silent, lossy and slow networks and disks, two racing operators.

--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -47,16 +47,8 @@
     Voters,
 )
 
-REPLICA_MESSAGES = (
-    VoteRequest,
-    VoteReply,
-    AppendRequest,
-    AppendReply,
-    SnapshotChunk,
-    ChunkReply,
-    JoinRequest,
-    JoinReply,
-)
+REPLICA_REQUESTS = (VoteRequest, AppendRequest, SnapshotChunk, JoinRequest)
+REPLICA_REPLIES = (VoteReply, AppendReply, ChunkReply, JoinReply)
 
 
 class Replica:
@@ -106,6 +98,7 @@
         self.beat_at = float("-inf")
         self.joined_at = float("-inf")
         self.started_at: float | None = None
+        self.chunk_bytes = snapshots.CHUNK_BYTES
         self.incoming: snapshots.Incoming | None = None
         self._leader_of_term: tuple[int, ReplicaId] | None = None
         self._restored = False
@@ -157,9 +150,9 @@
         replication.send_news(self, now)
         return entry, self.drain(now)
 
-    def compact(self, state: bytes, now: float) -> list[Effect]:
+    def compact(self, state: bytes, kept: int, now: float) -> list[Effect]:
         """Take a snapshot of the state at the last entry applied."""
-        snapshots.compact(self, state)
+        snapshots.compact(self, state, kept)
         return self.drain(now)
 
     def drain(self, now: float) -> list[Effect]:
@@ -173,15 +166,6 @@
         self._effects = []
         return effects
 
-    def list_silent(self, now: float, timeout: float) -> list[str]:
-        """Return the hosts that have not answered the leader for some time."""
-        silent = []
-        for identity, progress in self.progress.items():
-            if identity == self.identity or now - progress.heard_at < timeout:
-                continue
-            silent.append(identity.name)
-        return silent
-
     # What the modules of the replica use.
 
     def emit(self, effect: Effect) -> None:
--- a/fulmarshore/agreement/snapshots.py
+++ b/fulmarshore/agreement/snapshots.py
@@ -22,8 +22,6 @@
     from fulmarshore.agreement.replica import Replica
 
 CHUNK_BYTES = 64 * 1024
-KEPT_ENTRIES = 512
-"""Entries kept below a snapshot, for replicas that are a little behind."""
 
 _decoder = msgspec.msgpack.Decoder(Snapshot)
 
@@ -39,12 +37,15 @@
         self.data = bytearray()
 
 
-def compact(replica: Replica, state: bytes) -> None:
-    """Take a snapshot at the last entry applied and drop older entries."""
+def compact(replica: Replica, state: bytes, kept: int) -> None:
+    """Take a snapshot at the last entry applied and drop older entries.
+
+    Some entries below it are kept, for replicas that are a little behind.
+    """
     index = replica.applied
     term = replica.log.find_term(index)
     replica.snapshot = Snapshot(index, term, replica.find_voters(index), state)
-    replica.log.drop_until(max(replica.log.base.index, index - KEPT_ENTRIES))
+    replica.log.drop_until(max(replica.log.base.index, index - kept))
     replica.counters["snapshots_taken"] += 1
     replica.rewrite()
 
@@ -66,7 +67,7 @@
         snapshot.index,
         start,
         len(content),
-        content[start : start + CHUNK_BYTES],
+        content[start : start + replica.chunk_bytes],
         replica.beat,
     )
     replica.counters["snapshot_chunks_sent"] += 1
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from random import Random
 
-from fulmarshore.agreement.replica import REPLICA_MESSAGES, Replica
+from fulmarshore.agreement.replica import REPLICA_REPLIES, REPLICA_REQUESTS, Replica
 from fulmarshore.agreement.state import (
     State,
     answer_decided,
@@ -101,9 +101,17 @@
         Name of the control host.
     replica : Replica or None
         This host's part in the replicated log; None makes a group of one.
+    snapshot_entries : int
+        Entries between two snapshots; half of it is kept below one.
     """
 
-    def __init__(self, name: str, replica: Replica | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        replica: Replica | None = None,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+    ) -> None:
+        self._snapshot_entries = snapshot_entries
         self.name = name
         self.replica = replica or make_single_replica(name)
         self.state = State()
@@ -149,8 +157,9 @@
 
     def _handle_link(self, event: LinkMessage, now: float) -> list[Effect]:
         message = event.message
-        if isinstance(message, REPLICA_MESSAGES):
-            self._asked_at.pop(message.sender.name, None)
+        if isinstance(message, REPLICA_REQUESTS + REPLICA_REPLIES):
+            if isinstance(message, REPLICA_REPLIES):
+                self._asked_at.pop(message.sender.name, None)
             return self._absorb(self.replica.handle(event, now), now)
         match message:
             case Heartbeat():
@@ -267,6 +276,10 @@
                     assert state.view.version >= self.state.view.version
                     self.state = state
                     rest += self._give_up(snapshot.index)
+                case SendLink(peer=peer, message=message):
+                    if isinstance(message, REPLICA_REQUESTS):
+                        self._asked_at.setdefault(peer, now)
+                    rest.append(effect)
                 case _:
                     rest.append(effect)
         return rest
@@ -336,10 +349,12 @@
     def _compact(self, now: float) -> list[Effect]:
         replica = self.replica
         taken = replica.snapshot.index if replica.snapshot else 0
-        if replica.applied - taken < SNAPSHOT_ENTRIES:
+        if replica.applied - taken < self._snapshot_entries:
             return []
         assert self.state.index == replica.applied, "all entries are applied"
-        return self._absorb(replica.compact(encode_state(self.state), now), now)
+        kept = self._snapshot_entries // 2
+        effects = replica.compact(encode_state(self.state), kept, now)
+        return self._absorb(effects, now)
 
     def _tick(self, now: float) -> list[Effect]:
         effects = self._replace_silent(now)
@@ -393,8 +408,6 @@
     def _replace_silent(self, now: float) -> list[Effect]:
         """Replace links to control hosts that bring no answers."""
         effects: list[Effect] = []
-        for name in self.replica.list_silent(now, LINK_SILENCE_TIMEOUT_S):
-            self._asked_at.setdefault(name, now - LINK_SILENCE_TIMEOUT_S)
         for name, asked_at in list(self._asked_at.items()):
             if now - asked_at < LINK_SILENCE_TIMEOUT_S:
                 continue
--- /dev/null
+++ b/fulmarshore/standins/history.py
@@ -0,0 +1,90 @@
+"""Checks that a history of changes is linearizable.
+
+Numbers are a fetch-and-increment register with one winner each, so the order
+is known from the numbers and nothing has to be searched for: each answer has
+to fit that one order, and the order has to fit real time.
+"""
+
+from __future__ import annotations
+
+from fulmarshore.agreement.state import State, digest_change
+from fulmarshore.core.records import ChangeStatus
+from fulmarshore.standins.region import Operation
+
+
+def check_history(state: State, operations: list[Operation]) -> list[str]:
+    """Return what is wrong with a history, an empty list if nothing.
+
+    Parameters
+    ----------
+    state : State
+        The state that the log has reached after all operations.
+    operations : list of Operation
+        What every operator saw.
+    """
+    problems = _check_numbers(state)
+    accepted = {}
+    by_digest = {digest_change(op.change): op for op in operations}
+    for operation in operations:
+        problems += _check_answer(state, operation, by_digest)
+        if _has(operation, ChangeStatus.ACCEPTED):
+            accepted[operation.change.number] = operation
+    problems += _check_real_time(accepted)
+    for operation in operations:
+        problems += _check_invalid(operation, accepted)
+    return problems
+
+
+def _has(operation: Operation, status: ChangeStatus) -> bool:
+    return operation.reply is not None and operation.reply.status == status
+
+
+def _check_numbers(state: State) -> list[str]:
+    if sorted(state.decisions) != list(range(1, state.next_number)):
+        return [f"numbers are not taken in order: {sorted(state.decisions)}"]
+    versions = [state.decisions[number].version for number in sorted(state.decisions)]
+    if versions != sorted(set(versions)):
+        return [f"versions do not go up: {versions}"]
+    return []
+
+
+def _check_answer(
+    state: State, operation: Operation, by_digest: dict[bytes, Operation]
+) -> list[str]:
+    change = operation.change
+    decision = state.decisions.get(change.number)
+    own = decision is not None and decision.digest == digest_change(change)
+    if _has(operation, ChangeStatus.ACCEPTED):
+        if not own or decision.version != operation.reply.version:
+            return [f"accepted and lost: {operation}"]
+        return []
+    if operation.reply is not None and own:
+        return [f"refused and in force: {operation}"]
+    if _has(operation, ChangeStatus.CONFLICT):
+        if decision is None or decision.operator != operation.reply.winner:
+            return [f"wrong winner: {operation}"]
+        winner = by_digest.get(decision.digest)
+        if winner is None or winner.invoked > operation.answered:
+            return [f"the winner came later: {operation}"]
+    return []
+
+
+def _check_real_time(accepted: dict[int, Operation]) -> list[str]:
+    problems = []
+    ordered = [accepted[number] for number in sorted(accepted)]
+    latest = float("-inf")
+    for operation in ordered:
+        if operation.answered < latest:
+            problems.append(f"answered before an earlier one began: {operation}")
+        latest = max(latest, operation.invoked)
+    return problems
+
+
+def _check_invalid(operation: Operation, accepted: dict[int, Operation]) -> list[str]:
+    """A number is too high only while the one before it is free."""
+    if not _has(operation, ChangeStatus.INVALID):
+        return []
+    before = accepted.get(operation.change.number - 1)
+    if before is not None and before.answered < operation.invoked:
+        return [f"invalid though its number was the next: {operation}"]
+    return []
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -40,7 +40,6 @@
 from fulmarshore.standins.disk import FakeDisk
 
 TICK_INTERVAL_S = 0.05
-DISK_DELAY_S = 0.004
 
 LINK_ANSWERS = (
     AppendReply,
@@ -72,12 +71,15 @@
         Shares of 1.
     min_delay, max_delay : float
         Bounds of the delay of a message, in seconds.
+    max_disk_delay : float
+        Bound of the time that a disk takes to sync, in seconds.
     """
 
     loss: float = 0.0
     duplication: float = 0.0
     min_delay: float = 0.0005
     max_delay: float = 0.002
+    max_disk_delay: float = 0.004
 
 
 Observe = Callable[["Node", Effect, float], None]
@@ -112,10 +114,18 @@
         Seed of delays, losses and duplicates.
     faults : Faults
         What happens to messages; may be replaced at any time.
+    tick_interval : float
+        Interval of the ticks, in seconds.
     """
 
-    def __init__(self, seed: int, faults: Faults | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        faults: Faults | None = None,
+        tick_interval: float = TICK_INTERVAL_S,
+    ) -> None:
         self.now = 0.0
+        self.tick_interval = tick_interval
         self.faults = faults or Faults()
         self.random = Random(seed)
         self.nodes: dict[str, Node] = {}
@@ -187,7 +197,7 @@
                 sequence = node.disk.sync()
                 event = Stored(sequence)
             if isinstance(event, Tick):
-                self._push(self.now + TICK_INTERVAL_S, node, event)
+                self._push(self.now + self.tick_interval, node, event)
             self._deliver(node, event)
         self.now = until
 
@@ -204,7 +214,7 @@
                 self._transmit(node.name, peer, LinkMessage(node.name, message))
             case Store() if node.disk is not None:
                 node.disk.submit(effect)
-                delay = self.random.uniform(0.0, DISK_DELAY_S)
+                delay = self.random.uniform(0.0, self.faults.max_disk_delay)
                 self._push(self.now + delay, node, SyncDue())
             case Store():
                 self._deliver(node, Stored(effect.sequence))
--- /dev/null
+++ b/fulmarshore/standins/region.py
@@ -0,0 +1,264 @@
+"""The control hosts of a region over fakes, and operators who write a history."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from fulmarshore.agreement.replica import Replica
+from fulmarshore.core.records import (
+    Change,
+    ChangeReply,
+    ChangeStatus,
+    DamagedFile,
+    Effect,
+    Event,
+    Kind,
+    LinkMessage,
+    LogBase,
+    LogEntry,
+    Profile,
+    Recovered,
+    ReplicaId,
+    SendLink,
+    TermVote,
+)
+from fulmarshore.membership.control import SNAPSHOT_ENTRIES, ControlCore
+from fulmarshore.standins.disk import FakeDisk
+from fulmarshore.standins.network import FakeNetwork, Faults
+
+OPERATOR_TIMEOUT_S = 0.7
+TICK_INTERVAL_S = 0.1
+CHUNK_BYTES = 200
+FINAL = (
+    ChangeStatus.ACCEPTED,
+    ChangeStatus.CONFLICT,
+    ChangeStatus.INVALID,
+    ChangeStatus.FORGOTTEN,
+)
+
+
+@dataclass(slots=True)
+class Operation:
+    """A change as its operator saw it."""
+
+    change: Change
+    invoked: float
+    answered: float = float("inf")
+    reply: ChangeReply | None = None
+
+
+@dataclass(slots=True)
+class Operator:
+    """Submits changes one after another, and asks again after a lost answer."""
+
+    name: str
+    controls: list[str]
+    random: Random
+    number: int = 1
+    history: list[Operation] = field(default_factory=list)
+    stopped: bool = False
+    asked_at: float = float("-inf")
+    serial: int = 0
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take an answer, or ask."""
+        open_operation = self.history[-1] if self.history else None
+        if open_operation is not None and open_operation.reply is not None:
+            open_operation = None
+        if isinstance(event, LinkMessage) and isinstance(event.message, ChangeReply):
+            return self._take(open_operation, event.message, now)
+        if open_operation is None:
+            if self.stopped:
+                return []
+            open_operation = self._begin(now)
+        if now - self.asked_at < OPERATOR_TIMEOUT_S:
+            return []
+        return self._ask(open_operation, now)
+
+    def _begin(self, now: float) -> Operation:
+        self.serial += 1
+        profile = Profile("p", Kind.FEED, queue_length=self.serial)
+        change = Change(self.number, self.name, [profile], [])
+        self.asked_at = float("-inf")
+        self.history.append(Operation(change, now))
+        return self.history[-1]
+
+    def _ask(self, operation: Operation, now: float) -> list[Effect]:
+        self.asked_at = now
+        return [SendLink(self.random.choice(self.controls), operation.change)]
+
+    def _take(
+        self, operation: Operation | None, reply: ChangeReply, now: float
+    ) -> list[Effect]:
+        if operation is None or reply.number != operation.change.number:
+            return []
+        if reply.status not in FINAL:
+            return []
+        if reply.status == ChangeStatus.CONFLICT and reply.winner == self.name:
+            # A late answer to an operation of the same number before this one.
+            return []
+        operation.reply = reply
+        operation.answered = now
+        self.number = max(reply.next_number, self.number)
+        return []
+
+
+class Region:
+    """Three control hosts with disks, and what they must agree on.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of everything.
+    hosts : int
+        Control hosts.
+    faults : Faults
+        What happens to messages.
+    snapshot_entries : int
+        Entries between two snapshots.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        hosts: int = 3,
+        faults: Faults | None = None,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
+    ) -> None:
+        self.snapshot_entries = snapshot_entries
+        self.network = FakeNetwork(seed, faults, TICK_INTERVAL_S)
+        self.random = Random(seed)
+        self.names = [f"c{number}" for number in range(hosts)]
+        self.disks = {name: FakeDisk(name, self.random) for name in self.names}
+        self.operators: list[Operator] = []
+        self.leaders: dict[int, ReplicaId] = {}
+        self.entries: dict[int, LogEntry] = {}
+        self.checked: dict[str, int] = {}
+        for name in self.names:
+            self.start(name, bootstrap=name == self.names[0])
+        self.run_until(self.is_whole)
+
+    def run_until(self, reached: Callable[[], bool], limit: float = 12.0) -> bool:
+        """Run until a condition holds; False if it does not in time."""
+        until = self.network.now + limit
+        while self.network.now < until:
+            if reached():
+                return True
+            self.network.run(0.25)
+        return reached()
+
+    def is_settled(self) -> bool:
+        """Whether all disks vote, agree, and every operator has its answer."""
+        for operator in self.operators:
+            if operator.history and operator.history[-1].reply is None:
+                return False
+        if not self.is_whole():
+            return False
+        states = [self.get(name).state for name in self.names]
+        return all(state.index == states[0].index for state in states)
+
+    def start(self, name: str, bootstrap: bool = False) -> Recovered | DamagedFile:
+        """Start a host on its disk, as the daemon does."""
+        disk = self.disks[name]
+        outcome = self._make_new(name) if disk.is_empty else disk.read()
+        recovered = outcome
+        if isinstance(outcome, DamagedFile):
+            disk.wipe()
+            recovered = self._make_new(name)
+        peers = [peer for peer in self.names if peer != name]
+        replica = Replica(recovered, peers, self.random, bootstrap)
+        replica.chunk_bytes = CHUNK_BYTES
+        core = ControlCore(name, replica, self.snapshot_entries)
+        self.network.add(name, core, disk=disk)
+        self.checked[name] = 0
+        return outcome
+
+    def get(self, name: str) -> ControlCore:
+        """Return the core of a host."""
+        return self.network.nodes[name].core
+
+    def is_running(self, name: str) -> bool:
+        """Whether a host runs."""
+        return self.network.nodes[name].running
+
+    def crash(self, name: str) -> None:
+        """Kill a host; what was not synced is lost."""
+        self.check()
+        self.network.stop(name)
+        self.disks[name].crash()
+
+    def wipe(self, name: str) -> None:
+        """Replace the disk of a host and start it again."""
+        self.crash(name)
+        self.disks[name].wipe()
+        self.start(name)
+
+    def isolate(self, name: str) -> None:
+        """Lose silently everything between a host and the other hosts."""
+        others = [other for other in self.names if other != name]
+        self.network.part([name], others)
+
+    def find_leader(self) -> ControlCore | None:
+        """Return the leader of the newest term that runs."""
+        leaders = []
+        for name in self.names:
+            core = self.get(name)
+            if self.is_running(name) and core.replica.is_leader:
+                leaders.append(core)
+        return max(leaders, key=lambda core: core.replica.term, default=None)
+
+    def is_whole(self) -> bool:
+        """Whether every disk holds a vote that is committed."""
+        leader = self.find_leader()
+        if leader is None or leader.replica.voters[-1][0] > leader.replica.commit:
+            return False
+        own = {self.get(name).replica.identity for name in self.names}
+        return own == set(leader.replica.current_voters)
+
+    def add_operators(self, count: int) -> None:
+        """Add operators who race each other."""
+        for number in range(count):
+            operator = Operator(f"op{number}", self.names, self.random)
+            self.operators.append(operator)
+            self.network.add(operator.name, operator)
+
+    def stop_operators(self) -> None:
+        """Let the operators only finish what they began."""
+        for operator in self.operators:
+            operator.stopped = True
+
+    def settle(self) -> bool:
+        """End all faults, start every host, and run until all is settled."""
+        self.network.heal()
+        self.network.faults = Faults()
+        for name in self.names:
+            if not self.is_running(name):
+                self.start(name)
+        self.stop_operators()
+        settled = self.run_until(self.is_settled)
+        self.check()
+        return settled
+
+    def check(self) -> None:
+        """Check that all hosts have the same committed entries and leaders."""
+        for name in self.names:
+            if self.is_running(name):
+                self._check_host(name)
+
+    def _check_host(self, name: str) -> None:
+        replica = self.get(name).replica
+        if replica.is_leader:
+            held = self.leaders.setdefault(replica.term, replica.identity)
+            assert held == replica.identity, "a term has one leader"
+        first = max(self.checked[name], replica.log.base.index)
+        for index in range(first + 1, replica.commit + 1):
+            entry = replica.log.get(index)
+            held = self.entries.setdefault(index, entry)
+            assert held == entry, f"{name} committed another entry at {index}"
+        self.checked[name] = max(self.checked[name], replica.commit)
+
+    def _make_new(self, name: str) -> Recovered:
+        identity = ReplicaId(name, f"{self.random.getrandbits(32):08x}")
+        return Recovered(identity, 0, TermVote("", 0, None), LogBase(0, 0), None, [], 0)
