--- a/fulmarshore/agreement/state.py
+++ b/fulmarshore/agreement/state.py
@@ -9,7 +9,6 @@
 import msgspec
 from msgspec import Struct
 from msgspec.structs import replace
-from xxhash import xxh3_128_digest
 
 from fulmarshore.agreement.validation import check_change
 from fulmarshore.core.codec import encode
@@ -30,7 +29,7 @@
 )
 from fulmarshore.membership.view import Key, View, change_view, get_key
 
-MAX_DECISIONS = 10_000
+MAX_DECISIONS = 4096
 """Accepted changes whose answers are kept, the newest ones."""
 MAX_LIVES = 16_384
 """Names whose newest life is remembered, the newest ones."""
@@ -41,8 +40,7 @@
 class Decision(Struct, frozen=True, array_like=True):
     """The change that took a number, and the version that put it in force."""
 
-    digest: bytes
-    operator: str
+    change: Change
     version: int
 
 
@@ -126,7 +124,7 @@
         if 0 < change.number < state.next_number:
             return _make_reply(state, change, ChangeStatus.FORGOTTEN)
         return None
-    if decision.digest == digest_change(change):
+    if decision.change == change:
         return ChangeReply(
             change.number,
             ChangeStatus.ACCEPTED,
@@ -135,7 +133,9 @@
             [],
             change.number + 1,
         )
-    return _make_reply(state, change, ChangeStatus.CONFLICT, winner=decision.operator)
+    return _make_reply(
+        state, change, ChangeStatus.CONFLICT, winner=decision.change.operator
+    )
 
 
 def answer_change(state: State, change: Change) -> ChangeReply | None:
@@ -150,11 +150,6 @@
     return None
 
 
-def digest_change(change: Change) -> bytes:
-    """Return what tells a change apart from every other of its number."""
-    return xxh3_128_digest(encode(change))
-
-
 def _apply_change(state: State, change: Change) -> tuple[State, ChangeReply]:
     decided = answer_change(state, change)
     if decided is not None:
@@ -164,9 +159,7 @@
     )
     assert change.number == state.next_number, "numbers are taken in order"
     decisions = dict(state.decisions)
-    decisions[change.number] = Decision(
-        digest_change(change), change.operator, state.index
-    )
+    decisions[change.number] = Decision(change, state.index)
     decisions.pop(change.number - MAX_DECISIONS, None)
     state = replace(
         state, view=view, next_number=change.number + 1, decisions=decisions
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from random import Random
 
+from fulmarshore.agreement.history import list_history
 from fulmarshore.agreement.replica import REPLICA_REPLIES, REPLICA_REQUESTS, Replica
 from fulmarshore.agreement.state import (
     State,
@@ -27,6 +28,7 @@
     HeardReply,
     HeardReport,
     Heartbeat,
+    HistoryRequest,
     Join,
     Leave,
     LinkMessage,
@@ -177,6 +179,10 @@
                 return []
             case Subscribe():
                 return self._subscribe(event.peer, message, now)
+            case HistoryRequest():
+                return [
+                    SendLink(event.peer, list_history(self.state, self.name, message))
+                ]
             case Leave():
                 self.registry.leave(message)
         return self._take(Origin(event.peer), message, now)
--- a/fulmarshore/standins/history.py
+++ b/fulmarshore/standins/history.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from fulmarshore.agreement.state import State, digest_change
+from fulmarshore.agreement.state import State
 from fulmarshore.core.records import ChangeStatus
 from fulmarshore.standins.region import Operation
 
@@ -24,9 +24,8 @@
     """
     problems = _check_numbers(state)
     accepted = {}
-    by_digest = {digest_change(op.change): op for op in operations}
     for operation in operations:
-        problems += _check_answer(state, operation, by_digest)
+        problems += _check_answer(state, operation, operations)
         if _has(operation, ChangeStatus.ACCEPTED):
             accepted[operation.change.number] = operation
     problems += _check_real_time(accepted)
@@ -49,11 +48,11 @@
 
 
 def _check_answer(
-    state: State, operation: Operation, by_digest: dict[bytes, Operation]
+    state: State, operation: Operation, operations: list[Operation]
 ) -> list[str]:
     change = operation.change
     decision = state.decisions.get(change.number)
-    own = decision is not None and decision.digest == digest_change(change)
+    own = decision is not None and decision.change == change
     if _has(operation, ChangeStatus.ACCEPTED):
         if not own or decision.version != operation.reply.version:
             return [f"accepted and lost: {operation}"]
@@ -61,10 +60,10 @@
     if operation.reply is not None and own:
         return [f"refused and in force: {operation}"]
     if _has(operation, ChangeStatus.CONFLICT):
-        if decision is None or decision.operator != operation.reply.winner:
+        if decision is None or decision.change.operator != operation.reply.winner:
             return [f"wrong winner: {operation}"]
-        winner = by_digest.get(decision.digest)
-        if winner is None or winner.invoked > operation.answered:
+        begun = [op.invoked for op in operations if op.change == decision.change]
+        if not begun or min(begun) > operation.answered:
             return [f"the winner came later: {operation}"]
     return []
 
@@ -81,7 +80,7 @@
 
 
 def _check_invalid(operation: Operation, accepted: dict[int, Operation]) -> list[str]:
-    """A number is too high only while the one before it is free."""
+    """Check that a number is too high only while the one before it is free."""
     if not _has(operation, ChangeStatus.INVALID):
         return []
     before = accepted.get(operation.change.number - 1)
