--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -257,7 +257,7 @@
             self.counters[f"changes_{reply.status}"] += 1
             return [origin.answer(reply)]
         if not self.is_ready:
-            return [self._refuse(origin, change)]
+            return self._hold(origin, change, now)
         entry, effects = self.replica.propose(change, now)
         self._pending[entry.index] = Held(origin, change, entry.term, now)
         return self._absorb(effects, now)
@@ -346,7 +346,8 @@
             self._leading_term = term
             effects += self._give_up(max(self._pending, default=0))
             self.leases.reset(self.state.view, now)
-        if self._held and self.replica.leader is not None:
+        ready = self.is_ready if term else self.replica.leader is not None
+        if self._held and ready:
             held, self._held = self._held, []
             for entry in held:
                 effects += self._take(entry.origin, entry.change, now)
--- a/fulmarshore/standins/demo.py
+++ b/fulmarshore/standins/demo.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import socket
 import tempfile
 from collections import Counter
 from collections.abc import Callable
@@ -25,8 +24,9 @@
     Zone,
 )
 from fulmarshore.standins.caller import FlowCaller
+from fulmarshore.standins.cluster import find_address
 from fulmarshore.standins.fabric import FabricAddress
-from fulmarshore.standins.processes import Processes
+from fulmarshore.standins.processes import Processes, list_control_arguments
 from fulmarshore.standins.upstream import EchoUpstream
 
 ZONES = ("khomas-a", "khomas-b", "khomas-c")
@@ -102,8 +102,9 @@
         self.show = show
         self.random = Random(seed)
         self.processes = Processes(folder)
-        self.controls = [_find_address()]
-        self.services = {name: _find_address() for name in SHAPE}
+        self.folder = folder
+        self.controls = [find_address() for _ in ZONES]
+        self.services = {name: find_address() for name in SHAPE}
         self.upstreams: dict[str, EchoUpstream] = {}
         self.zone_of: dict[str, str] = {}
         self.fabrics: list[FabricAddress] = []
@@ -124,18 +125,19 @@
 
     async def _start(self) -> None:
         self.show("starting control, entry hosts, agents and upstreams")
-        control = _format(self.controls[0])
-        await self.processes.start(
-            "control-0",
-            *("control", "--name", "control-0", "--zone", ZONES[0]),
-            *("--listen", control),
-        )
+        addresses = [_format(address) for address in self.controls]
+        for number, zone in enumerate(ZONES):
+            await self.processes.start(
+                f"control-{number}",
+                *list_control_arguments(number, zone, addresses, self.folder),
+            )
         for number in range(ENTRY_HOSTS):
             name = f"entry-{number}"
             await self.processes.start(
                 name,
                 *("entry", "--name", name, "--zone", ZONES[number % len(ZONES)]),
-                *("--control", control, "--data", "127.0.0.1:0"),
+                *self._list_controls(),
+                *("--data", "127.0.0.1:0"),
                 *("--service-host", f"127.0.1.{number + 1}", "--fabric", "proxy"),
             )
         for service, count in SHAPE.items():
@@ -153,6 +155,12 @@
             items.append(Service(name, "status-feed", address.host, address.port))
         return items
 
+    def _list_controls(self) -> list[str]:
+        arguments = []
+        for address in self.controls:
+            arguments += ["--control", _format(address)]
+        return arguments
+
     async def _start_agent(self, service: str, number: int) -> None:
         name = f"{service}-{number}"
         zone = ZONES[number % len(ZONES)]
@@ -163,7 +171,8 @@
         await self.processes.start(
             name,
             *("agent", "--name", name, "--zone", zone, "--service", service),
-            *("--control", _format(self.controls[0]), "--data", "127.0.0.1:0"),
+            *self._list_controls(),
+            *("--data", "127.0.0.1:0"),
             *("--upstream", _format(address), "--slots", str(SLOTS)),
         )
 
@@ -257,11 +266,5 @@
     return all(p.version == status.view.version for p in status.processes)
 
 
-def _find_address() -> Address:
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address(*probe.getsockname())
-
-
 def _format(address: Address) -> str:
     return f"{address.host}:{address.port}"
--- a/fulmarshore/standins/processes.py
+++ b/fulmarshore/standins/processes.py
@@ -11,6 +11,34 @@
 STOP_TIMEOUT_S = 5.0
 
 
+def list_control_arguments(
+    number: int, zone: str, addresses: list[str], folder: Path
+) -> list[str]:
+    """Return the command line of one of the control hosts of a region.
+
+    Parameters
+    ----------
+    number : int
+        Which one; the first may start the group.
+    zone : str
+        Its availability zone.
+    addresses : list of str
+        Link addresses of all control hosts, as ``IP:PORT``.
+    folder : Path
+        Where each has a data folder of its own.
+    """
+    name = f"control-{number}"
+    arguments = ["control", "--name", name, "--zone", zone]
+    arguments += ["--listen", addresses[number]]
+    arguments += ["--data-folder", str(folder / name)]
+    for peer, address in enumerate(addresses):
+        if peer != number:
+            arguments += ["--peer", f"control-{peer}={address}"]
+    if number == 0:
+        arguments.append("--bootstrap")
+    return arguments
+
+
 class Processes:
     """The daemons that a trial started, by name.
 
