--- a/fulmarshore/agreement/history.py
+++ b/fulmarshore/agreement/history.py
@@ -30,5 +30,5 @@
         if len(entries) >= limit:
             break
         decision = state.decisions[number]
-        entries.append(HistoryEntry(decision.reply.version, decision.change))
+        entries.append(HistoryEntry(decision.version, decision.change))
     return HistoryReply(control, entries)
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -30,6 +30,7 @@
     Heartbeat,
     HeartbeatReply,
     LinkMessage,
+    ReplaceLink,
     SendLink,
     Stop,
     Stopped,
@@ -86,6 +87,7 @@
         self.timeline = Timeline(settings.name, role, settings.timeline)
         self.context: zmq.asyncio.Context | None = None
         self.links: LinkClient | None = None
+        self.exit_code = 0
         self._done: asyncio.Event | None = None
 
     @abstractmethod
@@ -126,6 +128,8 @@
                     self.send_link(peer, self._stamp(message))
                 case SendLink(peer=peer, message=message):
                     self.send_link(peer, message)
+                case ReplaceLink(peer=peer):
+                    self.replace_link(peer)
                 case TimelineEvent():
                     self.note(effect)
                 case Stopped():
@@ -138,6 +142,12 @@
         if self.links is not None:
             self.links.send(peer, message)
 
+    def replace_link(self, peer: str) -> None:
+        """Close a link that went silent; the next message opens another."""
+        self.counters["links_replaced"] += 1
+        if self.links is not None:
+            self.links.replace(peer)
+
     def note(self, event: TimelineEvent) -> None:
         """Put a change of state on the time line and into the log."""
         self.timeline.record(event)
