--- a/fulmarshore/bench/sealing.py
+++ b/fulmarshore/bench/sealing.py
@@ -14,11 +14,12 @@
 from fulmarshore.adapters.keys import RING_SECRET_BYTES, Ring, add_ring_key
 from fulmarshore.adapters.peers import PeerSocket
 from fulmarshore.adapters.sealing import Sealer
-from fulmarshore.core.records import Address, Forward, PeerMessage
+from fulmarshore.core.records import Address, Forward, PeerMessage, Phase
 
 PACKETS = 20_000
 ROUNDS = 9
 BURST = 32
+BURST_TIMEOUT_S = 5.0
 PAYLOAD_BYTES = 400
 
 
@@ -95,7 +96,7 @@
         done.clear()
         for _ in range(BURST):
             source.send(message, address)
-        await done.wait()
+        await asyncio.wait_for(done.wait(), BURST_TIMEOUT_S)
     seconds = time.process_time() - started
     source.close()
     sink.close()
@@ -118,16 +119,16 @@
 
 def _make_message() -> Forward:
     return Forward(
-        "mendbook",
-        "mendbook-0",
-        1_700_000_000_000_000,
-        1234,
-        os.urandom(16),
-        0,
-        "10.0.0.1",
-        40_000,
-        "entry-0",
-        0,
-        False,
-        os.urandom(PAYLOAD_BYTES),
+        service="mendbook",
+        target="mendbook-0",
+        incarnation=1_700_000_000_000_000,
+        version=1234,
+        flow=os.urandom(16),
+        phase=Phase.UNKNOWN,
+        caller_host="10.0.0.1",
+        caller_port=40_000,
+        entry="entry-0",
+        hops=0,
+        assignment=0,
+        payload=os.urandom(PAYLOAD_BYTES),
     )
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import click
 
-from fulmarshore.adapters.parameters import ADDRESS, NAME
+from fulmarshore.adapters.parameters import ADDRESS, NAME, PEER, Peer
 from fulmarshore.commands.options import refuse_exposed
 from fulmarshore.core.records import Address
 from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
@@ -43,13 +44,17 @@
     return command
 
 
-def _run(daemon: Daemon) -> None:
-    """Check that nothing is open to strangers, then run."""
+def _secure(daemon: Daemon) -> None:
+    """Read the keys; without them nothing may be open to strangers."""
     if daemon.settings.keys is None:
         refuse_exposed(daemon.list_addresses())
     problem = daemon.load_keys()
     if problem is not None:
         raise click.BadParameter(str(problem), param_hint="--keys")
+
+
+def _run(daemon: Daemon) -> None:
+    _secure(daemon)
     daemon.run()
 
 
@@ -96,6 +101,33 @@
 @click.command()
 @_add_shared
 @click.option("--listen", type=ADDRESS, required=True, help="Address of the links.")
-def control(**settings: Any) -> None:
+@click.option(
+    "--peer",
+    "peers",
+    type=PEER,
+    multiple=True,
+    help="NAME=IP:PORT of another control host of the region; repeat for each.",
+)
+@click.option(
+    "--data-folder",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder of the log, mode 0700; without it nothing is kept.",
+)
+@click.option(
+    "--bootstrap",
+    is_flag=True,
+    help="First start of a region: begin a group if no peer has one.",
+)
+def control(peers: tuple[Peer, ...], **settings: Any) -> None:
     """Run a control host."""
-    _run(ControlDaemon(ControlSettings(controls=(), **settings)))
+    addresses = {peer.name: peer.address for peer in peers}
+    if addresses and settings["data_folder"] is None:
+        raise click.UsageError("--peer: allowed only together with --data-folder")
+    daemon = ControlDaemon(ControlSettings(controls=(), peers=addresses, **settings))
+    _secure(daemon)
+    refused = daemon.prepare()
+    if refused is not None:
+        value = f"{refused.folder!r}: {refused.detail}"
+        raise click.BadParameter(value, param_hint="--data-folder")
+    daemon.run()
+    sys.exit(daemon.exit_code)
--- a/fulmarshore/daemons/path_test.py
+++ b/fulmarshore/daemons/path_test.py
@@ -174,7 +174,7 @@
                 found = await self.cluster.read_counters("m9")
                 flow = bytes([number]) * 16
                 head = (service, target, incarnation, 1, flow, 0, "127.0.0.1", 9)
-                packet = Forward(*head, "entry-0", 0, False, b"other|1")
+                packet = Forward(*head, "entry-0", 0, 0, b"other|1")
                 sock.sendto(encode(packet), address)
                 least = found.get(counted, 0) + 1
                 with self.subTest(service=service, target=target):
@@ -195,9 +195,7 @@
         ]
         random = Random(11)
         frames = [random.randbytes(size) for size in (0, 1, 15, 16, 80, 1400, 60_000)]
-        forward = Forward(
-            "s", "m0", 1, 1, b"k" * 16, 0, "::1", 9, "e", 0, False, b"x" * 50
-        )
+        forward = Forward("s", "m0", 1, 1, b"k" * 16, 0, "::1", 9, "e", 0, 0, b"x" * 50)
         whole = encode(forward)
         frames += [whole[:size] for size in range(1, len(whole), 7)]
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
