--- a/fulmarshore/adapters/metrics.py
+++ b/fulmarshore/adapters/metrics.py
@@ -1,19 +1,76 @@
-"""Counters of the cores as a Prometheus endpoint."""
+"""Counters of the cores as a Prometheus endpoint.
+
+Cores count under plain names. Names that begin with one of ``FAMILIES`` become
+one metric with a label for the rest, which is a reason from a fixed list; all
+others become a metric of their own.
+"""
 
 from __future__ import annotations
 
+import platform
 from collections import Counter
 from collections.abc import Callable, Iterable
+from importlib.metadata import PackageNotFoundError, version
 from threading import Thread
 from wsgiref.simple_server import WSGIServer
 
+from msgspec import Struct
 from prometheus_client import CollectorRegistry, start_http_server
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    InfoMetricFamily,
+    Metric,
+)
 from prometheus_client.registry import Collector
 
 from fulmarshore.core.records import Address
 
 Gauges = dict[str, float]
+PREFIX = "fulmarshore_"
+
+
+class Family(Struct, frozen=True):
+    """Counters that share a metric.
+
+    Parameters
+    ----------
+    name : str
+        Common beginning of the counters, and name of the metric.
+    label : str
+        What the rest of a counter's name is.
+    text : str
+        Help of the metric.
+    """
+
+    name: str
+    label: str
+    text: str
+
+
+FAMILIES = (
+    Family("dropped", "reason", "Packets and messages dropped."),
+    Family("refused", "reason", "Packets refused to their callers."),
+    Family("flows_ended", "reason", "Flows ended."),
+    Family("changes", "status", "Operators' changes answered."),
+)
+HELP = {
+    "flows_opened": "Flows admitted to the upstream.",
+    "delivered": "Packets of open flows handed to the upstream.",
+    "answered": "Packets handed back towards callers.",
+    "forwarded": "Callers' packets sent to an agent.",
+    "passed_on": "Packets passed on to another agent.",
+    "handed_over": "Flows given to another upstream by their home.",
+    "declined": "Flows given back for want of room.",
+    "deltas_applied": "Newer views taken into force.",
+    "control_moves": "Moves to another control host.",
+    "service_bind_failed": "Service addresses that could not be bound.",
+    "key_ring_unreadable": "Failed reads of the key ring.",
+    "log_damaged": "Starts with a damaged log file.",
+    "timeline_overwritten": "Events lost before they were written.",
+    "timeline_failed_writes": "Failed writes of the time line.",
+    "clock_refused": "Clock values too far ahead of real time.",
+}
 
 
 class CoreCollector(Collector):
@@ -23,8 +80,8 @@
     ----------
     role : str
         entry, agent or control.
-    counters : list of Counter
-        The counters of the cores and adapters.
+    list_counters : callable
+        Returns the counters of the cores and adapters.
     read_gauges : callable
         Returns the current values by name.
     """
@@ -32,28 +89,59 @@
     def __init__(
         self,
         role: str,
-        counters: list[Counter[str]],
+        list_counters: Callable[[], list[Counter[str]]],
         read_gauges: Callable[[], Gauges],
     ) -> None:
         self._role = role
-        self._counters = counters
+        self._list_counters = list_counters
         self._read_gauges = read_gauges
 
     def collect(self) -> Iterable[Metric]:
         """Return every counter and gauge as a metric family."""
-        events = CounterMetricFamily(
-            f"fulmarshore_{self._role}_events",
-            "Events by kind, with every drop and refusal by its reason.",
-            labels=["kind"],
-        )
-        for counters in self._counters:
-            for kind, count in list(counters.items()):
-                events.add_metric([kind], count)
-        yield events
+        total: Counter[str] = Counter()
+        for counters in self._list_counters():
+            total.update(dict(counters))
+        found: dict[str, CounterMetricFamily] = {}
+        for name, count in sorted(total.items()):
+            family, reason = split_counter(name)
+            metric = found.get(family.name)
+            if metric is None:
+                labels = ["role", family.label] if family.label else ["role"]
+                metric = CounterMetricFamily(
+                    PREFIX + family.name, family.text, labels=labels
+                )
+                found[family.name] = metric
+            values = [self._role, reason] if family.label else [self._role]
+            metric.add_metric(values, count)
+        yield from found.values()
         for name, value in self._read_gauges().items():
-            yield GaugeMetricFamily(
-                f"fulmarshore_{self._role}_{name}", f"Current {name}.", value=value
+            gauge = GaugeMetricFamily(
+                PREFIX + name, f"Current {name}.", labels=["role"]
             )
+            gauge.add_metric([self._role], value)
+            yield gauge
+        build = InfoMetricFamily(PREFIX + "build", "What runs here.")
+        build.add_metric([], {"role": self._role, **describe_build()})
+        yield build
+
+
+def split_counter(name: str) -> tuple[Family, str]:
+    """Return the metric of a counter and the value of its label."""
+    for family in FAMILIES:
+        reason = name.removeprefix(f"{family.name}_")
+        if reason != name:
+            return family, reason
+    text = HELP.get(name, f"Events of the kind {name}.")
+    return Family(name, "", text), ""
+
+
+def describe_build() -> dict[str, str]:
+    """Return the versions of the package and of Python."""
+    try:
+        release = version("fulmarshore")
+    except PackageNotFoundError:
+        release = "unknown"
+    return {"version": release, "python": platform.python_version()}
 
 
 def serve_metrics(address: Address, collector: Collector) -> tuple[WSGIServer, Thread]:
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -25,6 +25,7 @@
     ProcessSettings,
     draw_incarnation,
     format_link,
+    measure_age,
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.agent import AgentCore
@@ -114,6 +115,7 @@
             "version": self.core.table.version,
             "flows": len(self.core.flows),
             "directory_flows": len(self.core.directory),
+            "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
         }
 
     def list_counters(self) -> list[Counter[str]]:
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -29,6 +29,7 @@
     draw_incarnation,
     format_link,
     log,
+    measure_age,
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.entry import EntryCore
@@ -122,7 +123,11 @@
 
     def read_gauges(self) -> Gauges:
         """Return the current values for the metrics."""
-        return {"version": self.core.table.version, "services": len(self._sockets)}
+        return {
+            "version": self.core.table.version,
+            "services": len(self._sockets),
+            "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
+        }
 
     def list_counters(self) -> list[Counter[str]]:
         """Return the counters for the metrics."""
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -216,14 +216,15 @@
             names = {
                 format_link(address): address for address in self.settings.controls
             }
-            self.links = LinkClient(self.context, names, self._take_link, self.security)
+            shared = (self._take_link, self.security, self.counters)
+            self.links = LinkClient(self.context, names, *shared)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
         loop.add_signal_handler(signal.SIGUSR1, self._show_timeline)
         self.open()
         server = None
         if self.settings.metrics is not None:
-            collector = CoreCollector(self.role, self.list_counters(), self.read_gauges)
+            collector = CoreCollector(self.role, self._count_all, self.read_gauges)
             server, _ = serve_metrics(self.settings.metrics, collector)
         self.note(TimelineEvent("started", detail=f"pid {os.getpid()}"))
         if self.security is None:
@@ -258,6 +259,16 @@
             self.timeline.observe(message.clock)
         self.dispatch(LinkMessage(peer, message))
 
+    def _count_all(self) -> list[Counter[str]]:
+        own = Counter(
+            {
+                "timeline_overwritten": self.timeline.overwritten,
+                "timeline_failed_writes": self.timeline.failed_writes,
+                "clock_refused": self.timeline.clock.refused,
+            }
+        )
+        return [own, *self.list_counters()]
+
     def _refresh_ring(self) -> None:
         """Take up a changed ring; an unreadable one leaves the old in use."""
         if self.sealer is None:
@@ -287,6 +298,11 @@
         sys.stderr.flush()
 
 
+def measure_age(moment: float) -> float:
+    """Return the seconds since a moment of the monotonic clock."""
+    return time.monotonic() - moment
+
+
 def format_link(address: Address) -> str:
     """Return the name of the link to a control host."""
     return f"{address.host}:{address.port}"
--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -10,6 +10,7 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
+from fulmarshore.adapters.metrics import FAMILIES, PREFIX
 from fulmarshore.commands.operator import fetch_status, submit_change
 from fulmarshore.core.records import (
     Address,
@@ -25,6 +26,7 @@
 ZONE = "zone-a"
 WAIT_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.02
+REASON_LABELS = {family.label for family in FAMILIES}
 
 Reached = Callable[[], bool]
 
@@ -109,7 +111,9 @@
             return found
         for family in text_string_to_metric_families(text):
             for sample in family.samples:
-                kind = sample.labels.get("kind", sample.name)
+                labels = [v for k, v in sample.labels.items() if k in REASON_LABELS]
+                name = sample.name.removeprefix(PREFIX).removesuffix("_total")
+                kind = "_".join([name, *labels])
                 found[kind] = found.get(kind, 0.0) + sample.value
         return found
 
