--- /dev/null
+++ b/fulmarshore/bench/forward.py
@@ -0,0 +1,452 @@
+"""The cost of a packet: a bare relay, the entry host's path, the agent's path.
+
+Every subject runs in a process of its own, the daemons with their real loop
+and sockets. Rounds of all subjects are interleaved. The load is sent from this
+process without pause: what the subject has no time for is dropped by the
+kernel, and only what reaches the sink is counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import statistics
+import time
+from collections.abc import Callable, Iterable
+from multiprocessing.connection import Connection
+
+from msgspec import Struct
+
+from fulmarshore.bench.traffic import (
+    LOOPBACK,
+    Child,
+    count_sink,
+    find_caller,
+    make_ancillary,
+    open_socket,
+    run_relay,
+    run_sink,
+    send_for,
+)
+from fulmarshore.core.codec import encode
+from fulmarshore.core.hashing import hash_flow
+from fulmarshore.core.records import (
+    Address,
+    Answer,
+    Delta,
+    EntryHost,
+    Forward,
+    Item,
+    Kind,
+    LinkMessage,
+    Member,
+    Profile,
+    Service,
+    Versioned,
+)
+from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
+from fulmarshore.daemons.entry import EntryDaemon, EntrySettings
+
+PAYLOAD = bytes(200)
+NOWHERE = Address(LOOPBACK, 1)
+FLOWS = (1, 1_000, 300_000)
+AGENT_FLOWS = 2_000
+ANSWERED_FLOWS = 100
+VERSION = 1
+IDLE_TIMEOUT_S = 3600.0
+PRIME_ROUNDS = 20
+PRIME_BURST = 100
+PRIME_PAUSE_S = 0.001
+MEGABYTE = 1 << 20
+
+
+class Rate(Struct, frozen=True):
+    """What one subject did in one round.
+
+    Parameters
+    ----------
+    pps : float
+        Packets a second that reached the sink.
+    cpu_pps : float
+        The same for each second of processor time of the subject.
+    """
+
+    pps: float
+    cpu_pps: float
+
+
+class ForwardResult(Struct, frozen=True):
+    """Medians over the rounds; ratios are to the relay, of ``cpu_pps``.
+
+    Parameters
+    ----------
+    rates : dict of str to Rate
+        Medians by subject.
+    ratios, wall_ratios : dict of str to float
+        Packets a second of processor time, and of the clock, as a share of
+        the relay's in the same round, medians over the rounds.
+    cost_growth : float
+        Processor time of a packet with most flows over that with fewest.
+    cost_growth_from_thousand : float
+        The same from 1,000 flows on.
+    new_flows_per_second : float
+        First packets of flows that one entry host forwarded a second.
+    entry_resident_mb : float
+        Resident memory of the entry host with most flows.
+    entry_flows : int
+        Flows it held then.
+    """
+
+    rates: dict[str, Rate]
+    ratios: dict[str, float]
+    wall_ratios: dict[str, float]
+    cost_growth: float
+    cost_growth_from_thousand: float
+    new_flows_per_second: float
+    entry_resident_mb: float
+    entry_flows: int
+
+
+class BenchEntry(EntryDaemon):
+    """An entry daemon that gets its view from the bench."""
+
+    def __init__(
+        self, settings: EntrySettings, pipe: Connection, items: list[Item]
+    ) -> None:
+        super().__init__(settings)
+        self._pipe = pipe
+        self._items = items
+
+    def open(self) -> None:
+        """Open the sockets, put the view in force and say where they are."""
+        super().open()
+        self.dispatch(LinkMessage("bench", make_snapshot(self._items)))
+        self._pipe.send(self.core.subscriber.announcement)
+        self._loop_answers()
+
+    def _loop_answers(self) -> None:
+        def answer() -> None:
+            self._pipe.recv()
+            self._pipe.send(int(self.read_gauges()["hints"]))
+
+        asyncio.get_running_loop().add_reader(self._pipe.fileno(), answer)
+
+
+class BenchAgent(AgentDaemon):
+    """An agent daemon that gets its view from the bench."""
+
+    def __init__(
+        self, settings: AgentSettings, pipe: Connection, items: list[Item]
+    ) -> None:
+        super().__init__(settings)
+        self._pipe = pipe
+        self._items = items
+
+    def open(self) -> None:
+        """Open the sockets, put the view in force and say where they are."""
+        super().open()
+        items = [*self._items, self.core.member]
+        self.dispatch(LinkMessage("bench", make_snapshot(items)))
+        self._pipe.send(self.core.member)
+
+
+def run_entry(pipe: Connection, service_host: str, items: list[Item]) -> None:
+    """Run an entry host until terminated."""
+    settings = EntrySettings(
+        name="entry",
+        zone="a",
+        controls=(NOWHERE,),
+        data=Address(LOOPBACK, 0),
+        service_host=service_host,
+    )
+    BenchEntry(settings, pipe, items).run()
+
+
+def run_agent(pipe: Connection, upstream: Address, items: list[Item]) -> None:
+    """Run an agent until terminated."""
+    settings = AgentSettings(
+        name="agent",
+        zone="a",
+        controls=(NOWHERE,),
+        data=Address(LOOPBACK, 0),
+        service="s",
+        upstream=upstream,
+        connections=1_000_000,
+    )
+    BenchAgent(settings, pipe, items).run()
+
+
+def make_snapshot(items: list[Item]) -> Delta:
+    """Return a snapshot of the items at the bench's version."""
+    return Delta(0, VERSION, [Versioned(VERSION, item) for item in items], [])
+
+
+class Subject(Struct, frozen=True):
+    """A process under measurement and how to send its n-th packet."""
+
+    name: str
+    child: Child
+    send: Callable[[int], None]
+    count: int
+
+
+class ForwardBench:
+    """One run of the measurement.
+
+    Parameters
+    ----------
+    rounds : int
+        Rounds of all subjects.
+    seconds : float
+        Length of the load on one subject in one round.
+    flows : tuple of int
+        Flows of the entry hosts, ascending.
+    """
+
+    def __init__(self, rounds: int, seconds: float, flows: tuple[int, ...]) -> None:
+        self.rounds = rounds
+        self.seconds = seconds
+        self.flows = flows
+        self.sink = Child(run_sink)
+        self.source = open_socket("0.0.0.0")
+        self.callers = make_ancillary(max(flows))
+        self.children = [self.sink]
+        self.subjects: list[Subject] = []
+        self.sockets = [self.source]
+        self.services: list[Address] = []
+
+    def close(self) -> None:
+        """End all processes."""
+        for child in self.children:
+            child.close()
+        for sock in self.sockets:
+            sock.close()
+
+    def run(self) -> ForwardResult:
+        """Measure and return the medians."""
+        self._add_relay()
+        for number, count in enumerate(self.flows):
+            self._add_entry(number, count)
+        self._add_entry_answers()
+        self._add_agent()
+        self._add_agent_answers()
+        most = self.subjects[len(self.flows)]
+        held = self._count_hints(most)
+        resident = most.child.read_resident()
+        measured: dict[str, list[Rate]] = {s.name: [] for s in self.subjects}
+        for _ in range(self.rounds):
+            for subject in self.subjects:
+                measured[subject.name].append(self._measure(subject))
+        return self._sum_up(measured, self._measure_new_flows(), resident, held)
+
+    def _measure(self, subject: Subject) -> Rate:
+        before, _ = count_sink(self.sink)
+        cpu = subject.child.read_cpu()
+        elapsed = send_for(self.seconds, subject.send, subject.count)
+        after, waited = count_sink(self.sink)
+        packets = after - before
+        spent = subject.child.read_cpu() - cpu
+        return Rate(packets / (elapsed + waited), packets / max(spent, 1e-9))
+
+    def _start(self, *arguments: object) -> Child:
+        child = Child(*arguments)
+        self.children.append(child)
+        return child
+
+    def _add_relay(self) -> None:
+        child = self._start(run_relay, self.sink.hello)
+        self._add("relay", child, child.hello, 1)
+
+    def _add(self, name: str, child: Child, destination: Address, count: int) -> None:
+        """Add a subject that gets datagrams from callers."""
+        send = self._make_sender(self.source, destination)
+        self.subjects.append(Subject(name, child, send, count))
+
+    def _make_sender(
+        self, sock: socket.socket, destination: Address
+    ) -> Callable[[int], None]:
+        sendmsg = sock.sendmsg
+        callers = self.callers
+        parts = [PAYLOAD]
+
+        def send(number: int) -> None:
+            sendmsg(parts, callers[number], 0, destination)
+
+        return send
+
+    def _add_entry(self, number: int, count: int) -> None:
+        host = f"127.0.3.{number + 1}"
+        service = Address(host, _find_port(host))
+        items = _declare(service)
+        items.append(_make_member("m0", "s", self.sink.hello))
+        child = self._start(run_entry, host, items)
+        self.services.append(service)
+        self._add(f"entry_{count}", child, service, count)
+        self._prime(self.subjects[-1])
+
+    def _prime(self, subject: Subject) -> None:
+        """Send every flow's packet, slowly, until all flows are held."""
+        for _ in range(PRIME_ROUNDS):
+            for number in range(subject.count):
+                subject.send(number)
+                if number % PRIME_BURST == 0:
+                    time.sleep(PRIME_PAUSE_S)
+            time.sleep(PRIME_PAUSE_S)
+            if self._count_hints(subject) >= subject.count:
+                return
+
+    def _count_hints(self, subject: Subject) -> int:
+        subject.child.pipe.send(None)
+        return subject.child.receive()
+
+    def _add_entry_answers(self) -> None:
+        agent = open_socket(LOOPBACK)
+        self.sockets.append(agent)
+        host = "127.0.3.9"
+        service = Address(host, _find_port(host))
+        member = _make_member("m0", "s", Address(*agent.getsockname()))
+        child = self._start(run_entry, host, [*_declare(service), member])
+        data = Address(child.hello.host, child.hello.port)
+        frames = []
+        for number in range(AGENT_FLOWS):
+            caller = Address(find_caller(number), self.sink.hello.port)
+            flow = hash_flow("s", *caller)
+            answer = Answer(
+                "s", "m0", member.incarnation, VERSION, flow, *caller, PAYLOAD
+            )
+            frames.append(encode(answer))
+        self._add_frames("entry_answers", child, agent, frames, data)
+
+    def _add_frames(
+        self,
+        name: str,
+        child: Child,
+        sock: socket.socket,
+        frames: list[bytes],
+        destination: Address,
+    ) -> None:
+        sendto = sock.sendto
+
+        def send(number: int) -> None:
+            sendto(frames[number], destination)
+
+        self.subjects.append(Subject(name, child, send, len(frames)))
+
+    def _add_agent(self) -> None:
+        child = self._start(run_agent, self.sink.hello, _declare(NOWHERE))
+        frames = _make_forwards(child.hello)
+        data = Address(child.hello.host, child.hello.port)
+        self._add_frames("agent", child, self.source, frames, data)
+        self._prime_agent(self.subjects[-1])
+
+    def _prime_agent(self, subject: Subject) -> None:
+        for number in range(subject.count):
+            subject.send(number)
+            if number % PRIME_BURST == 0:
+                time.sleep(PRIME_PAUSE_S * 10)
+
+    def _add_agent_answers(self) -> None:
+        """Add an agent whose upstream, this process, sends without pause."""
+        upstream = open_socket(LOOPBACK)
+        upstream.settimeout(2.0)
+        self.sockets.append(upstream)
+        entry = EntryHost("entry", 1, "a", *self.sink.hello)
+        items = [*_declare(NOWHERE), entry]
+        child = self._start(run_agent, Address(*upstream.getsockname()), items)
+        data = Address(child.hello.host, child.hello.port)
+        peers = []
+        for frame in _make_forwards(child.hello)[:ANSWERED_FLOWS]:
+            self.source.sendto(frame, data)
+            peers.append(upstream.recvfrom(2048)[1])
+
+        def send(number: int) -> None:
+            upstream.sendto(PAYLOAD, peers[number])
+
+        self.subjects.append(Subject("agent_answers", child, send, len(peers)))
+
+    def _measure_new_flows(self) -> float:
+        """Send first packets of flows that the first entry host never saw."""
+        fresh = open_socket("0.0.0.0")
+        self.sockets.append(fresh)
+        first = self.subjects[1]
+        send = self._make_sender(fresh, self.services[0])
+        subject = Subject("new_flows", first.child, send, len(self.callers))
+        return self._measure(subject).pps
+
+    def _sum_up(
+        self,
+        measured: dict[str, list[Rate]],
+        new_flows: float,
+        resident: int,
+        held: int,
+    ) -> ForwardResult:
+        rates = {name: _take_median(rounds) for name, rounds in measured.items()}
+        ratios = {}
+        wall_ratios = {}
+        for name, rounds in measured.items():
+            pairs = list(zip(rounds, measured["relay"], strict=True))
+            ratios[name] = _round(r.cpu_pps / relay.cpu_pps for r, relay in pairs)
+            wall_ratios[name] = _round(r.pps / relay.pps for r, relay in pairs)
+        names = [f"entry_{count}" for count in self.flows]
+        return ForwardResult(
+            rates,
+            ratios,
+            wall_ratios,
+            _compare(measured[names[0]], measured[names[-1]]),
+            _compare(measured[names[-2]], measured[names[-1]]),
+            round(new_flows),
+            round(resident / MEGABYTE, 1),
+            held,
+        )
+
+
+def run(
+    rounds: int = 3, seconds: float = 0.7, flows: tuple[int, ...] = FLOWS
+) -> ForwardResult:
+    """Run the measurement in processes of its own."""
+    bench = ForwardBench(rounds, seconds, flows)
+    try:
+        return bench.run()
+    finally:
+        bench.close()
+
+
+def _take_median(rounds: list[Rate]) -> Rate:
+    return Rate(
+        round(statistics.median(rate.pps for rate in rounds)),
+        round(statistics.median(rate.cpu_pps for rate in rounds)),
+    )
+
+
+def _round(values: Iterable[float]) -> float:
+    return round(statistics.median(values), 3)
+
+
+def _compare(few: list[Rate], most: list[Rate]) -> float:
+    """Return the cost of a packet in the second rounds over the first."""
+    return _round(f.cpu_pps / m.cpu_pps for f, m in zip(few, most, strict=True))
+
+
+def _declare(address: Address) -> list[Item]:
+    profile = Profile("p", Kind.FEED, idle_timeout=IDLE_TIMEOUT_S)
+    return [profile, Service("s", "p", *address)]
+
+
+def _make_member(name: str, service: str, address: Address) -> Member:
+    return Member(name, 1, service, "a", *address)
+
+
+def _make_forwards(agent: Member) -> list[bytes]:
+    frames = []
+    for number in range(AGENT_FLOWS):
+        caller = Address(find_caller(number), 4000)
+        flow = hash_flow("s", *caller)
+        head = ("s", agent.name, agent.incarnation, VERSION, flow, 0, *caller)
+        frames.append(encode(Forward(*head, "entry", 0, False, PAYLOAD)))
+    return frames
+
+
+def _find_port(host: str) -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
--- /dev/null
+++ b/fulmarshore/bench/traffic.py
@@ -0,0 +1,172 @@
+"""Load and sinks of the data path's measurements: datagrams from many callers.
+
+A source sends from any address of 127.0.0.0/8 out of one socket, by the
+ancillary message ``IP_PKTINFO`` (ip(7)), so that hundreds of thousands of
+callers need no socket each.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import socket
+import struct
+import time
+from collections.abc import Callable
+from multiprocessing.connection import Connection
+from typing import Any
+
+import psutil
+
+from fulmarshore.core.records import Address
+
+LOOPBACK = "127.0.0.1"
+IP_PKTINFO = 8
+"""Linux's number of the ancillary message, which the library does not name."""
+MAX_CALLERS = 1 << 22
+BUFFER_BYTES = 4 * 1024 * 1024
+SINK_TIMEOUT_S = 0.05
+SINK_BATCH = 512
+START_TIMEOUT_S = 20.0
+CLOCK_CHECK_PACKETS = 64
+SETTLE_S = 0.06
+
+_CONTEXT = multiprocessing.get_context("spawn")
+
+
+class Child:
+    """A process of a measurement that answers on a pipe.
+
+    Parameters
+    ----------
+    target : callable
+        Module-level function that takes a pipe and the arguments.
+    """
+
+    def __init__(self, target: Callable[..., None], *arguments: Any) -> None:
+        self.pipe, other = _CONTEXT.Pipe()
+        self._process = _CONTEXT.Process(
+            target=target, args=(other, *arguments), daemon=True
+        )
+        self._process.start()
+        other.close()
+        self.hello = self.receive()
+        self._usage = psutil.Process(self._process.pid)
+
+    def receive(self) -> Any:
+        """Return the next message of the child."""
+        if not self.pipe.poll(START_TIMEOUT_S):
+            raise TimeoutError("a child process does not answer")
+        return self.pipe.recv()
+
+    def read_cpu(self) -> float:
+        """Return the processor time spent so far, in seconds."""
+        times = self._usage.cpu_times()
+        return times.user + times.system
+
+    def read_resident(self) -> int:
+        """Return the resident memory, in bytes."""
+        return self._usage.memory_info().rss
+
+    def close(self) -> None:
+        """End the child."""
+        self._process.kill()
+        self._process.join(START_TIMEOUT_S)
+        self.pipe.close()
+
+
+def run_relay(pipe: Connection, destination: Address) -> None:
+    """Relay datagrams with two blocking calls each, until terminated."""
+    sock = open_socket(LOOPBACK)
+    pipe.send(Address(*sock.getsockname()))
+    while True:
+        payload, _ = sock.recvfrom(2048)
+        sock.sendto(payload, destination)
+
+
+def run_sink(pipe: Connection) -> None:
+    """Count datagrams and tell the count whenever asked, until terminated."""
+    sock = open_socket("0.0.0.0")
+    seconds = struct.pack("ll", 0, int(SINK_TIMEOUT_S * 1e6))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, seconds)
+    pipe.send(Address(LOOPBACK, sock.getsockname()[1]))
+    buffer = bytearray(65_536)
+    count = 0
+    while True:
+        try:
+            for _ in range(SINK_BATCH):
+                sock.recv_into(buffer)
+                count += 1
+        except BlockingIOError:
+            pass
+        while pipe.poll():
+            pipe.recv()
+            pipe.send(count)
+
+
+def open_socket(host: str) -> socket.socket:
+    """Return a blocking UDP socket on a free port, with large buffers."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+    sock.bind((host, 0))
+    return sock
+
+
+def find_caller(number: int) -> str:
+    """Return the host of a caller by its number, in 127.64.0.0/10."""
+    assert 0 <= number < MAX_CALLERS
+    return socket.inet_ntoa(struct.pack("!I", 0x7F400000 + number))
+
+
+def make_ancillary(count: int) -> list[list[tuple[int, int, bytes]]]:
+    """Return the ancillary messages that make each caller the source."""
+    found = []
+    for number in range(count):
+        source = socket.inet_aton(find_caller(number))
+        information = struct.pack("=i4s4s", 0, source, bytes(4))
+        found.append([(socket.IPPROTO_IP, IP_PKTINFO, information)])
+    return found
+
+
+def send_for(seconds: float, send: Callable[[int], None], count: int) -> float:
+    """Send the datagrams of all numbers below a count in turn, for a time.
+
+    Returns
+    -------
+    float
+        The time it took, in seconds.
+    """
+    start = time.perf_counter()
+    number = 0
+    while True:
+        for _ in range(CLOCK_CHECK_PACKETS):
+            send(number)
+            number += 1
+            if number == count:
+                number = 0
+        elapsed = time.perf_counter() - start
+        if elapsed >= seconds:
+            return elapsed
+
+
+def count_sink(sink: Child) -> tuple[int, float]:
+    """Return what the sink has counted once nothing more arrives.
+
+    Returns
+    -------
+    count : int
+        Datagrams so far.
+    waited : float
+        Time until the last of them had arrived, in seconds.
+    """
+    start = time.perf_counter()
+    count = -1
+    waited = 0.0
+    while True:
+        sink.pipe.send(None)
+        found = sink.receive()
+        if found == count:
+            return count, waited
+        count = found
+        waited = time.perf_counter() - start
+        time.sleep(SETTLE_S)
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -118,7 +118,11 @@
 
     def read_gauges(self) -> Gauges:
         """Return the current values for the metrics."""
-        return {"version": self.core.table.version, "services": len(self._sockets)}
+        return {
+            "version": self.core.table.version,
+            "services": len(self._sockets),
+            "hints": self.core.hint_count,
+        }
 
     def list_counters(self) -> list[Counter[str]]:
         """Return the counters for the metrics."""
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -79,6 +79,11 @@
         self._hint_count = 0
         self._stopping_at = float("inf")
 
+    @property
+    def hint_count(self) -> int:
+        """Number of flows whose owner is remembered."""
+        return self._hint_count
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
         match event:
