--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -442,7 +442,7 @@
         caller = Address(find_caller(number), 4000)
         flow = hash_flow("s", *caller)
         head = ("s", agent.name, agent.incarnation, VERSION, flow, 0, *caller)
-        frames.append(encode(Forward(*head, "entry", 0, False, PAYLOAD)))
+        frames.append(encode(Forward(*head, "entry", 0, 0, PAYLOAD)))
     return frames
 
 
--- a/fulmarshore/routing/table.py
+++ b/fulmarshore/routing/table.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from fulmarshore.core.hashing import score_candidate
+from msgspec.structs import replace
+
+from fulmarshore.core.hashing import BUCKETS_PER_SERVICE, score_candidate
 from fulmarshore.core.records import (
+    Drain,
     EntryHost,
     Member,
     MemberState,
@@ -13,6 +16,8 @@
 )
 from fulmarshore.membership.view import View
 
+Row = tuple[Member, ...]
+
 
 class ServiceTable:
     """The members of one service and their order in each bucket.
@@ -28,7 +33,15 @@
         not taken out.
     """
 
-    __slots__ = ("service", "profile", "members", "accepting", "by_name", "_rows")
+    __slots__ = (
+        "service",
+        "profile",
+        "members",
+        "accepting",
+        "by_name",
+        "_rows",
+        "_orders",
+    )
 
     def __init__(
         self, service: Service, profile: Profile, members: tuple[Member, ...]
@@ -40,25 +53,40 @@
             member for member in members if member.state == MemberState.ACCEPTING
         )
         self.by_name = {member.name: member for member in members}
-        self._rows: dict[int, tuple[Member, ...]] = {}
+        self._rows: list[Row | None] = [None] * BUCKETS_PER_SERVICE
+        # A service has few members and so few orders of them: buckets share.
+        self._orders: dict[tuple[str, ...], Row] = {}
+
+    def get_row(self, bucket: int) -> Row:
+        """Return the accepting members in the order of the bucket, home first.
 
-    def get_row(self, bucket: int) -> tuple[Member, ...]:
-        """Return the accepting members in the order of the bucket, home first."""
-        row = self._rows.get(bucket)
+        Where no member accepts, the row holds those that drain.
+        """
+        row = self._rows[bucket]
         if row is None:
             row = self._order(bucket)
             self._rows[bucket] = row
         return row
 
-    def _order(self, bucket: int) -> tuple[Member, ...]:
+    def get_home(self, bucket: int) -> Member | None:
+        """Return the member that arbitrates the flows in a bucket.
+
+        Where none accepts, one of those that drain still finds the owners.
+        """
+        row = self.get_row(bucket)
+        return row[0] if row else None
+
+    def _order(self, bucket: int) -> Row:
         name = self.service.name
         scored = []
-        for member in self.accepting:
+        for member in self.accepting or self.members:
             weight = float(max(member.connections, 1))
             score = score_candidate(name, bucket, member.name, weight)
             scored.append((-score, member.name, member))
         scored.sort(key=lambda entry: entry[:2])
-        return tuple(entry[2] for entry in scored)
+        order = tuple(entry[1] for entry in scored)
+        row = tuple(entry[2] for entry in scored)
+        return self._orders.setdefault(order, row)
 
 
 class Table:
@@ -72,12 +100,22 @@
         The table it replaces; services that did not change keep their rows.
     """
 
-    __slots__ = ("version", "services", "zones_out", "entries", "profiles")
+    __slots__ = (
+        "version",
+        "services",
+        "zones_out",
+        "zone_versions",
+        "entries",
+        "profiles",
+        "drained",
+    )
 
     def __init__(self, view: View, previous: Table | None = None) -> None:
         self.version = view.version
         self.services: dict[str, ServiceTable] = {}
         self.zones_out: set[str] = set()
+        self.zone_versions: dict[str, int] = {}
+        self.drained: set[str] = set()
         self.entries: dict[str, EntryHost] = {}
         self.profiles: dict[str, Profile] = {}
         declared: list[Service] = []
@@ -88,8 +126,12 @@
                     self.profiles[profile.name] = profile
                 case Service() as service:
                     declared.append(service)
-                case Zone(name=name, out=True):
-                    self.zones_out.add(name)
+                case Zone(name=name, out=out):
+                    self.zone_versions[name] = stamped.version
+                    if out:
+                        self.zones_out.add(name)
+                case Drain(name=name):
+                    self.drained.add(name)
                 case Member() as member:
                     members.append(member)
                 case EntryHost() as entry:
@@ -103,6 +145,8 @@
         for member in members:
             if member.zone in self.zones_out or member.service not in grouped:
                 continue
+            if member.name in self.drained:
+                member = replace(member, state=MemberState.DRAINING)
             grouped[member.service].append(member)
         for service in declared:
             profile = self.profiles.get(service.profile)
