Forward known flows by a prepared head; check who answers

Cause: per packet the entry host made a Datagram, a Forward and a SendPeer, walked two match statements and encoded twelve fields that change only with the table. A hint now holds the encoded message up to the payload; the datagrams that wait on a socket are taken in one call. Hints live in two generations, so idle flows and services that go are forgotten in O(1).

Answers and refusals are now dropped and counted where the owner is not in the table at that version, the source is not its address, or the caller is not that of the flow; deltas only from peers of the table or ones that were asked.

--- a/fulmarshore/adapters/datagrams.py
+++ b/fulmarshore/adapters/datagrams.py
@@ -14,6 +14,8 @@
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 Receive = Callable[[bytes, Address], None]
+ReceiveFrom = Callable[[int], tuple[bytes, Address]]
+Drain = Callable[[ReceiveFrom], None]
 
 
 class DatagramSocket:
@@ -27,18 +29,32 @@
         Called with each datagram and its source.
     fail : callable, optional
         Called when a connected peer is reported gone.
+    drain : callable, optional
+        Called in place of ``receive`` when datagrams wait, with the bound
+        ``recvfrom`` of the socket. It takes at most ``RECEIVE_BATCH`` of
+        them and lets the error of an empty socket through.
     """
 
-    __slots__ = ("_loop", "_receive", "_fail", "_socket", "_connected", "dropped")
+    __slots__ = (
+        "_loop",
+        "_receive",
+        "_fail",
+        "_drain",
+        "_socket",
+        "_connected",
+        "dropped",
+    )
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        receive: Receive,
+        receive: Receive | None = None,
         fail: Callable[[], None] | None = None,
+        drain: Drain | None = None,
     ) -> None:
         self._loop = loop
         self._receive = receive
+        self._drain = drain or self._hand_over
         self._fail = fail
         self._connected = False
         self.dropped = 0
@@ -74,7 +90,7 @@
             self.dropped += 1
             if self._fail is not None:
                 self._fail()
-        except OSError:
+        except (OSError, OverflowError):
             self.dropped += 1
 
     def close(self) -> None:
@@ -98,18 +114,19 @@
         self._loop.add_reader(self._socket.fileno(), self._read)
 
     def _read(self) -> None:
+        try:
+            self._drain(self._socket.recvfrom)
+        except BlockingIOError:
+            return
+        except ConnectionRefusedError:
+            if self._connected and self._fail is not None:
+                self._fail()
+        except OSError:
+            self.dropped += 1
+
+    def _hand_over(self, receive_from: ReceiveFrom) -> None:
         for _ in range(RECEIVE_BATCH):
+            payload, source = receive_from(RECEIVE_BYTES)
+            self._receive(payload, source)
             if self._socket is None:
                 return
-            try:
-                payload, source = self._socket.recvfrom(RECEIVE_BYTES)
-            except BlockingIOError:
-                return
-            except ConnectionRefusedError:
-                if self._connected and self._fail is not None:
-                    self._fail()
-                return
-            except OSError:
-                self.dropped += 1
-                return
-            self._receive(payload, source)
--- a/fulmarshore/adapters/peers.py
+++ b/fulmarshore/adapters/peers.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Callable
 
-from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.adapters.datagrams import (
+    RECEIVE_BATCH,
+    RECEIVE_BYTES,
+    DatagramSocket,
+    ReceiveFrom,
+)
 from fulmarshore.core.codec import decode_data, encode
-from fulmarshore.core.records import Address, DataMessage, Malformed, PeerMessage
+from fulmarshore.core.records import Address, DataMessage, Malformed
+
+ReceiveMessage = Callable[[DataMessage, Address, float], None]
 
 
 class PeerSocket:
@@ -19,7 +27,8 @@
     loop : asyncio.AbstractEventLoop
         The loop that watches the socket.
     receive : callable
-        Called with each well-formed message as an event.
+        Called with each well-formed message, its source, and the time at
+        which the batch was begun that it came in.
     counters : Counter
         Counts what is dropped.
     """
@@ -29,12 +38,12 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        receive: Callable[[PeerMessage], None],
+        receive: ReceiveMessage,
         counters: Counter[str],
     ) -> None:
         self._receive = receive
         self._counters = counters
-        self._socket = DatagramSocket(loop, self._take)
+        self._socket = DatagramSocket(loop, drain=self._drain)
 
     def bind(self, address: Address) -> Address:
         """Bind to an address and return the one in use."""
@@ -42,15 +51,22 @@
 
     def send(self, message: DataMessage, destination: Address) -> None:
         """Send a message to an entry host or an agent."""
-        self._socket.send(encode(message), destination)
+        self.send_frame(encode(message), destination)
+
+    def send_frame(self, frame: bytes, destination: Address) -> None:
+        """Send an encoded message."""
+        self._socket.send(frame, destination)
 
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
 
-    def _take(self, frame: bytes, source: Address) -> None:
-        message = decode_data(frame, source[0])
-        if isinstance(message, Malformed):
-            self._counters["dropped_malformed"] += 1
-            return
-        self._receive(PeerMessage(source, message))
+    def _drain(self, receive_from: ReceiveFrom) -> None:
+        now = time.monotonic()
+        for _ in range(RECEIVE_BATCH):
+            frame, source = receive_from(RECEIVE_BYTES)
+            message = decode_data(frame, source[0])
+            if isinstance(message, Malformed):
+                self._counters["dropped_malformed"] += 1
+                continue
+            self._receive(message, source, now)
--- /dev/null
+++ b/fulmarshore/core/addresses.py
@@ -0,0 +1,28 @@
+"""Checks of addresses that come from other processes.
+
+An address is used only in numeric form: a name would make the sender look it
+up, which blocks.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from functools import lru_cache
+
+MAX_PORT = 65_535
+_CACHED_HOSTS = 65_536
+
+
+@lru_cache(maxsize=_CACHED_HOSTS)
+def is_numeric(host: str) -> bool:
+    """Return whether a host is an IP address in numeric form."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def is_sendable(host: str, port: int) -> bool:
+    """Return whether a datagram can be sent to an address."""
+    return 0 < port <= MAX_PORT and is_numeric(host)
--- a/fulmarshore/core/codec.py
+++ b/fulmarshore/core/codec.py
@@ -7,15 +7,19 @@
 import msgspec
 
 from fulmarshore.core.records import (
+    Answer,
     Command,
     ControlMessage,
     DataMessage,
+    Forward,
     Malformed,
     RequestMessage,
 )
 
 MAX_DATAGRAM_BYTES = 65_507
 MAX_LINK_FRAME_BYTES = 16 * 1024 * 1024
+PREPARED_LENGTHS = 2048
+"""Payloads shorter than this are joined to a head without the encoder."""
 
 _encoder = msgspec.msgpack.Encoder()
 encode = _encoder.encode
@@ -26,6 +30,24 @@
 _command_decoder = msgspec.msgpack.Decoder(Command)
 
 
+def encode_length(size: int) -> bytes:
+    """Return what the codec puts in front of that many bytes."""
+    return encode(bytes(size))[: -size or None]
+
+
+LENGTHS = tuple(encode_length(size) for size in range(PREPARED_LENGTHS))
+
+
+def encode_head(message: Forward | Answer) -> bytes:
+    """Encode a message without its payload, its last field.
+
+    The head, the entry of ``LENGTHS`` for a payload and the payload, joined,
+    are the encoded message with that payload.
+    """
+    assert not message.payload, "the payload comes later"
+    return encode(message).removesuffix(LENGTHS[0])
+
+
 def decode_data(frame: bytes, peer: str) -> DataMessage | Malformed:
     """Decode a datagram of the data path.
 
--- a/fulmarshore/core/phases.py
+++ b/fulmarshore/core/phases.py
@@ -26,3 +26,8 @@
     if first & _QUIC_LONG_HEADER and first & _QUIC_TYPE_MASK == _QUIC_INITIAL:
         return Phase.OPENING
     return Phase.MIDDLE
+
+
+def get_usual_phase(protocol: Protocol) -> Phase:
+    """Return the phase of most packets of a flow."""
+    return Phase.MIDDLE if protocol == Protocol.QUIC else Phase.UNKNOWN
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -286,6 +286,8 @@
     WRONG_SERVICE = "wrong_service"
     WRONG_INCARNATION = "wrong_incarnation"
     TOO_MANY_HOPS = "too_many_hops"
+    WRONG_SOURCE = "wrong_source"
+    STRANGER = "stranger"
     MALFORMED = "malformed"
     EXPIRED = "expired"
     CANCELLED = "cancelled"
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -11,10 +11,12 @@
 from fulmarshore.core.records import (
     Address,
     CloseUpstream,
+    DataMessage,
     Effect,
     Event,
     Identity,
     Member,
+    PeerMessage,
     SendPeer,
     SendUpstream,
     UpstreamDatagram,
@@ -64,7 +66,7 @@
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
-        self._data = PeerSocket(loop, self.dispatch, self.counters)
+        self._data = PeerSocket(loop, self._take_peer, self.counters)
         data = self._data.bind(self.settings.data)
         settings = self.settings
         identity = Identity(settings.name, draw_incarnation())
@@ -116,6 +118,9 @@
         """Return the counters for the metrics."""
         return [self.counters, self.core.counters, self.core.subscriber.counters]
 
+    def _take_peer(self, message: DataMessage, source: Address, now: float) -> None:
+        self.execute(self.handle(PeerMessage(source, message), now))
+
     def _find_upstream(self, flow: bytes) -> DatagramSocket:
         sock = self._upstreams.get(flow)
         if sock is not None:
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -6,18 +6,27 @@
 import enum
 from collections import Counter
 
-from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.adapters.datagrams import (
+    RECEIVE_BATCH,
+    RECEIVE_BYTES,
+    DatagramSocket,
+    ReceiveFrom,
+)
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.adapters.peers import PeerSocket
 from fulmarshore.adapters.proxy import decode_header, encode_header, split_header
+from fulmarshore.core.codec import LENGTHS, PREPARED_LENGTHS
 from fulmarshore.core.records import (
     Address,
+    Answer,
     Datagram,
+    DataMessage,
     Effect,
     EntryHost,
     Event,
     Identity,
     Malformed,
+    PeerMessage,
     Protocol,
     SendCaller,
     SendPeer,
@@ -32,6 +41,7 @@
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.entry import EntryCore
+from fulmarshore.routing.hints import Source
 
 
 class Fabric(enum.StrEnum):
@@ -63,12 +73,15 @@
 class ServiceSocket:
     """The socket of one service on this entry host."""
 
-    __slots__ = ("service", "socket", "fabric")
+    __slots__ = ("service", "socket", "address", "fabric", "is_plain")
 
     def __init__(self, service: Service, socket: DatagramSocket) -> None:
         self.service = service
         self.socket = socket
+        self.address = Address(service.host, service.port)
         self.fabric: Address | None = None
+        is_opaque = service.protocol == Protocol.OPAQUE
+        self.is_plain = is_opaque and ":" not in service.host
 
 
 class EntryDaemon(Daemon):
@@ -80,11 +93,12 @@
         self._data: PeerSocket | None = None
         self._sockets: dict[str, ServiceSocket] = {}
         self._version = -1
+        self._is_direct = settings.fabric == Fabric.DIRECT
 
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
-        self._data = PeerSocket(loop, self.dispatch, self.counters)
+        self._data = PeerSocket(loop, self._take_peer, self.counters)
         data = self._data.bind(self.settings.data)
         identity = Identity(self.settings.name, draw_incarnation())
         announcement = EntryHost(
@@ -113,8 +127,8 @@
         match effect:
             case SendPeer(destination=destination, message=message):
                 self._data.send(message, destination)
-            case SendCaller():
-                self._send_caller(effect)
+            case SendCaller(service=service, destination=caller, payload=payload):
+                self._send_caller(service, caller, payload)
 
     def read_gauges(self) -> Gauges:
         """Return the current values for the metrics."""
@@ -128,20 +142,28 @@
         """Return the counters for the metrics."""
         return [self.counters, self.core.counters, self.core.subscriber.counters]
 
-    def _send_caller(self, effect: SendCaller) -> None:
-        held = self._sockets.get(effect.service)
+    def _take_peer(self, message: DataMessage, source: Address, now: float) -> None:
+        if type(message) is Answer:
+            caller = self.core.check_answer(message, source)
+            if caller is not None:
+                self.core.counters["answered"] += 1
+                self._send_caller(message.service, caller, message.payload)
+                return
+        self.execute(self.handle(PeerMessage(source, message), now))
+
+    def _send_caller(self, service: str, caller: Source, payload: bytes) -> None:
+        held = self._sockets.get(service)
         if held is None:
             self.counters["dropped_no_service_socket"] += 1
             return
-        if self.settings.fabric == Fabric.DIRECT:
-            held.socket.send(effect.payload, effect.destination)
+        if self._is_direct:
+            held.socket.send(payload, caller)
             return
         if held.fabric is None:
             self.counters["dropped_no_fabric"] += 1
             return
-        service = Address(held.service.host, held.service.port)
-        header = encode_header(effect.destination, service)
-        held.socket.send(header + effect.payload, held.fabric)
+        header = encode_header(Address(*caller), held.address)
+        held.socket.send(header + payload, held.fabric)
 
     def _follow_services(self) -> None:
         declared = {
@@ -160,12 +182,10 @@
             self._open_service(service)
 
     def _open_service(self, service: Service) -> None:
-        loop = asyncio.get_running_loop()
+        def drain(receive_from: ReceiveFrom) -> None:
+            self._drain_callers(held, receive_from)
 
-        def receive(frame: bytes, source: Address) -> None:
-            self._take_caller(held, frame, source)
-
-        sock = DatagramSocket(loop, receive)
+        sock = DatagramSocket(asyncio.get_running_loop(), drain=drain)
         held = ServiceSocket(service, sock)
         host = self.settings.service_host or service.host
         try:
@@ -177,8 +197,35 @@
             return
         self._sockets[service.name] = held
 
+    def _drain_callers(self, held: ServiceSocket, receive_from: ReceiveFrom) -> None:
+        """Forward the datagrams that wait on the socket of a service.
+
+        Packets of known flows go out as the prepared head and the payload;
+        all others take the way through the core's events.
+        """
+        routes = self.core.routes.get(held.service.name)
+        if routes is None or not self._is_direct or not held.is_plain:
+            for _ in range(RECEIVE_BATCH):
+                self._take_caller(held, *receive_from(RECEIVE_BYTES))
+            return
+        forwarded = 0
+        find = routes.find
+        send = self._data.send_frame
+        try:
+            for _ in range(RECEIVE_BATCH):
+                payload, source = receive_from(RECEIVE_BYTES)
+                hint = find(source)
+                if hint is None or len(payload) >= PREPARED_LENGTHS:
+                    self.dispatch(Datagram(held.service.name, source, payload))
+                    continue
+                forwarded += 1
+                frame = b"".join((hint.head, LENGTHS[len(payload)], payload))
+                send(frame, hint.address)
+        finally:
+            self.core.counters["forwarded"] += forwarded
+
     def _take_caller(self, held: ServiceSocket, frame: bytes, source: Address) -> None:
-        if self.settings.fabric == Fabric.DIRECT:
+        if self._is_direct:
             self.dispatch(Datagram(held.service.name, source, frame))
             return
         parts = split_header(frame, source[0])
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 
+from fulmarshore.core.addresses import is_sendable
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_flow, hash_request
 from fulmarshore.core.phases import find_phase
@@ -19,7 +20,6 @@
     DeltaRequest,
     Effect,
     Event,
-    Forward,
     LinkMessage,
     Member,
     PeerMessage,
@@ -36,26 +36,14 @@
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
+from fulmarshore.routing.hints import MAX_YOUNG_HINTS, ServiceRoutes, Source
+from fulmarshore.routing.peers import KnownPeers
 from fulmarshore.routing.table import ServiceTable, Table
 
-MAX_HINTS = 400_000
 STOP_LINGER_S = 1.0
 """Time between leaving the membership and exit, for packets under way."""
-
-
-class Hint:
-    """What the entry host remembers of a flow; only ever a shortcut."""
-
-    __slots__ = ("flow", "owner", "incarnation", "address", "version")
-
-    def __init__(
-        self, flow: bytes, owner: str, incarnation: int, address: Address, version: int
-    ) -> None:
-        self.flow = flow
-        self.owner = owner
-        self.incarnation = incarnation
-        self.address = address
-        self.version = version
+ROTATION_INTERVAL_S = 60.0
+"""A flow that is idle for one to two of these is forgotten here."""
 
 
 class EntryCore:
@@ -66,23 +54,26 @@
     subscriber : Subscriber
         Keeps the view in force.
     max_hints : int
-        Bound of the cache of owners, over all services.
+        Bound of one generation of the hints of a service.
     """
 
-    def __init__(self, subscriber: Subscriber, max_hints: int = MAX_HINTS) -> None:
+    def __init__(
+        self, subscriber: Subscriber, max_hints: int = MAX_YOUNG_HINTS
+    ) -> None:
         self.name = subscriber.identity.name
         self.subscriber = subscriber
         self.table = Table(subscriber.view)
+        self.peers = KnownPeers(self.table)
         self.counters: Counter[str] = Counter()
+        self.routes: dict[str, ServiceRoutes] = {}
         self._max_hints = max_hints
-        self._hints: dict[str, dict[tuple[str, int], Hint]] = {}
-        self._hint_count = 0
+        self._rotated_at = float("-inf")
         self._stopping_at = float("inf")
 
     @property
     def hint_count(self) -> int:
         """Number of flows whose owner is remembered."""
-        return self._hint_count
+        return sum(len(routes) for routes in self.routes.values())
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
@@ -90,7 +81,7 @@
             case Datagram():
                 return self.forward(event)
             case PeerMessage():
-                return self._handle_peer(event, now)
+                return self._handle_peer(event)
             case LinkMessage():
                 effects = self.subscriber.handle(event, now)
                 return effects + self._update_table()
@@ -101,159 +92,180 @@
                 return self.subscriber.leave()
         raise AssertionError(f"unexpected event {event!r}")
 
+    # Callers' packets ------------------------------------------------------
+
     def forward(self, event: Datagram) -> list[Effect]:
         """Send a caller's datagram to the agent of its flow."""
-        service = self.table.services.get(event.service)
-        if service is None:
+        routes = self.routes.get(event.service)
+        if routes is None:
             return self._drop(Reason.NO_UPSTREAM)
-        protocol = service.service.protocol
+        protocol = routes.service.service.protocol
         if protocol == Protocol.REQUEST:
-            return self._forward_request(service, event)
-        hint = self._find_hint(service, event.source)
+            return self._forward_request(routes, event)
+        source = (event.source[0], event.source[1])
+        hint = routes.find(source)
         if hint is None:
             return self._drop(Reason.NO_UPSTREAM)
         phase = find_phase(protocol, event.payload)
-        return [self._send(service, hint, phase, event)]
+        self.counters["forwarded"] += 1
+        packet = routes.make_packet(
+            hint.flow, source, hint.member, phase, event.payload
+        )
+        return [SendPeer(hint.address, packet)]
 
-    def _forward_request(self, service: ServiceTable, event: Datagram) -> list[Effect]:
+    def _forward_request(self, routes: ServiceRoutes, event: Datagram) -> list[Effect]:
         request = decode_request(event.payload, event.source[0])
-        if not isinstance(request, Request) or request.service != service.service.name:
+        name = routes.service.service.name
+        if not isinstance(request, Request) or request.service != name:
             return self._drop(Reason.MALFORMED)
         flow = hash_request(request.service, request.caller, request.number)
-        hint = self._make_hint(service, flow)
-        if hint is None:
+        home = routes.service.get_home(find_bucket(flow))
+        if home is None:
             return self._drop(Reason.NO_UPSTREAM)
-        return [self._send(service, hint, Phase.OPENING, event)]
-
-    def _send(
-        self, service: ServiceTable, hint: Hint, phase: Phase, event: Datagram
-    ) -> SendPeer:
         self.counters["forwarded"] += 1
-        packet = Forward(
-            service.service.name,
-            hint.owner,
-            hint.incarnation,
-            self.table.version,
-            hint.flow,
-            phase,
-            event.source[0],
-            event.source[1],
-            self.name,
-            0,
-            0,
-            event.payload,
-        )
-        return SendPeer(hint.address, packet)
+        source = (event.source[0], event.source[1])
+        packet = routes.make_packet(flow, source, home, Phase.OPENING, event.payload)
+        return [SendPeer(Address(home.host, home.port), packet)]
 
-    def _find_hint(self, service: ServiceTable, source: Address) -> Hint | None:
-        name = service.service.name
-        hints = self._hints.setdefault(name, {})
-        hint = hints.get(source)
-        if hint is not None and hint.version == self.table.version:
-            return hint
-        if hint is not None:
-            owner = service.by_name.get(hint.owner)
-            if owner is not None and owner.incarnation == hint.incarnation:
-                hint.version = self.table.version
-                return hint
-        flow = hint.flow if hint is not None else hash_flow(name, *source)
-        fresh = self._make_hint(service, flow)
-        if fresh is None:
-            return None
-        if hint is None:
-            self._hint_count += 1
-            self._evict(hints)
-        hints[source] = fresh
-        return fresh
-
-    def _make_hint(self, service: ServiceTable, flow: bytes) -> Hint | None:
-        home = service.get_home(find_bucket(flow))
-        if home is None:
-            return None
-        return self._point(flow, home)
+    # Messages of agents ----------------------------------------------------
 
-    def _point(self, flow: bytes, member: Member) -> Hint:
-        address = Address(member.host, member.port)
-        version = self.table.version
-        return Hint(flow, member.name, member.incarnation, address, version)
+    def check_answer(self, answer: Answer, source: Address) -> Source | None:
+        """Return the caller of an answer that fits what is remembered.
 
-    def _evict(self, hints: dict[tuple[str, int], Hint]) -> None:
-        if self._hint_count <= self._max_hints:
-            return
-        if not hints:
-            hints = max(self._hints.values(), key=len)
-        hints.pop(next(iter(hints)))
-        self._hint_count -= 1
-        self.counters["hints_evicted"] += 1
+        Every field that is checked otherwise is compared with the hint. An
+        answer that does not fit is not wrong yet: it is to be handled whole.
+        """
+        routes = self.routes.get(answer.service)
+        if routes is None or answer.version != self.table.version:
+            return None
+        caller = (answer.caller_host, answer.caller_port)
+        hint = routes.peek(caller)
+        if hint is None or hint.flow != answer.flow or source != hint.address:
+            return None
+        member = hint.member
+        if member.name != answer.owner or member.incarnation != answer.incarnation:
+            return None
+        return caller
 
-    def _handle_peer(self, event: PeerMessage, now: float) -> list[Effect]:
+    def _handle_peer(self, event: PeerMessage) -> list[Effect]:
+        source = event.source
         match event.message:
             case Answer() as answer:
-                return self._answer(answer, event.source)
+                return self._answer(answer, source)
             case Refusal() as refusal:
-                return self._refuse(refusal, event.source)
+                return self._refuse(refusal, source)
             case Delta() as delta:
-                effects = self.subscriber.apply(delta, event.source[0])
+                if not self.peers.may_tell(source, delta):
+                    return self._drop(Reason.STRANGER)
+                effects = self.subscriber.apply(delta, source[0])
                 return effects + self._update_table()
             case DeltaRequest() as request:
+                if not self.peers.is_known(source):
+                    return self._drop(Reason.STRANGER)
                 delta = make_delta(self.subscriber.view, request.version)
-                return [SendPeer(event.source, delta)]
+                return [SendPeer(source, delta)]
         return self._drop(Reason.MALFORMED)
 
     def _answer(self, answer: Answer, source: Address) -> list[Effect]:
-        service = self.table.services.get(answer.service)
-        if service is None:
+        routes = self.routes.get(answer.service)
+        if routes is None:
             return self._drop(Reason.WRONG_SERVICE)
+        service = routes.service
+        reason = self._judge_sender(
+            service, answer.owner, answer.incarnation, answer.version, source
+        )
+        if reason is not None:
+            return self._drop(reason)
+        if not _is_consistent(service, answer):
+            return self._drop(Reason.MALFORMED)
         owner = service.by_name.get(answer.owner)
-        caller = Address(answer.caller_host, answer.caller_port)
-        if owner is not None:
-            if owner.incarnation > answer.incarnation:
-                return self._drop(Reason.WRONG_INCARNATION)
-            self._learn_owner(answer, caller, owner)
+        caller = (answer.caller_host, answer.caller_port)
+        if owner is not None and service.service.protocol != Protocol.REQUEST:
+            self._learn_owner(routes, answer, caller, owner)
         self.counters["answered"] += 1
-        effects: list[Effect] = [SendCaller(answer.service, caller, answer.payload)]
-        if answer.version != self.table.version:
-            effects += self._compare_versions(answer.version, source)
-        return effects
+        send = SendCaller(answer.service, Address(*caller), answer.payload)
+        return [send, *self._compare_versions(answer.version, source)]
 
-    def _learn_owner(self, answer: Answer, caller: Address, owner: Member) -> None:
-        hints = self._hints.get(answer.service)
-        if hints is None:
-            return
-        hint = hints.get(caller)
-        if hint is None or hint.flow != answer.flow:
+    def _judge_sender(
+        self,
+        service: ServiceTable,
+        name: str,
+        incarnation: int,
+        version: int,
+        source: Address,
+    ) -> Reason | None:
+        """Return why a message of an agent is dropped; None if it is not.
+
+        An agent that is not in the table may be newer than the table: then
+        its version is newer too.
+        """
+        owner = service.by_name.get(name)
+        if owner is not None and owner.incarnation == incarnation:
+            is_its_own = source[0] == owner.host and source[1] == owner.port
+            return None if is_its_own else Reason.WRONG_SOURCE
+        if owner is not None and owner.incarnation > incarnation:
+            return Reason.WRONG_INCARNATION
+        if version > self.table.version:
+            self.counters["owners_not_yet_known"] += 1
+            return None
+        return Reason.WRONG_INCARNATION
+
+    def _learn_owner(
+        self, routes: ServiceRoutes, answer: Answer, caller: Source, owner: Member
+    ) -> None:
+        if owner.incarnation != answer.incarnation:
             return
-        if hint.owner == owner.name and hint.incarnation == owner.incarnation:
+        hint = routes.peek(caller)
+        if hint is not None and hint.member is owner:
             return
-        hints[caller] = self._point(answer.flow, owner)
+        routes.learn(caller, answer.flow, owner)
 
     def _refuse(self, refusal: Refusal, source: Address) -> list[Effect]:
+        routes = self.routes.get(refusal.service)
+        if routes is None:
+            return self._drop(Reason.WRONG_SERVICE)
+        reason = self._judge_sender(
+            routes.service,
+            refusal.agent,
+            refusal.incarnation,
+            refusal.version,
+            source,
+        )
+        if reason is not None:
+            return self._drop(reason)
         self.counters[f"refused_{refusal.reason}"] += 1
-        caller = Address(refusal.caller_host, refusal.caller_port)
-        hints = self._hints.get(refusal.service, {})
-        hint = hints.get(caller)
-        if hint is not None and hint.flow == refusal.flow:
-            del hints[caller]
-            self._hint_count -= 1
-        if refusal.version != self.table.version:
-            return self._compare_versions(refusal.version, source)
-        return []
+        routes.forget((refusal.caller_host, refusal.caller_port), refusal.flow)
+        return self._compare_versions(refusal.version, source)
 
     def _compare_versions(self, version: int, source: Address) -> list[Effect]:
         """Let whoever has the newer version in force tell the other."""
+        if version == self.table.version:
+            return []
         if version > self.table.version:
             self.counters["deltas_asked"] += 1
+            self.peers.ask(source)
             request = DeltaRequest(self.subscriber.identity, self.table.version)
             return [SendPeer(source, request)]
         self.counters["deltas_pushed"] += 1
         return [SendPeer(source, make_delta(self.subscriber.view, version))]
 
+    # Versions and time -----------------------------------------------------
+
     def _update_table(self) -> list[Effect]:
         view = self.subscriber.view
         if view.version == self.table.version:
             return []
         assert view.version > self.table.version, "versions only go up"
         self.table = Table(view, self.table)
+        self.peers.follow(self.table)
+        routes: dict[str, ServiceRoutes] = {}
+        for name, service in self.table.services.items():
+            held = self.routes.get(name)
+            if held is None:
+                held = ServiceRoutes(self.name, service, view.version, self._max_hints)
+            held.follow(service, view.version)
+            routes[name] = held
+        self.routes = routes
         return []
 
     def _tick(self, now: float) -> list[Effect]:
@@ -261,8 +273,22 @@
             return [Stopped()]
         if self._stopping_at < float("inf"):
             return []
+        if now - self._rotated_at >= ROTATION_INTERVAL_S:
+            self._rotated_at = now
+            for routes in self.routes.values():
+                self.counters["hints_forgotten"] += routes.rotate()
         return self.subscriber.tick(now)
 
     def _drop(self, reason: Reason) -> list[Effect]:
         self.counters[f"dropped_{reason}"] += 1
         return []
+
+
+def _is_consistent(service: ServiceTable, answer: Answer) -> bool:
+    """Return whether the caller of an answer is the one of its flow."""
+    host, port = answer.caller_host, answer.caller_port
+    if not is_sendable(host, port):
+        return False
+    if service.service.protocol == Protocol.REQUEST:
+        return True
+    return hash_flow(service.service.name, host, port) == answer.flow
--- /dev/null
+++ b/fulmarshore/routing/peers.py
@@ -0,0 +1,56 @@
+"""The processes that a table names, as the sources of messages.
+
+Without keys this tells strangers and crossed messages apart, not forgers:
+whoever can send from a member's address passes for the member.
+"""
+
+from __future__ import annotations
+
+from fulmarshore.core.addresses import is_sendable
+from fulmarshore.core.records import Address, Delta, EntryHost, Member
+from fulmarshore.routing.table import Table
+
+MAX_ASKED = 64
+"""Sources outside the table that were asked for a delta, the newest ones."""
+
+
+class KnownPeers:
+    """The data addresses of a table, and sources asked for a newer view."""
+
+    __slots__ = ("_addresses", "_asked")
+
+    def __init__(self, table: Table) -> None:
+        self._asked: dict[tuple[str, int], None] = {}
+        self.follow(table)
+
+    def follow(self, table: Table) -> None:
+        """Take the addresses of a new table."""
+        self._addresses = {(entry.host, entry.port) for entry in table.entries.values()}
+        for service in table.services.values():
+            self._addresses |= {(m.host, m.port) for m in service.members}
+
+    def is_known(self, source: Address) -> bool:
+        """Return whether a source is an entry host or an agent of the table."""
+        return (source[0], source[1]) in self._addresses
+
+    def ask(self, source: Address) -> None:
+        """Note that a source has been asked for a newer view."""
+        self._asked[(source[0], source[1])] = None
+        if len(self._asked) > MAX_ASKED:
+            del self._asked[next(iter(self._asked))]
+
+    def may_tell(self, source: Address, delta: Delta) -> bool:
+        """Return whether a delta may be applied.
+
+        It has to come from a known peer or one that was asked, and must not
+        name an address that can't be sent to.
+        """
+        if not self.is_known(source) and (source[0], source[1]) not in self._asked:
+            return False
+        for stamped in delta.items:
+            item = stamped.item
+            if not isinstance(item, Member | EntryHost):
+                continue
+            if not is_sendable(item.host, item.port):
+                return False
+        return True
