--- /dev/null
+++ b/fulmarshore/admission/coordinator.py
@@ -0,0 +1,694 @@
+"""The home's work: claims, hand-overs and outcomes of requests.
+
+A claim of non-idempotent work is held by a peer before the request is handed
+over, and a refusal before it is said. So the loss of one memory neither runs
+a request twice nor makes a refusal untrue.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from random import Random
+
+from msgspec.structs import replace
+
+from fulmarshore.admission.bounds import (
+    COPY_LIFE_S,
+    LARGE_BODY_LIFE_S,
+    MAX_KEPT_BODY_BYTES,
+    MAX_RUNS_PER_ATTEMPT,
+)
+from fulmarshore.admission.budget import RetryBudget
+from fulmarshore.admission.ledger import ClaimState, Ledger, Stage
+from fulmarshore.admission.settlement import Settlement
+from fulmarshore.core.codec import encode
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Address,
+    Answer,
+    Claim,
+    ClaimBackup,
+    ClaimBackupReply,
+    Effect,
+    Identity,
+    Member,
+    Reason,
+    Request,
+    Response,
+    RunReply,
+    RunRequest,
+    SendPeer,
+    SlotReport,
+    Verdict,
+)
+from fulmarshore.routing.table import ServiceTable, Table
+
+WRITE_INTERVAL_S = 0.05
+POLL_INTERVAL_S = 0.1
+MAX_POLL_INTERVAL_S = 0.5
+GRACE_S = 0.6
+"""Wait for the last word of an executor that left the table."""
+OVERDUE_S = 2.0
+"""Time after the deadline at which an outcome that nobody tells is unknown."""
+RETRY_JITTER_S = 0.02
+MAX_RETRIES = 2
+MAX_OUTCOME_WRITES = 6
+"""Tries to show an outcome that was told already."""
+WRITES_PER_PEER = 4
+"""Tries with one peer before the next one in the row is taken."""
+
+PREFERENCE_OF_SELF = 1.25
+"""How much more room a peer must have for a hand-over to be worth its hop."""
+SHARE_OF_REFUSER = 1e6
+"""Added to the load of an executor that has just refused the request."""
+
+RETRYABLE = frozenset(
+    {Reason.FULL, Reason.SHED, Reason.STOPPING, Reason.ZONE_OUT, Reason.DRAINING}
+)
+UNCHARGED = frozenset({Reason.ZONE_OUT, Reason.DRAINING})
+"""Refusals that tell nothing about load: a retry costs no budget."""
+
+
+class Coordinator:
+    """Brings each claim of its buckets from the first copy to its outcome.
+
+    Parameters
+    ----------
+    member : Member
+        The agent's own announcement.
+    table : Table
+        The table in force.
+    random : Random
+        Source of the jitter of retries.
+    """
+
+    def __init__(self, member: Member, table: Table, random: Random) -> None:
+        self.member = member
+        self.identity = Identity(member.name, member.incarnation)
+        self.table = table
+        self.ledger = Ledger()
+        self.settlement = Settlement(self.identity)
+        self.counters: Counter[str] = Counter()
+        self.has_lease = True
+        self.budget = RetryBudget(0.1)
+        self.loads: dict[str, SlotReport] = {}
+        self._random = random
+        self._due: list[tuple[float, bytes]] = []
+        self._large: list[tuple[float, bytes]] = []
+        self._heard: list[RunReply] = []
+        self._sequence = 0
+
+    @property
+    def service(self) -> ServiceTable | None:
+        """The table of the agent's service."""
+        return self.table.services.get(self.member.service)
+
+    # -- copies of requests ------------------------------------------------
+
+    def open(
+        self, flow: bytes, request: Request, source: Address, entry: str, now: float
+    ) -> list[Effect]:
+        """Make the claim of a request that is new to this home."""
+        if self.ledger.is_full(request.caller):
+            return self._drop(Reason.LEDGER_FULL)
+        state = ClaimState(flow, request.caller, request.number, self.identity)
+        state.request = request
+        state.idempotent = request.idempotent
+        state.attempt = request.attempt
+        state.source, state.entry = source, entry
+        state.deadline = now + request.timeout
+        state.extend(request.timeout, now)
+        crowded = self.ledger.is_crowded(request.caller)
+        self.ledger.add(state)
+        self.counters["claims_made"] += 1
+        if request.cancel:
+            return self.refuse(state, Reason.CANCELLED, now)
+        if crowded:
+            return self.refuse(state, Reason.LEDGER_FULL, now)
+        bucket = find_bucket(flow)
+        age = request.age
+        if not state.idempotent and not self.settlement.admits(bucket, age, now):
+            return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
+        self.budget.earn()
+        return self._write(state, Stage.WRITING, now)
+
+    def take_copy(
+        self,
+        state: ClaimState,
+        request: Request,
+        source: Address,
+        entry: str,
+        now: float,
+    ) -> list[Effect]:
+        """Take another copy of a request whose claim is known."""
+        if request.attempt >= state.attempt or state.source is None:
+            state.source, state.entry = source, entry
+        state.extend(request.timeout, now)
+        newer = request.attempt > state.attempt
+        if state.stage == Stage.DONE:
+            return self._take_late_copy(state, request, now)
+        state.attempt = max(state.attempt, request.attempt)
+        if state.stage == Stage.ELSEWHERE:
+            self._schedule(state, now + POLL_INTERVAL_S)
+            return []
+        if request.cancel:
+            return self._cancel(state, now)
+        if newer and state.stage == Stage.REFUSING:
+            return self._write(state, Stage.REFUSING, now)
+        return []
+
+    def _take_late_copy(
+        self, state: ClaimState, request: Request, now: float
+    ) -> list[Effect]:
+        """Tell a stored outcome, or run again what is certain not to have run."""
+        again = request.attempt > state.attempt
+        may_run = state.verdict == Verdict.NOT_RUN or (
+            state.idempotent and state.verdict == Verdict.UNKNOWN
+        )
+        if not again or not may_run:
+            self.counters["outcomes_told_again"] += 1
+            return self.respond(state)
+        assert state.verdict != Verdict.ANSWERED
+        state.attempt = request.attempt
+        if request.cancel:
+            return self.refuse(state, Reason.CANCELLED, now)
+        state.verdict, state.reason, state.body = None, "", b""
+        state.coordinator = self.identity
+        state.executor = None
+        state.cancelled = False
+        state.tries = 0
+        state.request = request
+        state.deadline = now + request.timeout
+        self.counters["claims_reopened"] += 1
+        return self._write(state, Stage.WRITING, now)
+
+    def _cancel(self, state: ClaimState, now: float) -> list[Effect]:
+        state.cancelled = True
+        if state.stage in (Stage.WRITING, Stage.WAITING):
+            return self.refuse(state, Reason.CANCELLED, now)
+        if state.stage == Stage.REFUSING:
+            return self._write(state, Stage.REFUSING, now)
+        return self._send_run(state, now)
+
+    # -- writing to a peer -------------------------------------------------
+
+    def _write(self, state: ClaimState, stage: Stage, now: float) -> list[Effect]:
+        """Show a claim to a peer; what follows waits for the peer's word."""
+        state.stage = stage
+        self._sequence += 1
+        state.version, state.sequence = self.table.version, self._sequence
+        state.writes = 0
+        state.needed = set()
+        if state.idempotent:
+            return self._proceed(state, now)
+        return self._send_write(state, now)
+
+    def _send_write(self, state: ClaimState, now: float) -> list[Effect]:
+        peers = self._choose_peers(state)
+        if not peers and not self.has_lease:
+            self._schedule(state, now + WRITE_INTERVAL_S)
+            return []
+        if not peers:
+            return self._proceed(state, now)
+        if not state.needed or state.writes % WRITES_PER_PEER == 0:
+            state.needed = {Identity(peer.name, peer.incarnation) for peer in peers}
+        state.writes += 1
+        self._schedule(state, now + WRITE_INTERVAL_S)
+        effects: list[Effect] = []
+        for peer in peers:
+            effects.append(self._show(state, peer, now))
+        return effects
+
+    def _choose_peers(self, state: ClaimState) -> list[Member]:
+        """Return the peers that must hold the claim before it is acted on.
+
+        Without a lease another agent may have become the home unseen: then
+        every member must agree, as one of them would know.
+        """
+        service = self.service
+        if service is None:
+            return []
+        home = self.settlement.find_home(find_bucket(state.flow))
+        if home is not None and home != self.identity:
+            member = service.by_name.get(home.name)
+            if member is not None and member.incarnation == home.incarnation:
+                return [member]
+        row = service.get_row(find_bucket(state.flow))
+        others = [member for member in row if member.name != self.member.name]
+        others = others or [m for m in service.members if m.name != self.member.name]
+        if not self.has_lease or not others:
+            return [m for m in service.members if m.name != self.member.name]
+        return [others[(state.writes // WRITES_PER_PEER) % len(others)]]
+
+    def _show(self, state: ClaimState, peer: Member, now: float) -> SendPeer:
+        message = ClaimBackup(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.table.version,
+            state.to_claim(now),
+        )
+        return SendPeer(Address(peer.host, peer.port), message)
+
+    def take_backup_reply(self, reply: ClaimBackupReply, now: float) -> list[Effect]:
+        """Take a peer's word about a claim that it was shown."""
+        state = self.ledger.find(reply.flow)
+        if state is None or state.stage in (Stage.WAITING, Stage.RUNNING):
+            return []
+        peer = Identity(reply.agent, reply.incarnation)
+        if reply.sequence != state.sequence or peer not in state.needed:
+            return []
+        if not reply.accepted:
+            home = self.settlement.find_home(find_bucket(state.flow))
+            return self._stand_back(state, now) if peer == home else []
+        state.needed.discard(peer)
+        if state.needed or state.stage not in (Stage.WRITING, Stage.REFUSING):
+            return []
+        return self._proceed(state, now)
+
+    def _stand_back(self, state: ClaimState, now: float) -> list[Effect]:
+        """Leave a claim to the home that the peer knows."""
+        self.counters["claims_left"] += 1
+        state.stage = Stage.ELSEWHERE
+        state.verdict, state.reason = None, ""
+        home = self.settlement.find_home(find_bucket(state.flow))
+        state.coordinator = home or self.identity
+        self._schedule(state, now + GRACE_S)
+        return []
+
+    def _proceed(self, state: ClaimState, now: float) -> list[Effect]:
+        if state.stage == Stage.REFUSING:
+            return self._conclude(state, now)
+        assert state.stage == Stage.WRITING
+        return self.hand_over(state, now)
+
+    # -- hand-over ---------------------------------------------------------
+
+    def hand_over(self, state: ClaimState, now: float) -> list[Effect]:
+        """Give a request to the executor with most room."""
+        assert state.verdict is None
+        if now >= state.deadline:
+            return self.refuse(state, Reason.EXPIRED, now)
+        executor = self._choose_executor(state)
+        if executor is None:
+            return self.refuse(state, Reason.NO_UPSTREAM, now)
+        state.executor = Identity(executor.name, executor.incarnation)
+        state.executor_address = Address(executor.host, executor.port)
+        state.run = max(state.run + 1, state.attempt * MAX_RUNS_PER_ATTEMPT)
+        state.stage = Stage.RUNNING
+        state.polls = 0
+        self._expect(executor)
+        return self._send_run(state, now)
+
+    def _choose_executor(self, state: ClaimState) -> Member | None:
+        service = self.service
+        if service is None:
+            return None
+        best: Member | None = None
+        best_share = float("inf")
+        for member in service.accepting:
+            share = self._find_share(member)
+            if state.executor is not None and member.name == state.executor.name:
+                share += SHARE_OF_REFUSER
+            elif member.name == self.member.name:
+                share = share / PREFERENCE_OF_SELF if share > 1.0 else 0.0
+            if share < best_share:
+                best, best_share = member, share
+        return best
+
+    def _find_share(self, member: Member) -> float:
+        report = self.loads.get(member.name)
+        if report is None or report.incarnation != member.incarnation:
+            return 0.0
+        return (report.used + 1) / max(report.limit, 0.01)
+
+    def _expect(self, executor: Member) -> None:
+        report = self.loads.get(executor.name)
+        if report is None or report.incarnation != executor.incarnation:
+            slots = float(executor.slots)
+            report = SlotReport(
+                executor.service, executor.name, executor.incarnation, 0, 0, slots
+            )
+        self.loads[executor.name] = replace(report, used=report.used + 1)
+
+    def _send_run(self, state: ClaimState, now: float) -> list[Effect]:
+        interval = min(POLL_INTERVAL_S * 2**state.polls, MAX_POLL_INTERVAL_S)
+        state.polls = min(state.polls + 1, 8)
+        self._schedule(state, now + interval)
+        left = max(state.deadline - now, 0.0)
+        request = state.request
+        if request is None:
+            left = 0.0
+            request = self._make_question(state)
+        message = RunRequest(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.table.version,
+            state.executor.name,
+            state.executor.incarnation,
+            state.flow,
+            state.run,
+            state.cancelled or (state.request is not None and left <= 0.0),
+            replace(request, timeout=left),
+        )
+        return [SendPeer(state.executor_address, message)]
+
+    def _make_question(self, state: ClaimState) -> Request:
+        """Return a request that only asks: its time is over, so it never starts."""
+        service = self.member.service
+        caller, number, attempt = state.caller, state.number, state.attempt
+        return Request(service, caller, number, attempt, 0.0, False, False, b"")
+
+    def take_load(self, report: SlotReport) -> None:
+        """Take what an executor says about its load."""
+        self.loads[report.agent] = report
+
+    def take_run_reply(self, reply: RunReply, now: float) -> list[Effect]:
+        """Take what an executor says about a hand-over."""
+        self.take_load(
+            SlotReport(
+                reply.service,
+                reply.agent,
+                reply.incarnation,
+                reply.version,
+                reply.used,
+                reply.limit,
+            )
+        )
+        state = self.ledger.find(reply.flow)
+        executor = Identity(reply.agent, reply.incarnation)
+        if state is None or state.executor != executor or state.run != reply.run:
+            return []
+        if reply.verdict is None:
+            return []
+        if state.stage == Stage.DONE:
+            return self._correct(state, reply, now)
+        if state.stage != Stage.RUNNING:
+            return []
+        match reply.verdict:
+            case Verdict.ANSWERED:
+                verdict = Verdict.ANSWERED
+                return self.finish(state, verdict, reply.reason, reply.body, now)
+            case Verdict.NOT_RUN:
+                return self._take_refusal(state, reply.reason, now)
+        if state.idempotent and self._may_retry(state, reply.reason, now):
+            return self._retry(state, now)
+        return self.finish(state, Verdict.UNKNOWN, reply.reason, b"", now)
+
+    def _correct(self, state: ClaimState, reply: RunReply, now: float) -> list[Effect]:
+        """Replace an unknown outcome by an answer that comes late."""
+        if state.verdict != Verdict.UNKNOWN or reply.verdict != Verdict.ANSWERED:
+            return []
+        self.counters["answers_late"] += 1
+        return self.finish(state, Verdict.ANSWERED, reply.reason, reply.body, now)
+
+    def _take_refusal(self, state: ClaimState, reason: str, now: float) -> list[Effect]:
+        if reason in RETRYABLE and self._may_retry(state, reason, now):
+            return self._retry(state, now)
+        return self.refuse(state, reason, now)
+
+    def _may_retry(self, state: ClaimState, reason: str, now: float) -> bool:
+        if state.cancelled or state.tries >= MAX_RETRIES or state.request is None:
+            return False
+        if now + RETRY_JITTER_S >= state.deadline:
+            return False
+        service = self.service
+        if service is None or len(service.accepting) < 2:
+            return False
+        return reason in UNCHARGED or self.budget.spend()
+
+    def _retry(self, state: ClaimState, now: float) -> list[Effect]:
+        state.tries += 1
+        state.stage = Stage.WAITING
+        self.counters["retries"] += 1
+        self._schedule(state, now + self._random.uniform(0.0, RETRY_JITTER_S))
+        return []
+
+    # -- outcomes ----------------------------------------------------------
+
+    def refuse(self, state: ClaimState, reason: str, now: float) -> list[Effect]:
+        """Say 'not run' once a peer holds the tombstone."""
+        assert state.verdict in (None, Verdict.NOT_RUN)
+        state.verdict, state.reason, state.body = Verdict.NOT_RUN, reason, b""
+        return self._write(state, Stage.REFUSING, now)
+
+    def finish(
+        self, state: ClaimState, verdict: Verdict, reason: str, body: bytes, now: float
+    ) -> list[Effect]:
+        """Tell an answer or an unknown outcome, and show it to a peer."""
+        assert state.verdict in (None, Verdict.UNKNOWN), "an outcome stands"
+        state.verdict, state.reason, state.body = verdict, reason, body
+        self._sequence += 1
+        state.version, state.sequence = self.table.version, self._sequence
+        state.stage = Stage.DONE
+        effects = self._conclude(state, now)
+        state.needed = set()
+        if state.idempotent:
+            return effects
+        state.writes = 0
+        return effects + self._show_outcome(state, now)
+
+    def _show_outcome(self, state: ClaimState, now: float) -> list[Effect]:
+        if state.writes >= MAX_OUTCOME_WRITES:
+            return []
+        effects: list[Effect] = []
+        for peer in self._choose_peers(state)[:1]:
+            state.needed = {Identity(peer.name, peer.incarnation)}
+            effects.append(self._show(state, peer, now))
+        state.writes += 1
+        self._schedule(state, now + WRITE_INTERVAL_S * 2**state.writes)
+        return effects
+
+    def _conclude(self, state: ClaimState, now: float) -> list[Effect]:
+        state.stage = Stage.DONE
+        state.request = None
+        self.counters[f"outcomes_{state.verdict}"] += 1
+        if state.verdict != Verdict.ANSWERED:
+            self.counters[f"refused_{state.reason}"] += 1
+        if len(state.body) > MAX_KEPT_BODY_BYTES:
+            heapq.heappush(self._large, (now + LARGE_BODY_LIFE_S, state.flow))
+        return self.respond(state)
+
+    def respond(self, state: ClaimState) -> list[Effect]:
+        """Send the outcome to where the newest copy came from."""
+        assert state.stage == Stage.DONE and state.verdict is not None
+        entry = self.table.entries.get(state.entry)
+        if entry is None:
+            entry = next(iter(self.table.entries.values()), None)
+        if state.source is None or entry is None:
+            return []
+        response = Response(
+            self.member.service,
+            state.caller,
+            state.number,
+            state.attempt,
+            state.verdict,
+            state.reason,
+            state.body,
+        )
+        answer = Answer(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.table.version,
+            state.flow,
+            state.source.host,
+            state.source.port,
+            encode(response),
+        )
+        return [SendPeer(Address(entry.host, entry.port), answer)]
+
+    # -- claims of others --------------------------------------------------
+
+    def take_backup(
+        self, message: ClaimBackup, source: Address, now: float
+    ) -> list[Effect]:
+        """Hold a claim for another agent, unless it is not the home any more."""
+        claim = message.claim
+        accepted, effects = self._hold(message, now)
+        reply = ClaimBackupReply(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.table.version,
+            claim.flow,
+            claim.sequence,
+            accepted,
+        )
+        return [SendPeer(source, reply), *effects]
+
+    def _hold(self, message: ClaimBackup, now: float) -> tuple[bool, list[Effect]]:
+        claim = message.claim
+        sender = Identity(message.agent, message.incarnation)
+        state = self.ledger.find(claim.flow)
+        home = self.settlement.find_home(find_bucket(claim.flow))
+        if home not in (None, sender, self.identity):
+            return False, []
+        if state is None:
+            self.adopt(claim, now)
+            return True, []
+        if (state.caller, state.number) != (claim.caller, claim.number):
+            return False, []
+        if state.coordinator != sender:
+            if home == self.identity:
+                return False, []
+        elif (claim.version, claim.sequence) < (state.version, state.sequence):
+            return True, []
+        told = state.stage == Stage.ELSEWHERE and state.source is not None
+        self.fill(state, claim, now)
+        if told and home == self.identity and state.stage == Stage.DONE:
+            return True, self.respond(state)
+        return True, []
+
+    def adopt(self, claim: Claim, now: float) -> ClaimState:
+        """Take up a claim that a peer knows."""
+        coordinator = Identity(claim.coordinator, claim.incarnation)
+        state = ClaimState(claim.flow, claim.caller, claim.number, coordinator)
+        state.expires = now + max(claim.life, COPY_LIFE_S)
+        self.fill(state, claim, now)
+        self.ledger.add(state)
+        return state
+
+    def fill(self, state: ClaimState, claim: Claim, now: float) -> None:
+        """Replace what is known of a claim by what a peer knows."""
+        state.coordinator = Identity(claim.coordinator, claim.incarnation)
+        state.attempt = max(claim.attempt, state.attempt)
+        state.version, state.sequence = claim.version, claim.sequence
+        state.verdict, state.reason, state.body = (
+            claim.verdict,
+            claim.reason,
+            claim.body,
+        )
+        state.run = max(state.run, claim.run)
+        state.executor = None
+        if claim.executor:
+            state.executor = Identity(claim.executor, claim.executor_incarnation)
+        state.expires = max(state.expires, now + claim.life)
+        state.deadline = max(state.deadline, now + claim.life - COPY_LIFE_S)
+        state.stage = Stage.ELSEWHERE if claim.verdict is None else Stage.DONE
+        state.request = None
+        if state.stage == Stage.ELSEWHERE:
+            self._schedule(state, now + GRACE_S)
+
+    def hear_later(self, reply: RunReply) -> None:
+        """Keep an executor's last word for the next tick."""
+        self._heard.append(reply)
+
+    def resume(self, buckets: set[int], now: float) -> None:
+        """Look after the open claims of buckets that were settled just now."""
+        for state in self.ledger.claims.values():
+            if state.stage != Stage.ELSEWHERE or find_bucket(state.flow) not in buckets:
+                continue
+            self._schedule(state, now + WRITE_INTERVAL_S)
+
+    def count_open(self) -> int:
+        """Return the claims whose outcome this agent still has to find."""
+        count = 0
+        for state in self.ledger.claims.values():
+            if state.is_open() and state.stage != Stage.ELSEWHERE:
+                count += 1
+        return count
+
+    # -- time --------------------------------------------------------------
+
+    def _schedule(self, state: ClaimState, at: float) -> None:
+        state.due = at
+        heapq.heappush(self._due, (at, state.flow))
+
+    def tick(self, now: float) -> list[Effect]:
+        """Bring on every claim that is due."""
+        effects: list[Effect] = []
+        self.budget.share = self.service.profile.retry_budget if self.service else 0.0
+        heard, self._heard = self._heard, []
+        for reply in heard:
+            effects += self.take_run_reply(reply, now)
+        while self._due and self._due[0][0] <= now:
+            at, flow = heapq.heappop(self._due)
+            state = self.ledger.find(flow)
+            if state is None or state.due != at:
+                continue
+            effects += self._advance(state, now)
+        while self._large and self._large[0][0] <= now:
+            _, flow = heapq.heappop(self._large)
+            state = self.ledger.find(flow)
+            if state is not None and len(state.body) > MAX_KEPT_BODY_BYTES:
+                state.body, state.reason = b"", Reason.BODY_NOT_HELD
+        self.ledger.expire(now)
+        return effects
+
+    def _advance(self, state: ClaimState, now: float) -> list[Effect]:
+        match state.stage:
+            case Stage.WAITING:
+                return self.hand_over(state, now)
+            case Stage.WRITING if now >= state.deadline:
+                return self.refuse(state, Reason.EXPIRED, now)
+            case Stage.REFUSING if now >= state.deadline + OVERDUE_S:
+                return self._give_up_refusal(state, now)
+            case Stage.WRITING | Stage.REFUSING:
+                return self._send_write(state, now)
+            case Stage.RUNNING:
+                return self._poll(state, now)
+            case Stage.DONE if state.needed:
+                return self._show_outcome(state, now)
+            case Stage.ELSEWHERE:
+                return self._follow_elsewhere(state, now)
+        return []
+
+    def _give_up_refusal(self, state: ClaimState, now: float) -> list[Effect]:
+        """No peer holds the tombstone: then 'not run' might become untrue."""
+        state.verdict = None
+        return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
+
+    def _is_member(self, identity: Identity | None) -> bool:
+        service = self.service
+        if service is None or identity is None:
+            return False
+        member = service.by_name.get(identity.name)
+        return member is not None and member.incarnation == identity.incarnation
+
+    def _poll(self, state: ClaimState, now: float) -> list[Effect]:
+        gone = not self._is_member(state.executor)
+        if gone and state.gone_at == 0.0:
+            state.gone_at = now
+        waited = gone and now - state.gone_at >= GRACE_S
+        if not waited and now < state.deadline + OVERDUE_S:
+            return self._send_run(state, now)
+        state.gone_at = 0.0
+        reason = Reason.UPSTREAM_GONE if gone else Reason.EXPIRED
+        if state.idempotent and self._may_retry(state, reason, now):
+            return self._retry(state, now)
+        return self.finish(state, Verdict.UNKNOWN, reason, b"", now)
+
+    def _follow_elsewhere(self, state: ClaimState, now: float) -> list[Effect]:
+        """Find the outcome of a claim whose coordinator may have vanished."""
+        if not self.settlement.is_home(find_bucket(state.flow)):
+            return []
+        if find_bucket(state.flow) not in self.settlement.settled:
+            self._schedule(state, now + GRACE_S)
+            return []
+        there = self._is_member(state.coordinator)
+        if there and state.coordinator != self.identity:
+            self._schedule(state, now + GRACE_S)
+            if now < state.deadline + OVERDUE_S:
+                return []
+        return self.inherit(state, now)
+
+    def inherit(self, state: ClaimState, now: float) -> list[Effect]:
+        """Become the coordinator of a claim that was left open."""
+        state.coordinator = self.identity
+        service = self.service
+        member = None
+        if service is not None and state.executor is not None:
+            member = service.by_name.get(state.executor.name)
+        if member is None or not self._is_member(state.executor):
+            return self.finish(state, Verdict.UNKNOWN, Reason.UPSTREAM_GONE, b"", now)
+        state.executor_address = Address(member.host, member.port)
+        state.stage = Stage.RUNNING
+        state.polls = 0
+        return self._send_run(state, now)
+
+    def _drop(self, reason: Reason) -> list[Effect]:
+        self.counters[f"dropped_{reason}"] += 1
+        return []
--- a/fulmarshore/admission/gate.py
+++ b/fulmarshore/admission/gate.py
@@ -1,28 +1,91 @@
-"""The gate of one upstream: how many flows it may hold."""
+"""The gate of one upstream for flows: how many it holds, how fast they come."""
 
 from __future__ import annotations
 
-from fulmarshore.core.records import Member
+from fulmarshore.core.records import Member, Profile
+
+COLD_RATE_SHARE = 0.1
+"""New flows a second of a cold upstream, as a share of its connections."""
+
+DEFAULT_SLOW_START_S = 30.0
 
 
 class Gate:
     """Decides whether an upstream has room for one more flow.
 
+    A cold upstream is opened to a growing rate of new flows. Flows that are
+    established are never cut by it.
+
     Parameters
     ----------
     member : Member
         The announcement, with what the warm upstream bears.
     """
 
-    __slots__ = ("_connections",)
+    __slots__ = (
+        "_announced",
+        "_connections",
+        "_slow_start",
+        "_cold_since",
+        "_tokens",
+        "_refilled_at",
+        "_granted",
+    )
 
     def __init__(self, member: Member) -> None:
+        self._announced = member.connections
         self._connections = member.connections
+        self._slow_start = DEFAULT_SLOW_START_S
+        self._cold_since: float | None = None
+        self._tokens = 0.0
+        self._refilled_at = 0.0
+        self._granted = (-1, float("-inf"))
+
+    def follow(self, profile: Profile) -> None:
+        """Take the bounds of the service's profile."""
+        self._slow_start = profile.slow_start
+        self._connections = self._announced
+        if profile.connections:
+            self._connections = min(profile.connections, self._announced)
+
+    def turn_cold(self, now: float) -> None:
+        """Begin the slow start anew: the upstream was restarted."""
+        self._cold_since = now
+        self._tokens = min(self._tokens, self._find_rate(now))
+        self._refilled_at = now
 
     def get_limit(self, now: float) -> int:
         """Return the number of flows the upstream bears at a time."""
         return self._connections
 
     def has_room(self, flows: int, now: float) -> bool:
-        """Return whether one more flow may be opened beside those open."""
-        return flows < self.get_limit(now)
+        """Return whether one more flow may be opened beside those open.
+
+        Asking again at the same time beside the same flows is about the same
+        opening and takes nothing more from the rate.
+        """
+        if flows >= self._connections:
+            return False
+        if self._granted == (flows, now):
+            return True
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        self._granted = (flows, now)
+        return True
+
+    def _refill(self, now: float) -> None:
+        if self._cold_since is None:
+            self._cold_since = now
+            self._tokens = self._find_rate(now)
+            self._refilled_at = now
+        rate = self._find_rate(now)
+        self._tokens = min(self._tokens + rate * (now - self._refilled_at), rate)
+        self._refilled_at = now
+
+    def _find_rate(self, now: float) -> float:
+        since = self._cold_since if self._cold_since is not None else now
+        warmth = min((now - since) / self._slow_start, 1.0)
+        share = COLD_RATE_SHARE + (1.0 - COLD_RATE_SHARE) * warmth
+        return max(self._connections * share, 1.0)
--- /dev/null
+++ b/fulmarshore/admission/ledger.py
@@ -0,0 +1,223 @@
+"""The claims that an agent knows, by request, with their bounded life."""
+
+from __future__ import annotations
+
+import enum
+import heapq
+from collections import Counter
+
+from fulmarshore.admission.bounds import (
+    COPY_LIFE_S,
+    MAX_CLAIMS,
+    MAX_KEPT_BODY_BYTES,
+    MAX_TOMBSTONES,
+    find_claim_life,
+)
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Address,
+    Claim,
+    Identity,
+    Reason,
+    Request,
+    Verdict,
+)
+
+
+class Stage(enum.Enum):
+    """How far the agent has brought a claim."""
+
+    WRITING = enum.auto()
+    """A peer must hold the claim before the request is handed over."""
+    WAITING = enum.auto()
+    """The request waits for its next hand-over."""
+    RUNNING = enum.auto()
+    """The request is handed over to an executor."""
+    REFUSING = enum.auto()
+    """A peer must hold the tombstone before the refusal is said."""
+    ELSEWHERE = enum.auto()
+    """Another agent decides the outcome."""
+    DONE = enum.auto()
+    """The outcome stands."""
+
+
+class ClaimState:
+    """A claim and what its coordinator needs to finish it."""
+
+    __slots__ = (
+        "flow",
+        "caller",
+        "number",
+        "attempt",
+        "request",
+        "stage",
+        "verdict",
+        "reason",
+        "body",
+        "coordinator",
+        "version",
+        "sequence",
+        "executor",
+        "run",
+        "source",
+        "entry",
+        "deadline",
+        "expires",
+        "due",
+        "tries",
+        "needed",
+        "writes",
+        "polls",
+        "gone_at",
+        "executor_address",
+        "idempotent",
+        "cancelled",
+    )
+
+    def __init__(
+        self, flow: bytes, caller: str, number: int, coordinator: Identity
+    ) -> None:
+        self.flow = flow
+        self.caller = caller
+        self.number = number
+        self.attempt = 0
+        self.request: Request | None = None
+        self.stage = Stage.WRITING
+        self.verdict: Verdict | None = None
+        self.reason = ""
+        self.body = b""
+        self.coordinator = coordinator
+        self.version = 0
+        self.sequence = 0
+        self.executor: Identity | None = None
+        self.run = 0
+        self.source: Address | None = None
+        self.entry = ""
+        self.deadline = 0.0
+        self.expires = 0.0
+        self.due = 0.0
+        self.tries = 0
+        self.needed: set[Identity] = set()
+        self.writes = 0
+        self.polls = 0
+        self.gone_at = 0.0
+        self.executor_address: Address | None = None
+        self.idempotent = False
+        self.cancelled = False
+
+    def is_open(self) -> bool:
+        """Return whether the outcome is still to come."""
+        return self.stage != Stage.DONE
+
+    def extend(self, timeout: float, now: float) -> None:
+        """Let the claim outlive a copy that was just seen."""
+        self.expires = max(self.expires, now + find_claim_life(timeout))
+        assert self.expires >= now + timeout + COPY_LIFE_S
+
+    def to_claim(self, now: float) -> Claim:
+        """Return the claim as peers learn it."""
+        verdict, reason, body = self.verdict, self.reason, self.body
+        if self.stage != Stage.DONE and verdict != Verdict.NOT_RUN:
+            verdict, reason, body = None, "", b""
+        if len(body) > MAX_KEPT_BODY_BYTES:
+            reason, body = Reason.BODY_NOT_HELD, b""
+        executor = self.executor or Identity("", 0)
+        return Claim(
+            self.flow,
+            self.caller,
+            self.number,
+            self.attempt,
+            verdict,
+            reason,
+            body,
+            max(self.expires - now, 0.0),
+            self.coordinator.name,
+            self.coordinator.incarnation,
+            self.version,
+            self.sequence,
+            executor.name,
+            executor.incarnation,
+            self.run,
+        )
+
+
+class Ledger:
+    """All claims of one agent; none is forgotten before its life is over.
+
+    Parameters
+    ----------
+    max_claims, max_tombstones : int
+        Claims at which new work is refused, and refusals kept beyond them.
+    """
+
+    __slots__ = ("claims", "_callers", "_max_claims", "_max_total", "_expiry")
+
+    def __init__(
+        self, max_claims: int = MAX_CLAIMS, max_tombstones: int = MAX_TOMBSTONES
+    ) -> None:
+        self.claims: dict[bytes, ClaimState] = {}
+        self._callers: Counter[str] = Counter()
+        self._max_claims = max_claims
+        self._max_total = max_claims + max_tombstones
+        self._expiry: list[tuple[float, bytes]] = []
+
+    def __len__(self) -> int:
+        return len(self.claims)
+
+    def find(self, flow: bytes) -> ClaimState | None:
+        """Return the claim of a request."""
+        return self.claims.get(flow)
+
+    def is_crowded(self, caller: str) -> bool:
+        """Return whether new work of a caller must be refused.
+
+        A caller may hold as much as is left free, so that one that floods the
+        ledger leaves room for others.
+        """
+        return self._callers[caller] >= self._max_claims - len(self.claims)
+
+    def is_full(self, caller: str) -> bool:
+        """Return whether not even a refusal can be remembered for a caller."""
+        return self._callers[caller] >= self._max_total - len(self.claims)
+
+    def add(self, state: ClaimState) -> None:
+        """Add a claim that is not there yet."""
+        assert state.flow not in self.claims
+        assert state.expires > 0
+        self.claims[state.flow] = state
+        self._callers[state.caller] += 1
+        heapq.heappush(self._expiry, (state.expires, state.flow))
+
+    def expire(self, now: float) -> list[ClaimState]:
+        """Forget the claims whose life is over and return them."""
+        gone = []
+        while self._expiry and self._expiry[0][0] <= now:
+            _, flow = heapq.heappop(self._expiry)
+            state = self.claims.get(flow)
+            if state is None:
+                continue
+            if state.expires > now:
+                heapq.heappush(self._expiry, (state.expires, flow))
+                continue
+            if state.is_open() and state.stage != Stage.ELSEWHERE:
+                state.expires = now + COPY_LIFE_S
+                heapq.heappush(self._expiry, (state.expires, flow))
+                continue
+            self._remove(state)
+            gone.append(state)
+        return gone
+
+    def _remove(self, state: ClaimState) -> None:
+        del self.claims[state.flow]
+        self._callers[state.caller] -= 1
+        if not self._callers[state.caller]:
+            del self._callers[state.caller]
+
+    def list_in(self, buckets: set[int], now: float) -> list[Claim]:
+        """Return the claims in some buckets as peers learn them."""
+        found = []
+        for state in self.claims.values():
+            if state.idempotent or find_bucket(state.flow) not in buckets:
+                continue
+            found.append(state.to_claim(now))
+        return found
--- /dev/null
+++ b/fulmarshore/admission/limit.py
@@ -0,0 +1,150 @@
+"""The limit of requests that an upstream bears, as its answers show it.
+
+The limit is the average number of requests in work. Below one, or between
+whole numbers, the last slot is used for that share of the time only.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from statistics import median
+
+SLOW_RATIO = 2.0
+"""Service time over the baseline from which the upstream is taken for cold."""
+
+STEADY_RATIO = 1.5
+"""Service time over the baseline up to which the limit may grow."""
+
+RECENT_ANSWERS = 3
+"""Answers whose median service time is held against the baseline."""
+
+BASELINE_FALL = 0.1
+BASELINE_RISE = 0.05
+"""Shares by which the baseline follows faster and slower answers."""
+
+DEVIATIONS = 3.0
+"""Mean deviations above the baseline that count as ordinary."""
+
+SHED_FACTOR = 0.5
+"""What is left of the limit after the upstream shed work."""
+
+
+class Limiter:
+    """Grows with work that went well and falls at once on a sign of overload.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the warm upstream works on at once.
+    cold_share : float
+        Share of the slots that a cold upstream bears.
+    slow_start : float
+        Time over which a cold upstream warms at its limit, in seconds.
+    """
+
+    __slots__ = (
+        "slots",
+        "limit",
+        "baseline",
+        "_deviation",
+        "_cold_limit",
+        "_rate",
+        "_recent",
+        "_extra_at",
+        "_held_until",
+        "_cut_at",
+    )
+
+    def __init__(self, slots: int, cold_share: float, slow_start: float) -> None:
+        assert slots >= 1
+        self.baseline = 0.0
+        self._deviation = 0.0
+        self._recent: deque[float] = deque(maxlen=RECENT_ANSWERS)
+        self._extra_at = float("-inf")
+        self._held_until = float("-inf")
+        self._cut_at = float("-inf")
+        self.configure(slots, cold_share, slow_start)
+        self.limit = self._cold_limit
+
+    def configure(self, slots: int, cold_share: float, slow_start: float) -> None:
+        """Take other bounds; the limit reached is kept as far as they allow."""
+        self.slots = slots
+        self._cold_limit = max(cold_share, 0.01) * slots
+        self._rate = math.log(1.0 / max(cold_share, 0.01)) / slow_start
+        if self._recent or self.baseline:
+            self.limit = min(self.limit, float(slots))
+
+    def allows(self, running: int, now: float) -> bool:
+        """Return whether one more request may start beside those running."""
+        whole = math.floor(self.limit + 1e-9)
+        if running < whole:
+            return True
+        if running >= math.ceil(self.limit - 1e-9):
+            return False
+        return now >= self._extra_at
+
+    def finish(self, running: int, service_time: float, now: float) -> None:
+        """Learn from an answer.
+
+        Parameters
+        ----------
+        running : int
+            Requests in work, the answered one included.
+        service_time : float
+            Time from the hand-over to the answer, in seconds.
+        """
+        self._space_out(running, service_time, now)
+        self._recent.append(service_time)
+        if self.baseline == 0.0:
+            self.baseline = service_time
+        usual = median(self._recent)
+        ordinary = self.baseline + DEVIATIONS * self._deviation
+        is_slow = usual > max(SLOW_RATIO * self.baseline, ordinary)
+        is_steady = usual <= max(STEADY_RATIO * self.baseline, ordinary)
+        self._follow_baseline(service_time)
+        if is_slow and len(self._recent) == RECENT_ANSWERS:
+            self.turn_cold(now)
+            return
+        if now < self._held_until or not is_steady:
+            return
+        used = running >= math.floor(self.limit)
+        if not used:
+            return
+        grown = self.limit + self._rate * min(service_time, 2.0 * self.baseline)
+        self.limit = min(grown, float(self.slots))
+
+    def shed(self, running: int, now: float) -> None:
+        """Learn that the upstream refused work: it has less room than thought."""
+        self._space_out(running, self.baseline, now)
+        hold = max(4.0 * self.baseline, 0.1)
+        if now - self._cut_at < self.baseline:
+            return
+        self._cut_at = now
+        self._held_until = now + hold
+        self.limit = max(self.limit * SHED_FACTOR, self._cold_limit)
+
+    def turn_cold(self, now: float) -> None:
+        """Learn that the upstream was restarted, timed out or became slow."""
+        self.limit = self._cold_limit
+        self._held_until = now + self.baseline
+        if self._recent:
+            self.baseline = max(self.baseline, median(self._recent))
+        self._recent.clear()
+
+    def suggest(self, share: float) -> None:
+        """Take the hint of a load or health endpoint: it can only lower."""
+        hinted = max(min(share, 1.0) * self.slots, self._cold_limit)
+        self.limit = min(self.limit, hinted)
+
+    def _follow_baseline(self, service_time: float) -> None:
+        step = service_time - self.baseline
+        self._deviation += BASELINE_RISE * (abs(step) - self._deviation)
+        self.baseline += step * (BASELINE_FALL if step < 0 else BASELINE_RISE)
+
+    def _space_out(self, running: int, service_time: float, now: float) -> None:
+        whole = math.floor(self.limit + 1e-9)
+        share = self.limit - whole
+        if running <= whole or share <= 1e-9:
+            return
+        self._extra_at = now + service_time * (1.0 / share - 1.0)
--- /dev/null
+++ b/fulmarshore/admission/requests.py
@@ -0,0 +1,529 @@
+"""The path of requests inside an agent: home, peer of homes, and executor."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from random import Random
+from typing import get_args
+
+from msgspec.structs import replace
+
+from fulmarshore.admission.bounds import MAX_ATTEMPTS, MAX_TIMEOUT_S
+from fulmarshore.admission.coordinator import Coordinator
+from fulmarshore.admission.executor import Executor
+from fulmarshore.admission.knowledge import merge_claim, merge_run, split_claims
+from fulmarshore.admission.ledger import Stage
+from fulmarshore.core.codec import decode_request
+from fulmarshore.core.hashing import find_bucket, hash_request
+from fulmarshore.core.records import (
+    Address,
+    Bequest,
+    BequestReply,
+    Claim,
+    ClaimBackup,
+    ClaimBackupReply,
+    ClaimsQuery,
+    ClaimsReply,
+    DeltaRequest,
+    Effect,
+    Event,
+    Forward,
+    Identity,
+    Member,
+    MemberState,
+    PeerMessage,
+    Protocol,
+    Reason,
+    Request,
+    RunReply,
+    RunRequest,
+    SendPeer,
+    SlotReport,
+    TimelineEvent,
+    UpstreamDatagram,
+    UpstreamGone,
+)
+from fulmarshore.membership.registry import LEASE_S
+from fulmarshore.membership.subscriber import Subscriber
+from fulmarshore.membership.view import make_delta
+from fulmarshore.routing.table import Table
+
+MAX_HOPS = 4
+MAX_PARKED = 1_024
+"""Copies that wait until their bucket is settled; more are dropped."""
+REPORT_INTERVAL_S = 0.25
+BEQUEST_INTERVAL_S = 0.1
+BEQUEST_TIMEOUT_S = 2.0
+
+COMPARE_INTERVAL_S = 0.02
+LEASE_MARGIN_S = 1.0
+"""An agent's lease is over for itself this long before it is for control."""
+
+RequestEvent = (
+    ClaimBackup
+    | ClaimBackupReply
+    | RunRequest
+    | RunReply
+    | SlotReport
+    | ClaimsQuery
+    | ClaimsReply
+    | Bequest
+    | BequestReply
+)
+REQUEST_MESSAGES = get_args(RequestEvent)
+
+
+class Parked:
+    """A copy that waits until its bucket is settled."""
+
+    __slots__ = ("packet", "request", "arrived_at")
+
+    def __init__(self, packet: Forward, request: Request, now: float) -> None:
+        self.packet = packet
+        self.request = request
+        self.arrived_at = now
+
+
+class RequestCore:
+    """Runs each request of a service at most once and tells its outcome.
+
+    Parameters
+    ----------
+    subscriber : Subscriber
+        Keeps the view and the lease; its announcement is this agent's member.
+    """
+
+    def __init__(self, subscriber: Subscriber) -> None:
+        member = subscriber.announcement
+        assert isinstance(member, Member)
+        self.subscriber = subscriber
+        self.member = member
+        self.address = Address(member.host, member.port)
+        self.identity = Identity(member.name, member.incarnation)
+        random = Random(f"{member.name}|{member.incarnation}")
+        self.home = Coordinator(member, Table(subscriber.view), random)
+        self.executor: Executor | None = None
+        self.counters: Counter[str] = Counter()
+        self._parked: deque[Parked] = deque()
+        self._reported = (-1, -1.0)
+        self._reported_at = float("-inf")
+        self._is_stopping = False
+        self._bequests: dict[Identity, dict[int, Bequest]] | None = None
+        self._bequeathed_at = float("inf")
+        self._bequest_sent_at = float("-inf")
+        self._compared_at = float("-inf")
+
+    def takes(self, event: Event, table: Table) -> bool:
+        """Return whether an event concerns the requests of this agent."""
+        match event:
+            case PeerMessage(message=Forward()) | UpstreamDatagram() | UpstreamGone():
+                service = table.services.get(self.member.service)
+                if service is None:
+                    return False
+                return service.service.protocol == Protocol.REQUEST
+            case PeerMessage(message=message):
+                return isinstance(message, REQUEST_MESSAGES)
+        return False
+
+    def handle(self, event: Event, table: Table, now: float) -> list[Effect]:
+        """Take one event and return what is to be done.
+
+        Parameters
+        ----------
+        table : Table
+            The table in force at the agent.
+        """
+        effects: list[Effect] = []
+        if table is not self.home.table:
+            effects += self._follow(table, now)
+        if self.executor is None:
+            return effects
+        self._check_lease(now)
+        self.executor.draining = self._is_draining()
+        effects += self._handle(event, now)
+        return self._loop_back(effects, now)
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether a stopping agent may go, its knowledge passed on."""
+        if self.executor is None:
+            return True
+        self._is_stopping = True
+        if self._bequests is None:
+            return False
+        return not self._bequests or now - self._bequeathed_at > BEQUEST_TIMEOUT_S
+
+    def _is_draining(self) -> bool:
+        if self._is_stopping:
+            return True
+        if self.subscriber.announcement.state != MemberState.ACCEPTING:
+            return True
+        service = self.home.service
+        member = service.by_name.get(self.member.name) if service else None
+        return member is not None and member.state != MemberState.ACCEPTING
+
+    def _follow(self, table: Table, now: float) -> list[Effect]:
+        """Take a newer table."""
+        self.home.table = table
+        service = table.services.get(self.member.service)
+        if service is None or service.service.protocol != Protocol.REQUEST:
+            return []
+        if self.executor is None:
+            self.executor = Executor(self.member, service.profile)
+        self.executor.version = table.version
+        self.executor.follow(service.profile)
+        self.home.settlement.follow(service, table.version, now)
+        effects: list[Effect] = []
+        out = self.member.zone in table.zones_out
+        if out and self.executor.closed is None:
+            effects += self.executor.close(Reason.ZONE_OUT, True)
+        elif not out and self.executor.closed is not None:
+            self.executor.open(now)
+        return effects + self._settle(now)
+
+    def _check_lease(self, now: float) -> None:
+        """Without a lease another agent may become home of its buckets."""
+        age = now - self.subscriber.lease_renewed
+        has_lease = age < LEASE_S - LEASE_MARGIN_S
+        if has_lease and not self.home.has_lease:
+            self.home.settlement.unsettle(now)
+        self.home.has_lease = has_lease
+
+    def _loop_back(self, effects: list[Effect], now: float) -> list[Effect]:
+        """Hand messages to this agent itself over at once."""
+        out: list[Effect] = []
+        pending = deque(effects)
+        while pending:
+            effect = pending.popleft()
+            if not isinstance(effect, SendPeer) or effect.destination != self.address:
+                out.append(effect)
+                continue
+            event = PeerMessage(self.address, effect.message)
+            pending.extend(self._handle(event, now))
+        return out
+
+    def _handle(self, event: Event, now: float) -> list[Effect]:
+        match event:
+            case PeerMessage(source=source, message=message):
+                if message.service != self.member.service:
+                    return self._drop(Reason.WRONG_SERVICE)
+                effects = self._compare_versions(message.version, source, now)
+                if isinstance(message, Forward):
+                    return effects + self._take_packet(message, now)
+                return effects + self._take_message(message, source, now)
+            case UpstreamDatagram(flow=flow, payload=payload):
+                return self.executor.answer(flow, payload, now)
+            case UpstreamGone(flow=flow):
+                return self.executor.lose_upstream(flow, now)
+        return self._tick(now)
+
+    def _compare_versions(
+        self, version: int, source: Address, now: float
+    ) -> list[Effect]:
+        """Let whoever has the newer version in force tell the other."""
+        own = self.home.table.version
+        if version == own or now - self._compared_at < COMPARE_INTERVAL_S:
+            return []
+        self._compared_at = now
+        if version > own:
+            return [SendPeer(source, DeltaRequest(self.identity, own))]
+        return [SendPeer(source, make_delta(self.subscriber.view, version))]
+
+    def _take_message(
+        self, message: RequestEvent, source: Address, now: float
+    ) -> list[Effect]:
+        match message:
+            case RunRequest():
+                mine = Identity(message.executor, message.executor_incarnation)
+                if mine != self.identity:
+                    return self._drop(Reason.WRONG_INCARNATION)
+                return self.executor.take(message, source, now)
+            case RunReply():
+                return self.home.take_run_reply(message, now)
+            case ClaimBackup():
+                if self._bequests is not None:
+                    return self._drop(Reason.STOPPING)
+                return self.home.take_backup(message, source, now)
+            case ClaimBackupReply():
+                return self.home.take_backup_reply(message, now)
+            case SlotReport():
+                self.home.take_load(message)
+                return []
+            case ClaimsQuery():
+                return self._answer_query(message, source, now)
+            case ClaimsReply():
+                self.home.settlement.take_reply(message)
+                return self._settle(now)
+            case Bequest():
+                return self._take_bequest(message, source, now)
+            case BequestReply():
+                return self._take_bequest_reply(message)
+        return self._drop(Reason.MALFORMED)
+
+    # -- copies of requests ------------------------------------------------
+
+    def _take_packet(self, packet: Forward, now: float) -> list[Effect]:
+        mine = Identity(packet.target, packet.incarnation)
+        if mine != self.identity:
+            return self._drop(Reason.WRONG_INCARNATION)
+        request = self._read(packet)
+        if request is None:
+            return self._drop(Reason.MALFORMED)
+        return self._take_request(packet, request, now)
+
+    def _read(self, packet: Forward) -> Request | None:
+        """Return the request of a packet if it is well-formed."""
+        request = decode_request(packet.payload, packet.entry)
+        if not isinstance(request, Request) or request.service != packet.service:
+            return None
+        flow = hash_request(request.service, request.caller, request.number)
+        if flow != packet.flow or not 0 <= request.attempt < MAX_ATTEMPTS:
+            return None
+        if request.timeout == 0:
+            profile = self.executor.profile
+            request = replace(request, timeout=min(profile.deadline, MAX_TIMEOUT_S))
+        if not 0 < request.timeout <= MAX_TIMEOUT_S or not request.age >= 0:
+            return None
+        return request
+
+    def _take_request(
+        self, packet: Forward, request: Request, now: float
+    ) -> list[Effect]:
+        flow = packet.flow
+        source = Address(packet.caller_host, packet.caller_port)
+        state = self.home.ledger.find(flow)
+        if state is not None and (state.caller, state.number) != (
+            request.caller,
+            request.number,
+        ):
+            return self._drop("key_collision")
+        bucket = find_bucket(flow)
+        settlement = self.home.settlement
+        own = state is not None and state.coordinator == self.identity
+        if own and state.is_open() and state.stage != Stage.ELSEWHERE:
+            return self.home.take_copy(state, request, source, packet.entry, now)
+        if not settlement.is_home(bucket):
+            return self._pass_on(packet, settlement.find_home(bucket))
+        if not request.idempotent and bucket not in settlement.settled:
+            return self._park(packet, request, now)
+        if state is None:
+            return self.home.open(flow, request, source, packet.entry, now)
+        return self.home.take_copy(state, request, source, packet.entry, now)
+
+    def _pass_on(self, packet: Forward, home: Identity | None) -> list[Effect]:
+        service = self.home.service
+        member = service.by_name.get(home.name) if service and home else None
+        if member is None or member.incarnation != home.incarnation:
+            return self._drop(Reason.NO_UPSTREAM)
+        if packet.hops >= MAX_HOPS:
+            return self._drop(Reason.TOO_MANY_HOPS)
+        self.counters["passed_on"] += 1
+        passed = replace(
+            packet,
+            target=home.name,
+            incarnation=home.incarnation,
+            version=self.home.table.version,
+            hops=packet.hops + 1,
+        )
+        return [SendPeer(Address(member.host, member.port), passed)]
+
+    def _park(self, packet: Forward, request: Request, now: float) -> list[Effect]:
+        if len(self._parked) >= MAX_PARKED:
+            return self._drop(Reason.NOT_SETTLED)
+        self._parked.append(Parked(packet, request, now))
+        self.counters["parked"] += 1
+        return []
+
+    def _release_parked(self, now: float) -> list[Effect]:
+        parked, self._parked = self._parked, deque()
+        effects: list[Effect] = []
+        for copy in parked:
+            waited = now - copy.arrived_at
+            if waited >= copy.request.timeout:
+                self.counters[f"dropped_{Reason.EXPIRED}"] += 1
+                continue
+            request = replace(
+                copy.request,
+                timeout=copy.request.timeout - waited,
+                age=copy.request.age + waited,
+            )
+            effects += self._take_request(copy.packet, request, now)
+        return effects
+
+    # -- knowledge of buckets ----------------------------------------------
+
+    def _settle(self, now: float) -> list[Effect]:
+        finished = self.home.settlement.finish_round(now)
+        if finished is None:
+            return []
+        for parts in finished.replies.values():
+            for reply in parts.values():
+                for claim in reply.claims:
+                    merge_claim(self.home, claim, now)
+        for parts in finished.replies.values():
+            for reply in parts.values():
+                for claim in reply.runs:
+                    merge_run(self.home, claim, now)
+        for claim in self.executor.list_in(finished.buckets, now):
+            merge_run(self.home, claim, now)
+        self.home.resume(finished.buckets, now)
+        self.counters["buckets_settled"] += len(finished.buckets)
+        detail = f"{len(finished.buckets)} buckets"
+        effects: list[Effect] = [
+            TimelineEvent("buckets_settled", self.member.service, detail=detail)
+        ]
+        return effects + self._release_parked(now)
+
+    def _answer_query(
+        self, query: ClaimsQuery, source: Address, now: float
+    ) -> list[Effect]:
+        stale = not self.home.settlement.give_up(query)
+        buckets = set() if stale else set(query.buckets)
+        claims = self.home.ledger.list_in(buckets, now)
+        runs = self.executor.list_in(buckets, now)
+        parts = split_claims(claims, runs)
+        effects: list[Effect] = []
+        for part, (some_claims, some_runs) in enumerate(parts):
+            reply = ClaimsReply(
+                self.member.service,
+                self.member.name,
+                self.member.incarnation,
+                self.home.table.version,
+                query.query,
+                stale,
+                part,
+                len(parts),
+                self.home.settlement.get_memory_age(now),
+                self.home.settlement.list_lost(now),
+                some_claims,
+                some_runs,
+            )
+            effects.append(SendPeer(source, reply))
+        return effects
+
+    def export_claims(self, buckets: set[int], now: float) -> list[Claim]:
+        """Return what is known about the requests in some buckets."""
+        return self.home.ledger.list_in(buckets, now)
+
+    def import_claims(self, claims: list[Claim], now: float) -> None:
+        """Take up what a peer knows about requests."""
+        for claim in claims:
+            merge_claim(self.home, claim, now)
+
+    # -- planned stop ------------------------------------------------------
+
+    def _bequeath(self, now: float) -> list[Effect]:
+        """Leave what is known to the peers, each claim to two of them."""
+        if self._bequests is None:
+            if self.executor.working or len(self.executor.queue):
+                return []
+            if self.home.count_open():
+                return []
+            self._bequests = self._make_bequests(now)
+            self._bequeathed_at = now
+        if now - self._bequest_sent_at < BEQUEST_INTERVAL_S:
+            return []
+        self._bequest_sent_at = now
+        effects: list[Effect] = []
+        for peer, parts in self._bequests.items():
+            member = self.home.service.by_name.get(peer.name)
+            if member is None:
+                continue
+            address = Address(member.host, member.port)
+            effects += [SendPeer(address, part) for part in parts.values()]
+        return effects
+
+    def _make_bequests(self, now: float) -> dict[Identity, dict[int, Bequest]]:
+        service = self.home.service
+        others = [m for m in service.members if m.name != self.member.name]
+        shares: dict[str, list[Claim]] = {member.name: [] for member in others}
+        for state in self.home.ledger.claims.values():
+            if state.idempotent:
+                continue
+            row = service.get_row(find_bucket(state.flow))
+            heirs = [m.name for m in row if m.name in shares][:2]
+            for name in heirs:
+                shares[name].append(state.to_claim(now))
+        runs = self.executor.list_all(now)
+        bequests: dict[Identity, dict[int, Bequest]] = {}
+        for member in others:
+            split = split_claims(shares[member.name], runs)
+            parts = {}
+            for part, (claims, some_runs) in enumerate(split):
+                parts[part] = Bequest(
+                    self.member.service,
+                    self.member.name,
+                    self.member.incarnation,
+                    self.home.table.version,
+                    part,
+                    len(split),
+                    claims,
+                    some_runs,
+                )
+            bequests[Identity(member.name, member.incarnation)] = parts
+        return bequests
+
+    def _take_bequest(
+        self, bequest: Bequest, source: Address, now: float
+    ) -> list[Effect]:
+        for claim in bequest.claims:
+            merge_claim(self.home, claim, now)
+        for claim in bequest.runs:
+            merge_run(self.home, claim, now, only_known=True)
+        leaver = Identity(bequest.agent, bequest.incarnation)
+        self.home.settlement.note_bequest(leaver, bequest.part, bequest.parts)
+        reply = BequestReply(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.home.table.version,
+            bequest.part,
+        )
+        return [SendPeer(source, reply)]
+
+    def _take_bequest_reply(self, reply: BequestReply) -> list[Effect]:
+        peer = Identity(reply.agent, reply.incarnation)
+        if self._bequests is None or peer not in self._bequests:
+            return []
+        self._bequests[peer].pop(reply.part, None)
+        if not self._bequests[peer]:
+            del self._bequests[peer]
+        return []
+
+    # -- time --------------------------------------------------------------
+
+    def _tick(self, now: float) -> list[Effect]:
+        service = self.member.service
+        settlement = self.home.settlement
+        effects = settlement.tick(self.home.table.version, service, now)
+        effects += self._settle(now)
+        effects += self.home.tick(now)
+        effects += self.executor.tick(now)
+        effects += self._report(now)
+        if self._is_stopping:
+            effects += self._bequeath(now)
+        return effects
+
+    def _report(self, now: float) -> list[Effect]:
+        load = (self.executor.count_used(), self.executor.limiter.limit)
+        if load == self._reported or now - self._reported_at < REPORT_INTERVAL_S:
+            return []
+        self._reported, self._reported_at = load, now
+        report = SlotReport(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.home.table.version,
+            *load,
+        )
+        self.home.take_load(report)
+        service = self.home.service
+        effects: list[Effect] = []
+        for member in service.members if service else ():
+            if member.name == self.member.name:
+                continue
+            effects.append(SendPeer(Address(member.host, member.port), report))
+        return effects
+
+    def _drop(self, reason: str) -> list[Effect]:
+        self.counters[f"dropped_{reason}"] += 1
+        return []
--- /dev/null
+++ b/fulmarshore/admission/settlement.py
@@ -0,0 +1,288 @@
+"""What a home must know of a bucket before it admits non-idempotent work.
+
+Each claim is held by its home and by one peer, so one lost memory loses no
+claim. A new home asks every member once; when more than one memory was lost
+within the life of a claim, only requests that are provably younger than the
+loss are admitted until that life is over.
+"""
+
+from __future__ import annotations
+
+from fulmarshore.admission.bounds import COPY_LIFE_S, MAX_TIMEOUT_S
+from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
+from fulmarshore.core.records import (
+    Address,
+    ClaimsQuery,
+    ClaimsReply,
+    Effect,
+    Identity,
+    Lost,
+    Member,
+    SendPeer,
+)
+from fulmarshore.routing.table import ServiceTable
+
+NEEDED_S = MAX_TIMEOUT_S + COPY_LIFE_S
+"""A claim older than this bars nothing any more: all its copies are gone."""
+
+QUERY_INTERVAL_S = 0.1
+FORMER_WAIT_S = 3.0
+"""Wait for an agent out of the table, until its lease is over."""
+
+MAX_LOST_MEMORIES = 1
+"""Lost memories that the copies of a claim survive."""
+
+
+class Round:
+    """One asking of all members about some buckets."""
+
+    __slots__ = ("query", "buckets", "began", "sent_at", "missing", "former", "replies")
+
+    def __init__(
+        self,
+        query: int,
+        buckets: set[int],
+        asked: dict[Identity, Address],
+        former: dict[Identity, Address],
+        now: float,
+    ) -> None:
+        self.query = query
+        self.buckets = buckets
+        self.began = now
+        self.sent_at = float("-inf")
+        self.missing: dict[Identity, Address] = {**asked, **former}
+        self.former = set(former)
+        self.replies: dict[Identity, dict[int, ClaimsReply]] = {}
+
+    def is_complete(self, now: float) -> bool:
+        """Return whether nobody is waited for any more."""
+        if not self.missing:
+            return True
+        if not self.former.issuperset(self.missing):
+            return False
+        return now - self.began >= FORMER_WAIT_S
+
+
+class Settlement:
+    """The buckets that an agent is home of, and what it knows about them.
+
+    Parameters
+    ----------
+    identity : Identity
+        This life of this agent.
+    """
+
+    def __init__(self, identity: Identity) -> None:
+        self.identity = identity
+        self.round: Round | None = None
+        self.version = 0
+        self.homes: set[int] = set()
+        self.settled: set[int] = set()
+        self.given_up: dict[int, tuple[Identity, int]] = {}
+        self.left_cleanly: set[Identity] = set()
+        self._service: ServiceTable | None = None
+        self._members: dict[Identity, Address] = {}
+        self._former: dict[Identity, tuple[Address, float]] = {}
+        self._lost: dict[Identity, float] = {}
+        self._guarded: dict[int, float] = {}
+        self._bequests: dict[Identity, set[int]] = {}
+        self._since: float | None = None
+        self._queries = 0
+
+    def follow(self, service: ServiceTable, version: int, now: float) -> None:
+        """Take a new table of the service."""
+        if self._since is None:
+            self._since = now
+        self.version = version
+        if service is self._service:
+            return
+        self._service = service
+        members = {
+            Identity(member.name, member.incarnation): Address(member.host, member.port)
+            for member in service.members
+        }
+        self._note_vanished(members, now)
+        self._members = members
+        self.homes = self._find_homes(service)
+        self.settled &= self.homes
+        for bucket in list(self._guarded):
+            if bucket not in self.homes:
+                del self._guarded[bucket]
+        self._ask(now)
+
+    def unsettle(self, now: float) -> None:
+        """Ask again about everything: others may have been home meanwhile."""
+        self.settled.clear()
+        self._ask(now)
+
+    def _find_homes(self, service: ServiceTable) -> set[int]:
+        homes = set()
+        for bucket in range(BUCKETS_PER_SERVICE):
+            row = service.get_row(bucket)
+            if row and self._is_self(row[0]):
+                homes.add(bucket)
+        return homes
+
+    def _is_self(self, member: Member) -> bool:
+        return (
+            member.name == self.identity.name
+            and member.incarnation == self.identity.incarnation
+        )
+
+    def _note_vanished(self, members: dict[Identity, Address], now: float) -> None:
+        for identity, address in self._members.items():
+            if identity in members or identity == self.identity:
+                continue
+            self._former[identity] = (address, now)
+            self._lost[identity] = now
+        for identity, (_, gone_at) in list(self._former.items()):
+            if identity in members or now - gone_at > NEEDED_S:
+                del self._former[identity]
+        for identity, gone_at in list(self._lost.items()):
+            if identity in members or now - gone_at > NEEDED_S:
+                del self._lost[identity]
+
+    def _ask(self, now: float) -> None:
+        unsettled = self.homes - self.settled
+        if not unsettled:
+            self.round = None
+            return
+        asked = dict(self._members)
+        asked.pop(self.identity, None)
+        former = {}
+        for identity, (address, gone_at) in self._former.items():
+            if now - gone_at > FORMER_WAIT_S or identity in self.left_cleanly:
+                continue
+            former[identity] = address
+        self._queries += 1
+        self.round = Round(self._queries, unsettled, asked, former, now)
+
+    def find_home(self, bucket: int) -> Identity | None:
+        """Return the home of a bucket as far as the agent knows."""
+        given = self.given_up.get(bucket)
+        if given is not None and given[1] >= self.version:
+            return given[0]
+        if bucket in self.homes:
+            return self.identity
+        row = self._service.get_row(bucket) if self._service else ()
+        if not row:
+            return None
+        return Identity(row[0].name, row[0].incarnation)
+
+    def is_home(self, bucket: int) -> bool:
+        """Return whether this agent is the home of a bucket."""
+        return self.find_home(bucket) == self.identity
+
+    def admits(self, bucket: int, age: float, now: float) -> bool:
+        """Return whether a request without a known claim can't have run.
+
+        Parameters
+        ----------
+        age : float
+            Time since its first copy was sent, in seconds, when this copy was.
+        """
+        assert bucket in self.settled
+        lost_at = self._guarded.get(bucket)
+        if lost_at is None:
+            return True
+        if now - lost_at > NEEDED_S:
+            del self._guarded[bucket]
+            return True
+        return now - max(age, 0.0) - COPY_LIFE_S > lost_at
+
+    def tick(self, version: int, service: str, now: float) -> list[Effect]:
+        """Ask those that have not answered yet."""
+        current = self.round
+        if current is None or now - current.sent_at < QUERY_INTERVAL_S:
+            return []
+        current.sent_at = now
+        query = ClaimsQuery(
+            service,
+            self.identity.name,
+            self.identity.incarnation,
+            version,
+            current.query,
+            sorted(current.buckets),
+        )
+        return [SendPeer(address, query) for address in current.missing.values()]
+
+    def give_up(self, query: ClaimsQuery) -> bool:
+        """Know the sender as the home of some buckets, unless it is outdated."""
+        if query.version < self.version:
+            for bucket in query.buckets:
+                home = self.find_home(bucket)
+                if home is None or home.name != query.agent:
+                    return False
+        sender = Identity(query.agent, query.incarnation)
+        for bucket in query.buckets:
+            given = self.given_up.get(bucket)
+            if given is not None and given[1] > query.version:
+                return False
+        for bucket in query.buckets:
+            self.given_up[bucket] = (sender, query.version)
+            self.settled.discard(bucket)
+        if self.round is not None and self.round.buckets.intersection(query.buckets):
+            self.round = None
+        return True
+
+    def take_reply(self, reply: ClaimsReply) -> None:
+        """Collect a part of a peer's answer."""
+        current = self.round
+        if current is None or reply.query != current.query or reply.stale:
+            return
+        peer = Identity(reply.agent, reply.incarnation)
+        parts = current.replies.setdefault(peer, {})
+        parts[reply.part] = reply
+        if len(parts) == reply.parts:
+            current.missing.pop(peer, None)
+
+    def finish_round(self, now: float) -> Round | None:
+        """End the asking if everybody answered, and return it."""
+        current = self.round
+        if current is None or not current.is_complete(now):
+            return None
+        self.round = None
+        complete = self._is_complete(current, now)
+        for bucket in current.buckets:
+            self.given_up.pop(bucket, None)
+            if complete:
+                self._guarded.pop(bucket, None)
+            else:
+                self._guarded.setdefault(bucket, current.began)
+        self.settled |= current.buckets & self.homes
+        return current
+
+    def _is_complete(self, current: Round, now: float) -> bool:
+        """Return whether every claim of the buckets is known by now."""
+        lost = {gone for gone, at in self._lost.items() if now - at <= NEEDED_S}
+        witnessed = self.get_memory_age(now) >= NEEDED_S
+        for parts in current.replies.values():
+            reply = next(iter(parts.values()))
+            witnessed = witnessed or reply.memory_age >= NEEDED_S
+            for gone in reply.lost:
+                lost.add(Identity(gone.agent, gone.incarnation))
+        answered = {peer for peer in current.replies if peer not in current.missing}
+        lost -= answered
+        lost -= self.left_cleanly
+        lost.discard(self.identity)
+        return witnessed and len(lost) <= MAX_LOST_MEMORIES
+
+    def note_bequest(self, leaver: Identity, part: int, parts: int) -> None:
+        """Note that an agent left its knowledge before it stopped."""
+        heard = self._bequests.setdefault(leaver, set())
+        heard.add(part)
+        if len(heard) == parts:
+            self.left_cleanly.add(leaver)
+
+    def get_memory_age(self, now: float) -> float:
+        """Return how far back this agent remembers, in seconds."""
+        return 0.0 if self._since is None else now - self._since
+
+    def list_lost(self, now: float) -> list[Lost]:
+        """Return the agents whose memory was lost without a bequest."""
+        found = []
+        for identity, at in self._lost.items():
+            if now - at > NEEDED_S or identity in self.left_cleanly:
+                continue
+            found.append(Lost(identity.name, identity.incarnation, now - at))
+        return found
--- /dev/null
+++ b/fulmarshore/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The library for callers that state requests."""
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -94,6 +94,10 @@
         Time over which a cold upstream is expected to warm, in seconds.
     drain_timeout : float
         Longest time that a draining upstream keeps its flows, in seconds.
+    slots, connections : int
+        Bounds below what an upstream announces; 0 leaves the announced ones.
+    cold_share : float
+        Share of its slots that a cold upstream bears.
     """
 
     name: str
@@ -105,6 +109,9 @@
     idle_timeout: float = 300.0
     slow_start: float = 30.0
     drain_timeout: float = 3600.0
+    slots: int = 0
+    connections: int = 0
+    cold_share: float = 0.1
 
 
 class Service(Record, frozen=True):
@@ -276,6 +283,9 @@
     TOO_MANY_HOPS = "too_many_hops"
     MALFORMED = "malformed"
     EXPIRED = "expired"
+    LEDGER_FULL = "ledger_full"
+    BARRED = "barred"
+    BODY_NOT_HELD = "body_not_held"
     CANCELLED = "cancelled"
     SHED = "shed"
     STOPPING = "stopping"
@@ -384,6 +394,8 @@
         Asks to give the request up; carries no body.
     body : bytes
         The work itself.
+    age : float
+        Time since the first copy of the request was sent, in seconds.
     """
 
     service: str
@@ -394,6 +406,7 @@
     idempotent: bool
     cancel: bool
     body: bytes
+    age: float = 0.0
 
 
 class Verdict(enum.StrEnum):
@@ -421,6 +434,214 @@
 
 RequestMessage = Union[Request, Response]
 
+# --------------------------------------------------------------------------
+# Requests between agents: claims, hand-overs and what is known of buckets
+# --------------------------------------------------------------------------
+
+
+class Claim(Record, frozen=True):
+    """What an agent knows about a request, as its peers learn it.
+
+    Parameters
+    ----------
+    flow : bytes, 16 bytes
+        Key of the request.
+    caller, number : str, int
+        The real fields behind the key.
+    attempt : int
+        Highest attempt that the claim covers.
+    verdict : Verdict or None
+        The outcome, or None while there is none.
+    reason, body : str, bytes
+        The rest of the outcome.
+    life : float
+        Time that the claim is still kept, in seconds.
+    coordinator, incarnation : str, int
+        The agent that decides the outcome.
+    version, sequence : int
+        Order of the claim's states: table version and number of the change.
+    executor, executor_incarnation : str, int
+        The agent that runs it, or an empty name.
+    run : int
+        Number of the hand-over.
+    """
+
+    flow: bytes
+    caller: str
+    number: int
+    attempt: int
+    verdict: Verdict | None
+    reason: str
+    body: bytes
+    life: float
+    coordinator: str
+    incarnation: int
+    version: int
+    sequence: int
+    executor: str = ""
+    executor_incarnation: int = 0
+    run: int = 0
+
+
+class ClaimBackup(Record, frozen=True):
+    """A home shows a claim to a peer before it acts on it."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    claim: Claim
+
+
+class ClaimBackupReply(Record, frozen=True):
+    """The peer holds the claim, or knows another home of its bucket."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flow: bytes
+    sequence: int
+    accepted: bool
+
+
+class RunRequest(Record, frozen=True):
+    """A home hands a request over to an executor, or asks what became of it.
+
+    Parameters
+    ----------
+    executor, executor_incarnation : str, int
+        The one life of the one agent that may run it.
+    flow : bytes
+        Key of the request.
+    run : int
+        Number of the hand-over, higher with each one of the request.
+    cancel : bool
+        Bars the hand-over, or gives it up.
+    request : Request
+        The work; its timeout is what is left of it.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    executor: str
+    executor_incarnation: int
+    flow: bytes
+    run: int
+    cancel: bool
+    request: Request
+
+
+class RunReply(Record, frozen=True):
+    """What became of a hand-over; ``verdict`` is None while it is held.
+
+    ``used`` and ``limit`` tell the load of the executor, in requests.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flow: bytes
+    run: int
+    verdict: Verdict | None
+    reason: str
+    body: bytes
+    used: int
+    limit: float
+
+
+class SlotReport(Record, frozen=True):
+    """The requests an executor holds and works on at once at most."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    used: int
+    limit: float
+
+
+class ClaimsQuery(Record, frozen=True):
+    """A new home asks a peer for all it knows of some buckets.
+
+    From its answer on, the peer knows the sender as the home of them.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    query: int
+    buckets: list[int]
+
+
+class Lost(Record, frozen=True):
+    """An agent whose memory of requests was lost some seconds ago."""
+
+    agent: str
+    incarnation: int
+    age: float
+
+
+class ClaimsReply(Record, frozen=True):
+    """One part of a peer's claims and runs in the buckets asked for.
+
+    Parameters
+    ----------
+    query : int
+        Number of the query.
+    stale : bool
+        The peer knows a newer configuration with another home.
+    part, parts : int
+        This part and their number.
+    memory_age : float
+        How far back the peer remembers, in seconds.
+    lost : list of Lost
+        Agents of the service that the peer saw vanish.
+    claims, runs : list of Claim
+        What it knows as home or peer of the home, and as executor.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    query: int
+    stale: bool
+    part: int
+    parts: int
+    memory_age: float
+    lost: list[Lost]
+    claims: list[Claim]
+    runs: list[Claim]
+
+
+class Bequest(Record, frozen=True):
+    """An agent that stops as planned leaves what it knows to its peers."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    part: int
+    parts: int
+    claims: list[Claim]
+    runs: list[Claim]
+
+
+class BequestReply(Record, frozen=True):
+    """A peer took a part of what a stopping agent knows."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    part: int
+
+
 # --------------------------------------------------------------------------
 # Control links: messages between control, entry hosts, agents and operators
 # --------------------------------------------------------------------------
@@ -563,6 +784,15 @@
     TakeoverReply,
     Delta,
     DeltaRequest,
+    ClaimBackup,
+    ClaimBackupReply,
+    RunRequest,
+    RunReply,
+    SlotReport,
+    ClaimsQuery,
+    ClaimsReply,
+    Bequest,
+    BequestReply,
 ]
 ControlMessage = Union[
     Subscribe,
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from fulmarshore.admission.gate import Gate
+from fulmarshore.admission.requests import RequestCore
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
@@ -70,6 +71,7 @@
         self.flows: dict[bytes, Flow] = {}
         self.directory = Directory()
         self.gate = Gate(self.member)
+        self.requests = RequestCore(subscriber)
         self._loads: dict[str, LoadReport] = {}
         self._reported_flows = -1
         self._reported_at = float("-inf")
@@ -78,6 +80,8 @@
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
+        if self.requests.takes(event, self.table):
+            return self.requests.handle(event, self.table, now)
         match event:
             case PeerMessage():
                 return self._handle_peer(event, now)
@@ -372,12 +376,15 @@
 
     def _tick(self, now: float) -> list[Effect]:
         if now >= self._stopping_at or (
-            self._stopping_at < float("inf") and not self.flows
+            self._stopping_at < float("inf")
+            and not self.flows
+            and self.requests.is_idle(now)
         ):
             return [*self.subscriber.leave(), Stopped()]
         effects = self.subscriber.tick(now)
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
+        effects += self.requests.handle(Tick(), self.table, now)
         return effects
 
     def _report_load(self, now: float) -> list[Effect]:
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 
+from fulmarshore.admission.refusals import refuse_request
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_flow, hash_request
 from fulmarshore.core.phases import find_phase
@@ -117,7 +118,8 @@
         flow = hash_request(request.service, request.caller, request.number)
         hint = self._make_hint(service, flow)
         if hint is None:
-            return self._drop(Reason.NO_UPSTREAM)
+            self.counters[f"dropped_{Reason.NO_UPSTREAM}"] += 1
+            return [refuse_request(request, event.source)]
         return [self._send(service, hint, Phase.OPENING, event)]
 
     def _send(
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -44,12 +44,18 @@
         Shares of 1.
     min_delay, max_delay : float
         Bounds of the delay of a message, in seconds.
+    late : float
+        Share of messages of which one more copy comes much later.
+    max_late : float
+        Bound of the delay of such a copy, in seconds.
     """
 
     loss: float = 0.0
     duplication: float = 0.0
     min_delay: float = 0.0005
     max_delay: float = 0.002
+    late: float = 0.0
+    max_late: float = 0.0
 
 
 Observe = Callable[["Node", Effect, float], None]
@@ -130,6 +136,23 @@
         """Hand an event to a core now."""
         self._deliver(self.nodes[name], event)
 
+    def draw_delays(self) -> list[float]:
+        """Return the delay of each copy of a message, none if it is lost."""
+        faults = self.faults
+        delays = []
+        copies = 1 + (self.random.random() < faults.duplication)
+        for _ in range(copies):
+            if self.random.random() < faults.loss:
+                continue
+            delays.append(self.random.uniform(faults.min_delay, faults.max_delay))
+        if faults.late and self.random.random() < faults.late:
+            delays.append(self.random.uniform(0.0, faults.max_late))
+        return delays
+
+    def schedule(self, delay: float, name: str, event: Event) -> None:
+        """Hand an event to a core after a delay."""
+        self._push(self.now + delay, name, event)
+
     def run(self, seconds: float) -> None:
         """Run for a time."""
         until = self.now + seconds
@@ -162,12 +185,7 @@
     def _transmit(self, source: str, target: str | None, event: Event) -> None:
         if target not in self.nodes or (source, target) in self._cut:
             return
-        faults = self.faults
-        copies = 1 + (self.random.random() < faults.duplication)
-        for _ in range(copies):
-            if self.random.random() < faults.loss:
-                continue
-            delay = self.random.uniform(faults.min_delay, faults.max_delay)
+        for delay in self.draw_delays():
             self._push(self.now + delay, target, event)
 
     def _push(self, at: float, name: str, event: Event) -> None:
--- /dev/null
+++ b/fulmarshore/standins/work.py
@@ -0,0 +1,177 @@
+"""A stand-in upstream for requests: cold, warm, shedding, falling over."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from random import Random
+
+from msgspec import Struct
+
+from fulmarshore.core.codec import decode_request, encode
+from fulmarshore.core.records import (
+    Event,
+    Reason,
+    Request,
+    Response,
+    UpstreamDatagram,
+    UpstreamGone,
+    Verdict,
+)
+
+
+class WorkModel(Struct, frozen=True):
+    """What a stand-in upstream bears.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that it works on at once when warm.
+    service_s : float
+        Mean service time when warm, in seconds.
+    cold_share : float
+        Share of the slots that it bears when cold.
+    cold_factor : float
+        Service time when cold over that when warm.
+    warm_up_s : float
+        Time at its cold load and growing with it until it is warm, in seconds.
+    spread : float
+        Largest deviation of a service time from its mean, as a share.
+    strain : float
+        Work above what it bears at which it falls over, in service times of
+        all slots.
+    restart_s : float
+        Time that it is away after it fell over, in seconds.
+    sheds : bool
+        Whether it refuses work when it is strained.
+    """
+
+    slots: int = 3
+    service_s: float = 0.1
+    cold_share: float = 0.1
+    cold_factor: float = 3.0
+    warm_up_s: float = 30.0
+    spread: float = 0.2
+    strain: float = 15.0
+    restart_s: float = 3.0
+    sheds: bool = False
+
+
+class WorkUpstream:
+    """Answers requests after their service time, as its warmth allows.
+
+    Events towards the agent come out of ``take`` with their delays, so any
+    network may carry them.
+    """
+
+    def __init__(self, name: str, model: WorkModel, random: Random) -> None:
+        self.name = name
+        self.model = model
+        self.random = random
+        self.warmth = 0.0
+        self.overloads = 0
+        self.finished = 0
+        self.ran: Counter[tuple[str, int]] = Counter()
+        self.seen: set[tuple[bytes, int]] = set()
+        self._working: dict[bytes, tuple[Request, float]] = {}
+        self._strain = 0.0
+        self._looked_at = 0.0
+        self._down_until = 0.0
+
+    def find_bearable(self) -> float:
+        """Return the requests in work that it bears for long."""
+        cold = self.model.cold_share
+        return self.model.slots * (cold + (1.0 - cold) * self.warmth)
+
+    def turn_cold(self) -> None:
+        """Lose all warmth without a sign."""
+        self.warmth = 0.0
+
+    def take(
+        self, flow: bytes, payload: bytes, now: float
+    ) -> list[tuple[float, Event]]:
+        """Take a datagram of the agent and return what comes back and when."""
+        request = decode_request(payload, self.name)
+        assert isinstance(request, Request)
+        lost = self._look(now)
+        if now < self._down_until:
+            return [*lost, (0.001, UpstreamGone(flow))]
+        if request.cancel:
+            return [*lost, *self._cancel(flow, request)]
+        if self.model.sheds and self._strain > 0.5 * self._find_limit():
+            return [*lost, self._respond(flow, request, Verdict.NOT_RUN, b"", 0.001)]
+        self.ran[request.caller, request.number] += 1
+        self._working[flow] = (request, now)
+        cold = 1.0 + (self.model.cold_factor - 1.0) * (1.0 - self.warmth)
+        spread = self.random.uniform(1 - self.model.spread, 1 + self.model.spread)
+        delay = self.model.service_s * cold * spread
+        body = b"done:" + request.body
+        return [*lost, self._respond(flow, request, Verdict.ANSWERED, body, delay)]
+
+    def finish(self, event: UpstreamDatagram, now: float) -> bool:
+        """Return whether an answer that is due is still given."""
+        self._look(now)
+        response = decode_request(event.payload, self.name)
+        if response.verdict != Verdict.ANSWERED:
+            return True
+        held = self._working.get(event.flow)
+        if held is None or held[0].number != response.number:
+            return False
+        del self._working[event.flow]
+        self.finished += 1
+        self._warm(now - held[1])
+        return True
+
+    def _warm(self, work: float) -> None:
+        cold = self.model.cold_share
+        span = self.model.slots * self.model.warm_up_s
+        growth = -math.log(cold) / (1.0 - cold)
+        self.warmth = min(self.warmth + growth * work / span, 1.0)
+
+    def _cancel(self, flow: bytes, request: Request) -> list[tuple[float, Event]]:
+        held = self._working.pop(flow, None)
+        verdict = Verdict.NOT_RUN if held is None else Verdict.UNKNOWN
+        response = Response(
+            request.service,
+            request.caller,
+            request.number,
+            request.attempt,
+            verdict,
+            Reason.CANCELLED,
+            b"",
+        )
+        return [(0.001, UpstreamDatagram(flow, encode(response)))]
+
+    def _respond(
+        self, flow: bytes, request: Request, verdict: Verdict, body: bytes, delay: float
+    ) -> tuple[float, Event]:
+        reason = Reason.SHED if verdict == Verdict.NOT_RUN else ""
+        response = Response(
+            request.service,
+            request.caller,
+            request.number,
+            request.attempt,
+            verdict,
+            reason,
+            body,
+        )
+        return delay, UpstreamDatagram(flow, encode(response))
+
+    def _find_limit(self) -> float:
+        return self.model.strain * self.model.service_s * self.model.slots
+
+    def _look(self, now: float) -> list[tuple[float, Event]]:
+        """Bring the strain up to date; fall over when it is too much."""
+        passed = now - self._looked_at
+        self._looked_at = now
+        above = len(self._working) - self.find_bearable() * 1.05
+        self._strain = max(self._strain + above * passed, 0.0)
+        if self._strain <= self._find_limit():
+            return []
+        self.overloads += 1
+        self._strain = 0.0
+        self.warmth = 0.0
+        self._down_until = now + self.model.restart_s
+        gone = [(0.001, UpstreamGone(flow)) for flow in self._working]
+        self._working.clear()
+        return gone
