--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -171,7 +171,8 @@
             self.executor = Executor(self.member, service.profile)
         self.executor.version = table.version
         self.executor.follow(service.profile)
-        self.home.settlement.follow(service, table.version, now)
+        announced = self._list_announced()
+        self.home.settlement.follow(service, table.version, announced, now)
         effects: list[Effect] = []
         out = self.member.zone in table.zones_out
         if out and self.executor.closed is None:
@@ -180,6 +181,13 @@
             self.executor.open(now)
         return effects + self._settle(now)
 
+    def _list_announced(self) -> set[Identity]:
+        found = set()
+        for stamped in self.subscriber.view.items.values():
+            if isinstance(stamped.item, Member):
+                found.add(Identity(stamped.item.name, stamped.item.incarnation))
+        return found
+
     def _check_lease(self, now: float) -> None:
         """Without a lease another agent may become home of its buckets."""
         age = now - self.subscriber.lease_renewed
@@ -376,6 +384,7 @@
     def _answer_query(
         self, query: ClaimsQuery, source: Address, now: float
     ) -> list[Effect]:
+        homes = self.home.settlement.list_homes(set(query.buckets), now)
         stale = not self.home.settlement.give_up(query)
         buckets = set() if stale else set(query.buckets)
         claims = self.home.ledger.list_in(buckets, now)
@@ -394,6 +403,7 @@
                 len(parts),
                 self.home.settlement.get_memory_age(now),
                 self.home.settlement.list_lost(now),
+                homes if part == 0 else [],
                 some_claims,
                 some_runs,
             )
--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -1,9 +1,9 @@
 """What a home must know of a bucket before it admits non-idempotent work.
 
-Each claim is held by its home and by one peer, so one lost memory loses no
-claim. A new home asks every member once; when more than one memory was lost
-within the life of a claim, only requests that are provably younger than the
-loss are admitted until that life is over.
+A new home asks every member once. If the last home answers, its claims are
+all there are. If it is lost, each of its claims is held by one peer, so no
+claim is lost unless one more memory is. Then only requests that are provably
+younger than the loss are admitted until the life of a claim is over.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
     ClaimsReply,
     Effect,
     Identity,
+    KnownHome,
     Lost,
     Member,
     SendPeer,
@@ -36,17 +37,28 @@
 class Round:
     """One asking of all members about some buckets."""
 
-    __slots__ = ("query", "buckets", "began", "sent_at", "missing", "former", "replies")
+    __slots__ = (
+        "query",
+        "version",
+        "buckets",
+        "began",
+        "sent_at",
+        "missing",
+        "former",
+        "replies",
+    )
 
     def __init__(
         self,
         query: int,
+        version: int,
         buckets: set[int],
         asked: dict[Identity, Address],
         former: dict[Identity, Address],
         now: float,
     ) -> None:
         self.query = query
+        self.version = version
         self.buckets = buckets
         self.began = now
         self.sent_at = float("-inf")
@@ -62,6 +74,18 @@
             return False
         return now - self.began >= FORMER_WAIT_S
 
+    def list_answered(self) -> set[Identity]:
+        """Return who answered completely."""
+        return {peer for peer in self.replies if peer not in self.missing}
+
+    def list_homes(self) -> list[tuple[Identity, KnownHome]]:
+        """Return what the peers know about earlier homes, and who knows it."""
+        found = []
+        for peer, parts in self.replies.items():
+            for reply in parts.values():
+                found += [(peer, home) for home in reply.homes]
+        return found
+
 
 class Settlement:
     """The buckets that an agent is home of, and what it knows about them.
@@ -79,18 +103,33 @@
         self.homes: set[int] = set()
         self.settled: set[int] = set()
         self.given_up: dict[int, tuple[Identity, int]] = {}
+        self.terms: dict[int, int] = {}
         self.left_cleanly: set[Identity] = set()
         self._service: ServiceTable | None = None
         self._members: dict[Identity, Address] = {}
         self._former: dict[Identity, tuple[Address, float]] = {}
         self._lost: dict[Identity, float] = {}
         self._guarded: dict[int, float] = {}
+        self._announced: set[Identity] = set()
         self._bequests: dict[Identity, set[int]] = {}
         self._since: float | None = None
         self._queries = 0
 
-    def follow(self, service: ServiceTable, version: int, now: float) -> None:
-        """Take a new table of the service."""
+    def follow(
+        self,
+        service: ServiceTable,
+        version: int,
+        announced: set[Identity],
+        now: float,
+    ) -> None:
+        """Take a new table of the service.
+
+        Parameters
+        ----------
+        announced : set of Identity
+            Members of the view, also those in a zone that is out: they may
+            go on until they hear of it.
+        """
         if self._since is None:
             self._since = now
         self.version = version
@@ -105,9 +144,7 @@
         self._members = members
         self.homes = self._find_homes(service)
         self.settled &= self.homes
-        for bucket in list(self._guarded):
-            if bucket not in self.homes:
-                del self._guarded[bucket]
+        self._announced = announced
         self._ask(now)
 
     def unsettle(self, now: float) -> None:
@@ -151,11 +188,11 @@
         asked.pop(self.identity, None)
         former = {}
         for identity, (address, gone_at) in self._former.items():
-            if now - gone_at > FORMER_WAIT_S or identity in self.left_cleanly:
+            if now - gone_at > FORMER_WAIT_S or identity not in self._announced:
                 continue
             former[identity] = address
         self._queries += 1
-        self.round = Round(self._queries, unsettled, asked, former, now)
+        self.round = Round(self._queries, self.version, unsettled, asked, former, now)
 
     def find_home(self, bucket: int) -> Identity | None:
         """Return the home of a bucket as far as the agent knows."""
@@ -242,18 +279,52 @@
         if current is None or not current.is_complete(now):
             return None
         self.round = None
-        complete = self._is_complete(current, now)
+        is_survived = self._is_survived(current, now)
+        guards = self._find_guards(current, now)
         for bucket in current.buckets:
             self.given_up.pop(bucket, None)
-            if complete:
-                self._guarded.pop(bucket, None)
-            else:
-                self._guarded.setdefault(bucket, current.began)
-        self.settled |= current.buckets & self.homes
+            self._guarded.pop(bucket, None)
+            guard = guards.get(bucket, float("inf"))
+            if guard < 0.0 or (guard == float("inf") and is_survived):
+                continue
+            lost_at = current.began if guard == float("inf") else now - guard
+            self._guarded[bucket] = lost_at
+        for bucket in current.buckets & self.homes:
+            self.settled.add(bucket)
+            self.terms[bucket] = current.version
         return current
 
-    def _is_complete(self, current: Round, now: float) -> bool:
-        """Return whether every claim of the buckets is known by now."""
+    def _find_guards(self, current: Round, now: float) -> dict[int, float]:
+        """Return the buckets whose last home told all it knew.
+
+        Returns
+        -------
+        guards : dict
+            By bucket, the time since that home lost claims, below 0 for never.
+        """
+        answered = current.list_answered()
+        answered.add(self.identity)
+        told: dict[int, tuple[int, float]] = {}
+        silent: dict[int, int] = {}
+        known = current.list_homes()
+        for home in self.list_homes(current.buckets, now):
+            known.append((self.identity, home))
+        for peer, home in known:
+            who = Identity(home.agent, home.incarnation)
+            for bucket in home.buckets:
+                if home.settled and who == peer:
+                    best = told.get(bucket, (-1, 0.0))
+                    told[bucket] = max(best, (home.version, home.guard))
+                if who not in answered:
+                    silent[bucket] = max(silent.get(bucket, -1), home.version)
+        guards = {}
+        for bucket, (version, guard) in told.items():
+            if version > silent.get(bucket, -1):
+                guards[bucket] = guard
+        return guards
+
+    def _is_survived(self, current: Round, now: float) -> bool:
+        """Return whether each claim has a holder left among those who answered."""
         lost = {gone for gone, at in self._lost.items() if now - at <= NEEDED_S}
         witnessed = self.get_memory_age(now) >= NEEDED_S
         for parts in current.replies.values():
@@ -261,12 +332,32 @@
             witnessed = witnessed or reply.memory_age >= NEEDED_S
             for gone in reply.lost:
                 lost.add(Identity(gone.agent, gone.incarnation))
-        answered = {peer for peer in current.replies if peer not in current.missing}
-        lost -= answered
+        lost -= current.list_answered()
         lost -= self.left_cleanly
         lost.discard(self.identity)
         return witnessed and len(lost) <= MAX_LOST_MEMORIES
 
+    def list_homes(self, buckets: set[int], now: float) -> list[KnownHome]:
+        """Return what this agent knows about homes of some buckets."""
+        groups: dict[tuple[Identity, int, bool, float], list[int]] = {}
+        for bucket in buckets:
+            term = self.terms.get(bucket)
+            if term is not None:
+                lost_at = self._guarded.get(bucket)
+                guard = -1.0 if lost_at is None else now - lost_at
+                key = (self.identity, term, True, guard)
+                groups.setdefault(key, []).append(bucket)
+            given = self.given_up.get(bucket)
+            if given is not None:
+                key = (given[0], given[1], False, -1.0)
+                groups.setdefault(key, []).append(bucket)
+        homes = []
+        for (home, version, settled, guard), held in groups.items():
+            homes.append(
+                KnownHome(home.name, home.incarnation, version, settled, guard, held)
+            )
+        return homes
+
     def note_bequest(self, leaver: Identity, part: int, parts: int) -> None:
         """Note that an agent left its knowledge before it stopped."""
         heard = self._bequests.setdefault(leaver, set())
--- /dev/null
+++ b/fulmarshore/bench/once.py
@@ -0,0 +1,240 @@
+"""Requests under every fault: at most once, true refusals, right answers."""
+
+from __future__ import annotations
+
+from random import Random
+
+from msgspec import Struct
+
+from fulmarshore.core.records import Kind, Profile, Zone
+from fulmarshore.standins.network import Faults
+from fulmarshore.standins.requests import RequestWorld
+from fulmarshore.standins.work import WorkModel
+
+TIMEOUT_S = 8.0
+WARM_UP_S = 8.0
+SETTLE_S = 45.0
+STEP_S = 0.05
+CANCEL_SHARE = 0.02
+IDEMPOTENT_SHARE = 0.1
+
+FAULTS = Faults(
+    loss=0.01,
+    duplication=0.03,
+    min_delay=0.0005,
+    max_delay=0.01,
+    late=0.01,
+    max_late=4.5,
+)
+CALM = Faults()
+PROFILE = Profile(
+    "orders", Kind.NON_IDEMPOTENT, deadline=TIMEOUT_S, slow_start=3.0, cold_share=0.5
+)
+MODEL = WorkModel(
+    slots=3, service_s=0.02, cold_factor=1.0, warm_up_s=1.0, strain=1000.0
+)
+
+
+class OnceResult(Struct, frozen=True):
+    """What the run gave.
+
+    Parameters
+    ----------
+    requests, answered, not_run, unknown : int
+        Requests and their outcomes.
+    ran_twice, false_refusals, wrong_answers : int
+        Broken promises.
+    goodput : float
+        Answered requests as a share of all.
+    unknown_reasons, refused_reasons : dict
+        Outcomes by reason.
+    faults : dict
+        How often each fault was caused.
+    """
+
+    seed: int
+    requests: int
+    answered: int
+    not_run: int
+    unknown: int
+    ran_twice: int
+    false_refusals: int
+    wrong_answers: int
+    goodput: float
+    unknown_reasons: dict[str, int]
+    refused_reasons: dict[str, int]
+    faults: dict[str, int]
+
+
+class FaultPlan:
+    """Causes one fault after another in a world.
+
+    Parameters
+    ----------
+    world : RequestWorld
+        Where they happen.
+    agents : int
+        Agents that the world started with.
+    """
+
+    def __init__(self, world: RequestWorld, agents: int, seed: int) -> None:
+        self.world = world
+        self.random = Random(seed)
+        self.names = [f"agent{number}" for number in range(agents)]
+        self.counts: dict[str, int] = {}
+        self.down: dict[str, float] = {}
+        self.zone_back_at = float("inf")
+        self.entry_back_at = float("inf")
+
+    def cause(self, kind: str) -> None:
+        """Cause one fault now."""
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        now = self.world.network.now
+        up = [name for name in self.names if name not in self.down]
+        name = self.random.choice(up) if up else ""
+        match kind:
+            case "agent_crash" if len(up) > 2:
+                self.world.network.stop(name)
+                self.down[name] = now + self.random.uniform(4.0, 12.0)
+            case "agent_restart" if name:
+                self.world.start_agent(name)
+            case "two_agents_crash" if len(up) > 3:
+                for gone in self.random.sample(up, 2):
+                    self.world.network.stop(gone)
+                    self.down[gone] = now + self.random.uniform(0.0, 8.0)
+            case "address_reuse" if name:
+                self._reuse_address(name)
+            case "drain" if len(up) > 2:
+                self.world.stop_agent(name)
+                self.down[name] = now + self.random.uniform(4.0, 12.0)
+            case "zone_out" if self.zone_back_at == float("inf"):
+                self.world.change(Zone("b", True))
+                self.zone_back_at = now + self.random.uniform(2.0, 8.0)
+            case "entry_restart":
+                self.world.start_entry("entry1")
+            case "partition" if name:
+                others = [n for n in self.names if n != name]
+                self.world.network.part([name], [*others, "control"])
+
+    def _reuse_address(self, name: str) -> None:
+        """Another process takes the address of one that crashed."""
+        self.world.network.stop(name)
+        place = next(p for p, work in self.world.works.items() if work.agent == name)
+        fresh = f"{place.split('-')[0]}-{self.counts['address_reuse']}"
+        self.world.start_agent(fresh, place)
+        self.names[self.names.index(name)] = fresh
+
+    def repair(self) -> None:
+        """Bring back what is due."""
+        now = self.world.network.now
+        for name, at in list(self.down.items()):
+            if now < at:
+                continue
+            del self.down[name]
+            place = next(p for p, w in self.world.works.items() if w.agent == name)
+            self.world.start_agent(name, place)
+        if now >= self.zone_back_at:
+            self.zone_back_at = float("inf")
+            self.world.change(Zone("b"))
+
+    def heal(self) -> None:
+        """End every partition and bring back everything."""
+        self.world.network.heal()
+        for name in list(self.down):
+            self.down[name] = 0.0
+        if self.zone_back_at < float("inf"):
+            self.zone_back_at = 0.0
+        self.repair()
+
+
+KINDS = (
+    "agent_crash",
+    "agent_restart",
+    "agent_restart",
+    "two_agents_crash",
+    "address_reuse",
+    "drain",
+    "drain",
+    "zone_out",
+    "entry_restart",
+    "partition",
+)
+
+
+def run_once(
+    seed: int,
+    requests: int,
+    rate: float = 150.0,
+    fault_interval: float = 4.0,
+    agents: int = 5,
+    faults: Faults = FAULTS,
+    kinds: tuple[str, ...] = KINDS,
+) -> tuple[OnceResult, RequestWorld]:
+    """Run requests while one fault follows the other.
+
+    Parameters
+    ----------
+    rate : float
+        New requests a second.
+    fault_interval : float
+        Mean time between two faults, in seconds.
+    """
+    world = RequestWorld(seed, PROFILE, MODEL, agents, 3, 6, CALM)
+    plan = FaultPlan(world, agents, seed)
+    random = Random(seed + 1)
+    world.network.run(WARM_UP_S)
+    world.network.faults = faults
+    callers = list(world.callers.values())
+    left = requests
+    fault_at = world.network.now + fault_interval
+    heal_at = float("inf")
+    due = 0.0
+    while left > 0:
+        due += rate * STEP_S
+        while due >= 1.0 and left > 0:
+            due -= 1.0
+            left -= 1
+            _submit(world, random.choice(callers), random)
+        now = world.network.now
+        if now >= fault_at and kinds:
+            kind = random.choice(kinds)
+            plan.cause(kind)
+            if kind == "partition":
+                heal_at = now + random.uniform(0.5, 8.0)
+            fault_at = now + random.expovariate(1.0 / fault_interval)
+        if now >= heal_at:
+            heal_at = float("inf")
+            world.network.heal()
+        plan.repair()
+        world.network.run(STEP_S)
+    plan.heal()
+    world.network.run(SETTLE_S)
+    return _summarise(seed, world, plan), world
+
+
+def _submit(world: RequestWorld, caller, random: Random) -> None:
+    idempotent = random.random() < IDEMPOTENT_SHARE
+    now = world.network.now
+    number = caller.submit(TIMEOUT_S, idempotent, now)
+    if random.random() < CANCEL_SHARE:
+        datagram = caller.core.cancel(number, now)
+        if datagram is not None:
+            world.send(caller, datagram)
+
+
+def _summarise(seed: int, world: RequestWorld, plan: FaultPlan) -> OnceResult:
+    tally = world.tally()
+    return OnceResult(
+        seed,
+        tally.requests,
+        tally.answered,
+        tally.not_run,
+        tally.unknown + tally.open,
+        tally.ran_twice,
+        tally.false_refusals,
+        tally.wrong_answers,
+        tally.answered / max(tally.requests, 1),
+        dict(world.count_unknown()),
+        dict(world.count_refused()),
+        plan.counts,
+    )
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -586,6 +586,32 @@
     age: float
 
 
+class KnownHome(Record, frozen=True):
+    """An agent that was, or wanted to be, the home of some buckets.
+
+    Parameters
+    ----------
+    agent, incarnation : str, int
+        The agent.
+    version : int
+        Version of the table by which it became home.
+    settled : bool
+        Whether the sender is that agent and knew all claims of the buckets.
+    guard : float
+        Time since claims of the buckets were lost, in seconds; below 0 for
+        none.
+    buckets : list of int
+        The buckets.
+    """
+
+    agent: str
+    incarnation: int
+    version: int
+    settled: bool
+    guard: float
+    buckets: list[int]
+
+
 class ClaimsReply(Record, frozen=True):
     """One part of a peer's claims and runs in the buckets asked for.
 
@@ -601,6 +627,8 @@
         How far back the peer remembers, in seconds.
     lost : list of Lost
         Agents of the service that the peer saw vanish.
+    homes : list of KnownHome
+        Earlier homes of the buckets; in the first part only.
     claims, runs : list of Claim
         What it knows as home or peer of the home, and as executor.
     """
@@ -615,6 +643,7 @@
     parts: int
     memory_age: float
     lost: list[Lost]
+    homes: list[KnownHome]
     claims: list[Claim]
     runs: list[Claim]
 
--- a/fulmarshore/standins/requests.py
+++ b/fulmarshore/standins/requests.py
@@ -31,6 +31,7 @@
     SendUpstream,
     Service,
     Stop,
+    Stopped,
     UpstreamDatagram,
     UpstreamGone,
     Zone,
@@ -247,6 +248,8 @@
                 self.network.schedule(delay, caller.name, event)
 
     def _observe_agent(self, node: Node, effect: Effect, now: float) -> None:
+        if isinstance(effect, Stopped):
+            self.network.stop(node.name)
         if isinstance(effect, SendUpstream):
             work = self.works[node.name]
             incarnation = node.core.member.incarnation
