One backup for each bucket; former homes hand unstarted requests back

A write now counts only in a settled term, executors bar hand-overs of former homes, and what nobody runs goes back to the new home.

--- /dev/null
+++ b/fulmarshore/admission/backups.py
@@ -0,0 +1,174 @@
+"""Backups: for each bucket of a home, one peer that holds all its claims.
+
+A home keeps its backup as long as that peer is a member. A peer that loses
+its lease, or whose zone was out, forgets that it was a backup. So whoever
+says that it is the backup of the last home of a bucket holds all its claims.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from fulmarshore.admission.settlement import Settlement
+from fulmarshore.core.records import (
+    Address,
+    BackupSync,
+    BackupSyncReply,
+    Effect,
+    Identity,
+    KnownHome,
+    Member,
+    SendPeer,
+)
+from fulmarshore.routing.table import ServiceTable
+
+SYNC_INTERVAL_S = 0.1
+
+MakeParts = Callable[[set[int]], list[list]]
+
+
+class Sync:
+    """One showing of all claims in some buckets to their backup."""
+
+    __slots__ = ("number", "peer", "address", "buckets", "parts", "sent_at")
+
+    def __init__(
+        self, number: int, peer: Identity, address: Address, buckets: set[int]
+    ) -> None:
+        self.number = number
+        self.peer = peer
+        self.address = address
+        self.buckets = buckets
+        self.parts: dict[int, BackupSync] = {}
+        self.sent_at = float("-inf")
+
+
+class Backups:
+    """The backups of an agent's buckets, and the buckets that it backs up.
+
+    Parameters
+    ----------
+    member : Member
+        The agent's own announcement.
+    settlement : Settlement
+        What the agent is home of.
+    """
+
+    def __init__(self, member: Member, settlement: Settlement) -> None:
+        self.member = member
+        self.settlement = settlement
+        self._backups: dict[int, Identity] = {}
+        self._syncs: dict[Identity, Sync] = {}
+        self._heard: dict[tuple[Identity, int], set[int]] = {}
+        self._terms: dict[tuple[Identity, int], list[KnownHome]] = {}
+        self._numbers = 0
+
+    def find(self, bucket: int) -> Identity | None:
+        """Return the backup of a bucket."""
+        return self._backups.get(bucket)
+
+    def follow(
+        self, service: ServiceTable, make_parts: MakeParts, now: float
+    ) -> list[Effect]:
+        """Choose a backup for each settled bucket that has none any more."""
+        members = {Identity(m.name, m.incarnation): m for m in service.members}
+        settled = self.settlement.settled
+        for bucket, peer in list(self._backups.items()):
+            if bucket in settled and peer in members:
+                continue
+            del self._backups[bucket]
+        for peer in list(self._syncs):
+            if peer not in members:
+                del self._syncs[peer]
+        chosen: dict[Identity, set[int]] = {}
+        for bucket in settled:
+            if bucket in self._backups:
+                continue
+            member = self._choose(service, bucket)
+            if member is None:
+                continue
+            peer = Identity(member.name, member.incarnation)
+            self._backups[bucket] = peer
+            chosen.setdefault(peer, set()).add(bucket)
+        for peer, buckets in chosen.items():
+            self._begin(peer, members[peer], buckets, make_parts, now)
+        return self.tick(now)
+
+    def _choose(self, service: ServiceTable, bucket: int) -> Member | None:
+        for member in (*service.get_row(bucket), *service.members):
+            if member.name != self.member.name:
+                return member
+        return None
+
+    def _begin(
+        self,
+        peer: Identity,
+        member: Member,
+        buckets: set[int],
+        make_parts: MakeParts,
+        now: float,
+    ) -> None:
+        former = self._syncs.get(peer)
+        if former is not None:
+            buckets = buckets | (former.buckets & self.settlement.settled)
+        self._numbers += 1
+        address = Address(member.host, member.port)
+        sync = Sync(self._numbers, peer, address, buckets)
+        parts = make_parts(buckets)
+        terms = []
+        for home in self.settlement.list_homes(buckets, now):
+            if home.agent == self.member.name and home.settled:
+                terms.append(home)
+        for part, claims in enumerate(parts):
+            sync.parts[part] = BackupSync(
+                self.member.service,
+                self.member.name,
+                self.member.incarnation,
+                self.settlement.version,
+                sync.number,
+                part,
+                len(parts),
+                terms if part == 0 else [],
+                claims,
+            )
+        self._syncs[peer] = sync
+
+    def tick(self, now: float) -> list[Effect]:
+        """Send again what has not arrived yet."""
+        effects: list[Effect] = []
+        for sync in self._syncs.values():
+            if now - sync.sent_at < SYNC_INTERVAL_S:
+                continue
+            sync.sent_at = now
+            effects += [SendPeer(sync.address, part) for part in sync.parts.values()]
+        return effects
+
+    def take_reply(self, reply: BackupSyncReply) -> None:
+        """Note that a part has arrived."""
+        peer = Identity(reply.agent, reply.incarnation)
+        sync = self._syncs.get(peer)
+        if sync is None or sync.number != reply.sync:
+            return
+        sync.parts.pop(reply.part, None)
+        if not sync.parts:
+            del self._syncs[peer]
+
+    def take(self, message: BackupSync, now: float) -> None:
+        """Become the backup of some buckets once all parts are here.
+
+        The first part names the buckets.
+        """
+        sender = Identity(message.agent, message.incarnation)
+        key = (sender, message.sync)
+        heard = self._heard.setdefault(key, set())
+        heard.add(message.part)
+        if message.part == 0:
+            self._terms[key] = message.terms
+        if len(heard) < message.parts:
+            return
+        for home in self._terms.pop(key, []):
+            self.settlement.back_up(home, now)
+        for old in [held for held in self._heard if held[0] == sender]:
+            if old[1] < message.sync:
+                del self._heard[old]
+                self._terms.pop(old, None)
--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -13,6 +13,7 @@
 
 from msgspec.structs import replace
 
+from fulmarshore.admission.backups import Backups
 from fulmarshore.admission.bounds import (
     COPY_LIFE_S,
     LARGE_BODY_LIFE_S,
@@ -31,8 +32,10 @@
     ClaimBackup,
     ClaimBackupReply,
     Effect,
+    Forward,
     Identity,
     Member,
+    Phase,
     Reason,
     Request,
     Response,
@@ -55,8 +58,6 @@
 MAX_RETRIES = 2
 MAX_OUTCOME_WRITES = 6
 """Tries to show an outcome that was told already."""
-WRITES_PER_PEER = 4
-"""Tries with one peer before the next one in the row is taken."""
 
 PREFERENCE_OF_SELF = 1.25
 """How much more room a peer must have for a hand-over to be worth its hop."""
@@ -64,9 +65,16 @@
 """Added to the load of an executor that has just refused the request."""
 
 RETRYABLE = frozenset(
-    {Reason.FULL, Reason.SHED, Reason.STOPPING, Reason.ZONE_OUT, Reason.DRAINING}
+    {
+        Reason.BARRED,
+        Reason.DRAINING,
+        Reason.FULL,
+        Reason.SHED,
+        Reason.STOPPING,
+        Reason.ZONE_OUT,
+    }
 )
-UNCHARGED = frozenset({Reason.ZONE_OUT, Reason.DRAINING})
+UNCHARGED = frozenset({Reason.ZONE_OUT, Reason.DRAINING, Reason.BARRED})
 """Refusals that tell nothing about load: a retry costs no budget."""
 
 
@@ -89,6 +97,7 @@
         self.table = table
         self.ledger = Ledger()
         self.settlement = Settlement(self.identity)
+        self.backups = Backups(member, self.settlement)
         self.counters: Counter[str] = Counter()
         self.has_lease = True
         self.budget = RetryBudget(0.1)
@@ -205,19 +214,23 @@
         return self._send_write(state, now)
 
     def _send_write(self, state: ClaimState, now: float) -> list[Effect]:
+        is_home = self.settlement.is_home(find_bucket(state.flow))
+        if state.stage == Stage.WRITING and not is_home:
+            return self._hand_back(state, now)
         peers = self._choose_peers(state)
         if not peers and not self.has_lease:
             self._schedule(state, now + WRITE_INTERVAL_S)
             return []
         if not peers:
             return self._proceed(state, now)
-        if not state.needed or state.writes % WRITES_PER_PEER == 0:
-            state.needed = {Identity(peer.name, peer.incarnation) for peer in peers}
-        state.writes += 1
+        chosen = {Identity(peer.name, peer.incarnation) for peer in peers}
+        if not state.needed or not state.needed <= chosen:
+            state.needed = chosen
         self._schedule(state, now + WRITE_INTERVAL_S)
         effects: list[Effect] = []
         for peer in peers:
-            effects.append(self._show(state, peer, now))
+            if Identity(peer.name, peer.incarnation) in state.needed:
+                effects.append(self._show(state, peer, now))
         return effects
 
     def _choose_peers(self, state: ClaimState) -> list[Member]:
@@ -234,12 +247,11 @@
             member = service.by_name.get(home.name)
             if member is not None and member.incarnation == home.incarnation:
                 return [member]
-        row = service.get_row(find_bucket(state.flow))
-        others = [member for member in row if member.name != self.member.name]
-        others = others or [m for m in service.members if m.name != self.member.name]
-        if not self.has_lease or not others:
-            return [m for m in service.members if m.name != self.member.name]
-        return [others[(state.writes // WRITES_PER_PEER) % len(others)]]
+        others = [m for m in service.members if m.name != self.member.name]
+        backup = self.backups.find(find_bucket(state.flow))
+        if not self.has_lease or backup is None or not self._is_member(backup):
+            return others
+        return [service.by_name[backup.name]]
 
     def _show(self, state: ClaimState, peer: Member, now: float) -> SendPeer:
         message = ClaimBackup(
@@ -278,11 +290,77 @@
         return []
 
     def _proceed(self, state: ClaimState, now: float) -> list[Effect]:
+        bucket = find_bucket(state.flow)
+        is_home = self.settlement.is_home(bucket)
+        if is_home and bucket not in self.settlement.settled and not state.idempotent:
+            # Another agent may have been home meanwhile: it is being asked.
+            self._schedule(state, now + WRITE_INTERVAL_S)
+            return []
         if state.stage == Stage.REFUSING:
             return self._conclude(state, now)
         assert state.stage == Stage.WRITING
+        if not is_home and not state.idempotent:
+            return self._hand_back(state, now)
+        state.term = self.settlement.terms.get(bucket, 0)
         return self.hand_over(state, now)
 
+    def _may_hand_over(self, state: ClaimState) -> bool:
+        """Return whether this agent was home all the time since the write."""
+        bucket = find_bucket(state.flow)
+        if state.idempotent:
+            return True
+        if not self.settlement.is_home(bucket):
+            return False
+        if bucket not in self.settlement.settled:
+            return False
+        return self.settlement.terms.get(bucket) == state.term
+
+    def _hand_back(self, state: ClaimState, now: float) -> list[Effect]:
+        """Leave a request that nobody runs to the new home of its bucket.
+
+        What this agent holds says that no attempt before this one ran; the
+        stamp stays that of the former term, so that whatever the new home
+        says is newer.
+        """
+        home = self.settlement.find_home(find_bucket(state.flow))
+        if home is None or state.request is None or home == self.identity:
+            self._schedule(state, now + WRITE_INTERVAL_S)
+            return []
+        self.counters["claims_handed_back"] += 1
+        passed = self._make_packet(state, home, now)
+        state.verdict, state.reason = Verdict.NOT_RUN, Reason.NOT_SETTLED
+        state.attempt -= 1
+        state.stage = Stage.DONE
+        state.request = None
+        state.writes = 0
+        return self._show_outcome(state, now) + passed
+
+    def _make_packet(
+        self, state: ClaimState, home: Identity, now: float
+    ) -> list[Effect]:
+        left = state.deadline - now
+        service = self.service
+        member = service.by_name.get(home.name) if service else None
+        if left <= 0.0 or state.source is None or member is None:
+            return []
+        age = state.request.age + max(state.request.timeout - left, 0.0)
+        request = replace(state.request, attempt=state.attempt, timeout=left, age=age)
+        packet = Forward(
+            self.member.service,
+            home.name,
+            home.incarnation,
+            self.table.version,
+            state.flow,
+            Phase.OPENING,
+            state.source.host,
+            state.source.port,
+            state.entry,
+            1,
+            False,
+            encode(request),
+        )
+        return [SendPeer(Address(member.host, member.port), packet)]
+
     # -- hand-over ---------------------------------------------------------
 
     def hand_over(self, state: ClaimState, now: float) -> list[Effect]:
@@ -405,6 +483,10 @@
         return self.finish(state, Verdict.ANSWERED, reply.reason, reply.body, now)
 
     def _take_refusal(self, state: ClaimState, reason: str, now: float) -> list[Effect]:
+        if reason == Reason.BARRED and not self._may_hand_over(state):
+            state.stage = Stage.WAITING
+            self._schedule(state, now + WRITE_INTERVAL_S)
+            return []
         if reason in RETRYABLE and self._may_retry(state, reason, now):
             return self._retry(state, now)
         return self.refuse(state, reason, now)
@@ -554,6 +636,8 @@
     def fill(self, state: ClaimState, claim: Claim, now: float) -> None:
         """Replace what is known of a claim by what a peer knows."""
         state.coordinator = Identity(claim.coordinator, claim.incarnation)
+        if claim.verdict == Verdict.NOT_RUN:
+            state.attempt = claim.attempt
         state.attempt = max(claim.attempt, state.attempt)
         state.version, state.sequence = claim.version, claim.sequence
         state.verdict, state.reason, state.body = (
@@ -620,8 +704,10 @@
 
     def _advance(self, state: ClaimState, now: float) -> list[Effect]:
         match state.stage:
-            case Stage.WAITING:
+            case Stage.WAITING if self._may_hand_over(state):
                 return self.hand_over(state, now)
+            case Stage.WAITING:
+                return self._write(state, Stage.WRITING, now)
             case Stage.WRITING if now >= state.deadline:
                 return self.refuse(state, Reason.EXPIRED, now)
             case Stage.REFUSING if now >= state.deadline + OVERDUE_S:
--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -140,8 +140,16 @@
         """Return the requests in work and in the queue."""
         return len(self.working) + len(self.queue)
 
-    def take(self, message: RunRequest, source: Address, now: float) -> list[Effect]:
-        """Take a hand-over, or another copy of one."""
+    def take(
+        self, message: RunRequest, source: Address, now: float, barred: bool = False
+    ) -> list[Effect]:
+        """Take a hand-over, or another copy of one.
+
+        Parameters
+        ----------
+        barred : bool
+            The sender is not the home of the bucket any more.
+        """
         assert message.executor == self.member.name
         assert message.executor_incarnation == self.member.incarnation
         held = self.runs.get(message.flow)
@@ -152,6 +160,8 @@
         heapq.heappush(self._expiry, (run.expires, run.flow))
         if message.cancel:
             return self._end(run, Verdict.NOT_RUN, Reason.CANCELLED, b"")
+        if barred:
+            return self._end(run, Verdict.NOT_RUN, Reason.BARRED, b"")
         if self.closed is not None:
             return self._end(run, Verdict.NOT_RUN, self.closed, b"")
         if self.draining:
--- a/fulmarshore/admission/knowledge.py
+++ b/fulmarshore/admission/knowledge.py
@@ -20,15 +20,14 @@
     if (state.caller, state.number) != (claim.caller, claim.number):
         return
     state.expires = max(state.expires, now + claim.life)
-    state.attempt = max(state.attempt, claim.attempt)
     if not _tells_more(home, state, claim):
         return
     home.fill(state, claim, now)
 
 
 def _tells_more(home: Coordinator, state: ClaimState, claim: Claim) -> bool:
-    if state.coordinator == home.identity and state.is_open():
-        return state.stage == Stage.ELSEWHERE
+    if state.coordinator == home.identity and state.stage == Stage.RUNNING:
+        return False
     if state.verdict == Verdict.ANSWERED:
         return False
     if claim.verdict == Verdict.ANSWERED:
--- a/fulmarshore/admission/ledger.py
+++ b/fulmarshore/admission/ledger.py
@@ -69,6 +69,7 @@
         "writes",
         "polls",
         "gone_at",
+        "term",
         "executor_address",
         "idempotent",
         "cancelled",
@@ -101,6 +102,7 @@
         self.writes = 0
         self.polls = 0
         self.gone_at = 0.0
+        self.term = 0
         self.executor_address: Address | None = None
         self.idempotent = False
         self.cancelled = False
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -17,6 +17,8 @@
 from fulmarshore.core.hashing import find_bucket, hash_request
 from fulmarshore.core.records import (
     Address,
+    BackupSync,
+    BackupSyncReply,
     Bequest,
     BequestReply,
     Claim,
@@ -62,6 +64,8 @@
 RequestEvent = (
     ClaimBackup
     | ClaimBackupReply
+    | BackupSync
+    | BackupSyncReply
     | RunRequest
     | RunReply
     | SlotReport
@@ -112,6 +116,7 @@
         self._bequeathed_at = float("inf")
         self._bequest_sent_at = float("-inf")
         self._compared_at = float("-inf")
+        self._zone_version = 0
 
     def takes(self, event: Event, table: Table) -> bool:
         """Return whether an event concerns the requests of this agent."""
@@ -172,6 +177,12 @@
         self.executor.version = table.version
         self.executor.follow(service.profile)
         announced = self._list_announced()
+        stamped = self.subscriber.view.items.get(("Zone", self.member.zone))
+        zone_version = stamped.version if stamped is not None else 0
+        if zone_version != self._zone_version:
+            # The zone may have been out in a version that was never seen here.
+            self._zone_version = zone_version
+            self.home.settlement.unsettle(now)
         self.home.settlement.follow(service, table.version, announced, now)
         effects: list[Effect] = []
         out = self.member.zone in table.zones_out
@@ -179,7 +190,37 @@
             effects += self.executor.close(Reason.ZONE_OUT, True)
         elif not out and self.executor.closed is not None:
             self.executor.open(now)
-        return effects + self._settle(now)
+        effects += self._settle(now)
+        return effects + self._choose_backups(now)
+
+    def _choose_backups(self, now: float) -> list[Effect]:
+        service = self.home.service
+        if service is None:
+            return []
+
+        def make_parts(buckets: set[int]) -> list[list[Claim]]:
+            claims = self.home.ledger.list_in(buckets, now)
+            return [part for part, _ in split_claims(claims, [])]
+
+        return self.home.backups.follow(service, make_parts, now)
+
+    def _take_sync(
+        self, message: BackupSync, source: Address, now: float
+    ) -> list[Effect]:
+        if self._bequests is not None:
+            return self._drop(Reason.STOPPING)
+        for claim in message.claims:
+            merge_claim(self.home, claim, now)
+        self.home.backups.take(message, now)
+        reply = BackupSyncReply(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.home.table.version,
+            message.sync,
+            message.part,
+        )
+        return [SendPeer(source, reply)]
 
     def _list_announced(self) -> set[Identity]:
         found = set()
@@ -192,6 +233,9 @@
         """Without a lease another agent may become home of its buckets."""
         age = now - self.subscriber.lease_renewed
         has_lease = age < LEASE_S - LEASE_MARGIN_S
+        if not has_lease and self.home.has_lease:
+            # From here on a home may choose another backup unseen.
+            self.home.settlement.backed_up.clear()
         if has_lease and not self.home.has_lease:
             self.home.settlement.unsettle(now)
         self.home.has_lease = has_lease
@@ -244,7 +288,10 @@
                 mine = Identity(message.executor, message.executor_incarnation)
                 if mine != self.identity:
                     return self._drop(Reason.WRONG_INCARNATION)
-                return self.executor.take(message, source, now)
+                home = self.home.settlement.find_home(find_bucket(message.flow))
+                sender = Identity(message.agent, message.incarnation)
+                barred = home not in (None, sender) and not message.request.idempotent
+                return self.executor.take(message, source, now, barred)
             case RunReply():
                 return self.home.take_run_reply(message, now)
             case ClaimBackup():
@@ -253,6 +300,11 @@
                 return self.home.take_backup(message, source, now)
             case ClaimBackupReply():
                 return self.home.take_backup_reply(message, now)
+            case BackupSync():
+                return self._take_sync(message, source, now)
+            case BackupSyncReply():
+                self.home.backups.take_reply(message)
+                return []
             case SlotReport():
                 self.home.take_load(message)
                 return []
@@ -379,6 +431,7 @@
         effects: list[Effect] = [
             TimelineEvent("buckets_settled", self.member.service, detail=detail)
         ]
+        effects += self._choose_backups(now)
         return effects + self._release_parked(now)
 
     def _answer_query(
@@ -506,6 +559,7 @@
         settlement = self.home.settlement
         effects = settlement.tick(self.home.table.version, service, now)
         effects += self._settle(now)
+        effects += self.home.backups.tick(now)
         effects += self.home.tick(now)
         effects += self.executor.tick(now)
         effects += self._report(now)
--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -30,6 +30,9 @@
 FORMER_WAIT_S = 3.0
 """Wait for an agent out of the table, until its lease is over."""
 
+MAX_ASKERS = 8
+"""Earlier homes of a bucket that an agent remembers, the newest ones."""
+
 MAX_LOST_MEMORIES = 1
 """Lost memories that the copies of a claim survive."""
 
@@ -104,6 +107,8 @@
         self.settled: set[int] = set()
         self.given_up: dict[int, tuple[Identity, int]] = {}
         self.terms: dict[int, int] = {}
+        self._askers: dict[int, dict[Identity, int]] = {}
+        self.backed_up: dict[int, tuple[Identity, int, float | None]] = {}
         self.left_cleanly: set[Identity] = set()
         self._service: ServiceTable | None = None
         self._members: dict[Identity, Address] = {}
@@ -150,6 +155,8 @@
     def unsettle(self, now: float) -> None:
         """Ask again about everything: others may have been home meanwhile."""
         self.settled.clear()
+        self.terms.clear()
+        self.backed_up.clear()
         self._ask(now)
 
     def _find_homes(self, service: ServiceTable) -> set[int]:
@@ -257,11 +264,19 @@
                 return False
         for bucket in query.buckets:
             self.given_up[bucket] = (sender, query.version)
+            self._note_asker(bucket, sender, query.version)
             self.settled.discard(bucket)
         if self.round is not None and self.round.buckets.intersection(query.buckets):
             self.round = None
         return True
 
+    def _note_asker(self, bucket: int, asker: Identity, version: int) -> None:
+        """Remember who may have been home, whether or not it ever settled."""
+        askers = self._askers.setdefault(bucket, {})
+        askers[asker] = version
+        if len(askers) > MAX_ASKERS:
+            del askers[min(askers, key=askers.get)]
+
     def take_reply(self, reply: ClaimsReply) -> None:
         """Collect a part of a peer's answer."""
         current = self.round
@@ -306,6 +321,7 @@
         answered.add(self.identity)
         told: dict[int, tuple[int, float]] = {}
         silent: dict[int, int] = {}
+        held: dict[int, dict[int, float]] = {}
         known = current.list_homes()
         for home in self.list_homes(current.buckets, now):
             known.append((self.identity, home))
@@ -315,12 +331,18 @@
                 if home.settled and who == peer:
                     best = told.get(bucket, (-1, 0.0))
                     told[bucket] = max(best, (home.version, home.guard))
+                elif home.settled:
+                    held.setdefault(bucket, {})[home.version] = home.guard
                 if who not in answered:
                     silent[bucket] = max(silent.get(bucket, -1), home.version)
         guards = {}
-        for bucket, (version, guard) in told.items():
-            if version > silent.get(bucket, -1):
+        for bucket in current.buckets:
+            version, guard = told.get(bucket, (-1, 0.0))
+            last_silent = silent.get(bucket, -1)
+            if version > last_silent:
                 guards[bucket] = guard
+            elif last_silent in held.get(bucket, {}):
+                guards[bucket] = held[bucket][last_silent]
         return guards
 
     def _is_survived(self, current: Round, now: float) -> bool:
@@ -347,9 +369,14 @@
                 guard = -1.0 if lost_at is None else now - lost_at
                 key = (self.identity, term, True, guard)
                 groups.setdefault(key, []).append(bucket)
-            given = self.given_up.get(bucket)
-            if given is not None:
-                key = (given[0], given[1], False, -1.0)
+            for asker, version in self._askers.get(bucket, {}).items():
+                key = (asker, version, False, -1.0)
+                groups.setdefault(key, []).append(bucket)
+            backed = self.backed_up.get(bucket)
+            if backed is not None:
+                home, term, lost_at = backed
+                guard = -1.0 if lost_at is None else now - lost_at
+                key = (home, term, True, guard)
                 groups.setdefault(key, []).append(bucket)
         homes = []
         for (home, version, settled, guard), held in groups.items():
@@ -358,6 +385,16 @@
             )
         return homes
 
+    def back_up(self, home: KnownHome, now: float) -> None:
+        """Note that all claims of some buckets of a home are held here."""
+        identity = Identity(home.agent, home.incarnation)
+        lost_at = None if home.guard < 0.0 else now - home.guard
+        for bucket in home.buckets:
+            held = self.backed_up.get(bucket)
+            if held is not None and held[1] > home.version:
+                continue
+            self.backed_up[bucket] = (identity, home.version, lost_at)
+
     def note_bequest(self, leaver: Identity, part: int, parts: int) -> None:
         """Note that an agent left its knowledge before it stopped."""
         heard = self._bequests.setdefault(leaver, set())
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -505,6 +505,73 @@
     accepted: bool
 
 
+class KnownHome(Record, frozen=True):
+    """An agent that was, or wanted to be, the home of some buckets.
+
+    Parameters
+    ----------
+    agent, incarnation : str, int
+        The agent.
+    version : int
+        Version of the table by which it became home.
+    settled : bool
+        Whether the sender knows all claims that this agent made as home:
+        as that agent itself, or as its backup.
+    guard : float
+        Time since claims of the buckets were lost, in seconds; below 0 for
+        none.
+    buckets : list of int
+        The buckets.
+    """
+
+    agent: str
+    incarnation: int
+    version: int
+    settled: bool
+    guard: float
+    buckets: list[int]
+
+
+class BackupSync(Record, frozen=True):
+    """A home shows one part of all its claims in some buckets to their backup.
+
+    With the last part, the receiver holds every claim of the buckets, and
+    every later one is shown to it before it is acted on.
+
+    Parameters
+    ----------
+    sync : int
+        Number of the synchronisation.
+    part, parts : int
+        This part and their number.
+    terms : list of KnownHome
+        The buckets, by when the sender became their home.
+    claims : list of Claim
+        The claims of this part.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    sync: int
+    part: int
+    parts: int
+    terms: list[KnownHome]
+    claims: list[Claim]
+
+
+class BackupSyncReply(Record, frozen=True):
+    """The backup took one part."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    sync: int
+    part: int
+
+
 class RunRequest(Record, frozen=True):
     """A home hands a request over to an executor, or asks what became of it.
 
@@ -586,32 +653,6 @@
     age: float
 
 
-class KnownHome(Record, frozen=True):
-    """An agent that was, or wanted to be, the home of some buckets.
-
-    Parameters
-    ----------
-    agent, incarnation : str, int
-        The agent.
-    version : int
-        Version of the table by which it became home.
-    settled : bool
-        Whether the sender is that agent and knew all claims of the buckets.
-    guard : float
-        Time since claims of the buckets were lost, in seconds; below 0 for
-        none.
-    buckets : list of int
-        The buckets.
-    """
-
-    agent: str
-    incarnation: int
-    version: int
-    settled: bool
-    guard: float
-    buckets: list[int]
-
-
 class ClaimsReply(Record, frozen=True):
     """One part of a peer's claims and runs in the buckets asked for.
 
@@ -815,6 +856,8 @@
     DeltaRequest,
     ClaimBackup,
     ClaimBackupReply,
+    BackupSync,
+    BackupSyncReply,
     RunRequest,
     RunReply,
     SlotReport,
