--- a/fulmarshore/admission/backups.py
+++ b/fulmarshore/admission/backups.py
@@ -52,16 +52,18 @@
         The agent's own announcement.
     settlement : Settlement
         What the agent is home of.
+    first_sync : int
+        Number of the first synchronisation.
     """
 
-    def __init__(self, member: Member, settlement: Settlement) -> None:
+    def __init__(self, member: Member, settlement: Settlement, first_sync: int) -> None:
         self.member = member
         self.settlement = settlement
         self._backups: dict[int, Identity] = {}
         self._syncs: dict[Identity, Sync] = {}
         self._heard: dict[tuple[Identity, int], set[int]] = {}
         self._terms: dict[tuple[Identity, int], list[KnownHome]] = {}
-        self._numbers = 0
+        self._numbers = first_sync
 
     def find(self, bucket: int) -> Identity | None:
         """Return the backup of a bucket."""
--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -59,6 +59,7 @@
 MAX_OUTCOME_WRITES = 6
 """Tries to show an outcome that was told already."""
 
+NUMBER_BITS = 48
 PREFERENCE_OF_SELF = 1.25
 """How much more room a peer must have for a hand-over to be worth its hop."""
 SHARE_OF_REFUSER = 1e6
@@ -96,8 +97,10 @@
         self.identity = Identity(member.name, member.incarnation)
         self.table = table
         self.ledger = Ledger()
-        self.settlement = Settlement(self.identity)
-        self.backups = Backups(member, self.settlement)
+        # Numbers start anywhere, so that a word meant for a former process at
+        # this address answers nothing of this one.
+        self.settlement = Settlement(self.identity, random.getrandbits(NUMBER_BITS))
+        self.backups = Backups(member, self.settlement, random.getrandbits(NUMBER_BITS))
         self.counters: Counter[str] = Counter()
         self.has_lease = True
         self.budget = RetryBudget(0.1)
@@ -106,7 +109,7 @@
         self._due: list[tuple[float, bytes]] = []
         self._large: list[tuple[float, bytes]] = []
         self._heard: list[RunReply] = []
-        self._sequence = 0
+        self._sequence = random.getrandbits(NUMBER_BITS)
 
     @property
     def service(self) -> ServiceTable | None:
@@ -356,7 +359,7 @@
             state.source.port,
             state.entry,
             1,
-            False,
+            0,
             encode(request),
         )
         return [SendPeer(Address(member.host, member.port), packet)]
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -162,9 +162,7 @@
             return True
         if self.subscriber.announcement.state != MemberState.ACCEPTING:
             return True
-        service = self.home.service
-        member = service.by_name.get(self.member.name) if service else None
-        return member is not None and member.state != MemberState.ACCEPTING
+        return self.member.name in self.home.table.drained
 
     def _follow(self, table: Table, now: float) -> list[Effect]:
         """Take a newer table."""
@@ -249,6 +247,9 @@
             if not isinstance(effect, SendPeer) or effect.destination != self.address:
                 out.append(effect)
                 continue
+            if not isinstance(effect.message, REQUEST_MESSAGES):
+                # An answer to a process that had this address before.
+                continue
             event = PeerMessage(self.address, effect.message)
             pending.extend(self._handle(event, now))
         return out
--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -97,9 +97,11 @@
     ----------
     identity : Identity
         This life of this agent.
+    first_query : int
+        Number of the first query.
     """
 
-    def __init__(self, identity: Identity) -> None:
+    def __init__(self, identity: Identity, first_query: int) -> None:
         self.identity = identity
         self.round: Round | None = None
         self.version = 0
@@ -118,7 +120,7 @@
         self._announced: set[Identity] = set()
         self._bequests: dict[Identity, set[int]] = {}
         self._since: float | None = None
-        self._queries = 0
+        self._queries = first_query
 
     def follow(
         self,
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -131,6 +131,16 @@
     out: bool = False
 
 
+class Drain(Record, frozen=True):
+    """An operator's wish that an upstream gets no new flows.
+
+    It stands for the name of the upstream, whatever its incarnation, until
+    an operator takes it back.
+    """
+
+    name: str
+
+
 class MemberState(enum.StrEnum):
     """The state of an announced upstream."""
 
@@ -181,9 +191,9 @@
     port: int
 
 
-Declaration = Union[Profile, Service, Zone]
+Declaration = Union[Profile, Service, Zone, Drain]
 Announcement = Union[Member, EntryHost]
-Item = Union[Profile, Service, Zone, Member, EntryHost]
+Item = Union[Profile, Service, Zone, Drain, Member, EntryHost]
 
 
 class Versioned(Record, frozen=True):
@@ -236,8 +246,10 @@
         Name of the entry host that received the packet.
     hops : int
         Agents that have passed the packet on.
-    assigned : bool
-        The home of the flow chose the target as its owner.
+    assignment : int
+        Number under which the home of the flow chose the target as its
+        owner; 0 for a packet that no home has arbitrated. Numbers of one
+        home only go up, and a later home of the bucket starts above.
     payload : bytes
         The datagram as the caller sent it.
     """
@@ -252,7 +264,7 @@
     caller_port: int
     entry: str
     hops: int
-    assigned: bool
+    assignment: int
     payload: bytes
 
 
@@ -317,17 +329,53 @@
 
 
 class Released(Record, frozen=True):
-    """The owner tells the home that a flow has ended."""
+    """The owner tells the home that a flow has ended.
+
+    Parameters
+    ----------
+    assignment : int
+        The last assignment of the flow that the owner has seen: the home
+        keeps a flow that it has assigned again in the meantime.
+    """
 
     service: str
     agent: str
     incarnation: int
     version: int
     flow: bytes
+    assignment: int
+
+
+class FlowCheck(Record, frozen=True):
+    """The home asks an owner which of some flows it still holds.
+
+    The owner answers with a `Released` for each that it does not hold.
+
+    Parameters
+    ----------
+    flows : list of OwnedFlow
+        What the home remembers.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flows: list[OwnedFlow]
 
 
 class LoadReport(Record, frozen=True):
-    """How much an agent holds and may hold, for its peers of the service."""
+    """How much an agent holds and may hold, for its peers of the service.
+
+    Parameters
+    ----------
+    flows, limit : int
+        Flows held and flows that may be held.
+    number : int
+        Grows with each report of an agent, so that a late one is ignored.
+    assignment : int
+        The newest assignment of the receiver that ``flows`` reflects.
+    """
 
     service: str
     agent: str
@@ -335,14 +383,17 @@
     version: int
     flows: int
     limit: int
+    number: int
+    assignment: int
 
 
 class OwnedFlow(Record, frozen=True):
-    """A flow and the identity of the agent that owns it."""
+    """A flow, the identity of its owner and its last assignment."""
 
     flow: bytes
     owner: str
     incarnation: int
+    assignment: int = 0
 
 
 class Takeover(Record, frozen=True):
@@ -360,7 +411,20 @@
 
 
 class TakeoverReply(Record, frozen=True):
-    """What a peer owns or remembers in the buckets that it gave up."""
+    """What a peer owns or remembers in the buckets that it gave up.
+
+    Parameters
+    ----------
+    version : int
+        The version of the `Takeover` that is answered.
+    buckets : list of int
+        Buckets given up, with all of their flows in this message.
+    flows : list of OwnedFlow
+        Flows in these buckets.
+    complete : list of int
+        Those of the buckets that the sender itself arbitrated until now: the
+        flows listed are all that there are, and nobody else need be asked.
+    """
 
     service: str
     agent: str
@@ -368,6 +432,7 @@
     version: int
     buckets: list[int]
     flows: list[OwnedFlow]
+    complete: list[int]
 
 
 # --------------------------------------------------------------------------
@@ -725,18 +790,27 @@
 
 
 class Subscribe(Record, frozen=True):
-    """Announces a process and asks for everything after a version."""
+    """Announces a process and asks for everything after a version.
+
+    ``revision`` grows with every announcement of one life of a process, so
+    that a late copy of an earlier one is told apart.
+    """
 
     identity: Identity
     announcement: Announcement
     version: int
+    revision: int = 0
 
 
 class Heartbeat(Record, frozen=True):
-    """Renews the lease of a process and tells the version it has in force."""
+    """Renews the lease of a process and tells the version it has in force.
+
+    ``clock`` is the sender's hybrid logical clock, put in as it is sent.
+    """
 
     identity: Identity
     version: int
+    clock: int = 0
 
 
 class Leave(Record, frozen=True):
@@ -771,6 +845,7 @@
     freshness: Freshness
     version: int
     known: bool
+    clock: int = 0
 
 
 class Change(Record, frozen=True):
@@ -789,6 +864,7 @@
     CONFLICT = "conflict"
     INVALID = "invalid"
     UNAVAILABLE = "unavailable"
+    FORGOTTEN = "forgotten"
 
 
 class ChangeReply(Record, frozen=True):
@@ -818,6 +894,35 @@
     next_number: int
 
 
+class HistoryRequest(Record, frozen=True):
+    """Asks for the newest accepted changes below a number.
+
+    Parameters
+    ----------
+    before : int
+        Only numbers below this one; 0 asks from the newest on.
+    limit : int
+        At most so many.
+    """
+
+    before: int
+    limit: int
+
+
+class HistoryEntry(Record, frozen=True):
+    """An accepted change and the version that put it in force."""
+
+    version: int
+    change: Change
+
+
+class HistoryReply(Record, frozen=True):
+    """Accepted changes, the newest first."""
+
+    control: str
+    entries: list[HistoryEntry]
+
+
 class StatusRequest(Record, frozen=True):
     """Asks a control host for all that it knows."""
 
@@ -832,6 +937,30 @@
     age: float
 
 
+class ReplicaId(Record, frozen=True):
+    """A disk of a control host: a replaced disk makes another replica.
+
+    Parameters
+    ----------
+    name : str
+        Name of the control host.
+    disk : str
+        Drawn at random when the data folder is first used.
+    """
+
+    name: str
+    disk: str
+
+
+class ReplicaStatus(Record, frozen=True):
+    """What the leader knows about one replica; ``age`` is seconds unheard."""
+
+    replica: ReplicaId
+    role: str
+    match: int
+    age: float
+
+
 class StatusReply(Record, frozen=True):
     """All that a control host knows: configuration, members, versions."""
 
@@ -841,6 +970,141 @@
     view: Delta
     processes: list[ProcessStatus]
     next_number: int
+    term: int = 0
+    commit: int = 0
+    replicas: list[ReplicaStatus] = []
+
+
+# --------------------------------------------------------------------------
+# Links between control hosts: the replicated log
+# --------------------------------------------------------------------------
+
+
+class VoteRequest(Record, frozen=True):
+    """A candidate asks for a vote, or with ``trial`` whether it would get it."""
+
+    group: str
+    sender: ReplicaId
+    target: ReplicaId
+    term: int
+    last_index: int
+    last_term: int
+    trial: bool
+
+
+class VoteReply(Record, frozen=True):
+    """Answer to a request for a vote; ``term`` is the one asked for if granted."""
+
+    group: str
+    sender: ReplicaId
+    term: int
+    granted: bool
+    trial: bool
+
+
+class AppendRequest(Record, frozen=True):
+    """The leader's entries after an index, and its half of the heartbeat.
+
+    ``beat`` numbers the leader's messages; its greatest one that a majority
+    has answered is the stamp.
+    """
+
+    group: str
+    sender: ReplicaId
+    target: ReplicaId
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: list[LogEntry]
+    commit: int
+    stamp: int
+    beat: int
+
+
+class AppendReply(Record, frozen=True):
+    """How far the sender's synced log agrees with the leader's.
+
+    Without ``success``, ``match`` is the index after which the leader has to
+    go on.
+    """
+
+    group: str
+    sender: ReplicaId
+    term: int
+    success: bool
+    match: int
+    beat: int
+
+
+class SnapshotChunk(Record, frozen=True):
+    """A part of the leader's encoded snapshot."""
+
+    group: str
+    sender: ReplicaId
+    target: ReplicaId
+    term: int
+    index: int
+    offset: int
+    total: int
+    data: bytes
+    beat: int
+
+
+class ChunkReply(Record, frozen=True):
+    """How many bytes of a snapshot the sender holds."""
+
+    group: str
+    sender: ReplicaId
+    term: int
+    index: int
+    offset: int
+    beat: int
+
+
+class JoinRequest(Record, frozen=True):
+    """A replica without a vote asks to be taken in.
+
+    With ``bootstrap`` it would start the group if nobody else has one.
+    """
+
+    group: str
+    sender: ReplicaId
+    bootstrap: bool
+
+
+class JoinReply(Record, frozen=True):
+    """Tells a replica without a vote which group there is; may be none."""
+
+    group: str
+    sender: ReplicaId
+    bootstrap: bool
+
+
+class Relay(Record, frozen=True):
+    """A control host hands a peer's message on to the leader."""
+
+    peer: str
+    message: Subscribe | Leave | Change | StatusRequest
+
+
+class RelayReply(Record, frozen=True):
+    """The leader's answer to a peer of another control host."""
+
+    peer: str
+    message: ChangeReply | StatusReply
+
+
+class HeardReport(Record, frozen=True):
+    """The processes that a control host heard since its last report."""
+
+    control: str
+    heard: list[Heartbeat]
+
+
+class HeardReply(Record, frozen=True):
+    """The leader's half of the report."""
+
+    control: str
 
 
 DataMessage = Union[
@@ -849,6 +1113,7 @@
     Refusal,
     Declined,
     Released,
+    FlowCheck,
     LoadReport,
     Takeover,
     TakeoverReply,
@@ -876,6 +1141,20 @@
     ChangeReply,
     StatusRequest,
     StatusReply,
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotChunk,
+    ChunkReply,
+    JoinRequest,
+    JoinReply,
+    Relay,
+    RelayReply,
+    HeardReport,
+    HeardReply,
+    HistoryRequest,
+    HistoryReply,
 ]
 
 # --------------------------------------------------------------------------
@@ -887,15 +1166,86 @@
     """Puts an announced process into the membership."""
 
     announcement: Announcement
+    revision: int = 0
 
 
 class Expire(Record, frozen=True):
     """Ends the membership of a process that left or lost its lease."""
 
     identity: Identity
+    left: bool = False
+
+
+class Batch(Record, frozen=True):
+    """Joins and expiries that take effect at one version."""
+
+    commands: list[Join | Expire]
+
 
+class Noop(Record, frozen=True):
+    """The entry with which a leader begins its term."""
 
-Command = Union[Change, Join, Expire]
+
+class Voters(Record, frozen=True):
+    """The replicas that vote from this entry on."""
+
+    replicas: list[ReplicaId]
+
+
+Command = Union[Change, Join, Expire, Batch, Noop, Voters]
+
+
+class LogEntry(Record, frozen=True):
+    """A command at its place in the replicated log."""
+
+    index: int
+    term: int
+    command: Command
+
+
+# --------------------------------------------------------------------------
+# Records of the log file
+# --------------------------------------------------------------------------
+
+
+class FileHeader(Record, frozen=True):
+    """First record of a log file; the generation grows with each new file."""
+
+    replica: ReplicaId
+    generation: int
+
+
+class TermVote(Record, frozen=True):
+    """The group, the newest term and the vote given in it."""
+
+    group: str
+    term: int
+    vote: ReplicaId | None
+
+
+class LogBase(Record, frozen=True):
+    """The entry before the first one in the file."""
+
+    index: int
+    term: int
+
+
+class Snapshot(Record, frozen=True):
+    """All that the log adds up to at an index."""
+
+    index: int
+    term: int
+    voters: Voters
+    state: bytes
+
+
+class Truncation(Record, frozen=True):
+    """Entries from an index on are void."""
+
+    index: int
+
+
+DiskRecord = Union[FileHeader, TermVote, LogBase, Snapshot, LogEntry, Truncation]
 
 # --------------------------------------------------------------------------
 # Events and effects of the cores
@@ -945,6 +1295,12 @@
     """Event: a planned stop begins."""
 
 
+class Stored(Struct, frozen=True):
+    """Event: everything up to a ``Store`` is synced."""
+
+    sequence: int
+
+
 class SendCaller(Struct, frozen=True, gc=False):
     """Effect: send a datagram from the service's address to a caller."""
 
@@ -983,6 +1339,35 @@
     message: ControlMessage
 
 
+class ReplaceLink(Struct, frozen=True):
+    """Effect: close a link that went silent; the next message opens another."""
+
+    peer: str
+
+
+class Store(Struct, frozen=True):
+    """Effect: append records to the log file, or replace the file by them.
+
+    Answered by ``Stored`` once synced, in the order of the sequence.
+    """
+
+    sequence: int
+    records: list[DiskRecord]
+    replace: bool = False
+
+
+class Applied(Struct, frozen=True):
+    """Effect: an entry is committed; the state machine takes it."""
+
+    entry: LogEntry
+
+
+class Restored(Struct, frozen=True):
+    """Effect: a snapshot replaces the state."""
+
+    snapshot: Snapshot
+
+
 class Stopped(Struct, frozen=True):
     """Effect: the planned stop is complete, the process may exit."""
 
@@ -1007,8 +1392,38 @@
     detail: str = ""
 
 
+class TimelineEntry(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """An event on the time line, as files hold it.
+
+    Parameters
+    ----------
+    clock : int
+        Value of the hybrid logical clock.
+    host, role : str
+        The process that saw the event.
+    kind, service, flow, peer, detail : str
+        As in ``TimelineEvent``.
+    """
+
+    clock: int
+    host: str
+    role: str
+    kind: str
+    service: str = ""
+    flow: str = ""
+    peer: str = ""
+    detail: str = ""
+
+
 Event = Union[
-    Datagram, PeerMessage, UpstreamDatagram, UpstreamGone, LinkMessage, Tick, Stop
+    Datagram,
+    PeerMessage,
+    UpstreamDatagram,
+    UpstreamGone,
+    LinkMessage,
+    Tick,
+    Stop,
+    Stored,
 ]
 Effect = Union[
     SendCaller,
@@ -1018,6 +1433,10 @@
     SendLink,
     Stopped,
     TimelineEvent,
+    ReplaceLink,
+    Store,
+    Applied,
+    Restored,
 ]
 
 # --------------------------------------------------------------------------
@@ -1050,6 +1469,31 @@
         return f"{self.item}: {self.field} = {self.value}: allowed is {self.allowed}"
 
 
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a log file holds; ``cut`` bytes of an unsynced tail were dropped."""
+
+    replica: ReplicaId
+    generation: int
+    term_vote: TermVote
+    base: LogBase
+    snapshot: Snapshot | None
+    entries: list[LogEntry]
+    size: int
+    cut: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DamagedFile:
+    """A file that lost or changed what had been synced."""
+
+    step: str
+    peer: str
+    file: str
+    offset: int
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class OutOfOrder:
     """A delta that does not fit the version in force."""
