--- /dev/null
+++ b/fulmarshore/routing/random_test.py
@@ -0,0 +1,122 @@
+"""Randomised runs of routing: any packet to any entry host, amid changes."""
+
+from unittest import TestCase, mock
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from fulmarshore.core.records import Drain, Removed, Zone
+from fulmarshore.standins import profiles  # noqa: F401
+from fulmarshore.standins.network import Faults
+from fulmarshore.standins.region import ZONES, Region
+
+BUCKETS = 16
+"""Few buckets, so that a short run changes the home of many flows."""
+PORTS = st.integers(1, 40)
+SERVICES = ("book", "plans")
+ZONE_BOUND_S = 3.0
+FAULTS = (
+    Faults(),
+    Faults(loss=0.1, duplication=0.2, max_delay=0.03),
+    Faults(loss=0.3, max_delay=0.1),
+)
+
+
+class RoutingMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 1 << 16))
+    def start(self, seed):
+        services = {SERVICES[0]: 4, SERVICES[1]: 2}
+        self.region = Region(seed, services, entries=3, connections=30)
+        self.out = {}
+        self.joined = 0
+
+    @rule(service=st.sampled_from(SERVICES), ports=st.lists(PORTS, max_size=8))
+    def send(self, service, ports):
+        for port in ports:
+            self.region.send(service, port)
+            self.region.network.run(0.002)
+
+    @rule(seconds=st.sampled_from((0.01, 0.1, 1.0, 4.0)))
+    def wait(self, seconds):
+        self.region.network.run(seconds)
+
+    @rule(faults=st.sampled_from(FAULTS))
+    def disturb(self, faults):
+        self.region.network.faults = faults
+
+    @rule(entry=st.integers(0, 2))
+    def hide_changes(self, entry):
+        self.region.network.cut("control", f"entry{entry}")
+
+    @rule()
+    def heal(self):
+        self.region.network.heal()
+
+    @rule(entry=st.integers(0, 2))
+    def restart_entry(self, entry):
+        self.region.add_entry(f"entry{entry}", ZONES[entry])
+
+    @rule(agent=st.integers(0, 3))
+    def restart_agent(self, agent):
+        name = f"{SERVICES[0]}-{agent}"
+        self.region.add_agent(name, SERVICES[0], ZONES[agent % 3])
+
+    @rule(agent=st.integers(0, 3))
+    def crash_agent(self, agent):
+        self.region.crash(f"{SERVICES[0]}-{agent}")
+
+    @rule(agent=st.integers(0, 3))
+    def drain(self, agent):
+        self.region.change(Drain(f"{SERVICES[0]}-{agent}"))
+
+    @rule(agent=st.integers(0, 3))
+    def end_drain(self, agent):
+        gone = Removed(0, "Drain", f"{SERVICES[0]}-{agent}")
+        self.region.change(removed=(gone,))
+
+    @rule(agent=st.integers(0, 3))
+    def stop_agent(self, agent):
+        name = f"{SERVICES[0]}-{agent}"
+        if self.region.network.nodes[name].running:
+            self.region.stop(name)
+
+    @precondition(lambda self: self.joined < 2)
+    @rule()
+    def join(self):
+        self.joined += 1
+        self.region.add_agent(f"{SERVICES[0]}-{3 + self.joined}", SERVICES[0], "a")
+
+    @rule(zone=st.sampled_from(ZONES), is_out=st.booleans())
+    def change_zone(self, zone, is_out):
+        self.region.change(Zone(zone, is_out))
+        self.out.pop(zone, None)
+        if is_out:
+            self.out[zone] = self.region.network.now
+
+    @invariant()
+    def check(self):
+        region = self.region
+        assert region.misdelivered == 0, "no foreign service"
+        assert region.opened_twice == 0, "one owner"
+        for zone, since in self.out.items():
+            for name, member in region.members.items():
+                last = region.last_packet_at.get(name, 0.0)
+                if member.zone == zone:
+                    assert last <= since + ZONE_BOUND_S, "nothing to a zone out"
+
+
+class RandomTest(TestCase):
+    def test_one_owner_amid_changes(self):
+        with (
+            mock.patch("fulmarshore.core.hashing.BUCKETS_PER_SERVICE", BUCKETS),
+            mock.patch("fulmarshore.routing.table.BUCKETS_PER_SERVICE", BUCKETS),
+            mock.patch("fulmarshore.routing.homes.BUCKETS_PER_SERVICE", BUCKETS),
+        ):
+            run_state_machine_as_test(RoutingMachine)
--- /dev/null
+++ b/fulmarshore/standins/region.py
@@ -0,0 +1,241 @@
+"""A small region over the fake network: control, entry hosts and agents.
+
+The upstreams echo. The region watches what the promises of routing are
+about: who delivered each flow to an upstream, of which service, and when.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from fulmarshore.core.hashing import hash_flow
+from fulmarshore.core.records import (
+    Address,
+    Change,
+    Datagram,
+    Declaration,
+    Effect,
+    EntryHost,
+    Identity,
+    Kind,
+    LinkMessage,
+    Member,
+    Profile,
+    Removed,
+    SendCaller,
+    SendUpstream,
+    Service,
+    Stop,
+    Stopped,
+    UpstreamDatagram,
+    Zone,
+)
+from fulmarshore.membership.control import ControlCore
+from fulmarshore.membership.subscriber import Subscriber
+from fulmarshore.routing.agent import AgentCore
+from fulmarshore.routing.entry import EntryCore
+from fulmarshore.standins.network import FakeNetwork, Faults, Node
+
+ZONES = ("a", "b", "c")
+CALLER_HOST = "10.0.0.1"
+
+
+class Region:
+    """One control host, entry hosts, and agents with echoing upstreams.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the network and of every choice.
+    services : dict of str to int
+        Number of upstreams of each service.
+    entries : int
+        Number of entry hosts.
+    connections : int
+        Flows that an upstream bears.
+    faults : Faults
+        What the network does to messages.
+    idle_timeout : float
+        Of the profile of all services, in seconds.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        services: dict[str, int],
+        entries: int = 2,
+        connections: int = 2000,
+        faults: Faults | None = None,
+        idle_timeout: float = 300.0,
+    ) -> None:
+        self.network = FakeNetwork(seed, faults)
+        self.random = Random(seed)
+        self.connections = connections
+        self.members: dict[str, Member] = {}
+        self.hosts: dict[str, EntryHost] = {}
+        self.owners: dict[bytes, tuple[str, int]] = {}
+        self.answers: Counter[tuple[str, int]] = Counter()
+        self.answered_by: dict[tuple[str, int], str] = {}
+        self.last_packet_at: dict[str, float] = {}
+        self.opened_twice = 0
+        self.misdelivered = 0
+        self.moved: set[bytes] = set()
+        self._services_of: dict[bytes, str] = {}
+        self.network.add("control", ControlCore("control"))
+        for number in range(entries):
+            self.add_entry(f"entry{number}", ZONES[number % len(ZONES)])
+        profile = Profile("p", Kind.FEED, idle_timeout=idle_timeout)
+        items: list[Declaration] = [profile, *(Zone(zone) for zone in ZONES)]
+        for number, (service, count) in enumerate(services.items()):
+            items.append(Service(service, "p", "127.0.0.9", 80 + number))
+            for index in range(count):
+                self.add_agent(f"{service}-{index}", service, ZONES[index % len(ZONES)])
+        self.change(*items)
+        self.network.run(1.0)
+
+    # Processes -------------------------------------------------------------
+
+    def add_entry(self, name: str, zone: str) -> None:
+        """Start an entry host, or its successor."""
+        address = Address("127.0.0.1", 20_000 + len(self.hosts))
+        held = self.hosts.get(name)
+        if held is not None:
+            address = Address(held.host, held.port)
+        incarnation = held.incarnation + 1 if held is not None else 1
+        host = EntryHost(name, incarnation, zone, *address)
+        self.hosts[name] = host
+        identity = Identity(name, incarnation)
+        subscriber = Subscriber(identity, host, ["control"], self.random)
+        self.network.add(name, EntryCore(subscriber), address, self._observe_entry)
+
+    def add_agent(self, name: str, service: str, zone: str) -> AgentCore:
+        """Start an agent, or its successor."""
+        address = Address("127.0.0.1", 30_000 + len(self.members))
+        held = self.members.get(name)
+        if held is not None:
+            address = Address(held.host, held.port)
+        incarnation = held.incarnation + 1 if held is not None else 1
+        member = Member(
+            name, incarnation, service, zone, *address, connections=self.connections
+        )
+        self.members[name] = member
+        identity = Identity(name, incarnation)
+        subscriber = Subscriber(identity, member, ["control"], self.random)
+        core = AgentCore(subscriber)
+        self.network.add(name, core, address, self._observe_agent)
+        return core
+
+    def crash(self, name: str) -> None:
+        """Stop a process without notice."""
+        self.network.stop(name)
+
+    def stop(self, name: str) -> None:
+        """Begin the planned stop of a process."""
+        self.network.inject(name, Stop())
+
+    def change(self, *items: Declaration, removed: tuple[Removed, ...] = ()) -> None:
+        """Put a change of the configuration in force."""
+        number = self.network.nodes["control"].core.state.next_number
+        change = Change(number, "region", list(items), list(removed))
+        self.network.inject("control", LinkMessage("region", change))
+
+    def list_running(self, prefix: str) -> list[str]:
+        """Return the names of running processes that start with a prefix."""
+        found = []
+        for name, node in self.network.nodes.items():
+            if node.running and name.startswith(prefix):
+                found.append(name)
+        return found
+
+    def get_agent(self, name: str) -> AgentCore:
+        """Return the core of an agent."""
+        core = self.network.nodes[name].core
+        assert isinstance(core, AgentCore)
+        return core
+
+    def list_agents(self, service: str) -> list[AgentCore]:
+        """Return the cores of the running agents of a service."""
+        return [self.get_agent(name) for name in self.list_running(f"{service}-")]
+
+    def is_member(self, name: str) -> bool:
+        """Return whether control counts a running agent in, its zone too."""
+        member = self.members[name]
+        control = self.network.nodes["control"].core
+        held = control.state.view.items.get(("Member", name))
+        zone = control.state.view.items.get(("Zone", member.zone))
+        if held is None or held.item.incarnation != member.incarnation:
+            return False
+        return self.network.nodes[name].running and not (zone and zone.item.out)
+
+    # Callers ---------------------------------------------------------------
+
+    def get_flow(self, service: str, port: int) -> bytes:
+        """Return the key of a caller's flow."""
+        flow = hash_flow(service, CALLER_HOST, port)
+        self._services_of[flow] = service
+        return flow
+
+    def send(self, service: str, port: int, entry: str | None = None) -> None:
+        """Let a caller send one packet, through any entry host."""
+        self.get_flow(service, port)
+        if entry is None:
+            running = self.list_running("entry")
+            if not running:
+                return
+            entry = self.random.choice(running)
+        event = Datagram(service, Address(CALLER_HOST, port), b"ping")
+        self.network.inject(entry, event)
+
+    def send_all(
+        self, service: str, ports: range, rounds: int = 1, gap: float = 0.001
+    ) -> None:
+        """Let callers send a packet each, some time apart, and wait a little."""
+        for _ in range(rounds):
+            for port in ports:
+                self.send(service, port)
+                self.network.run(gap)
+            self.network.run(0.2)
+
+    # Observation -----------------------------------------------------------
+
+    def count_held(self, flow: bytes) -> list[str]:
+        """Return the members that hold a flow now."""
+        found = []
+        service = self._services_of[flow]
+        for name in self.list_running(f"{service}-"):
+            if flow in self.get_agent(name).flows and self.is_member(name):
+                found.append(name)
+        return found
+
+    def _observe_entry(self, node: Node, effect: Effect, now: float) -> None:
+        if isinstance(effect, SendCaller):
+            key = (effect.service, effect.destination.port)
+            self.answers[key] += 1
+        if isinstance(effect, Stopped):
+            node.running = False
+
+    def _observe_agent(self, node: Node, effect: Effect, now: float) -> None:
+        if isinstance(effect, Stopped):
+            node.running = False
+        if not isinstance(effect, SendUpstream):
+            return
+        member = self.members[node.name]
+        self.last_packet_at[node.name] = now
+        flow = effect.flow
+        if self._services_of.get(flow) != member.service:
+            self.misdelivered += 1
+        owner = (node.name, member.incarnation)
+        held = self.owners.get(flow)
+        if held is not None and held != owner:
+            self.moved.add(flow)
+            if self._still_holds(held, flow):
+                self.opened_twice += 1
+        self.owners[flow] = owner
+        self.network.inject(node.name, UpstreamDatagram(flow, b"echo"))
+
+    def _still_holds(self, owner: tuple[str, int], flow: bytes) -> bool:
+        name, incarnation = owner
+        if self.members[name].incarnation != incarnation or not self.is_member(name):
+            return False
+        return flow in self.get_agent(name).flows
