Give the randomised run of routing more packets and fewer hints

Cause: with 8 packets an example it passed with the take-over taken out. Now 28 flows send at every wait through entry hosts that remember 2 owners. Seen failing: settle without asking, settle on the first answer.

--- a/fulmarshore/routing/random_test.py
+++ b/fulmarshore/routing/random_test.py
@@ -19,8 +19,10 @@
 
 BUCKETS = 16
 """Few buckets, so that a short run changes the home of many flows."""
-PORTS = st.integers(1, 40)
 SERVICES = ("book", "plans")
+FLOWS = {"book": 24, "plans": 4}
+MAX_HINTS = 2
+"""Few hints, so that most packets go to a home."""
 ZONE_BOUND_S = 3.0
 FAULTS = (
     Faults(),
@@ -33,19 +35,24 @@
     @initialize(seed=st.integers(0, 1 << 16))
     def start(self, seed):
         services = {SERVICES[0]: 4, SERVICES[1]: 2}
-        self.region = Region(seed, services, entries=3, connections=30)
+        self.region = Region(
+            seed, services, entries=3, connections=15, max_hints=MAX_HINTS
+        )
         self.out = {}
         self.joined = 0
 
-    @rule(service=st.sampled_from(SERVICES), ports=st.lists(PORTS, max_size=8))
-    def send(self, service, ports):
-        for port in ports:
-            self.region.send(service, port)
+    def send(self):
+        """Let every caller send a packet, each through any entry host."""
+        for service, count in FLOWS.items():
+            for port in range(count):
+                self.region.send(service, port)
             self.region.network.run(0.002)
 
-    @rule(seconds=st.sampled_from((0.01, 0.1, 1.0, 4.0)))
+    @rule(seconds=st.sampled_from((0.001, 0.01, 0.1, 1.0, 4.0)))
     def wait(self, seconds):
+        self.send()
         self.region.network.run(seconds)
+        self.send()
 
     @rule(faults=st.sampled_from(FAULTS))
     def disturb(self, faults):
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -34,7 +34,7 @@
 from fulmarshore.membership.control import ControlCore
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.agent import AgentCore
-from fulmarshore.routing.entry import EntryCore
+from fulmarshore.routing.entry import MAX_HINTS, EntryCore
 from fulmarshore.standins.network import FakeNetwork, Faults, Node
 
 ZONES = ("a", "b", "c")
@@ -58,6 +58,8 @@
         What the network does to messages.
     idle_timeout : float
         Of the profile of all services, in seconds.
+    max_hints : int
+        Owners that an entry host remembers.
     """
 
     def __init__(
@@ -68,10 +70,12 @@
         connections: int = 2000,
         faults: Faults | None = None,
         idle_timeout: float = 300.0,
+        max_hints: int = MAX_HINTS,
     ) -> None:
         self.network = FakeNetwork(seed, faults)
         self.random = Random(seed)
         self.connections = connections
+        self.max_hints = max_hints
         self.members: dict[str, Member] = {}
         self.hosts: dict[str, EntryHost] = {}
         self.owners: dict[bytes, tuple[str, int]] = {}
@@ -107,7 +111,8 @@
         self.hosts[name] = host
         identity = Identity(name, incarnation)
         subscriber = Subscriber(identity, host, ["control"], self.random)
-        self.network.add(name, EntryCore(subscriber), address, self._observe_entry)
+        core = EntryCore(subscriber, self.max_hints)
+        self.network.add(name, core, address, self._observe_entry)
 
     def add_agent(self, name: str, service: str, zone: str) -> AgentCore:
         """Start an agent, or its successor."""
