--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -24,6 +24,7 @@
     Event,
     FlowCheck,
     Forward,
+    Identity,
     LinkMessage,
     LoadReport,
     Member,
@@ -44,10 +45,14 @@
     TimelineEvent,
     UpstreamDatagram,
     UpstreamGone,
+    ViewCheck,
+    ViewConfirmed,
 )
+from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
+from fulmarshore.routing.fence import Fence
 from fulmarshore.routing.flows import Directory, Flow, IdleQueue
 from fulmarshore.routing.held import HeldPackets
 from fulmarshore.routing.homes import Homes
@@ -85,6 +90,7 @@
         self.arbiter = Arbiter(self.member.name, self.counters)
         self.homes = Homes(self.member.name, self.member.incarnation)
         self.held = HeldPackets()
+        self.fence = Fence(LEASE_S)
         self._idle = IdleQueue()
         self._reporter = Reporter(self.member.name, self.member.incarnation)
         self._declined: dict[bytes, int] = {}
@@ -153,6 +159,10 @@
                 return self._give_buckets(ask, event.source, now)
             case TakeoverReply() as reply:
                 return self._take_buckets(reply, now)
+            case ViewCheck() as check:
+                return self._confirm_view(check, event.source, now)
+            case ViewConfirmed() as word:
+                return self._take_word(word)
             case FlowCheck() as check:
                 return self._answer_check(check, event.source)
         return self._drop(Reason.MALFORMED)
@@ -207,7 +217,7 @@
             return self._pass_on(
                 promise.agent, promise.incarnation, promise.address, packet, version
             )
-        if packet.version > self.table.version or self.homes.is_awaited(bucket):
+        if packet.version > self.table.version:
             return self._hold(packet, source, now)
         home = service.get_home(bucket)
         if home is None:
@@ -344,7 +354,8 @@
         bucket = find_bucket(packet.flow)
         if bucket in self.homes.settled or self.homes.find_promise(bucket):
             return False
-        if self.homes.is_awaited(bucket):
+        home = self.service.get_home(bucket) if self.service is not None else None
+        if home is not None and home.name == self.member.name:
             return True
         return packet.version > self.table.version
 
@@ -497,6 +508,9 @@
     def _give_buckets(self, ask: Takeover, source: Address, now: float) -> list[Effect]:
         if ask.version < self.table.version:
             return [SendPeer(source, make_delta(self.subscriber.view, ask.version))]
+        if self.fence.is_bound(ask.version, now):
+            self.counters["takeovers_delayed"] += 1
+            return []
         effects: list[Effect] = []
         if ask.version > self.table.version:
             request = DeltaRequest(self.subscriber.identity, self.table.version)
@@ -561,6 +575,58 @@
         self.counters["buckets_taken"] += len(settled)
         return self._resume_held(now)
 
+    # Lease -----------------------------------------------------------------
+
+    def _guard_lease(self, now: float) -> list[Effect]:
+        """Stop arbitrating when neither control nor the peers back this agent."""
+        service = self.service
+        if service is None:
+            return []
+        renewed_at = self.subscriber.lease_renewed
+        effects: list[Effect] = []
+        number = self.fence.ask(renewed_at, now)
+        peers = [m for m in service.members if m.name != self.member.name]
+        if number:
+            identity = self.subscriber.identity
+            version = self.table.version
+            check = ViewCheck(self.member.service, *_split(identity), version, number)
+            effects += [SendPeer(Address(m.host, m.port), check) for m in peers]
+        is_backed = self.fence.has_lease(renewed_at, now) or self.fence.is_confirmed(
+            {member.name for member in peers}, now
+        )
+        if is_backed != self.homes.is_fenced:
+            return effects
+        for bucket in self.homes.set_fenced(not is_backed):
+            self.directory.forget_bucket(bucket)
+        kind = "arbitration_resumed" if is_backed else "arbitration_suspended"
+        self.counters[kind] += 1
+        effects.append(TimelineEvent(kind, service=self.member.service))
+        return effects + self._resume_held(now)
+
+    def _confirm_view(
+        self, check: ViewCheck, source: Address, now: float
+    ) -> list[Effect]:
+        if check.version < self.table.version:
+            return [SendPeer(source, make_delta(self.subscriber.view, check.version))]
+        if check.version > self.table.version:
+            return self._compare_versions(check.version, source, now)
+        if self.homes.promised_version > check.version:
+            return []
+        self.fence.give_word(check.version, now)
+        identity = self.subscriber.identity
+        word = ViewConfirmed(
+            self.member.service, *_split(identity), check.version, check.number
+        )
+        return [SendPeer(source, word)]
+
+    def _take_word(self, word: ViewConfirmed) -> list[Effect]:
+        member = self.service.by_name.get(word.agent)
+        if member is None or member.incarnation != word.incarnation:
+            return self._drop(Reason.WRONG_INCARNATION)
+        if word.version == self.table.version:
+            self.fence.take_word(word.agent, word.number)
+        return []
+
     # Versions and time -----------------------------------------------------
 
     def _compare_versions(
@@ -616,6 +682,7 @@
         if self._is_done(now):
             return [*self.subscriber.leave(), Stopped()]
         effects = self.subscriber.tick(now)
+        effects += self._guard_lease(now)
         effects += self._ask_for_delta(now)
         effects += self._ask_for_buckets(now)
         for packet in self.held.take_expired(now):
@@ -690,3 +757,7 @@
     def _drop(self, reason: Reason) -> list[Effect]:
         self.counters[f"dropped_{reason}"] += 1
         return []
+
+
+def _split(identity: Identity) -> tuple[str, int]:
+    return identity.name, identity.incarnation
--- a/fulmarshore/routing/random_test.py
+++ b/fulmarshore/routing/random_test.py
@@ -15,7 +15,7 @@
 from fulmarshore.core.records import Drain, Removed, Zone
 from fulmarshore.standins import profiles  # noqa: F401
 from fulmarshore.standins.network import Faults
-from fulmarshore.standins.region import ZONES, Region
+from fulmarshore.standins.routing import ZONES, RoutedRegion
 
 BUCKETS = 16
 """Few buckets, so that a short run changes the home of many flows."""
@@ -35,7 +35,7 @@
     @initialize(seed=st.integers(0, 1 << 16))
     def start(self, seed):
         services = {SERVICES[0]: 4, SERVICES[1]: 2}
-        self.region = Region(
+        self.region = RoutedRegion(
             seed, services, entries=3, connections=15, max_hints=MAX_HINTS
         )
         self.out = {}
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -1,246 +1,264 @@
-"""A small region over the fake network: control, entry hosts and agents.
-
-The upstreams echo. The region watches what the promises of routing are
-about: who delivered each flow to an upstream, of which service, and when.
-"""
+"""The control hosts of a region over fakes, and operators who write a history."""
 
 from __future__ import annotations
 
-from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from random import Random
 
-from fulmarshore.core.hashing import hash_flow
+from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
-    Address,
     Change,
-    Datagram,
-    Declaration,
+    ChangeReply,
+    ChangeStatus,
+    DamagedFile,
     Effect,
-    EntryHost,
-    Identity,
+    Event,
     Kind,
     LinkMessage,
-    Member,
+    LogBase,
+    LogEntry,
     Profile,
-    Removed,
-    SendCaller,
-    SendUpstream,
-    Service,
-    Stop,
-    Stopped,
-    UpstreamDatagram,
-    Zone,
+    Recovered,
+    ReplicaId,
+    SendLink,
+    TermVote,
+)
+from fulmarshore.membership.control import SNAPSHOT_ENTRIES, ControlCore
+from fulmarshore.standins.disk import FakeDisk
+from fulmarshore.standins.network import FakeNetwork, Faults
+
+OPERATOR_TIMEOUT_S = 0.7
+TICK_INTERVAL_S = 0.1
+CHUNK_BYTES = 200
+FINAL = (
+    ChangeStatus.ACCEPTED,
+    ChangeStatus.CONFLICT,
+    ChangeStatus.INVALID,
+    ChangeStatus.FORGOTTEN,
 )
-from fulmarshore.membership.control import ControlCore
-from fulmarshore.membership.subscriber import Subscriber
-from fulmarshore.routing.agent import AgentCore
-from fulmarshore.routing.entry import MAX_HINTS, EntryCore
-from fulmarshore.standins.network import FakeNetwork, Faults, Node
 
-ZONES = ("a", "b", "c")
-CALLER_HOST = "10.0.0.1"
+
+@dataclass(slots=True)
+class Operation:
+    """A change as its operator saw it."""
+
+    change: Change
+    invoked: float
+    answered: float = float("inf")
+    reply: ChangeReply | None = None
+
+
+@dataclass(slots=True)
+class Operator:
+    """Submits changes one after another, and asks again after a lost answer."""
+
+    name: str
+    controls: list[str]
+    random: Random
+    number: int = 1
+    history: list[Operation] = field(default_factory=list)
+    stopped: bool = False
+    asked_at: float = float("-inf")
+    serial: int = 0
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take an answer, or ask."""
+        open_operation = self.history[-1] if self.history else None
+        if open_operation is not None and open_operation.reply is not None:
+            open_operation = None
+        if isinstance(event, LinkMessage) and isinstance(event.message, ChangeReply):
+            return self._take(open_operation, event.message, now)
+        if open_operation is None:
+            if self.stopped:
+                return []
+            open_operation = self._begin(now)
+        if now - self.asked_at < OPERATOR_TIMEOUT_S:
+            return []
+        return self._ask(open_operation, now)
+
+    def _begin(self, now: float) -> Operation:
+        self.serial += 1
+        profile = Profile("p", Kind.FEED, queue_length=self.serial)
+        change = Change(self.number, self.name, [profile], [])
+        self.asked_at = float("-inf")
+        self.history.append(Operation(change, now))
+        return self.history[-1]
+
+    def _ask(self, operation: Operation, now: float) -> list[Effect]:
+        self.asked_at = now
+        return [SendLink(self.random.choice(self.controls), operation.change)]
+
+    def _take(
+        self, operation: Operation | None, reply: ChangeReply, now: float
+    ) -> list[Effect]:
+        if operation is None or reply.number != operation.change.number:
+            return []
+        if reply.status not in FINAL:
+            return []
+        if reply.status == ChangeStatus.CONFLICT and reply.winner == self.name:
+            # A late answer to an operation of the same number before this one.
+            return []
+        operation.reply = reply
+        operation.answered = now
+        self.number = max(reply.next_number, self.number)
+        return []
 
 
 class Region:
-    """One control host, entry hosts, and agents with echoing upstreams.
+    """Three control hosts with disks, and what they must agree on.
 
     Parameters
     ----------
     seed : int
-        Seed of the network and of every choice.
-    services : dict of str to int
-        Number of upstreams of each service.
-    entries : int
-        Number of entry hosts.
-    connections : int
-        Flows that an upstream bears.
+        Seed of everything.
+    hosts : int
+        Control hosts.
     faults : Faults
-        What the network does to messages.
-    idle_timeout : float
-        Of the profile of all services, in seconds.
-    max_hints : int
-        Owners that an entry host remembers.
+        What happens to messages.
+    snapshot_entries : int
+        Entries between two snapshots.
     """
 
     def __init__(
         self,
         seed: int,
-        services: dict[str, int],
-        entries: int = 2,
-        connections: int = 2000,
+        hosts: int = 3,
         faults: Faults | None = None,
-        idle_timeout: float = 300.0,
-        max_hints: int = MAX_HINTS,
+        snapshot_entries: int = SNAPSHOT_ENTRIES,
     ) -> None:
-        self.network = FakeNetwork(seed, faults)
+        self.snapshot_entries = snapshot_entries
+        self.network = FakeNetwork(seed, faults, TICK_INTERVAL_S)
         self.random = Random(seed)
-        self.connections = connections
-        self.max_hints = max_hints
-        self.members: dict[str, Member] = {}
-        self.hosts: dict[str, EntryHost] = {}
-        self.owners: dict[bytes, tuple[str, int]] = {}
-        self.answers: Counter[tuple[str, int]] = Counter()
-        self.answered_by: dict[tuple[str, int], str] = {}
-        self.last_packet_at: dict[str, float] = {}
-        self.opened_twice = 0
-        self.misdelivered = 0
-        self.moved: set[bytes] = set()
-        self._services_of: dict[bytes, str] = {}
-        self.network.add("control", ControlCore("control"))
-        for number in range(entries):
-            self.add_entry(f"entry{number}", ZONES[number % len(ZONES)])
-        profile = Profile("p", Kind.FEED, idle_timeout=idle_timeout)
-        items: list[Declaration] = [profile, *(Zone(zone) for zone in ZONES)]
-        for number, (service, count) in enumerate(services.items()):
-            items.append(Service(service, "p", "127.0.0.9", 80 + number))
-            for index in range(count):
-                self.add_agent(f"{service}-{index}", service, ZONES[index % len(ZONES)])
-        self.change(*items)
-        self.network.run(1.0)
-
-    # Processes -------------------------------------------------------------
-
-    def add_entry(self, name: str, zone: str) -> None:
-        """Start an entry host, or its successor."""
-        address = Address("127.0.0.1", 20_000 + len(self.hosts))
-        held = self.hosts.get(name)
-        if held is not None:
-            address = Address(held.host, held.port)
-        incarnation = held.incarnation + 1 if held is not None else 1
-        host = EntryHost(name, incarnation, zone, *address)
-        self.hosts[name] = host
-        identity = Identity(name, incarnation)
-        subscriber = Subscriber(identity, host, ["control"], self.random)
-        core = EntryCore(subscriber, self.max_hints)
-        self.network.add(name, core, address, self._observe_entry)
-
-    def add_agent(self, name: str, service: str, zone: str) -> AgentCore:
-        """Start an agent, or its successor."""
-        address = Address("127.0.0.1", 30_000 + len(self.members))
-        held = self.members.get(name)
-        if held is not None:
-            address = Address(held.host, held.port)
-        incarnation = held.incarnation + 1 if held is not None else 1
-        member = Member(
-            name, incarnation, service, zone, *address, connections=self.connections
-        )
-        self.members[name] = member
-        identity = Identity(name, incarnation)
-        subscriber = Subscriber(identity, member, ["control"], self.random)
-        core = AgentCore(subscriber)
-        self.network.add(name, core, address, self._observe_agent)
-        return core
+        self.names = [f"c{number}" for number in range(hosts)]
+        self.disks = {name: FakeDisk(name, self.random) for name in self.names}
+        self.operators: list[Operator] = []
+        self.leaders: dict[int, ReplicaId] = {}
+        self.entries: dict[int, LogEntry] = {}
+        self.checked: dict[str, int] = {}
+        for name in self.names:
+            self.start(name, bootstrap=name == self.names[0])
+        self.run_until(self.is_whole)
+
+    def run_until(self, reached: Callable[[], bool], limit: float = 12.0) -> bool:
+        """Run until a condition holds; False if it does not in time."""
+        until = self.network.now + limit
+        while self.network.now < until:
+            if reached():
+                return True
+            self.network.run(0.25)
+        return reached()
+
+    def is_settled(self) -> bool:
+        """Whether all disks vote, agree, and every operator has its answer."""
+        for operator in self.operators:
+            if operator.history and operator.history[-1].reply is None:
+                return False
+        if not self.is_whole():
+            return False
+        states = [self.get(name).state for name in self.names]
+        return all(state.index == states[0].index for state in states)
+
+    def start(self, name: str, bootstrap: bool = False) -> Recovered | DamagedFile:
+        """Start a host on its disk, as the daemon does."""
+        disk = self.disks[name]
+        outcome = self._make_new(name) if disk.is_empty else disk.read()
+        recovered = outcome
+        if isinstance(outcome, DamagedFile):
+            disk.wipe()
+            recovered = self._make_new(name)
+        peers = [peer for peer in self.names if peer != name]
+        replica = Replica(recovered, peers, self.random, bootstrap)
+        replica.chunk_bytes = CHUNK_BYTES
+        core = ControlCore(name, replica, self.snapshot_entries)
+        self.network.add(name, core, disk=disk)
+        self.checked[name] = 0
+        return outcome
+
+    def get(self, name: str) -> ControlCore:
+        """Return the core of a host."""
+        return self.network.nodes[name].core
+
+    def is_running(self, name: str) -> bool:
+        """Whether a host runs."""
+        return self.network.nodes[name].running
 
     def crash(self, name: str) -> None:
-        """Stop a process without notice."""
+        """Kill a host; what was not synced is lost."""
+        self.check()
         self.network.stop(name)
+        self.disks[name].crash()
 
-    def stop(self, name: str) -> None:
-        """Begin the planned stop of a process."""
-        self.network.inject(name, Stop())
-
-    def change(self, *items: Declaration, removed: tuple[Removed, ...] = ()) -> None:
-        """Put a change of the configuration in force."""
-        number = self.network.nodes["control"].core.state.next_number
-        change = Change(number, "region", list(items), list(removed))
-        self.network.inject("control", LinkMessage("region", change))
-
-    def list_running(self, prefix: str) -> list[str]:
-        """Return the names of running processes that start with a prefix."""
-        found = []
-        for name, node in self.network.nodes.items():
-            if node.running and name.startswith(prefix):
-                found.append(name)
-        return found
-
-    def get_agent(self, name: str) -> AgentCore:
-        """Return the core of an agent."""
-        core = self.network.nodes[name].core
-        assert isinstance(core, AgentCore)
-        return core
-
-    def list_agents(self, service: str) -> list[AgentCore]:
-        """Return the cores of the running agents of a service."""
-        return [self.get_agent(name) for name in self.list_running(f"{service}-")]
-
-    def is_member(self, name: str) -> bool:
-        """Return whether control counts a running agent in, its zone too."""
-        member = self.members[name]
-        control = self.network.nodes["control"].core
-        held = control.state.view.items.get(("Member", name))
-        zone = control.state.view.items.get(("Zone", member.zone))
-        if held is None or held.item.incarnation != member.incarnation:
-            return False
-        return self.network.nodes[name].running and not (zone and zone.item.out)
-
-    # Callers ---------------------------------------------------------------
-
-    def get_flow(self, service: str, port: int) -> bytes:
-        """Return the key of a caller's flow."""
-        flow = hash_flow(service, CALLER_HOST, port)
-        self._services_of[flow] = service
-        return flow
-
-    def send(self, service: str, port: int, entry: str | None = None) -> None:
-        """Let a caller send one packet, through any entry host."""
-        self.get_flow(service, port)
-        if entry is None:
-            running = self.list_running("entry")
-            if not running:
-                return
-            entry = self.random.choice(running)
-        event = Datagram(service, Address(CALLER_HOST, port), b"ping")
-        self.network.inject(entry, event)
-
-    def send_all(
-        self, service: str, ports: range, rounds: int = 1, gap: float = 0.001
-    ) -> None:
-        """Let callers send a packet each, some time apart, and wait a little."""
-        for _ in range(rounds):
-            for port in ports:
-                self.send(service, port)
-                self.network.run(gap)
-            self.network.run(0.2)
-
-    # Observation -----------------------------------------------------------
-
-    def count_held(self, flow: bytes) -> list[str]:
-        """Return the members that hold a flow now."""
-        found = []
-        service = self._services_of[flow]
-        for name in self.list_running(f"{service}-"):
-            if flow in self.get_agent(name).flows and self.is_member(name):
-                found.append(name)
-        return found
-
-    def _observe_entry(self, node: Node, effect: Effect, now: float) -> None:
-        if isinstance(effect, SendCaller):
-            key = (effect.service, effect.destination.port)
-            self.answers[key] += 1
-        if isinstance(effect, Stopped):
-            node.running = False
-
-    def _observe_agent(self, node: Node, effect: Effect, now: float) -> None:
-        if isinstance(effect, Stopped):
-            node.running = False
-        if not isinstance(effect, SendUpstream):
-            return
-        member = self.members[node.name]
-        self.last_packet_at[node.name] = now
-        flow = effect.flow
-        if self._services_of.get(flow) != member.service:
-            self.misdelivered += 1
-        owner = (node.name, member.incarnation)
-        held = self.owners.get(flow)
-        if held is not None and held != owner:
-            self.moved.add(flow)
-            if self._still_holds(held, flow):
-                self.opened_twice += 1
-        self.owners[flow] = owner
-        self.network.inject(node.name, UpstreamDatagram(flow, b"echo"))
-
-    def _still_holds(self, owner: tuple[str, int], flow: bytes) -> bool:
-        name, incarnation = owner
-        if self.members[name].incarnation != incarnation or not self.is_member(name):
+    def wipe(self, name: str) -> None:
+        """Replace the disk of a host and start it again."""
+        self.crash(name)
+        self.disks[name].wipe()
+        self.start(name)
+
+    def isolate(self, name: str) -> None:
+        """Lose silently everything between a host and the other hosts."""
+        others = [other for other in self.names if other != name]
+        self.network.part([name], others)
+
+    def find_leader(self) -> ControlCore | None:
+        """Return the leader of the newest term that runs."""
+        leaders = []
+        for name in self.names:
+            core = self.get(name)
+            if self.is_running(name) and core.replica.is_leader:
+                leaders.append(core)
+        return max(leaders, key=lambda core: core.replica.term, default=None)
+
+    def is_whole(self) -> bool:
+        """Whether every disk holds a vote that is committed."""
+        leader = self.find_leader()
+        if leader is None or leader.replica.voters[-1][0] > leader.replica.commit:
             return False
-        return flow in self.get_agent(name).flows
+        own = {self.get(name).replica.identity for name in self.names}
+        return own == set(leader.replica.current_voters)
+
+    def add_operators(self, count: int) -> None:
+        """Add operators who race each other."""
+        for number in range(count):
+            operator = Operator(f"op{number}", self.names, self.random)
+            self.operators.append(operator)
+            self.network.add(operator.name, operator)
+
+    def stop_operators(self) -> None:
+        """Let the operators only finish what they began."""
+        for operator in self.operators:
+            operator.stopped = True
+
+    def settle(self) -> bool:
+        """End all faults, start every host, and run until all is settled."""
+        self.network.heal()
+        self.network.faults = Faults()
+        for name in self.names:
+            if not self.is_running(name):
+                self.start(name)
+        self.stop_operators()
+        settled = self.run_until(self.is_settled)
+        self.check()
+        return settled
+
+    def check(self) -> None:
+        """Check that all hosts have the same committed entries and leaders."""
+        for name in self.names:
+            if self.is_running(name):
+                self._check_host(name)
+
+    def _check_host(self, name: str) -> None:
+        replica = self.get(name).replica
+        if replica.is_leader:
+            held = self.leaders.setdefault(replica.term, replica.identity)
+            assert held == replica.identity, "a term has one leader"
+        first = max(self.checked[name], replica.log.base.index)
+        for index in range(first + 1, replica.commit + 1):
+            entry = replica.log.get(index)
+            held = self.entries.setdefault(index, entry)
+            assert held == entry, f"{name} committed another entry at {index}"
+        self.checked[name] = max(self.checked[name], replica.commit)
+
+    def _make_new(self, name: str) -> Recovered:
+        identity = ReplicaId(name, f"{self.random.getrandbits(32):08x}")
+        return Recovered(identity, 0, TermVote("", 0, None), LogBase(0, 0), None, [], 0)
