--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -435,6 +435,26 @@
     complete: list[int]
 
 
+class ViewCheck(Record, frozen=True):
+    """An agent without a lease asks a peer whether its view is the newest."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    number: int
+
+
+class ViewConfirmed(Record, frozen=True):
+    """The peer knows of no newer view, and promises under none for a while."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    number: int
+
+
 # --------------------------------------------------------------------------
 # Requests: the record that a caller states in front of its body
 # --------------------------------------------------------------------------
@@ -1117,6 +1137,8 @@
     LoadReport,
     Takeover,
     TakeoverReply,
+    ViewCheck,
+    ViewConfirmed,
     Delta,
     DeltaRequest,
     ClaimBackup,
