--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -118,6 +118,8 @@
         What happens to messages.
     snapshot_entries : int
         Entries between two snapshots.
+    running : int or None
+        So many hosts start at first; None starts all and waits for them.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         hosts: int = 3,
         faults: Faults | None = None,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
+        running: int | None = None,
     ) -> None:
         self.snapshot_entries = snapshot_entries
         self.network = FakeNetwork(seed, faults, TICK_INTERVAL_S)
@@ -136,9 +139,9 @@
         self.leaders: dict[int, ReplicaId] = {}
         self.entries: dict[int, LogEntry] = {}
         self.checked: dict[str, int] = {}
-        for name in self.names:
+        for name in self.names[:running]:
             self.start(name, bootstrap=name == self.names[0])
-        self.run_until(self.is_whole)
+        self.run_until(self.is_whole if running is None else self._has_leader)
 
     def run_until(self, reached: Callable[[], bool], limit: float = 12.0) -> bool:
         """Run until a condition holds; False if it does not in time."""
@@ -181,7 +184,7 @@
 
     def is_running(self, name: str) -> bool:
         """Whether a host runs."""
-        return self.network.nodes[name].running
+        return name in self.network.nodes and self.network.nodes[name].running
 
     def crash(self, name: str) -> None:
         """Kill a host; what was not synced is lost."""
@@ -204,8 +207,10 @@
         """Return the leader of the newest term that runs."""
         leaders = []
         for name in self.names:
+            if not self.is_running(name):
+                continue
             core = self.get(name)
-            if self.is_running(name) and core.replica.is_leader:
+            if core.replica.is_leader:
                 leaders.append(core)
         return max(leaders, key=lambda core: core.replica.term, default=None)
 
@@ -247,6 +252,9 @@
             if self.is_running(name):
                 self._check_host(name)
 
+    def _has_leader(self) -> bool:
+        return self.find_leader() is not None
+
     def _check_host(self, name: str) -> None:
         replica = self.get(name).replica
         if replica.is_leader:
