--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -93,6 +93,7 @@
         self.votes: set[ReplicaId] = set()
         self.election_at: float | None = None
         self.leader_heard_at = float("-inf")
+        self.is_in_step = False
         self.freshness = Freshness(0, 0)
         self.beat = 0
         self.beat_at = float("-inf")
--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -109,6 +109,9 @@
         _take_entry(replica, entry)
     match = previous + len(request.entries)
     replica.advance_commit(max(replica.commit, min(request.commit, match)))
+    if not replica.is_in_step and replica.commit >= request.commit:
+        replica.is_in_step = True
+        replica.note("replica_in_step", request.sender.name, f"index {replica.commit}")
     _reply(replica, peer, True, match, request.beat)
 
 
--- /dev/null
+++ b/fulmarshore/bench/config.py
@@ -0,0 +1,368 @@
+"""How fast accepted configuration is in force, over real daemons on loopback.
+
+Three control hosts, entry hosts and agents run as processes of their own. A
+process's time line tells when it applied a version; all clocks are those of
+one machine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+import zmq.asyncio
+from msgspec import Struct
+
+from fulmarshore.adapters.links import LinkClient
+from fulmarshore.commands.operator import fetch_status
+from fulmarshore.core.clock import read_seconds
+from fulmarshore.core.records import (
+    Address,
+    Change,
+    ChangeReply,
+    ChangeStatus,
+    ControlMessage,
+    Declaration,
+    Kind,
+    Profile,
+    Service,
+    StatusReply,
+    TimelineEntry,
+    Zone,
+)
+from fulmarshore.standins.cluster import find_address, format_address
+from fulmarshore.standins.processes import Processes, list_control_arguments
+
+CONTROLS = 3
+ENTRY_HOSTS = 3
+AGENTS = {"mendbook": 7, "ribplans": 3}
+CHANGES = 200
+SPACED_CHANGES = 60
+SPACING_S = 0.1
+MISSED_CHANGES = 500
+FAILOVERS = 3
+ASK_TIMEOUT_S = 0.3
+PAUSE_S = 0.02
+WAIT_TIMEOUT_S = 30.0
+ZONE = "zone-a"
+
+_decoder = msgspec.json.Decoder(TimelineEntry)
+
+
+class ConfigReport(Struct, frozen=True):
+    """What the run measured; times in seconds.
+
+    Parameters
+    ----------
+    processes : int
+        Entry hosts and agents.
+    changes_per_s : float
+        Changes accepted one after the other, each after the last answer.
+    in_force_p50_s, in_force_p99_s, in_force_max_s : float
+        From the answer to an operator until the last process has it applied.
+    catch_up_changes : int
+        Changes that passed a stopped entry host and a stopped control host.
+    catch_up_s : float
+        From the entry host's going on until it had them all.
+    control_catch_up_s : float
+        From the restarted control host's first event until it was in step.
+    failover_s : list of float
+        From SIGKILL of the leader until the next change was accepted.
+    lost_changes : int
+        Accepted changes that are not in force at the end.
+    """
+
+    processes: int
+    changes_per_s: float
+    in_force_p50_s: float
+    in_force_p99_s: float
+    in_force_max_s: float
+    catch_up_changes: int
+    catch_up_s: float
+    control_catch_up_s: float
+    failover_s: list[float]
+    lost_changes: int
+
+
+class Client:
+    """An operator who keeps links to all control hosts."""
+
+    def __init__(self, context: zmq.asyncio.Context, addresses: list[Address]) -> None:
+        self.names = [format_address(address) for address in addresses]
+        controls = dict(zip(self.names, addresses, strict=True))
+        self._links = LinkClient(context, controls, self._take)
+        self._current = 0
+        self._number = 1
+        self._waiting: asyncio.Future[ChangeReply] | None = None
+        self.accepted: dict[int, int] = {}
+
+    async def submit(self, items: list[Declaration]) -> ChangeReply:
+        """Submit a change until its outcome is known."""
+        change = Change(self._number, "bench", items, [])
+        until = time.monotonic() + WAIT_TIMEOUT_S
+        while time.monotonic() < until:
+            reply = await self._ask(change)
+            if reply is None or reply.status == ChangeStatus.UNAVAILABLE:
+                self._current = (self._current + 1) % len(self.names)
+                continue
+            if reply.status != ChangeStatus.ACCEPTED:
+                raise RuntimeError(f"change not accepted: {reply!r}")
+            self._number += 1
+            self.accepted[change.number] = reply.version
+            return reply
+        raise TimeoutError("no control host accepts changes")
+
+    def close(self) -> None:
+        """Close the links."""
+        self._links.close()
+
+    async def _ask(self, change: Change) -> ChangeReply | None:
+        self._waiting = asyncio.get_running_loop().create_future()
+        self._links.send(self.names[self._current], change)
+        try:
+            return await asyncio.wait_for(self._waiting, ASK_TIMEOUT_S)
+        except TimeoutError:
+            self._links.replace(self.names[self._current])
+            return None
+
+    def _take(self, name: str, message: ControlMessage) -> None:
+        if not isinstance(message, ChangeReply) or message.number != self._number:
+            return
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_result(message)
+
+
+class ConfigBench:
+    """One run over real daemons.
+
+    Parameters
+    ----------
+    folder : Path
+        Where logs, time lines and data folders go.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes = Processes(folder)
+        self.controls = [find_address() for _ in range(CONTROLS)]
+        self.addresses = [format_address(address) for address in self.controls]
+        self.names: list[str] = []
+        self.client: Client | None = None
+        self._count = 0
+
+    async def run(self) -> ConfigReport:
+        """Start everything, measure, and stop everything."""
+        context = zmq.asyncio.Context()
+        self.client = Client(context, self.controls)
+        try:
+            await self._start()
+            rate = await self._measure_rate()
+            in_force = await self._measure_in_force()
+            catch_up = await self._measure_catch_up()
+            control_catch_up = await self._measure_control_catch_up()
+            failovers = []
+            for _ in range(FAILOVERS):
+                failovers.append(round(await self._measure_failover(), 3))
+            lost = await self._count_lost()
+        finally:
+            self.client.close()
+            await self.processes.stop_all()
+            context.destroy(linger=0)
+        return ConfigReport(
+            len(self.names),
+            round(rate, 1),
+            round(_pick(in_force, 0.5), 4),
+            round(_pick(in_force, 0.99), 4),
+            round(max(in_force), 4),
+            MISSED_CHANGES,
+            round(catch_up, 3),
+            round(control_catch_up, 3),
+            failovers,
+            lost,
+        )
+
+    async def _start(self) -> None:
+        for number in range(CONTROLS):
+            await self._start_control(number)
+        for number in range(ENTRY_HOSTS):
+            name = f"entry-{number}"
+            await self._start_process(
+                name,
+                *("entry", "--service-host", f"127.0.2.{number + 1}"),
+                *("--data", "127.0.0.1:0"),
+            )
+        items: list[Declaration] = [Profile("feed", Kind.FEED), Zone(ZONE)]
+        for service, count in AGENTS.items():
+            items.append(Service(service, "feed", *find_address()))
+            for number in range(count):
+                await self._start_process(
+                    f"{service}-{number}",
+                    *("agent", "--service", service, "--data", "127.0.0.1:0"),
+                    *("--upstream", format_address(find_address())),
+                )
+        reply = await self.client.submit(items)
+        await self._wait_processes(reply.version)
+
+    async def _start_control(self, number: int) -> None:
+        arguments = list_control_arguments(number, ZONE, self.addresses, self.folder)
+        name = f"control-{number}"
+        timeline = str(self.folder / f"{name}.jsonl")
+        await self.processes.start(name, *arguments, "--timeline", timeline)
+
+    async def _start_process(self, name: str, role: str, *more: str) -> None:
+        arguments = [role, "--name", name, "--zone", ZONE, *more]
+        for address in self.addresses:
+            arguments += ["--control", address]
+        arguments += ["--timeline", str(self.folder / f"{name}.jsonl")]
+        await self.processes.start(name, *arguments)
+        self.names.append(name)
+
+    async def _measure_rate(self) -> float:
+        started = time.monotonic()
+        for _ in range(CHANGES):
+            reply = await self._change()
+        rate = CHANGES / (time.monotonic() - started)
+        await self._wait_processes(reply.version)
+        return rate
+
+    async def _measure_in_force(self) -> list[float]:
+        answered = []
+        for _ in range(SPACED_CHANGES):
+            reply = await self._change()
+            answered.append((reply.version, time.time()))
+            await asyncio.sleep(SPACING_S)
+        await self._wait_processes(answered[-1][0])
+        applied = [self._read_applied(name) for name in self.names]
+        delays = []
+        for version, at in answered:
+            last = max(_find_applied(times, version) for times in applied)
+            delays.append(max(0.0, last - at))
+        return delays
+
+    async def _measure_catch_up(self) -> float:
+        name = self.names[0]
+        self.processes.signal(name, signal.SIGSTOP)
+        for _ in range(MISSED_CHANGES):
+            reply = await self._change()
+        resumed = time.time()
+        self.processes.signal(name, signal.SIGCONT)
+        await self._wait_processes(reply.version)
+        return _find_applied(self._read_applied(name), reply.version) - resumed
+
+    async def _measure_control_catch_up(self) -> float:
+        status = await self._wait_whole()
+        names = [f"control-{number}" for number in range(CONTROLS)]
+        name = next(name for name in names if name != status.leader)
+        number = names.index(name)
+        self.processes.signal(name, signal.SIGKILL)
+        await self.processes.wait(name)
+        for _ in range(MISSED_CHANGES):
+            await self._change()
+        restarted = time.time()
+        await self._start_control(number)
+        until = time.time() + WAIT_TIMEOUT_S
+        while time.time() < until:
+            events = {entry.kind: entry for entry in self._read_entries(name)}
+            started = read_seconds(events["started"].clock)
+            in_step = events.get("replica_in_step")
+            if in_step is not None and read_seconds(in_step.clock) > restarted:
+                return read_seconds(in_step.clock) - started
+            await asyncio.sleep(PAUSE_S)
+        raise TimeoutError(f"{name} does not catch up")
+
+    async def _measure_failover(self) -> float:
+        status = await self._wait_whole()
+        number = int(status.leader.rpartition("-")[2])
+        killed = time.monotonic()
+        self.processes.signal(status.leader, signal.SIGKILL)
+        await self._change()
+        taken = time.monotonic() - killed
+        await self.processes.wait(status.leader)
+        await self._start_control(number)
+        return taken
+
+    async def _count_lost(self) -> int:
+        """Count accepted changes that another one has not followed in order."""
+        status = await self._wait_whole()
+        versions = list(self.client.accepted.values())
+        lost = len(versions) - len(set(versions))
+        lost += status.next_number != len(self.client.accepted) + 1
+        profile = next(
+            held.item for held in status.view.items if isinstance(held.item, Profile)
+        )
+        lost += profile.queue_length != self._count
+        return lost
+
+    async def _change(self) -> ChangeReply:
+        self._count += 1
+        return await self.client.submit(
+            [Profile("feed", Kind.FEED, queue_length=self._count)]
+        )
+
+    async def _wait_processes(self, version: int) -> None:
+        until = time.monotonic() + WAIT_TIMEOUT_S
+        while time.monotonic() < until:
+            times = [self._read_applied(name) for name in self.names]
+            if all(held and held[-1][0] >= version for held in times):
+                return
+            await asyncio.sleep(PAUSE_S)
+        raise TimeoutError(f"version {version} is not in force everywhere")
+
+    async def _wait_whole(self) -> StatusReply:
+        """Wait until all control hosts vote and answer the leader."""
+        until = time.monotonic() + WAIT_TIMEOUT_S
+        while time.monotonic() < until:
+            status = await asyncio.to_thread(fetch_status, self.controls)
+            if isinstance(status, StatusReply) and _is_whole(status):
+                return status
+            await asyncio.sleep(PAUSE_S)
+        raise TimeoutError("the control hosts are not whole")
+
+    def _read_entries(self, name: str) -> list[TimelineEntry]:
+        path = self.folder / f"{name}.jsonl"
+        if not path.exists():
+            return []
+        lines = path.read_bytes().split(b"\n")
+        return [_decoder.decode(line) for line in lines if line]
+
+    def _read_applied(self, name: str) -> list[tuple[int, float]]:
+        times = []
+        for entry in self._read_entries(name):
+            if entry.kind != "view_applied":
+                continue
+            version = int(entry.detail.rpartition(" ")[2])
+            times.append((version, read_seconds(entry.clock)))
+        return times
+
+
+def run() -> ConfigReport:
+    """Run the measurement in a temporary folder."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(ConfigBench(Path(folder)).run())
+
+
+def _is_whole(status: StatusReply) -> bool:
+    if status.control != status.leader:
+        return False
+    if [held.role for held in status.replicas].count("voter") != CONTROLS - 1:
+        return False
+    return all(
+        held.age < 1.0 and held.match >= status.commit for held in status.replicas
+    )
+
+
+def _find_applied(times: list[tuple[int, float]], version: int) -> float:
+    for applied, at in times:
+        if applied >= version:
+            return at
+    return math.inf
+
+
+def _pick(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -10,6 +10,7 @@
 from tabulate import tabulate
 
 from fulmarshore.bench import capacity as capacity_bench
+from fulmarshore.bench import config as config_bench
 from fulmarshore.bench import timeline as timeline_bench
 
 
@@ -52,3 +53,10 @@
 def timeline(events: int, as_json: bool) -> None:
     """Measure the merge of the time lines of 200 processes."""
     show_report(timeline_bench.run(events), as_json)
+
+
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def config(as_json: bool) -> None:
+    """Measure how fast accepted configuration is in force, over real daemons."""
+    show_report(config_bench.run(), as_json)
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -154,7 +154,7 @@
                 raise AssertionError(f"unexpected event {event!r}")
         effects += self._follow_lead(now)
         effects += self._compact(now)
-        effects += self.registry.push(self.state.view)
+        effects += self.registry.push(self.state.view, now)
         return effects
 
     def _handle_link(self, event: LinkMessage, now: float) -> list[Effect]:
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -25,6 +25,8 @@
 )
 from fulmarshore.membership.view import View, get_key, make_delta
 
+PUSH_INTERVAL_S = 0.1
+"""Shortest time between two deltas to one subscriber."""
 LEASE_S = 3.0
 """A process that is not heard of for this long loses its membership."""
 
@@ -32,7 +34,15 @@
 class Subscription:
     """A process that is served by this control host."""
 
-    __slots__ = ("peer", "subscribe", "version", "sent", "heard_at", "reported_at")
+    __slots__ = (
+        "peer",
+        "subscribe",
+        "version",
+        "sent",
+        "heard_at",
+        "reported_at",
+        "pushed_at",
+    )
 
     def __init__(self, peer: str, message: Subscribe, now: float) -> None:
         self.peer = peer
@@ -41,6 +51,7 @@
         self.sent = message.version
         self.heard_at = now
         self.reported_at = float("-inf")
+        self.pushed_at = float("-inf")
 
     @property
     def identity(self) -> Identity:
@@ -98,13 +109,20 @@
         if held is not None and held.identity == message.identity:
             del self.subscriptions[message.identity.name]
 
-    def push(self, view: View) -> list[Effect]:
-        """Send what is new to every subscriber."""
+    def push(self, view: View, now: float) -> list[Effect]:
+        """Send what is new to every subscriber.
+
+        Changes that follow one another closely go out together, so that a
+        burst of them does not queue up before a slower subscriber.
+        """
         effects: list[Effect] = []
         deltas = {}
         for subscription in self.subscriptions.values():
             if subscription.sent >= view.version:
                 continue
+            if now - subscription.pushed_at < PUSH_INTERVAL_S:
+                continue
+            subscription.pushed_at = now
             if subscription.sent not in deltas:
                 deltas[subscription.sent] = make_delta(view, subscription.sent)
             delta = deltas[subscription.sent]
