--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -10,6 +10,7 @@
 from tabulate import tabulate
 
 from fulmarshore.bench import capacity as capacity_bench
+from fulmarshore.bench import config as config_bench
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import timeline as timeline_bench
 
@@ -55,6 +56,13 @@
     show_report(timeline_bench.run(events), as_json)
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def config(as_json: bool) -> None:
+    """Measure how fast accepted configuration is in force, over real daemons."""
+    show_report(config_bench.run(), as_json)
+
+
 @bench.command("forward")
 @click.option("--rounds", type=click.IntRange(1, 100), default=3)
 @click.option("--seconds", type=click.FloatRange(0.1, 60.0), default=0.7)
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 
+from fulmarshore.admission.refusals import refuse_request
 from fulmarshore.core.addresses import is_sendable
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_flow, hash_request
@@ -36,7 +37,7 @@
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
-from fulmarshore.routing.hints import MAX_YOUNG_HINTS, ServiceRoutes, Source
+from fulmarshore.routing.hints import MAX_HINTS, ServiceRoutes, Source
 from fulmarshore.routing.peers import KnownPeers
 from fulmarshore.routing.table import ServiceTable, Table
 
@@ -57,9 +58,7 @@
         Bound of one generation of the hints of a service.
     """
 
-    def __init__(
-        self, subscriber: Subscriber, max_hints: int = MAX_YOUNG_HINTS
-    ) -> None:
+    def __init__(self, subscriber: Subscriber, max_hints: int = MAX_HINTS) -> None:
         self.name = subscriber.identity.name
         self.subscriber = subscriber
         self.table = Table(subscriber.view)
@@ -121,7 +120,8 @@
         flow = hash_request(request.service, request.caller, request.number)
         home = routes.service.get_home(find_bucket(flow))
         if home is None:
-            return self._drop(Reason.NO_UPSTREAM)
+            self.counters[f"dropped_{Reason.NO_UPSTREAM}"] += 1
+            return [refuse_request(request, event.source)]
         self.counters["forwarded"] += 1
         source = (event.source[0], event.source[1])
         packet = routes.make_packet(flow, source, home, Phase.OPENING, event.payload)
--- a/fulmarshore/routing/hints.py
+++ b/fulmarshore/routing/hints.py
@@ -14,7 +14,7 @@
 from fulmarshore.core.records import Address, Forward, Member, Phase
 from fulmarshore.routing.table import ServiceTable
 
-MAX_YOUNG_HINTS = 330_000
+MAX_HINTS = 330_000
 """Flows of one generation of a service; a second one may be as large."""
 
 Source = tuple[str, int]
@@ -82,7 +82,7 @@
         entry: str,
         service: ServiceTable,
         version: int,
-        max_young: int = MAX_YOUNG_HINTS,
+        max_young: int = MAX_HINTS,
     ) -> None:
         self.entry = entry
         self.evictions = 0
