Agents take known flows the short way; deltas of strangers are dropped

Cause: an agent made a PeerMessage, a list and a SendUpstream for each packet and an UpstreamDatagram, an Answer and a SendPeer for each answer. Packets of held flows now need one look at the flow, answers join the head that the flow keeps for the version in force.

Both cores take deltas from peers of their table or ones they asked; a table of crossed answers, refusals and deltas and a randomised run over all messages of the data path.

--- a/fulmarshore/adapters/peers.py
+++ b/fulmarshore/adapters/peers.py
@@ -63,10 +63,11 @@
 
     def _drain(self, receive_from: ReceiveFrom) -> None:
         now = time.monotonic()
+        receive = self._receive
         for _ in range(RECEIVE_BATCH):
             frame, source = receive_from(RECEIVE_BYTES)
             message = decode_data(frame, source[0])
-            if isinstance(message, Malformed):
+            if type(message) is Malformed:
                 self._counters["dropped_malformed"] += 1
                 continue
-            self._receive(message, source, now)
+            receive(message, source, now)
--- a/fulmarshore/core/codec.py
+++ b/fulmarshore/core/codec.py
@@ -63,7 +63,12 @@
     message : DataMessage or Malformed
         The message, or what is wrong with the frame.
     """
-    return _decode(_data_decoder, frame, MAX_DATAGRAM_BYTES, "decode_data", peer)
+    if len(frame) > MAX_DATAGRAM_BYTES:
+        return Malformed("decode_data", peer, f"{len(frame)} bytes")
+    try:
+        return _data_decoder.decode(frame)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return Malformed("decode_data", peer, str(error))
 
 
 def decode_control(frame: bytes, peer: str) -> ControlMessage | Malformed:
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -3,17 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 
-from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.adapters.datagrams import (
+    RECEIVE_BATCH,
+    RECEIVE_BYTES,
+    DatagramSocket,
+    ReceiveFrom,
+)
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.adapters.peers import PeerSocket
+from fulmarshore.core.codec import LENGTHS, PREPARED_LENGTHS
 from fulmarshore.core.records import (
     Address,
     CloseUpstream,
     DataMessage,
     Effect,
     Event,
+    Forward,
     Identity,
     Member,
     PeerMessage,
@@ -119,6 +127,9 @@
         return [self.counters, self.core.counters, self.core.subscriber.counters]
 
     def _take_peer(self, message: DataMessage, source: Address, now: float) -> None:
+        if type(message) is Forward and self.core.take_known(message, now):
+            self._find_upstream(message.flow).send(message.payload)
+            return
         self.execute(self.handle(PeerMessage(source, message), now))
 
     def _find_upstream(self, flow: bytes) -> DatagramSocket:
@@ -126,14 +137,27 @@
         if sock is not None:
             return sock
 
-        def receive(payload: bytes, source: Address) -> None:
-            self.dispatch(UpstreamDatagram(flow, payload))
+        def drain(receive_from: ReceiveFrom) -> None:
+            self._drain_upstream(flow, receive_from)
 
         def fail() -> None:
             loop.call_soon(self.dispatch, UpstreamGone(flow))
 
         loop = asyncio.get_running_loop()
-        sock = DatagramSocket(loop, receive, fail)
+        sock = DatagramSocket(loop, fail=fail, drain=drain)
         sock.connect(self.settings.upstream)
         self._upstreams[flow] = sock
         return sock
+
+    def _drain_upstream(self, key: bytes, receive_from: ReceiveFrom) -> None:
+        """Send the upstream's datagrams on the socket of a flow back."""
+        now = time.monotonic()
+        for _ in range(RECEIVE_BATCH):
+            payload, _ = receive_from(RECEIVE_BYTES)
+            is_short = len(payload) < PREPARED_LENGTHS
+            flow = self.core.answer_known(key, now) if is_short else None
+            if flow is None:
+                self.dispatch(UpstreamDatagram(key, payload))
+                continue
+            frame = b"".join((flow.head, LENGTHS[len(payload)], payload))
+            self._data.send_frame(frame, flow.entry_address)
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -204,16 +204,22 @@
         all others take the way through the core's events.
         """
         routes = self.core.routes.get(held.service.name)
-        if routes is None or not self._is_direct or not held.is_plain:
+        if routes is None or not held.is_plain:
             for _ in range(RECEIVE_BATCH):
                 self._take_caller(held, *receive_from(RECEIVE_BYTES))
             return
         forwarded = 0
+        is_direct = self._is_direct
         find = routes.find
         send = self._data.send_frame
         try:
             for _ in range(RECEIVE_BATCH):
                 payload, source = receive_from(RECEIVE_BYTES)
+                if not is_direct:
+                    named = self._take_header(held, payload, source)
+                    if named is None:
+                        continue
+                    source, payload = named
                 hint = find(source)
                 if hint is None or len(payload) >= PREPARED_LENGTHS:
                     self.dispatch(Datagram(held.service.name, source, payload))
@@ -228,13 +234,21 @@
         if self._is_direct:
             self.dispatch(Datagram(held.service.name, source, frame))
             return
+        named = self._take_header(held, frame, source)
+        if named is not None:
+            self.dispatch(Datagram(held.service.name, *named))
+
+    def _take_header(
+        self, held: ServiceSocket, frame: bytes, source: Address
+    ) -> tuple[Address, bytes] | None:
+        """Return the caller and the payload behind a PROXY header."""
         parts = split_header(frame, source[0])
         if isinstance(parts, Malformed):
             self.counters["dropped_malformed"] += 1
-            return
+            return None
         caller = decode_header(parts[0])
         if isinstance(caller, Malformed):
             self.counters["dropped_malformed"] += 1
-            return
+            return None
         held.fabric = source
-        self.dispatch(Datagram(held.service.name, caller, parts[1]))
+        return caller, parts[1]
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -13,6 +13,7 @@
 
 from fulmarshore.admission.gate import Gate
 from fulmarshore.admission.requests import RequestCore
+from fulmarshore.core.codec import encode_head
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
@@ -57,6 +58,7 @@
 from fulmarshore.routing.flows import Directory, Flow, IdleQueue
 from fulmarshore.routing.held import HeldPackets
 from fulmarshore.routing.homes import Homes
+from fulmarshore.routing.peers import KnownPeers
 from fulmarshore.routing.reports import Reporter
 from fulmarshore.routing.table import ServiceTable, Table
 
@@ -85,6 +87,7 @@
         self.subscriber = subscriber
         self.member = subscriber.announcement
         self.table = Table(subscriber.view)
+        self.peers = KnownPeers(self.table)
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
         self.gate = Gate(self.member)
@@ -142,6 +145,8 @@
     def _handle_peer(self, event: PeerMessage, now: float) -> list[Effect]:
         match event.message:
             case Delta() as delta:
+                if not self.peers.may_tell(event.source, delta):
+                    return self._drop(Reason.STRANGER)
                 effects = self.subscriber.apply(delta, event.source[0])
                 return effects + self._update_table(now)
             case DeltaRequest() as request:
@@ -190,7 +195,44 @@
             return effects
         return effects + self._route(packet, source, now)
 
+    def take_known(self, packet: Forward, now: float) -> bool:
+        """Take a packet of a flow held here that needs nothing but delivery.
+
+        Its payload goes to the upstream on the socket of the flow. False: it
+        is to be handled as an event.
+        """
+        flow = self.flows.get(packet.flow)
+        member = self.member
+        if flow is None or packet.version != self.table.version:
+            return False
+        if packet.service != member.service or packet.target != member.name:
+            return False
+        if packet.incarnation != member.incarnation:
+            return False
+        self._touch(flow, packet, now)
+        return True
+
+    def answer_known(self, key: bytes, now: float) -> Flow | None:
+        """Return the flow that an upstream's datagram goes back on, if simple.
+
+        Its head and the payload, joined, go to its entry host. None: the
+        datagram is to be handled as an event.
+        """
+        flow = self.flows.get(key)
+        if flow is None or flow.entry_address is None:
+            return None
+        flow.last_active = now
+        if flow.head_version != self.table.version:
+            flow.head = encode_head(self._make_answer(flow, b""))
+            flow.head_version = self.table.version
+        self.counters["answered"] += 1
+        return flow
+
     def _deliver(self, flow: Flow, packet: Forward, now: float) -> SendUpstream:
+        self._touch(flow, packet, now)
+        return SendUpstream(packet.flow, packet.payload)
+
+    def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
         flow.last_active = now
         if packet.assignment > flow.assignment:
             flow.assignment = packet.assignment
@@ -198,7 +240,6 @@
             flow.entry = packet.entry
             flow.entry_address = self._find_entry(packet.entry)
         self.counters["delivered"] += 1
-        return SendUpstream(packet.flow, packet.payload)
 
     def _route(self, packet: Forward, source: Address, now: float) -> list[Effect]:
         """Handle a packet of a flow that this agent does not hold."""
@@ -409,7 +450,11 @@
         if flow.entry_address is None:
             return self._drop(Reason.NO_UPSTREAM)
         self.counters["answered"] += 1
-        answer = Answer(
+        answer = self._make_answer(flow, event.payload)
+        return [SendPeer(flow.entry_address, answer)]
+
+    def _make_answer(self, flow: Flow, payload: bytes) -> Answer:
+        return Answer(
             self.member.service,
             self.member.name,
             self.member.incarnation,
@@ -417,9 +462,8 @@
             flow.key,
             flow.caller.host,
             flow.caller.port,
-            event.payload,
+            payload,
         )
-        return [SendPeer(flow.entry_address, answer)]
 
     # Ends of flows ---------------------------------------------------------
 
@@ -517,6 +561,7 @@
             return []
         effects: list[Effect] = []
         if ask.version > self.table.version:
+            self.peers.ask(source)
             request = DeltaRequest(self.subscriber.identity, self.table.version)
             effects.append(SendPeer(source, request))
         given, complete = self.homes.give(ask, source, now)
@@ -647,6 +692,7 @@
         if self._newest_seen is None or now - self._delta_asked_at < DELTA_INTERVAL_S:
             return []
         self._delta_asked_at = now
+        self.peers.ask(self._newest_seen[1])
         request = DeltaRequest(self.subscriber.identity, self.table.version)
         return [SendPeer(self._newest_seen[1], request)]
 
@@ -657,6 +703,7 @@
         assert view.version > self.table.version, "versions only go up"
         previous = self.table
         self.table = Table(view, previous)
+        self.peers.follow(self.table)
         self._delta_asked_at = float("-inf")
         if self._newest_seen is not None and view.version >= self._newest_seen[0]:
             self._newest_seen = None
--- /dev/null
+++ b/fulmarshore/routing/entry_test.py
@@ -0,0 +1,194 @@
+"""What an entry host believes, and that its short way equals the whole one."""
+
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+import fulmarshore.standins.profiles  # noqa: F401
+from fulmarshore.core.codec import LENGTHS, encode
+from fulmarshore.core.hashing import hash_flow
+from fulmarshore.core.records import (
+    Address,
+    Answer,
+    Datagram,
+    Delta,
+    DeltaRequest,
+    EntryHost,
+    Forward,
+    Identity,
+    Kind,
+    LinkMessage,
+    Member,
+    PeerMessage,
+    Profile,
+    Reason,
+    Refusal,
+    SendCaller,
+    Service,
+    Tick,
+    Versioned,
+    Zone,
+)
+from fulmarshore.membership.subscriber import Subscriber
+from fulmarshore.routing.agent import AgentCore
+from fulmarshore.routing.entry import ROTATION_INTERVAL_S, EntryCore
+
+VERSION = 5
+AGENT = Address("127.0.0.1", 7001)
+CALLER = Address("10.0.0.1", 4000)
+STRANGER = Address("10.9.9.9", 9)
+FLOW = hash_flow("s", *CALLER)
+ITEMS = [
+    Profile("p", Kind.FEED),
+    Service("s", "p", "127.0.0.9", 80),
+    Service("other", "p", "127.0.0.9", 81),
+    Member("m", 2, "s", "a", *AGENT),
+    EntryHost("e", 1, "a", "127.0.0.1", 7000),
+]
+
+
+def make_view(version, items):
+    return Delta(0, version, [Versioned(version, item) for item in items], [])
+
+
+def make_core(max_hints=8):
+    host = EntryHost("e", 1, "a", "127.0.0.1", 7000)
+    subscriber = Subscriber(Identity("e", 1), host, ["c"], Random(1))
+    core = EntryCore(subscriber, max_hints)
+    core.handle(LinkMessage("c", make_view(VERSION, ITEMS)), 0.0)
+    return core
+
+
+def make_agent():
+    member = Member("m", 2, "s", "a", *AGENT)
+    subscriber = Subscriber(Identity("m", 2), member, ["c"], Random(1))
+    core = AgentCore(subscriber)
+    core.handle(LinkMessage("c", make_view(VERSION, ITEMS)), 0.0)
+    return core
+
+
+def make_answer(
+    service="s", owner="m", life=2, version=VERSION, flow=FLOW, caller=CALLER
+):
+    return Answer(service, owner, life, version, flow, *caller, b"answer")
+
+
+HOSTS = st.sampled_from(["10.0.0.1", "::1", "example.org", "", "127.0.0.1", "a\x00b"])
+PORTS = st.sampled_from([0, 1, 4000, 65_535, 65_536, -1, 1 << 62])
+LIVES = st.sampled_from([0, 1, 2, 3, 1 << 62])
+VERSIONS = st.sampled_from([0, VERSION - 1, VERSION, VERSION + 1, 1 << 62])
+NAMES = st.sampled_from(["s", "other", "m", "e", "", "nobody"])
+FLOWS = st.one_of(st.just(FLOW), st.binary(max_size=20))
+HEAD = (NAMES, NAMES, LIVES, VERSIONS, FLOWS)
+ITEM = st.one_of(
+    st.builds(Member, NAMES, LIVES, NAMES, NAMES, HOSTS, PORTS),
+    st.builds(EntryHost, NAMES, LIVES, NAMES, HOSTS, PORTS),
+    st.builds(Zone, NAMES, st.booleans()),
+    st.builds(Service, NAMES, st.just("p"), HOSTS, PORTS),
+)
+MESSAGES = st.one_of(
+    st.builds(Answer, *HEAD, HOSTS, PORTS, st.binary(max_size=9)),
+    st.builds(Refusal, *HEAD, HOSTS, PORTS, st.sampled_from(Reason)),
+    st.builds(
+        Forward,
+        *HEAD,
+        st.integers(0, 9),
+        HOSTS,
+        PORTS,
+        NAMES,
+        st.integers(0, 20),
+        VERSIONS,
+        st.binary(max_size=9),
+    ),
+    st.builds(DeltaRequest, st.builds(Identity, NAMES, LIVES), VERSIONS),
+    st.builds(
+        Delta,
+        VERSIONS,
+        VERSIONS,
+        st.lists(st.builds(Versioned, VERSIONS, ITEM), max_size=3),
+        st.just([]),
+    ),
+)
+SOURCES = st.sampled_from([AGENT, STRANGER, Address("127.0.0.1", 7000)])
+
+
+class EntryTest(TestCase):
+    def test_answers_and_refusals_that_are_dropped(self):
+        crossed = Address("10.0.0.2", 4000)
+        table = [
+            (make_answer(), AGENT, None),
+            (make_answer(service="none"), AGENT, Reason.WRONG_SERVICE),
+            (make_answer(service="other"), AGENT, Reason.WRONG_INCARNATION),
+            (make_answer(owner="x"), AGENT, Reason.WRONG_INCARNATION),
+            (make_answer(life=1), AGENT, Reason.WRONG_INCARNATION),
+            (make_answer(), STRANGER, Reason.WRONG_SOURCE),
+            (make_answer(caller=crossed), AGENT, Reason.MALFORMED),
+            (make_answer(flow=b"k" * 16), AGENT, Reason.MALFORMED),
+            (make_answer(caller=("example.org", 80)), AGENT, Reason.MALFORMED),
+        ]
+        for is_known in (False, True):
+            for answer, source, reason in table:
+                with self.subTest(is_known=is_known, answer=answer, source=source):
+                    core = make_core()
+                    if is_known:
+                        core.handle(Datagram("s", CALLER, b"x"), 1.0)
+                        fits = core.check_answer(answer, source)
+                        self.assertEqual(fits is not None, reason is None)
+                    effects = core.handle(PeerMessage(source, answer), 1.0)
+                    sent = [e for e in effects if isinstance(e, SendCaller)]
+                    self.assertEqual(len(sent), reason is None)
+                    self.assertEqual(core.counters[f"dropped_{reason}"], bool(reason))
+
+    def test_deltas_of_strangers_are_dropped(self):
+        zone = make_view(VERSION + 1, [*ITEMS, Zone("a", True)])
+        nowhere = Member("n", 1, "s", "a", "example.org", 1)
+        table = [
+            (STRANGER, zone, VERSION),
+            (AGENT, zone, VERSION + 1),
+            (AGENT, make_view(VERSION + 1, [*ITEMS, nowhere]), VERSION),
+        ]
+        for make in (make_core, make_agent):
+            for source, delta, version in table:
+                with self.subTest(core=make.__name__, source=source):
+                    core = make()
+                    core.handle(PeerMessage(source, delta), 1.0)
+                    self.assertEqual(core.table.version, version)
+                    dropped = version == VERSION
+                    self.assertEqual(core.counters["dropped_stranger"], dropped)
+
+    @given(st.lists(st.tuples(SOURCES, MESSAGES), max_size=6))
+    def test_messages_of_any_content_never_raise(self, messages):
+        for core in (make_core(), make_agent()):
+            for source, message in messages:
+                for effect in core.handle(PeerMessage(source, message), 1.0):
+                    if isinstance(effect, SendCaller):
+                        self.assertIn(effect.destination.host, ("10.0.0.1", "::1"))
+                core.handle(Tick(), 2.0)
+
+    @given(st.integers(0, 2000), st.integers(0, 1))
+    def test_short_way_sends_what_the_whole_way_sends(self, size, known):
+        payload = bytes(size)
+        core = make_core()
+        for _ in range(known):
+            core.handle(Datagram("s", CALLER, b"x"), 1.0)
+        hint = core.routes["s"].find(CALLER)
+        (send,) = core.handle(Datagram("s", CALLER, payload), 1.0)
+        frame = hint.head + LENGTHS[size] + payload
+        self.assertEqual(frame, encode(send.message))
+        self.assertEqual(hint.address, send.destination)
+
+    def test_hints_are_bounded_and_idle_flows_are_forgotten(self):
+        core = make_core(max_hints=8)
+        core.handle(Tick(), 0.0)
+        for port in range(1, 101):
+            core.handle(Datagram("s", Address("10.0.0.1", port), b"x"), 1.0)
+            self.assertLessEqual(core.hint_count, 17)
+        for step in (1, 2):
+            core.handle(Tick(), step * ROTATION_INTERVAL_S)
+        self.assertEqual(core.hint_count, 0)
+        core.handle(Datagram("s", CALLER, b"x"), 1.0)
+        gone = make_view(VERSION + 1, [ITEMS[0]])
+        core.handle(LinkMessage("c", gone), 2.0)
+        self.assertEqual(core.hint_count, 0)
--- a/fulmarshore/routing/flows.py
+++ b/fulmarshore/routing/flows.py
@@ -18,6 +18,8 @@
         "entry_address",
         "last_active",
         "assignment",
+        "head",
+        "head_version",
     )
 
     def __init__(
@@ -35,6 +37,9 @@
         self.entry_address = address
         self.assignment = assignment
         self.last_active = now
+        # An encoded answer up to the payload, and the version it belongs to.
+        self.head = b""
+        self.head_version = -1
 
 
 class IdleQueue:
