--- a/fulmarshore/routing/entry_test.py
+++ b/fulmarshore/routing/entry_test.py
@@ -34,6 +34,7 @@
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.agent import AgentCore
 from fulmarshore.routing.entry import ROTATION_INTERVAL_S, EntryCore
+from fulmarshore.routing.flows import Flow
 
 VERSION = 5
 AGENT = Address("127.0.0.1", 7001)
@@ -192,3 +193,32 @@
         gone = make_view(VERSION + 1, [ITEMS[0]])
         core.handle(LinkMessage("c", gone), 2.0)
         self.assertEqual(core.hint_count, 0)
+
+    def test_hint_follows_the_table(self):
+        core = make_core()
+        core.handle(Datagram("s", CALLER, b"x"), 1.0)
+        moved = Member("m", 3, "s", "a", "127.0.0.1", 7009)
+        table = [([*ITEMS[:3], moved], 3, 7009), (ITEMS[:3], None, None)]
+        for number, (items, incarnation, port) in enumerate(table, start=1):
+            with self.subTest(incarnation=incarnation):
+                view = make_view(VERSION + number, items)
+                core.handle(LinkMessage("c", view), 2.0)
+                hint = core.routes["s"].find(CALLER)
+                found = (hint.member.incarnation, hint.address.port) if hint else None
+                self.assertEqual(found, (incarnation, port) if port else None)
+
+    def test_agent_takes_only_its_own_packets_the_short_way(self):
+        core = make_agent()
+        core.flows[FLOW] = Flow(FLOW, CALLER, "e", None, 0, 0.0)
+        table = [
+            (("s", "m", 2, VERSION, FLOW), True),
+            (("other", "m", 2, VERSION, FLOW), False),
+            (("s", "e", 2, VERSION, FLOW), False),
+            (("s", "m", 1, VERSION, FLOW), False),
+            (("s", "m", 2, VERSION - 1, FLOW), False),
+            (("s", "m", 2, VERSION, b"k" * 16), False),
+        ]
+        for head, taken in table:
+            with self.subTest(head=head):
+                packet = Forward(*head, 0, *CALLER, "e", 0, 0, b"x")
+                self.assertEqual(core.take_known(packet, 1.0), taken)
