--- a/fulmarshore/routing/random_test.py
+++ b/fulmarshore/routing/random_test.py
@@ -62,6 +62,16 @@
     def hide_changes(self, entry):
         self.region.network.cut("control", f"entry{entry}")
 
+    @rule(agent=st.integers(0, 3))
+    def cut_agent(self, agent):
+        self.region.network.part(["control"], [f"{SERVICES[0]}-{agent}"])
+
+    @rule()
+    def cut_control(self):
+        others = [name for name in self.region.network.nodes if name != "control"]
+        self.region.network.part(["control"], others)
+        self.out.clear()
+
     @rule()
     def heal(self):
         self.region.network.heal()
@@ -104,7 +114,7 @@
     def change_zone(self, zone, is_out):
         self.region.change(Zone(zone, is_out))
         self.out.pop(zone, None)
-        if is_out:
+        if is_out and not self.region.network.is_cut("control"):
             self.out[zone] = self.region.network.now
 
     @invariant()
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -164,6 +164,10 @@
         """Lose everything from one core to another, silently."""
         self._cut.add((source, destination))
 
+    def is_cut(self, source: str) -> bool:
+        """Return whether anything that a core sends is lost in a partition."""
+        return any(cut[0] == source for cut in self._cut)
+
     def part(self, left: list[str], right: list[str]) -> None:
         """Lose everything between two groups, in both directions."""
         for one in left:
