--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from fulmarshore.admission.gate import Gate
+from fulmarshore.admission.requests import RequestCore
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
@@ -87,6 +88,7 @@
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
         self.gate = Gate(self.member)
+        self.requests = RequestCore(subscriber)
         self.arbiter = Arbiter(self.member.name, self.counters)
         self.homes = Homes(self.member.name, self.member.incarnation)
         self.held = HeldPackets()
@@ -117,6 +119,8 @@
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
+        if self.requests.takes(event, self.table):
+            return self.requests.handle(event, self.table, now)
         match event:
             case PeerMessage(message=Forward() as packet, source=source):
                 return self._take_packet(packet, source, now)
@@ -689,6 +693,7 @@
             effects += self._refuse(packet, Reason.NOT_SETTLED)
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
+        effects += self.requests.handle(Tick(), self.table, now)
         return effects
 
     def _report_load(self, now: float) -> list[Effect]:
@@ -739,6 +744,8 @@
             return False
         if now >= self._stopping_at:
             return True
+        if not self.requests.is_idle(now):
+            return False
         service = self.service
         has_successor = service is not None and bool(service.accepting)
         return not self.flows and not (self.homes.settled and has_successor)
