Planned restart of an agent keeps its flows

SIGHUP: the agent hands its flow records (caller, entry host, local port, last assignment) to two peers and exits once they are acknowledged; its successor fetches them, opens the sockets on the same ports, and only then arbitrates. Homes pass packets of a former self's flows to the successor.

changes_test: 13 planned changes, with and without duplication and reordering, 60 flows on 4 upstreams: 0 broken, 0 opened twice, 0 misdelivered.

--- a/fulmarshore/adapters/datagrams.py
+++ b/fulmarshore/adapters/datagrams.py
@@ -54,9 +54,25 @@
         self._watch()
         return Address(*self._socket.getsockname()[:2])
 
-    def connect(self, address: Address) -> None:
-        """Connect to a peer: only its datagrams are received."""
+    @property
+    def local_port(self) -> int:
+        """Port that the socket is bound to."""
+        return self._socket.getsockname()[1]
+
+    def connect(self, address: Address, local_port: int = 0) -> None:
+        """Connect to a peer: only its datagrams are received.
+
+        Parameters
+        ----------
+        address : Address
+            The peer.
+        local_port : int
+            Port to bind first; 0 leaves it to the kernel. One that is taken
+            is left to the kernel too.
+        """
         self._open(address.host, 0)
+        if local_port:
+            self._bind_port(local_port)
         self._socket.connect(address)
         self._connected = True
         self._watch()
@@ -94,6 +110,12 @@
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self._socket.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
 
+    def _bind_port(self, port: int) -> None:
+        try:
+            self._socket.bind(("", port))
+        except OSError:
+            self.dropped += 1
+
     def _watch(self) -> None:
         self._loop.add_reader(self._socket.fileno(), self._read)
 
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -435,6 +435,67 @@
     complete: list[int]
 
 
+class FlowRecord(Record, frozen=True):
+    """What a restarted agent needs to go on with a flow.
+
+    Parameters
+    ----------
+    local_port : int
+        Port of the socket towards the upstream, which tells flows apart.
+    """
+
+    flow: bytes
+    caller_host: str
+    caller_port: int
+    entry: str
+    local_port: int
+    assignment: int
+
+
+class FlowRecords(Record, frozen=True):
+    """A part of the flow records of an agent that restarts.
+
+    Parameters
+    ----------
+    agent, incarnation : str, int
+        Whose flows they are.
+    version : int
+        Version of the configuration in force at the sender.
+    sender : str
+        The agent itself, or the peer that kept the records for it.
+    part, parts : int
+        Number of this part and count of all; 0 parts where none are kept.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    sender: str
+    part: int
+    parts: int
+    flows: list[FlowRecord]
+
+
+class FlowRecordsKept(Record, frozen=True):
+    """A peer keeps a part of the flow records of an agent."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    part: int
+
+
+class FlowRecordsRequest(Record, frozen=True):
+    """A restarted agent asks for the flow records of its former self."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+
+
 class ViewCheck(Record, frozen=True):
     """An agent without a lease asks a peer whether its view is the newest."""
 
@@ -1137,6 +1198,9 @@
     LoadReport,
     Takeover,
     TakeoverReply,
+    FlowRecords,
+    FlowRecordsKept,
+    FlowRecordsRequest,
     ViewCheck,
     ViewConfirmed,
     Delta,
@@ -1323,6 +1387,19 @@
     sequence: int
 
 
+class LocalPort(Struct, frozen=True, gc=False):
+    """The local port of the upstream socket of a flow."""
+
+    flow: bytes
+    port: int
+
+
+class Restart(Struct, frozen=True):
+    """Event: a planned restart begins; a successor of this process follows."""
+
+    ports: list[LocalPort]
+
+
 class SendCaller(Struct, frozen=True, gc=False):
     """Effect: send a datagram from the service's address to a caller."""
 
@@ -1348,6 +1425,13 @@
     payload: bytes
 
 
+class OpenUpstream(Struct, frozen=True):
+    """Effect: open the socket of a flow on the local port that it had."""
+
+    flow: bytes
+    port: int
+
+
 class CloseUpstream(Struct, frozen=True):
     """Effect: close the socket of a flow."""
 
@@ -1445,12 +1529,14 @@
     LinkMessage,
     Tick,
     Stop,
+    Restart,
     Stored,
 ]
 Effect = Union[
     SendCaller,
     SendPeer,
     SendUpstream,
+    OpenUpstream,
     CloseUpstream,
     SendLink,
     Stopped,
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections import Counter
 
 from fulmarshore.adapters.datagrams import DatagramSocket
@@ -14,7 +15,10 @@
     Effect,
     Event,
     Identity,
+    LocalPort,
     Member,
+    OpenUpstream,
+    Restart,
     SendPeer,
     SendUpstream,
     UpstreamDatagram,
@@ -81,6 +85,7 @@
         controls = [format_link(address) for address in settings.controls]
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = AgentCore(subscriber)
+        loop.add_signal_handler(signal.SIGHUP, self._restart)
 
     def close(self) -> None:
         """Close all sockets."""
@@ -99,6 +104,8 @@
                 self._find_upstream(flow).send(payload)
             case SendPeer(destination=destination, message=message):
                 self._data.send(message, destination)
+            case OpenUpstream(flow=flow, port=port):
+                self._open_upstream(flow, port)
             case CloseUpstream(flow=flow):
                 sock = self._upstreams.pop(flow, None)
                 if sock is not None:
@@ -120,7 +127,15 @@
         sock = self._upstreams.get(flow)
         if sock is not None:
             return sock
+        return self._open_upstream(flow, 0)
 
+    def _restart(self) -> None:
+        ports = [
+            LocalPort(flow, sock.local_port) for flow, sock in self._upstreams.items()
+        ]
+        self.dispatch(Restart(ports))
+
+    def _open_upstream(self, flow: bytes, port: int) -> DatagramSocket:
         def receive(payload: bytes, source: Address) -> None:
             self.dispatch(UpstreamDatagram(flow, payload))
 
@@ -129,6 +144,6 @@
 
         loop = asyncio.get_running_loop()
         sock = DatagramSocket(loop, receive, fail)
-        sock.connect(self.settings.upstream)
+        sock.connect(self.settings.upstream, port)
         self._upstreams[flow] = sock
         return sock
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -24,18 +24,25 @@
     Effect,
     Event,
     FlowCheck,
+    FlowRecord,
+    FlowRecords,
+    FlowRecordsKept,
+    FlowRecordsRequest,
     Forward,
     Identity,
     LinkMessage,
     LoadReport,
+    LocalPort,
     Member,
     MemberState,
+    OpenUpstream,
     OwnedFlow,
     PeerMessage,
     Phase,
     Reason,
     Refusal,
     Released,
+    Restart,
     SendPeer,
     SendUpstream,
     Stop,
@@ -58,6 +65,7 @@
 from fulmarshore.routing.held import HeldPackets
 from fulmarshore.routing.homes import Homes
 from fulmarshore.routing.reports import Reporter
+from fulmarshore.routing.succession import Succession
 from fulmarshore.routing.table import ServiceTable, Table
 
 MAX_HOPS = 12
@@ -93,6 +101,9 @@
         self.homes = Homes(self.member.name, self.member.incarnation)
         self.held = HeldPackets()
         self.fence = Fence(LEASE_S)
+        self.succession = Succession(subscriber.identity, self.member.service)
+        self._recovery_began = False
+        self._has_recovered = False
         self._idle = IdleQueue()
         self._reporter = Reporter(self.member.name, self.member.incarnation)
         self._declined: dict[bytes, int] = {}
@@ -115,7 +126,8 @@
     def is_accepting(self) -> bool:
         """Whether new flows may be opened here, as far as is known."""
         drained = self.member.name in self.table.drained
-        return self.member.state == MemberState.ACCEPTING and not drained
+        leaving = drained or self.succession.is_leaving
+        return self.member.state == MemberState.ACCEPTING and not leaving
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
@@ -137,6 +149,8 @@
                 return self._tick(now)
             case Stop():
                 return self._begin_stop(now)
+            case Restart(ports=ports):
+                return self._begin_restart(ports, now)
         raise AssertionError(f"unexpected event {event!r}")
 
     def _handle_peer(self, event: PeerMessage, now: float) -> list[Effect]:
@@ -163,6 +177,10 @@
                 return self._give_buckets(ask, event.source, now)
             case TakeoverReply() as reply:
                 return self._take_buckets(reply, now)
+            case FlowRecords() | FlowRecordsKept() | FlowRecordsRequest() as message:
+                view = self.subscriber.view
+                effects = self.succession.handle(message, event.source, view, now)
+                return effects + self._finish_recovery(now)
             case ViewCheck() as check:
                 return self._confirm_view(check, event.source, now)
             case ViewConfirmed() as word:
@@ -177,10 +195,10 @@
         self, packet: Forward, source: Address, now: float
     ) -> list[Effect]:
         if packet.service != self.member.service:
-            return self._drop(Reason.WRONG_SERVICE)
+            return self._drop_misdirected(Reason.WRONG_SERVICE, packet, source)
         wrong = packet.target != self.member.name
         if wrong or packet.incarnation != self.member.incarnation:
-            return self._drop(Reason.WRONG_INCARNATION)
+            return self._drop_misdirected(Reason.WRONG_INCARNATION, packet, source)
         effects: list[Effect] = []
         if packet.version != self.table.version:
             effects += self._compare_versions(packet.version, source, now)
@@ -207,6 +225,8 @@
         service = self.service
         if service is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
+        if not self._has_recovered:
+            return self._hold(packet, source, now)
         bucket = find_bucket(packet.flow)
         if packet.assignment:
             if get_ballot(packet.assignment) >= self.homes.get_ballot(bucket):
@@ -355,6 +375,8 @@
         return effects
 
     def _must_wait(self, packet: Forward) -> bool:
+        if not self._has_recovered:
+            return True
         bucket = find_bucket(packet.flow)
         if bucket in self.homes.settled or self.homes.find_promise(bucket):
             return False
@@ -468,9 +490,11 @@
 
     def _answer_check(self, check: FlowCheck, source: Address) -> list[Effect]:
         """Tell the home which of the flows it remembers have ended."""
+        if not self._has_recovered:
+            return []
         effects: list[Effect] = []
         for owned in check.flows:
-            if owned.flow in self.flows or owned.incarnation != self.member.incarnation:
+            if owned.flow in self.flows or owned.incarnation > self.member.incarnation:
                 continue
             released = Released(
                 self.member.service,
@@ -512,7 +536,7 @@
     def _give_buckets(self, ask: Takeover, source: Address, now: float) -> list[Effect]:
         if ask.version < self.table.version:
             return [SendPeer(source, make_delta(self.subscriber.view, ask.version))]
-        if self.fence.is_bound(ask.version, now):
+        if not self._has_recovered or self.fence.is_bound(ask.version, now):
             self.counters["takeovers_delayed"] += 1
             return []
         effects: list[Effect] = []
@@ -579,6 +603,61 @@
         self.counters["buckets_taken"] += len(settled)
         return self._resume_held(now)
 
+    # Planned restart -------------------------------------------------------
+
+    def _begin_restart(self, ports: list[LocalPort], now: float) -> list[Effect]:
+        """Hand the flow records to peers, for the successor to fetch."""
+        service = self.service
+        if service is None or self.succession.is_leaving:
+            return [Stopped()] if service is None else []
+        records = []
+        for local in ports:
+            flow = self.flows.get(local.flow)
+            if flow is None:
+                continue
+            record = FlowRecord(
+                flow.key, *flow.caller, flow.entry, local.port, flow.assignment
+            )
+            records.append(record)
+        version = self.table.version
+        self.succession.begin_export(records, service, version, now)
+        event = TimelineEvent("restart_began", detail=f"{len(records)} flows")
+        return [event, *self.succession.tick(version, now)]
+
+    def _begin_recovery(self, now: float) -> list[Effect]:
+        """Ask the peers for the flows of a former self, once a member."""
+        service = self.service
+        if self._recovery_began or service is None:
+            return []
+        member = service.by_name.get(self.member.name)
+        if member is None or member.incarnation != self.member.incarnation:
+            return []
+        self._recovery_began = True
+        self.succession.begin_recovery(service, now)
+        effects = self.succession.tick(self.table.version, now)
+        return effects + self._finish_recovery(now)
+
+    def _finish_recovery(self, now: float) -> list[Effect]:
+        records = self.succession.take_recovered(now)
+        if records is None:
+            return []
+        self._has_recovered = True
+        effects: list[Effect] = []
+        for record in records:
+            caller = Address(record.caller_host, record.caller_port)
+            address = self._find_entry(record.entry)
+            flow = Flow(
+                record.flow, caller, record.entry, address, record.assignment, now
+            )
+            self.flows[record.flow] = flow
+            self._idle.add(flow, now)
+            effects.append(OpenUpstream(record.flow, record.local_port))
+        if records:
+            self.counters["flows_recovered"] += len(records)
+            detail = f"{len(records)} flows"
+            effects.append(TimelineEvent("flows_recovered", detail=detail))
+        return effects + self._guard_lease(now) + self._resume_held(now)
+
     # Lease -----------------------------------------------------------------
 
     def _guard_lease(self, now: float) -> list[Effect]:
@@ -595,8 +674,9 @@
             version = self.table.version
             check = ViewCheck(self.member.service, *_split(identity), version, number)
             effects += [SendPeer(Address(m.host, m.port), check) for m in peers]
-        is_backed = self.fence.has_lease(renewed_at, now) or self.fence.is_confirmed(
-            {member.name for member in peers}, now
+        names = {member.name for member in peers}
+        is_backed = self._has_recovered and (
+            self.fence.has_lease(renewed_at, now) or self.fence.is_confirmed(names, now)
         )
         if is_backed != self.homes.is_fenced:
             return effects
@@ -672,7 +752,8 @@
         self.arbiter.follow(self.service)
         if self.member.zone in self.table.zones_out:
             return self._end_all(Reason.ZONE_OUT)
-        return self._ask_for_buckets(now) + self._resume_held(now)
+        effects = self._begin_recovery(now)
+        return effects + self._ask_for_buckets(now) + self._resume_held(now)
 
     def _end_all(self, reason: Reason) -> list[Effect]:
         effects: list[Effect] = []
@@ -683,9 +764,13 @@
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
+        if self.succession.has_left(now):
+            return [Stopped()]
         if self._is_done(now):
             return [*self.subscriber.leave(), Stopped()]
         effects = self.subscriber.tick(now)
+        effects += self.succession.tick(self.table.version, now)
+        effects += self._finish_recovery(now)
         effects += self._guard_lease(now)
         effects += self._ask_for_delta(now)
         effects += self._ask_for_buckets(now)
@@ -761,6 +846,15 @@
         self.member = msgspec.structs.replace(self.member, state=MemberState.DRAINING)
         return self.subscriber.announce(self.member)
 
+    def _drop_misdirected(
+        self, reason: Reason, packet: Forward, source: Address
+    ) -> list[Effect]:
+        """Drop a packet for somebody else, and correct a sender that is behind."""
+        self.counters[f"dropped_{reason}"] += 1
+        if packet.version >= self.table.version:
+            return []
+        return [SendPeer(source, make_delta(self.subscriber.view, packet.version))]
+
     def _drop(self, reason: Reason) -> list[Effect]:
         self.counters[f"dropped_{reason}"] += 1
         return []
--- a/fulmarshore/routing/arbitration.py
+++ b/fulmarshore/routing/arbitration.py
@@ -58,12 +58,16 @@
         self._unchecked: list[int] = []
 
     def find_owner(self, service: ServiceTable, flow: bytes) -> Member | None:
-        """Return the remembered owner of a flow, if it still lives."""
+        """Return the remembered owner of a flow, if it still lives.
+
+        The successor of a restarted owner goes on with its flows, or says
+        that it does not hold them.
+        """
         entry = self.directory.find(flow)
         if entry is None:
             return None
         owner = service.by_name.get(entry.owner)
-        alive = owner is not None and owner.incarnation == entry.incarnation
+        alive = owner is not None and owner.incarnation >= entry.incarnation
         if alive and entry.owner != self.name:
             return owner
         self.directory.forget(flow)
@@ -151,7 +155,7 @@
         entry = self.directory.find(released.flow)
         if entry is None or entry.owner != released.agent:
             return
-        if entry.incarnation != released.incarnation:
+        if entry.incarnation > released.incarnation:
             return
         if entry.assignment != released.assignment:
             self.counters["released_late"] += 1
@@ -214,7 +218,7 @@
             member = service.by_name.get(name)
             for start in range(0, len(flows), CHECK_BATCH):
                 part = flows[start : start + CHECK_BATCH]
-                if member is None or member.incarnation != part[0].incarnation:
+                if member is None:
                     for owned in part:
                         self.directory.forget(owned.flow)
                     continue
--- /dev/null
+++ b/fulmarshore/routing/changes_test.py
@@ -0,0 +1,124 @@
+"""Planned changes break no flow, over the cores."""
+
+from unittest import TestCase
+
+from fulmarshore.core.records import Drain, Member, Removed, Stop
+from fulmarshore.standins.network import Faults
+from fulmarshore.standins.routing import RoutedRegion
+
+FLOWS = range(60)
+UNDRAINED = (Removed(0, "Drain", "s-1"),)
+
+
+def add_upstream(region):
+    region.add_agent("s-9", "s", "a")
+
+
+def drain(region):
+    region.change(Drain("s-1"))
+
+
+def drain_and_return(region):
+    drain(region)
+    region.send_all("s", FLOWS)
+    region.change(removed=UNDRAINED)
+
+
+def change_weight(region):
+    core = region.get_agent("s-1")
+    old = core.member
+    core.member = Member(*[*_list(old)[:7], 500, *_list(old)[8:]])
+    for effect in core.subscriber.announce(core.member):
+        region.network._carry(region.network.nodes["s-1"], effect)
+
+
+def _list(member):
+    return [getattr(member, name) for name in member.__struct_fields__]
+
+
+def add_entry(region):
+    region.add_entry("entry8", "a")
+
+
+def stop_entry(region):
+    region.network.inject("entry0", Stop())
+
+
+def kill_entry(region):
+    region.crash("entry0")
+
+
+def restart_entry(region):
+    region.add_entry("entry1", "b")
+
+
+def stop_agent(region):
+    region.stop("s-1")
+
+
+def restart_agent(region):
+    region.restart("s-1")
+
+
+def restart_two(region):
+    region.restart("s-1")
+    region.restart("s-2")
+
+
+def hide_versions(region):
+    region.network.cut("control", "entry0")
+    region.network.cut("control", "s-0")
+    drain_and_return(region)
+    add_upstream(region)
+
+
+def many_at_once(region):
+    region.network.cut("control", "entry1")
+    drain(region)
+    add_upstream(region)
+    region.stop("s-0")
+    region.restart("s-2")
+    kill_entry(region)
+
+
+CHANGES = (
+    add_upstream,
+    drain,
+    drain_and_return,
+    change_weight,
+    add_entry,
+    stop_entry,
+    kill_entry,
+    restart_entry,
+    stop_agent,
+    restart_agent,
+    restart_two,
+    hide_versions,
+    many_at_once,
+)
+ROUGH = Faults(duplication=0.1, max_delay=0.01)
+
+
+class ChangesTest(TestCase):
+    def test_planned_changes_break_nothing(self):
+        for number, change in enumerate(CHANGES):
+            for faults in (None, ROUGH):
+                with self.subTest(change=change.__name__, faults=faults):
+                    self.check(change, number, faults)
+
+    def check(self, change, seed, faults):
+        region = RoutedRegion(seed, {"s": 4}, faults=faults, max_hints=5)
+        region.send_all("s", FLOWS)
+        before = dict(region.owners)
+        self.assertEqual(len(before), len(FLOWS))
+        change(region)
+        region.send_all("s", FLOWS)
+        region.network.run(0.5)
+        answers = dict(region.answers)
+        region.send_all("s", FLOWS, rounds=2)
+        for port in FLOWS:
+            got = region.answers["s", port] - answers.get(("s", port), 0)
+            self.assertGreaterEqual(got, 2, port)
+        self.assertEqual(region.opened_twice, 0)
+        self.assertEqual(region.misdelivered, 0)
+        self.assertEqual(region.moved, set())
--- a/fulmarshore/routing/homes.py
+++ b/fulmarshore/routing/homes.py
@@ -95,7 +95,7 @@
         self.awaited: dict[int, set[str]] = {}
         self.promises: dict[int, Promise] = {}
         self.promised_version = 0
-        self.is_fenced = False
+        self.is_fenced = True
 
     def follow(self, service: ServiceTable | None, version: int) -> list[int]:
         """Take in a newer table; asks under older versions start again.
--- a/fulmarshore/routing/random_test.py
+++ b/fulmarshore/routing/random_test.py
@@ -85,6 +85,12 @@
         name = f"{SERVICES[0]}-{agent}"
         self.region.add_agent(name, SERVICES[0], ZONES[agent % 3])
 
+    @rule(agent=st.integers(0, 3))
+    def restart_agent_as_planned(self, agent):
+        name = f"{SERVICES[0]}-{agent}"
+        if self.region.network.nodes[name].running:
+            self.region.restart(name)
+
     @rule(agent=st.integers(0, 3))
     def crash_agent(self, agent):
         self.region.crash(f"{SERVICES[0]}-{agent}")
--- /dev/null
+++ b/fulmarshore/routing/restart.py
@@ -0,0 +1,227 @@
+"""Planned restart of an agent: peers keep its flows for its successor.
+
+The agent that goes sends its flow records to two peers and leaves once one
+has them whole. Its successor, of the same name and a higher incarnation, asks
+all peers for them and opens each flow's socket on the port it had, so that the
+upstream sees the same flow. A record is good for as long as the agent has been
+a member without interruption: until then nobody opens its flows elsewhere.
+"""
+
+from __future__ import annotations
+
+from fulmarshore.core.records import (
+    Address,
+    FlowRecord,
+    FlowRecords,
+    FlowRecordsKept,
+    Member,
+)
+from fulmarshore.membership.view import View
+
+KEEPERS = 2
+MAX_RECORDS_PER_MESSAGE = 400
+RETRY_INTERVAL_S = 0.1
+EXPORT_TIMEOUT_S = 2.0
+"""A keeper that has not acknowledged by then is given up."""
+RECOVERY_TIMEOUT_S = 1.0
+"""A successor that has not heard from every peer by then goes on."""
+KEEP_TIMEOUT_S = 30.0
+CERTAIN_LEASE_S = 2.0
+"""An agent that has just left is still a member, as its lease runs on."""
+
+
+class Export:
+    """The records of an agent that is about to go, on their way to keepers.
+
+    Parameters
+    ----------
+    messages : list of FlowRecords
+        All parts.
+    peers : list of Member
+        Who may keep them, in the order of preference.
+    now : float
+        Time of the beginning, in seconds.
+    """
+
+    __slots__ = ("_messages", "_peers", "_missing", "_began_at", "_sent_at")
+
+    def __init__(
+        self, messages: list[FlowRecords], peers: list[Member], now: float
+    ) -> None:
+        self._messages = messages
+        self._peers = {member.name: member for member in peers[:KEEPERS]}
+        parts = set(range(len(messages)))
+        self._missing = {name: set(parts) for name in self._peers}
+        self._began_at = now
+        self._sent_at = float("-inf")
+
+    def list_due(self, now: float) -> list[tuple[Member, FlowRecords]]:
+        """Return the parts that are not yet acknowledged, if it is time."""
+        if now - self._sent_at < RETRY_INTERVAL_S:
+            return []
+        self._sent_at = now
+        due = []
+        for name, parts in self._missing.items():
+            for part in sorted(parts):
+                due.append((self._peers[name], self._messages[part]))
+        return due
+
+    def take_kept(self, kept: FlowRecordsKept) -> None:
+        """Note that a peer keeps a part."""
+        self._missing.get(kept.agent, set()).discard(kept.part)
+
+    def is_done(self, now: float) -> bool:
+        """Return whether every keeper has everything, or time is up."""
+        if not any(self._missing.values()):
+            return True
+        return now - self._began_at >= EXPORT_TIMEOUT_S
+
+    def is_kept(self) -> bool:
+        """Return whether at least one keeper has everything."""
+        return any(not parts for parts in self._missing.values())
+
+
+class Kept:
+    """The records of one agent at a keeper."""
+
+    __slots__ = ("incarnation", "version", "parts", "kept_at")
+
+    def __init__(self, incarnation: int, version: int, now: float) -> None:
+        self.incarnation = incarnation
+        self.version = version
+        self.parts: dict[int, FlowRecords] = {}
+        self.kept_at = now
+
+
+class Keeper:
+    """Keeps the records of peers that restart."""
+
+    __slots__ = ("_kept",)
+
+    def __init__(self) -> None:
+        self._kept: dict[str, Kept] = {}
+
+    def __len__(self) -> int:
+        return len(self._kept)
+
+    def keep(self, records: FlowRecords, version: int, now: float) -> bool:
+        """Keep a part; False for one of a former self of the agent."""
+        held = self._kept.get(records.agent)
+        if held is not None and held.incarnation > records.incarnation:
+            return False
+        if held is None or held.incarnation < records.incarnation:
+            held = Kept(records.incarnation, version, now)
+            self._kept[records.agent] = held
+        held.parts[records.part] = records
+        return True
+
+    def find(
+        self, agent: str, incarnation: int, view: View, now: float
+    ) -> list[FlowRecords]:
+        """Return the parts kept for a successor; empty if they are not good."""
+        held = self._kept.get(agent)
+        if held is None or held.incarnation >= incarnation:
+            return []
+        is_recent = now - held.kept_at < CERTAIN_LEASE_S
+        if not is_recent and not _was_always_member(view, agent, held.version):
+            return []
+        total = next(iter(held.parts.values())).parts
+        if len(held.parts) < total:
+            return []
+        return [held.parts[part] for part in sorted(held.parts)]
+
+    def expire(self, now: float) -> None:
+        """Drop what nobody has come for."""
+        for agent, held in list(self._kept.items()):
+            if now - held.kept_at >= KEEP_TIMEOUT_S:
+                del self._kept[agent]
+
+
+class Recovery:
+    """A successor's search for the records of its former self.
+
+    Parameters
+    ----------
+    peers : set of str
+        Who is asked.
+    now : float
+        Time of the beginning, in seconds.
+    """
+
+    __slots__ = ("_unanswered", "_parts", "_incarnation", "_began_at", "_asked_at")
+
+    def __init__(self, peers: set[str], now: float) -> None:
+        self._unanswered = set(peers)
+        self._parts: dict[str, dict[int, FlowRecords]] = {}
+        self._incarnation = 0
+        self._began_at = now
+        self._asked_at = float("-inf")
+
+    def list_due(self, now: float) -> list[str]:
+        """Return the peers to ask, if it is time."""
+        if now - self._asked_at < RETRY_INTERVAL_S:
+            return []
+        self._asked_at = now
+        return sorted(self._unanswered)
+
+    def take(self, keeper: str, records: FlowRecords) -> None:
+        """Take a part from a keeper; one of no parts says that it has none."""
+        if keeper not in self._unanswered:
+            return
+        if not records.parts:
+            self._unanswered.discard(keeper)
+            return
+        if records.incarnation > self._incarnation:
+            self._incarnation = records.incarnation
+        parts = self._parts.setdefault(keeper, {})
+        parts[records.part] = records
+        if len(parts) == records.parts:
+            self._unanswered.discard(keeper)
+
+    def is_done(self, now: float) -> bool:
+        """Return whether every peer has answered, or time is up."""
+        return not self._unanswered or now - self._began_at >= RECOVERY_TIMEOUT_S
+
+    def list_records(self) -> list[FlowRecord]:
+        """Return the records of the newest former self that are whole."""
+        for parts in self._parts.values():
+            first = next(iter(parts.values()))
+            if first.incarnation != self._incarnation or len(parts) < first.parts:
+                continue
+            return [record for part in parts.values() for record in part.flows]
+        return []
+
+
+def split_records(
+    service: str,
+    agent: str,
+    incarnation: int,
+    version: int,
+    records: list[FlowRecord],
+) -> list[FlowRecords]:
+    """Return the records as messages that fit a datagram, at least one."""
+    size = MAX_RECORDS_PER_MESSAGE
+    parts = max(1, -(-len(records) // size))
+    messages = []
+    for part in range(parts):
+        flows = records[part * size : (part + 1) * size]
+        messages.append(
+            FlowRecords(service, agent, incarnation, version, agent, part, parts, flows)
+        )
+    return messages
+
+
+def get_address(member: Member) -> Address:
+    """Return the data address of a member."""
+    return Address(member.host, member.port)
+
+
+def _was_always_member(view: View, agent: str, since: int) -> bool:
+    if view.horizon > since:
+        return False
+    for gone in view.removed:
+        if gone.version <= since or gone.item_type != Member.__name__:
+            continue
+        if gone.name == agent:
+            return False
+    return True
--- /dev/null
+++ b/fulmarshore/routing/succession.py
@@ -0,0 +1,152 @@
+"""An agent's part in planned restarts: its own and those of its peers."""
+
+from __future__ import annotations
+
+from fulmarshore.core.records import (
+    Address,
+    Effect,
+    FlowRecord,
+    FlowRecords,
+    FlowRecordsKept,
+    FlowRecordsRequest,
+    Identity,
+    Member,
+    SendPeer,
+)
+from fulmarshore.membership.view import View
+from fulmarshore.routing.restart import (
+    Export,
+    Keeper,
+    Recovery,
+    get_address,
+    split_records,
+)
+from fulmarshore.routing.table import ServiceTable
+
+
+class Succession:
+    """Sends, keeps and fetches flow records.
+
+    Parameters
+    ----------
+    identity : Identity
+        This life of the agent.
+    service : str
+        The service of its upstream.
+    """
+
+    __slots__ = ("_identity", "_service", "_keeper", "_export", "_recovery", "_peers")
+
+    def __init__(self, identity: Identity, service: str) -> None:
+        self._identity = identity
+        self._service = service
+        self._keeper = Keeper()
+        self._export: Export | None = None
+        self._recovery: Recovery | None = None
+        self._peers: dict[str, Member] = {}
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned restart has begun."""
+        return self._export is not None
+
+    def begin_export(
+        self, records: list[FlowRecord], table: ServiceTable, version: int, now: float
+    ) -> None:
+        """Start to hand the records to peers, the ones that accept first."""
+        peers = [m for m in table.members if m.name != self._identity.name]
+        peers.sort(key=lambda member: member not in table.accepting)
+        name, incarnation = self._identity.name, self._identity.incarnation
+        parts = split_records(self._service, name, incarnation, version, records)
+        self._export = Export(parts, peers, now)
+
+    def begin_recovery(self, table: ServiceTable, now: float) -> None:
+        """Start to ask the peers for the records of a former self."""
+        self._peers = {
+            m.name: m for m in table.members if m.name != self._identity.name
+        }
+        self._recovery = Recovery(set(self._peers), now)
+
+    def has_left(self, now: float) -> bool:
+        """Return whether the records are kept, or nobody takes them."""
+        return self._export is not None and self._export.is_done(now)
+
+    def take_recovered(self, now: float) -> list[FlowRecord] | None:
+        """Return the records once the search is over; None while it goes on."""
+        if self._recovery is None or not self._recovery.is_done(now):
+            return None
+        records = self._recovery.list_records()
+        self._recovery = None
+        return records
+
+    def tick(self, version: int, now: float) -> list[Effect]:
+        """Send what is due."""
+        self._keeper.expire(now)
+        effects: list[Effect] = []
+        if self._export is not None:
+            for member, part in self._export.list_due(now):
+                effects.append(SendPeer(get_address(member), part))
+        if self._recovery is not None:
+            request = FlowRecordsRequest(
+                self._service,
+                self._identity.name,
+                self._identity.incarnation,
+                version,
+            )
+            for name in self._recovery.list_due(now):
+                effects.append(SendPeer(get_address(self._peers[name]), request))
+        return effects
+
+    def handle(
+        self,
+        message: FlowRecords | FlowRecordsKept | FlowRecordsRequest,
+        source: Address,
+        view: View,
+        now: float,
+    ) -> list[Effect]:
+        """Take a message about flow records."""
+        match message:
+            case FlowRecords() as records if records.sender == records.agent:
+                return self._keep(records, source, view.version, now)
+            case FlowRecords() as records:
+                if records.agent == self._identity.name and self._recovery is not None:
+                    self._recovery.take(records.sender, records)
+            case FlowRecordsRequest() as request:
+                return self._hand_back(request, source, view, now)
+            case FlowRecordsKept() as kept if self._export is not None:
+                self._export.take_kept(kept)
+        return []
+
+    def _keep(
+        self, records: FlowRecords, source: Address, version: int, now: float
+    ) -> list[Effect]:
+        if self.is_leaving or not self._keeper.keep(records, version, now):
+            return []
+        name, incarnation = self._identity.name, self._identity.incarnation
+        kept = FlowRecordsKept(self._service, name, incarnation, version, records.part)
+        return [SendPeer(source, kept)]
+
+    def _hand_back(
+        self, request: FlowRecordsRequest, source: Address, view: View, now: float
+    ) -> list[Effect]:
+        name = self._identity.name
+        found = self._keeper.find(request.agent, request.incarnation, view, now)
+        if not found:
+            none = FlowRecords(
+                self._service, request.agent, 0, view.version, name, 0, 0, []
+            )
+            return [SendPeer(source, none)]
+        effects: list[Effect] = []
+        for part in found:
+            answer = FlowRecords(
+                self._service,
+                part.agent,
+                part.incarnation,
+                view.version,
+                name,
+                part.part,
+                part.parts,
+                part.flows,
+            )
+            effects.append(SendPeer(source, answer))
+        return effects
--- a/fulmarshore/standins/routing.py
+++ b/fulmarshore/standins/routing.py
@@ -20,9 +20,12 @@
     Identity,
     Kind,
     LinkMessage,
+    LocalPort,
     Member,
+    OpenUpstream,
     Profile,
     Removed,
+    Restart,
     SendCaller,
     SendUpstream,
     Service,
@@ -35,9 +38,10 @@
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.agent import AgentCore
 from fulmarshore.routing.entry import MAX_HINTS, EntryCore
-from fulmarshore.standins.network import FakeNetwork, Faults, Node
+from fulmarshore.standins.network import TICK_INTERVAL_S, FakeNetwork, Faults, Node
 
 ZONES = ("a", "b", "c")
+MAX_RESTART_TICKS = 60
 CALLER_HOST = "10.0.0.1"
 
 
@@ -139,6 +143,18 @@
         """Begin the planned stop of a process."""
         self.network.inject(name, Stop())
 
+    def restart(self, name: str) -> None:
+        """Restart an agent as planned: its successor starts once it has left."""
+        flows = self.get_agent(name).flows
+        ports = [LocalPort(flow, 1 + port) for port, flow in enumerate(flows)]
+        self.network.inject(name, Restart(ports))
+        for _ in range(MAX_RESTART_TICKS):
+            if not self.network.nodes[name].running:
+                break
+            self.network.run(TICK_INTERVAL_S)
+        member = self.members[name]
+        self.add_agent(name, member.service, member.zone)
+
     def change(self, *items: Declaration, removed: tuple[Removed, ...] = ()) -> None:
         """Put a change of the configuration in force."""
         number = self.network.nodes["control"].core.state.next_number
@@ -223,6 +239,8 @@
     def _observe_agent(self, node: Node, effect: Effect, now: float) -> None:
         if isinstance(effect, Stopped):
             node.running = False
+        if isinstance(effect, OpenUpstream):
+            self._recover(effect.flow, node.name)
         if not isinstance(effect, SendUpstream):
             return
         member = self.members[node.name]
@@ -239,6 +257,12 @@
         self.owners[flow] = owner
         self.network.inject(node.name, UpstreamDatagram(flow, b"echo"))
 
+    def _recover(self, flow: bytes, name: str) -> None:
+        """Note that the upstream sees a flow of a former self go on."""
+        held = self.owners.get(flow)
+        if held is not None and held[0] == name:
+            self.owners[flow] = (name, self.members[name].incarnation)
+
     def _still_holds(self, owner: tuple[str, int], flow: bytes) -> bool:
         name, incarnation = owner
         if self.members[name].incarnation != incarnation or not self.is_member(name):
