--- a/fulmarshore/core/addresses.py
+++ b/fulmarshore/core/addresses.py
@@ -23,6 +23,6 @@
     return True
 
 
-def is_sendable(host: str, port: int) -> bool:
-    """Return whether a datagram can be sent to an address."""
-    return 0 < port <= MAX_PORT and is_numeric(host)
+def is_address(host: str, port: int) -> bool:
+    """Return whether a host and a port are an address as sockets take it."""
+    return 0 <= port <= MAX_PORT and is_numeric(host)
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from collections import Counter
 
@@ -23,8 +24,11 @@
     Event,
     Forward,
     Identity,
+    LocalPort,
     Member,
+    OpenUpstream,
     PeerMessage,
+    Restart,
     SendPeer,
     SendUpstream,
     UpstreamDatagram,
@@ -91,6 +95,7 @@
         controls = [format_link(address) for address in settings.controls]
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = AgentCore(subscriber)
+        loop.add_signal_handler(signal.SIGHUP, self._restart)
 
     def close(self) -> None:
         """Close all sockets."""
@@ -109,6 +114,8 @@
                 self._find_upstream(flow).send(payload)
             case SendPeer(destination=destination, message=message):
                 self._data.send(message, destination)
+            case OpenUpstream(flow=flow, port=port):
+                self._open_upstream(flow, port)
             case CloseUpstream(flow=flow):
                 sock = self._upstreams.pop(flow, None)
                 if sock is not None:
@@ -136,7 +143,15 @@
         sock = self._upstreams.get(flow)
         if sock is not None:
             return sock
+        return self._open_upstream(flow, 0)
 
+    def _restart(self) -> None:
+        ports = [
+            LocalPort(flow, sock.local_port) for flow, sock in self._upstreams.items()
+        ]
+        self.dispatch(Restart(ports))
+
+    def _open_upstream(self, flow: bytes, port: int) -> DatagramSocket:
         def drain(receive_from: ReceiveFrom) -> None:
             self._drain_upstream(flow, receive_from)
 
@@ -145,7 +160,7 @@
 
         loop = asyncio.get_running_loop()
         sock = DatagramSocket(loop, fail=fail, drain=drain)
-        sock.connect(self.settings.upstream)
+        sock.connect(self.settings.upstream, port)
         self._upstreams[flow] = sock
         return sock
 
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -9,7 +9,7 @@
 from collections import Counter
 
 from fulmarshore.admission.refusals import refuse_request
-from fulmarshore.core.addresses import is_sendable
+from fulmarshore.core.addresses import is_address
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_flow, hash_request
 from fulmarshore.core.phases import find_phase
@@ -287,7 +287,7 @@
 def _is_consistent(service: ServiceTable, answer: Answer) -> bool:
     """Return whether the caller of an answer is the one of its flow."""
     host, port = answer.caller_host, answer.caller_port
-    if not is_sendable(host, port):
+    if not is_address(host, port):
         return False
     if service.service.protocol == Protocol.REQUEST:
         return True
--- a/fulmarshore/routing/peers.py
+++ b/fulmarshore/routing/peers.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from fulmarshore.core.addresses import is_sendable
+from fulmarshore.core.addresses import is_address
 from fulmarshore.core.records import Address, Delta, EntryHost, Member
 from fulmarshore.routing.table import Table
 
@@ -51,6 +51,6 @@
             item = stamped.item
             if not isinstance(item, Member | EntryHost):
                 continue
-            if not is_sendable(item.host, item.port):
+            if not is_address(item.host, item.port):
                 return False
         return True
