--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -183,8 +183,6 @@
             return self.respond(state)
         assert state.verdict != Verdict.ANSWERED
         state.attempt = request.attempt
-        if request.cancel:
-            return self.refuse(state, Reason.CANCELLED, now)
         state.verdict, state.reason, state.body = None, "", b""
         state.coordinator = self.identity
         state.executor = None
@@ -192,6 +190,8 @@
         state.tries = 0
         state.request = request
         state.deadline = now + request.timeout
+        if request.cancel:
+            return self.refuse(state, Reason.CANCELLED, now)
         self.counters["claims_reopened"] += 1
         return self._write(state, Stage.WRITING, now)
 
@@ -616,10 +616,11 @@
             return True, []
         if (state.caller, state.number) != (claim.caller, claim.number):
             return False, []
+        is_older = (claim.version, claim.sequence) < (state.version, state.sequence)
         if state.coordinator != sender:
-            if home == self.identity:
+            if home == self.identity or is_older:
                 return False, []
-        elif (claim.version, claim.sequence) < (state.version, state.sequence):
+        elif is_older:
             return True, []
         told = state.stage == Stage.ELSEWHERE and state.source is not None
         self.fill(state, claim, now)
--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -26,6 +26,9 @@
 DEVIATIONS = 3.0
 """Mean deviations above the baseline that count as ordinary."""
 
+MAX_LATE_STARTS = 2.0
+"""Service times by which a start of the last slot may have been late."""
+
 SHED_FACTOR = 0.5
 """What is left of the limit after the upstream shed work."""
 
@@ -147,4 +150,6 @@
         share = self.limit - whole
         if running <= whole or share <= 1e-9:
             return
-        self._extra_at = now + service_time * (1.0 / share - 1.0)
+        # Counted from when the slot was due, so that a late start costs nothing.
+        due = max(self._extra_at, now - MAX_LATE_STARTS * service_time)
+        self._extra_at = due + service_time / share
--- a/fulmarshore/standins/requests.py
+++ b/fulmarshore/standins/requests.py
@@ -118,13 +118,11 @@
         """Give an answer to the agent when it is due."""
         if not isinstance(event, UpstreamDatagram | UpstreamGone):
             return []
-        if isinstance(event, UpstreamDatagram):
-            if not self.upstream.finish(event, now):
-                return []
         node = self.world.network.nodes[self.agent]
-        same = node.core.member.incarnation == self.opened_by.get(event.flow)
-        if node.running and same:
-            self.world.network.inject(self.agent, event)
+        for seen in self.upstream.finish(event, now):
+            same = node.core.member.incarnation == self.opened_by.get(seen.flow)
+            if node.running and same:
+                self.world.network.inject(self.agent, seen)
         return []
 
 
--- a/fulmarshore/standins/work.py
+++ b/fulmarshore/standins/work.py
@@ -20,6 +20,10 @@
 )
 
 
+REFUSED_S = 0.05
+"""Time until a connection to an upstream that is down is given up."""
+
+
 class WorkModel(Struct, frozen=True):
     """What a stand-in upstream bears.
 
@@ -95,7 +99,7 @@
         assert isinstance(request, Request)
         lost = self._look(now)
         if now < self._down_until:
-            return [*lost, (0.001, UpstreamGone(flow))]
+            return [*lost, (REFUSED_S, UpstreamGone(flow))]
         if request.cancel:
             return [*lost, *self._cancel(flow, request)]
         if self.model.sheds and self._strain > 0.5 * self._find_limit():
@@ -108,19 +112,25 @@
         body = b"done:" + request.body
         return [*lost, self._respond(flow, request, Verdict.ANSWERED, body, delay)]
 
-    def finish(self, event: UpstreamDatagram, now: float) -> bool:
-        """Return whether an answer that is due is still given."""
-        self._look(now)
+    def finish(self, event: Event, now: float) -> list[Event]:
+        """Return what the agent sees at the time when an answer is due.
+
+        That is the answer, or nothing when the work was lost or given up, and
+        the ends of all connections when the upstream falls over.
+        """
+        lost = [gone for _, gone in self._look(now)]
+        if not isinstance(event, UpstreamDatagram):
+            return [event, *lost]
         response = decode_request(event.payload, self.name)
         if response.verdict != Verdict.ANSWERED:
-            return True
+            return [event, *lost]
         held = self._working.get(event.flow)
         if held is None or held[0].number != response.number:
-            return False
+            return lost
         del self._working[event.flow]
         self.finished += 1
         self._warm(now - held[1])
-        return True
+        return [event, *lost]
 
     def _warm(self, work: float) -> None:
         cold = self.model.cold_share
