--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -59,6 +59,8 @@
 MAX_OUTCOME_WRITES = 6
 """Tries to show an outcome that was told already."""
 
+NOTHING_BARRED = -1
+"""Attempt of a claim that was handed back: each copy may still run."""
 NUMBER_BITS = 48
 PREFERENCE_OF_SELF = 1.25
 """How much more room a peer must have for a hand-over to be worth its hop."""
@@ -184,6 +186,8 @@
         assert state.verdict != Verdict.ANSWERED
         state.attempt = request.attempt
         state.verdict, state.reason, state.body = None, "", b""
+        if not self._is_newest(state, request, now):
+            return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
         state.coordinator = self.identity
         state.executor = None
         state.cancelled = False
@@ -195,6 +199,13 @@
         self.counters["claims_reopened"] += 1
         return self._write(state, Stage.WRITING, now)
 
+    def _is_newest(self, state: ClaimState, request: Request, now: float) -> bool:
+        """Return whether no newer state of the claim can have been lost."""
+        bucket = find_bucket(state.flow)
+        if state.idempotent or state.term == self.settlement.terms.get(bucket):
+            return True
+        return self.settlement.admits(bucket, request.age, now)
+
     def _cancel(self, state: ClaimState, now: float) -> list[Effect]:
         state.cancelled = True
         if state.stage in (Stage.WRITING, Stage.WAITING):
@@ -299,12 +310,13 @@
             # Another agent may have been home meanwhile: it is being asked.
             self._schedule(state, now + WRITE_INTERVAL_S)
             return []
+        if is_home:
+            state.term = self.settlement.terms.get(bucket, 0)
         if state.stage == Stage.REFUSING:
             return self._conclude(state, now)
         assert state.stage == Stage.WRITING
         if not is_home and not state.idempotent:
             return self._hand_back(state, now)
-        state.term = self.settlement.terms.get(bucket, 0)
         return self.hand_over(state, now)
 
     def _may_hand_over(self, state: ClaimState) -> bool:
@@ -321,7 +333,7 @@
     def _hand_back(self, state: ClaimState, now: float) -> list[Effect]:
         """Leave a request that nobody runs to the new home of its bucket.
 
-        What this agent holds says that no attempt before this one ran; the
+        What this agent holds says that it ran nothing and bars nothing; the
         stamp stays that of the former term, so that whatever the new home
         says is newer.
         """
@@ -332,7 +344,7 @@
         self.counters["claims_handed_back"] += 1
         passed = self._make_packet(state, home, now)
         state.verdict, state.reason = Verdict.NOT_RUN, Reason.NOT_SETTLED
-        state.attempt -= 1
+        state.attempt = NOTHING_BARRED
         state.stage = Stage.DONE
         state.request = None
         state.writes = 0
--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -261,7 +261,7 @@
         run = self.working.get(flow)
         if run is None:
             return []
-        self.limiter.turn_cold(now)
+        self.limiter.fall_over(now)
         return self._let_go(run, Verdict.UNKNOWN, Reason.UPSTREAM_GONE, b"", now)
 
     def _let_go(
--- a/fulmarshore/admission/ledger.py
+++ b/fulmarshore/admission/ledger.py
@@ -102,7 +102,7 @@
         self.writes = 0
         self.polls = 0
         self.gone_at = 0.0
-        self.term = 0
+        self.term = -1
         self.executor_address: Address | None = None
         self.idempotent = False
         self.cancelled = False
--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -26,8 +26,12 @@
 DEVIATIONS = 3.0
 """Mean deviations above the baseline that count as ordinary."""
 
-MAX_LATE_STARTS = 2.0
-"""Service times by which a start of the last slot may have been late."""
+PACE_FACTOR = 0.5
+MIN_PACE = 1.0 / 16.0
+"""What a fall leaves of the pace of growth, and the slowest pace."""
+
+FALL_INTERVAL_S = 1.0
+"""Connections that go within this time went in one fall."""
 
 SHED_FACTOR = 0.5
 """What is left of the limit after the upstream shed work."""
@@ -54,7 +58,11 @@
         "_cold_limit",
         "_rate",
         "_recent",
-        "_extra_at",
+        "_credit",
+        "_running",
+        "_counted_at",
+        "_pace",
+        "_fell_at",
         "_held_until",
         "_cut_at",
     )
@@ -64,7 +72,11 @@
         self.baseline = 0.0
         self._deviation = 0.0
         self._recent: deque[float] = deque(maxlen=RECENT_ANSWERS)
-        self._extra_at = float("-inf")
+        self._credit = 0.0
+        self._running = 0
+        self._counted_at = 0.0
+        self._pace = 1.0
+        self._fell_at = float("-inf")
         self._held_until = float("-inf")
         self._cut_at = float("-inf")
         self.configure(slots, cold_share, slow_start)
@@ -79,13 +91,30 @@
             self.limit = min(self.limit, float(slots))
 
     def allows(self, running: int, now: float) -> bool:
-        """Return whether one more request may start beside those running."""
+        """Return whether one more request may start beside those running.
+
+        Where it may, it is taken to start now.
+        """
+        self._count(running, now)
         whole = math.floor(self.limit + 1e-9)
-        if running < whole:
-            return True
-        if running >= math.ceil(self.limit - 1e-9):
-            return False
-        return now >= self._extra_at
+        if running >= whole:
+            if running >= math.ceil(self.limit - 1e-9) or self._credit < 0.0:
+                return False
+        self._running = running + 1
+        return True
+
+    def _count(self, running: int, now: float) -> None:
+        """Count the work that the limit allowed and that was not done.
+
+        The last slot is used while there is such credit, so that the average
+        of the requests in work is the limit.
+        """
+        passed = now - self._counted_at
+        self._counted_at = now
+        credit = self._credit + (self.limit - self._running) * passed
+        bound = max(self.baseline, 1e-3)
+        self._credit = min(max(credit, -bound * self.slots), bound)
+        self._running = running
 
     def finish(self, running: int, service_time: float, now: float) -> None:
         """Learn from an answer.
@@ -97,7 +126,8 @@
         service_time : float
             Time from the hand-over to the answer, in seconds.
         """
-        self._space_out(running, service_time, now)
+        self._count(running, now)
+        self._running = running - 1
         self._recent.append(service_time)
         if self.baseline == 0.0:
             self.baseline = service_time
@@ -114,12 +144,15 @@
         used = running >= math.floor(self.limit)
         if not used:
             return
-        grown = self.limit + self._rate * min(service_time, 2.0 * self.baseline)
+        grown = self.limit + self._pace * self._rate * min(
+            service_time, 2.0 * self.baseline
+        )
         self.limit = min(grown, float(self.slots))
 
     def shed(self, running: int, now: float) -> None:
         """Learn that the upstream refused work: it has less room than thought."""
-        self._space_out(running, self.baseline, now)
+        self._count(running, now)
+        self._running = running - 1
         hold = max(4.0 * self.baseline, 0.1)
         if now - self._cut_at < self.baseline:
             return
@@ -135,6 +168,13 @@
             self.baseline = max(self.baseline, median(self._recent))
         self._recent.clear()
 
+    def fall_over(self, now: float) -> None:
+        """Learn that the upstream went away with work: grow slower from now on."""
+        if now - self._fell_at >= FALL_INTERVAL_S:
+            self._pace = max(self._pace * PACE_FACTOR, MIN_PACE)
+        self._fell_at = now
+        self.turn_cold(now)
+
     def suggest(self, share: float) -> None:
         """Take the hint of a load or health endpoint: it can only lower."""
         hinted = max(min(share, 1.0) * self.slots, self._cold_limit)
@@ -144,12 +184,3 @@
         step = service_time - self.baseline
         self._deviation += BASELINE_RISE * (abs(step) - self._deviation)
         self.baseline += step * (BASELINE_FALL if step < 0 else BASELINE_RISE)
-
-    def _space_out(self, running: int, service_time: float, now: float) -> None:
-        whole = math.floor(self.limit + 1e-9)
-        share = self.limit - whole
-        if running <= whole or share <= 1e-9:
-            return
-        # Counted from when the slot was due, so that a late start costs nothing.
-        due = max(self._extra_at, now - MAX_LATE_STARTS * service_time)
-        self._extra_at = due + service_time / share
--- a/fulmarshore/bench/cold.py
+++ b/fulmarshore/bench/cold.py
@@ -44,7 +44,7 @@
     def shed(self, running: int, now: float) -> None:
         """Learn that work was shed."""
 
-    def turn_cold(self, now: float) -> None:
+    def fall_over(self, now: float) -> None:
         """Learn that the upstream is gone."""
 
 
@@ -58,13 +58,17 @@
         self.limit = limit
 
     def finish(self, running: int, service_time: float, now: float) -> None:
-        """Only space the work out."""
-        self._space_out(running, service_time, now)
+        """Only count the work."""
+        self.baseline = self.baseline or service_time
+        self._count(running, now)
+        self._running = running - 1
 
     def shed(self, running: int, now: float) -> None:
-        """Change nothing."""
+        """Only count the work."""
+        self._count(running, now)
+        self._running = running - 1
 
-    def turn_cold(self, now: float) -> None:
+    def fall_over(self, now: float) -> None:
         """Change nothing."""
 
 
@@ -99,7 +103,9 @@
 
     def finish(self, running: int, service_time: float, now: float) -> None:
         """Scale by the gradient and probe by the root of the limit."""
-        self._space_out(running, service_time, now)
+        self.baseline = self.baseline or service_time
+        self._count(running, now)
+        self._running = running - 1
         self.long = self.long or service_time
         self.long += 0.05 * (service_time - self.long)
         gradient = min(max(1.5 * self.long / service_time, 0.5), 1.0)
@@ -107,7 +113,7 @@
         smoothed = 0.8 * self.limit + 0.2 * wanted
         self.limit = min(max(smoothed, self._cold_limit), float(self.slots))
 
-    def turn_cold(self, now: float) -> None:
+    def fall_over(self, now: float) -> None:
         """Begin anew."""
         self.limit = self._cold_limit
 
@@ -201,7 +207,7 @@
     """Take what the upstream sends and return the answers in it."""
     if isinstance(event, UpstreamGone):
         if running.pop(event.flow, None) is not None:
-            policy.turn_cold(now)
+            policy.fall_over(now)
         return 0
     assert isinstance(event, UpstreamDatagram)
     if event.flow not in running:
@@ -248,6 +254,7 @@
         slots, share = model.slots, model.cold_share
         make: list[tuple[str, Callable[[], Policy]]] = [
             ("follows answers", lambda: Limiter(slots, share, model.warm_up_s)),
+            ("follows, half time", lambda: Limiter(slots, share, model.warm_up_s / 2)),
             ("gradient", lambda: Gradient(slots, share)),
             ("no limit", lambda: FixedLimit(slots, 2.0 * slots)),
             ("fixed at slots", lambda: FixedLimit(slots, float(slots))),
--- a/fulmarshore/standins/work.py
+++ b/fulmarshore/standins/work.py
@@ -19,7 +19,6 @@
     Verdict,
 )
 
-
 REFUSED_S = 0.05
 """Time until a connection to an upstream that is down is given up."""
 
