--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -59,6 +59,8 @@
 MAX_OUTCOME_WRITES = 6
 """Tries to show an outcome that was told already."""
 
+POLLS_UNTIL_SILENT = 2
+"""Questions without any word after which other executors are preferred."""
 NOTHING_BARRED = -1
 """Attempt of a claim that was handed back: each copy may still run."""
 NUMBER_BITS = 48
@@ -110,6 +112,7 @@
         self._random = random
         self._due: list[tuple[float, bytes]] = []
         self._large: list[tuple[float, bytes]] = []
+        self._silent: dict[str, float] = {}
         self._heard: list[RunReply] = []
         self._sequence = random.getrandbits(NUMBER_BITS)
 
@@ -134,7 +137,7 @@
         state.deadline = now + request.timeout
         state.extend(request.timeout, now)
         crowded = self.ledger.is_crowded(request.caller)
-        self.ledger.add(state)
+        self.ledger.add(state, barred=crowded)
         self.counters["claims_made"] += 1
         if request.cancel:
             return self.refuse(state, Reason.CANCELLED, now)
@@ -219,14 +222,24 @@
     def _write(self, state: ClaimState, stage: Stage, now: float) -> list[Effect]:
         """Show a claim to a peer; what follows waits for the peer's word."""
         state.stage = stage
-        self._sequence += 1
-        state.version, state.sequence = self.table.version, self._sequence
+        self._stamp(state)
         state.writes = 0
         state.needed = set()
         if state.idempotent:
             return self._proceed(state, now)
         return self._send_write(state, now)
 
+    def _stamp(self, state: ClaimState) -> None:
+        """Give a state of a claim its number within the term of this home.
+
+        A later home has a later term, so that what a former home still says
+        never replaces what a later one said.
+        """
+        self._sequence += 1
+        term = self.settlement.terms.get(find_bucket(state.flow))
+        state.version = state.version if term is None else term
+        state.sequence = self._sequence
+
     def _send_write(self, state: ClaimState, now: float) -> list[Effect]:
         is_home = self.settlement.is_home(find_bucket(state.flow))
         if state.stage == Stage.WRITING and not is_home:
@@ -391,6 +404,7 @@
         state.run = max(state.run + 1, state.attempt * MAX_RUNS_PER_ATTEMPT)
         state.stage = Stage.RUNNING
         state.polls = 0
+        state.heard = False
         self._expect(executor)
         return self._send_run(state, now)
 
@@ -402,7 +416,9 @@
         best_share = float("inf")
         for member in service.accepting:
             share = self._find_share(member)
-            if state.executor is not None and member.name == state.executor.name:
+            refused = state.executor is not None
+            refused = refused and member.name == state.executor.name
+            if refused or member.name in self._silent:
                 share += SHARE_OF_REFUSER
             elif member.name == self.member.name:
                 share = share / PREFERENCE_OF_SELF if share > 1.0 else 0.0
@@ -456,6 +472,7 @@
 
     def take_load(self, report: SlotReport) -> None:
         """Take what an executor says about its load."""
+        self._silent.pop(report.agent, None)
         self.loads[report.agent] = report
 
     def take_run_reply(self, reply: RunReply, now: float) -> list[Effect]:
@@ -474,6 +491,7 @@
         executor = Identity(reply.agent, reply.incarnation)
         if state is None or state.executor != executor or state.run != reply.run:
             return []
+        state.heard = True
         if reply.verdict is None:
             return []
         if state.stage == Stage.DONE:
@@ -537,8 +555,7 @@
         """Tell an answer or an unknown outcome, and show it to a peer."""
         assert state.verdict in (None, Verdict.UNKNOWN), "an outcome stands"
         state.verdict, state.reason, state.body = verdict, reason, body
-        self._sequence += 1
-        state.version, state.sequence = self.table.version, self._sequence
+        self._stamp(state)
         state.stage = Stage.DONE
         effects = self._conclude(state, now)
         state.needed = set()
@@ -644,6 +661,7 @@
         """Take up a claim that a peer knows."""
         coordinator = Identity(claim.coordinator, claim.incarnation)
         state = ClaimState(claim.flow, claim.caller, claim.number, coordinator)
+        state.adopted = True
         state.expires = now + max(claim.life, COPY_LIFE_S)
         self.fill(state, claim, now)
         self.ledger.add(state)
@@ -720,12 +738,14 @@
 
     def _advance(self, state: ClaimState, now: float) -> list[Effect]:
         match state.stage:
+            case Stage.WRITING | Stage.WAITING if now >= state.deadline:
+                return self.refuse(state, Reason.EXPIRED, now)
             case Stage.WAITING if self._may_hand_over(state):
                 return self.hand_over(state, now)
-            case Stage.WAITING:
+            case Stage.WAITING if self.settlement.is_home(find_bucket(state.flow)):
                 return self._write(state, Stage.WRITING, now)
-            case Stage.WRITING if now >= state.deadline:
-                return self.refuse(state, Reason.EXPIRED, now)
+            case Stage.WAITING:
+                return self._hand_back(state, now)
             case Stage.REFUSING if now >= state.deadline + OVERDUE_S:
                 return self._give_up_refusal(state, now)
             case Stage.WRITING | Stage.REFUSING:
@@ -754,6 +774,8 @@
         gone = not self._is_member(state.executor)
         if gone and state.gone_at == 0.0:
             state.gone_at = now
+        if state.polls > POLLS_UNTIL_SILENT and not state.heard:
+            self._silent[state.executor.name] = now
         waited = gone and now - state.gone_at >= GRACE_S
         if not waited and now < state.deadline + OVERDUE_S:
             return self._send_run(state, now)
--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -195,7 +195,11 @@
         return self._send_cancels(now)
 
     def _enqueue(self, run: Run, now: float) -> list[Effect]:
-        run.leave_at = min(run.deadline, now + self.profile.queue_timeout)
+        # Work that can't be answered in time is not worth starting.
+        last_start = run.deadline - self.limiter.baseline
+        run.leave_at = min(last_start, now + self.profile.queue_timeout)
+        if run.leave_at <= now:
+            return self._end(run, Verdict.NOT_RUN, Reason.EXPIRED, b"")
         if not len(self.queue) and self._may_start(now):
             return [self._reply(run), *self._start(run, now)]
         if now + self._estimate_wait(run.caller) > run.leave_at:
@@ -337,7 +341,7 @@
             if run.cancel_at > now:
                 continue
             if now >= run.deadline and run.verdict is None:
-                self.limiter.turn_cold(now)
+                self.limiter.time_out(now - run.started_at, now)
                 effects += self._end(run, Verdict.UNKNOWN, Reason.EXPIRED, b"")
             if now >= run.deadline + LET_GO_S:
                 self.counters["slots_closed"] += 1
--- a/fulmarshore/admission/ledger.py
+++ b/fulmarshore/admission/ledger.py
@@ -68,9 +68,12 @@
         "needed",
         "writes",
         "polls",
+        "heard",
         "gone_at",
         "term",
         "executor_address",
+        "barred",
+        "adopted",
         "idempotent",
         "cancelled",
     )
@@ -101,10 +104,13 @@
         self.needed: set[Identity] = set()
         self.writes = 0
         self.polls = 0
+        self.heard = False
         self.gone_at = 0.0
         self.term = -1
         self.executor_address: Address | None = None
         self.idempotent = False
+        self.barred = False
+        self.adopted = False
         self.cancelled = False
 
     def is_open(self) -> bool:
@@ -152,15 +158,27 @@
         Claims at which new work is refused, and refusals kept beyond them.
     """
 
-    __slots__ = ("claims", "_callers", "_max_claims", "_max_total", "_expiry")
+    __slots__ = (
+        "claims",
+        "_callers",
+        "_barred",
+        "_barred_total",
+        "_made_total",
+        "_max_claims",
+        "_max_tombstones",
+        "_expiry",
+    )
 
     def __init__(
         self, max_claims: int = MAX_CLAIMS, max_tombstones: int = MAX_TOMBSTONES
     ) -> None:
         self.claims: dict[bytes, ClaimState] = {}
         self._callers: Counter[str] = Counter()
+        self._barred: Counter[str] = Counter()
+        self._barred_total = 0
+        self._made_total = 0
         self._max_claims = max_claims
-        self._max_total = max_claims + max_tombstones
+        self._max_tombstones = max_tombstones
         self._expiry: list[tuple[float, bytes]] = []
 
     def __len__(self) -> int:
@@ -174,22 +192,44 @@
         """Return whether new work of a caller must be refused.
 
         A caller may hold as much as is left free, so that one that floods the
-        ledger leaves room for others.
+        ledger leaves room for others. Claims of other homes do not count:
+        they are bounded where they were made.
         """
-        return self._callers[caller] >= self._max_claims - len(self.claims)
+        return self._callers[caller] >= self._max_claims - self._made_total
 
     def is_full(self, caller: str) -> bool:
         """Return whether not even a refusal can be remembered for a caller."""
-        return self._callers[caller] >= self._max_total - len(self.claims)
+        free = self._max_tombstones - self._barred_total
+        return self.is_crowded(caller) and self._barred[caller] >= free
+
+    def add(self, state: ClaimState, barred: bool = False) -> None:
+        """Add a claim that is not there yet.
 
-    def add(self, state: ClaimState) -> None:
-        """Add a claim that is not there yet."""
+        Parameters
+        ----------
+        barred : bool
+            It is only there to bar a request that was refused for want of
+            room, and counts apart.
+        """
         assert state.flow not in self.claims
         assert state.expires > 0
         self.claims[state.flow] = state
-        self._callers[state.caller] += 1
+        state.barred = barred
+        self._count(state, 1)
         heapq.heappush(self._expiry, (state.expires, state.flow))
 
+    def _count(self, state: ClaimState, step: int) -> None:
+        if state.adopted:
+            return
+        counts = self._barred if state.barred else self._callers
+        if state.barred:
+            self._barred_total += step
+        else:
+            self._made_total += step
+        counts[state.caller] += step
+        if not counts[state.caller]:
+            del counts[state.caller]
+
     def expire(self, now: float) -> list[ClaimState]:
         """Forget the claims whose life is over and return them."""
         gone = []
@@ -211,9 +251,7 @@
 
     def _remove(self, state: ClaimState) -> None:
         del self.claims[state.flow]
-        self._callers[state.caller] -= 1
-        if not self._callers[state.caller]:
-            del self._callers[state.caller]
+        self._count(state, -1)
 
     def list_in(self, buckets: set[int], now: float) -> list[Claim]:
         """Return the claims in some buckets as peers learn them."""
--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -160,6 +160,11 @@
         self._held_until = now + hold
         self.limit = max(self.limit * SHED_FACTOR, self._cold_limit)
 
+    def time_out(self, worked: float, now: float) -> None:
+        """Learn that a deadline passed in work that took a time so far."""
+        if worked > SLOW_RATIO * self.baseline:
+            self.turn_cold(now)
+
     def turn_cold(self, now: float) -> None:
         """Learn that the upstream was restarted, timed out or became slow."""
         self.limit = self._cold_limit
--- /dev/null
+++ b/fulmarshore/bench/surge.py
@@ -0,0 +1,198 @@
+"""Demand that doubles twice, half of the upstreams lost, a flooding caller."""
+
+from __future__ import annotations
+
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from fulmarshore.core.records import Kind, Profile
+from fulmarshore.standins.requests import (
+    MAX_LATENCY_US,
+    CallerNode,
+    RequestWorld,
+)
+from fulmarshore.standins.work import WorkModel
+
+TIMEOUT_S = 4.0
+STEP_S = 0.01
+WARM_UP_S = 25.0
+PHASE_S = 20.0
+DEMANDS = (1.0, 2.0, 4.0)
+AGENTS = 4
+CALLERS = 8
+FLOOD = 10.0
+LIGHT = 0.5
+
+PROFILE = Profile(
+    "orders", Kind.NON_IDEMPOTENT, deadline=TIMEOUT_S, slow_start=5.0, queue_timeout=1.0
+)
+MODEL = WorkModel(slots=3, service_s=0.05, warm_up_s=5.0)
+CAPACITY = AGENTS * MODEL.slots / MODEL.service_s
+
+
+class Phase(Struct, frozen=True):
+    """What one step of demand gave.
+
+    Parameters
+    ----------
+    demand : float
+        Offered requests over capacity.
+    goodput : float
+        Answers in time over capacity.
+    p50_ms, p99_ms : float
+        Time to the answer, in milliseconds.
+    retries : int
+        Hand-overs repeated inside the system.
+    resends : int
+        Copies that callers sent again.
+    """
+
+    name: str
+    demand: float
+    offered: int
+    answered: int
+    not_run: int
+    unknown: int
+    goodput: float
+    p50_ms: float
+    p99_ms: float
+    retries: int
+    resends: int
+
+
+class SurgeReport(Struct, frozen=True):
+    """The report of the surge, the loss of half, and the flood.
+
+    Parameters
+    ----------
+    goodput_at_4x : float
+        Answers over capacity at four times the demand.
+    flood_cost : float
+        Share of the other callers' goodput that a flooding caller takes.
+    ran_twice, false_refusals, wrong_answers, overloads : int
+        Broken promises over all runs.
+    """
+
+    capacity_per_s: float
+    goodput_at_4x: float
+    flood_cost: float
+    ran_twice: int
+    false_refusals: int
+    wrong_answers: int
+    overloads: int
+    phases: list[Phase]
+
+
+class _Driver:
+    """Offers demand to a world and counts what it gives."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = RequestWorld(seed, PROFILE, MODEL, AGENTS, 3, CALLERS)
+        self.due: dict[str, float] = {}
+
+    def offer(self, rates: dict[str, float], seconds: float) -> None:
+        """Let each caller send at its rate, in requests a second."""
+        world = self.world
+        until = world.network.now + seconds
+        while world.network.now < until:
+            for name, rate in rates.items():
+                self._send(world.callers[name], rate)
+            world.network.run(STEP_S)
+
+    def _send(self, caller: CallerNode, rate: float) -> None:
+        due = self.due.get(caller.name, 0.0) + rate * STEP_S
+        while due >= 1.0:
+            due -= 1.0
+            caller.submit(TIMEOUT_S, False, self.world.network.now)
+        self.due[caller.name] = due
+
+    def count_retries(self) -> int:
+        """Return the repeated hand-overs of all agents so far."""
+        total = 0
+        for number in range(AGENTS):
+            home = self.world.get_agent(f"agent{number}").requests.home
+            total += home.counters["retries"]
+        return total
+
+    def measure(
+        self, name: str, demand: float, seconds: float, capacity: float
+    ) -> Phase:
+        """Offer even demand for a time and return what it gave."""
+        world = self.world
+        world.latency = HdrHistogram(1, MAX_LATENCY_US, 3)
+        before = world.tally()
+        retries, resends = self.count_retries(), world.resends
+        rate = demand * CAPACITY / CALLERS
+        self.offer({caller: rate for caller in world.callers}, seconds)
+        after = world.tally()
+        answered = after.answered - before.answered
+        return Phase(
+            name,
+            demand,
+            after.requests - before.requests,
+            answered,
+            after.not_run - before.not_run,
+            after.unknown - before.unknown,
+            round(answered / (capacity * seconds), 3),
+            round(world.latency.get_value_at_percentile(50) / 1e3, 1),
+            round(world.latency.get_value_at_percentile(99) / 1e3, 1),
+            self.count_retries() - retries,
+            world.resends - resends,
+        )
+
+
+def run(seed: int = 1) -> SurgeReport:
+    """Run the surge and the flood."""
+    driver = _Driver(seed)
+    names = list(driver.world.callers)
+    driver.offer({}, 6.0)
+    driver.offer({name: CAPACITY / CALLERS for name in names}, WARM_UP_S)
+    phases = [
+        driver.measure(f"{demand:g}x", demand, PHASE_S, CAPACITY) for demand in DEMANDS
+    ]
+    for gone in range(AGENTS // 2):
+        driver.world.network.stop(f"agent{gone}")
+    phases.append(driver.measure("half lost", 1.0, PHASE_S, CAPACITY / 2))
+    driver.offer({}, 10.0)
+    tallies = [driver.world.tally()]
+    overloads = _count_overloads(driver.world)
+    calm, calm_world = _run_light(seed, 0.0)
+    flooded, flooded_world = _run_light(seed, FLOOD)
+    for world in (calm_world, flooded_world):
+        tallies.append(world.tally())
+        overloads += _count_overloads(world)
+    return SurgeReport(
+        CAPACITY,
+        phases[len(DEMANDS) - 1].goodput,
+        round(1.0 - flooded / calm, 4),
+        sum(tally.ran_twice for tally in tallies),
+        sum(tally.false_refusals for tally in tallies),
+        sum(tally.wrong_answers for tally in tallies),
+        overloads,
+        phases,
+    )
+
+
+def _run_light(seed: int, flood: float) -> tuple[int, RequestWorld]:
+    """Return the answers of light callers, with one that floods or without."""
+    driver = _Driver(seed + 1)
+    names = list(driver.world.callers)
+    light, flooding = names[:-1], names[-1]
+    driver.offer({}, 6.0)
+    driver.offer({name: CAPACITY / CALLERS for name in names}, WARM_UP_S)
+    before = dict(driver.world.answered_by)
+    rates = {name: LIGHT * CAPACITY / len(light) for name in light}
+    rates[flooding] = flood * CAPACITY
+    driver.offer(rates, PHASE_S)
+    driver.offer({}, 10.0)
+    after = driver.world.answered_by
+    answers = sum(after[name] - before.get(name, 0) for name in light)
+    return answers, driver.world
+
+
+def _count_overloads(world: RequestWorld) -> int:
+    total = 0
+    for name, work in world.works.items():
+        if work.name == name:
+            total += work.upstream.overloads
+    return total
