--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -10,6 +10,9 @@
 from tabulate import tabulate
 
 from fulmarshore.bench import capacity as capacity_bench
+from fulmarshore.bench import cold as cold_bench
+from fulmarshore.bench import once as once_bench
+from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
 
 
@@ -52,3 +55,34 @@
 def timeline(events: int, as_json: bool) -> None:
     """Measure the merge of the time lines of 200 processes."""
     show_report(timeline_bench.run(events), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def cold(seed: int, as_json: bool) -> None:
+    """Measure limits before upstreams that start or turn cold."""
+    show_report(cold_bench.run(seed), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--requests", type=click.IntRange(1), default=once_bench.REQUESTS)
+@click.option(
+    "--fault-interval",
+    type=click.FloatRange(0.1),
+    default=once_bench.FAULT_INTERVAL_S,
+    help="Mean time between two faults, in seconds.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def once(seed: int, requests: int, fault_interval: float, as_json: bool) -> None:
+    """Measure what becomes of requests under every fault."""
+    show_report(once_bench.run(seed, requests, fault_interval), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def surge(seed: int, as_json: bool) -> None:
+    """Measure demand that doubles twice, a loss of half, and a flood."""
+    show_report(surge_bench.run(seed), as_json)
