--- a/fulmarshore/adapters/datagrams.py
+++ b/fulmarshore/adapters/datagrams.py
@@ -14,6 +14,8 @@
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 Receive = Callable[[bytes, Address], None]
+ReceiveFrom = Callable[[int], tuple[bytes, Address]]
+Drain = Callable[[ReceiveFrom], None]
 
 
 class DatagramSocket:
@@ -27,18 +29,32 @@
         Called with each datagram and its source.
     fail : callable, optional
         Called when a connected peer is reported gone.
+    drain : callable, optional
+        Called in place of ``receive`` when datagrams wait, with the bound
+        ``recvfrom`` of the socket. It takes at most ``RECEIVE_BATCH`` of
+        them and lets the error of an empty socket through.
     """
 
-    __slots__ = ("_loop", "_receive", "_fail", "_socket", "_connected", "dropped")
+    __slots__ = (
+        "_loop",
+        "_receive",
+        "_fail",
+        "_drain",
+        "_socket",
+        "_connected",
+        "dropped",
+    )
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        receive: Receive,
+        receive: Receive | None = None,
         fail: Callable[[], None] | None = None,
+        drain: Drain | None = None,
     ) -> None:
         self._loop = loop
         self._receive = receive
+        self._drain = drain or self._hand_over
         self._fail = fail
         self._connected = False
         self.dropped = 0
@@ -54,9 +70,25 @@
         self._watch()
         return Address(*self._socket.getsockname()[:2])
 
-    def connect(self, address: Address) -> None:
-        """Connect to a peer: only its datagrams are received."""
+    @property
+    def local_port(self) -> int:
+        """Port that the socket is bound to."""
+        return self._socket.getsockname()[1]
+
+    def connect(self, address: Address, local_port: int = 0) -> None:
+        """Connect to a peer: only its datagrams are received.
+
+        Parameters
+        ----------
+        address : Address
+            The peer.
+        local_port : int
+            Port to bind first; 0 leaves it to the kernel. One that is taken
+            is left to the kernel too.
+        """
         self._open(address.host, 0)
+        if local_port:
+            self._bind_port(local_port)
         self._socket.connect(address)
         self._connected = True
         self._watch()
@@ -74,7 +106,7 @@
             self.dropped += 1
             if self._fail is not None:
                 self._fail()
-        except OSError:
+        except (OSError, OverflowError):
             self.dropped += 1
 
     def close(self) -> None:
@@ -94,22 +126,29 @@
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self._socket.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
 
+    def _bind_port(self, port: int) -> None:
+        try:
+            self._socket.bind(("", port))
+        except OSError:
+            self.dropped += 1
+
     def _watch(self) -> None:
         self._loop.add_reader(self._socket.fileno(), self._read)
 
     def _read(self) -> None:
+        try:
+            self._drain(self._socket.recvfrom)
+        except BlockingIOError:
+            return
+        except ConnectionRefusedError:
+            if self._connected and self._fail is not None:
+                self._fail()
+        except OSError:
+            self.dropped += 1
+
+    def _hand_over(self, receive_from: ReceiveFrom) -> None:
         for _ in range(RECEIVE_BATCH):
+            payload, source = receive_from(RECEIVE_BYTES)
+            self._receive(payload, source)
             if self._socket is None:
                 return
-            try:
-                payload, source = self._socket.recvfrom(RECEIVE_BYTES)
-            except BlockingIOError:
-                return
-            except ConnectionRefusedError:
-                if self._connected and self._fail is not None:
-                    self._fail()
-                return
-            except OSError:
-                self.dropped += 1
-                return
-            self._receive(payload, source)
--- a/fulmarshore/bench/sealing.py
+++ b/fulmarshore/bench/sealing.py
@@ -14,7 +14,7 @@
 from fulmarshore.adapters.keys import RING_SECRET_BYTES, Ring, add_ring_key
 from fulmarshore.adapters.peers import PeerSocket
 from fulmarshore.adapters.sealing import Sealer
-from fulmarshore.core.records import Address, Forward, PeerMessage, Phase
+from fulmarshore.core.records import Address, DataMessage, Forward, Phase
 
 PACKETS = 20_000
 ROUNDS = 9
@@ -75,7 +75,7 @@
     received = 0
     done = asyncio.Event()
 
-    def receive(event: PeerMessage) -> None:
+    def receive(message: DataMessage, source: Address, now: float) -> None:
         nonlocal received
         received += 1
         if received % BURST == 0:
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -10,7 +10,12 @@
 from tabulate import tabulate
 
 from fulmarshore.bench import capacity as capacity_bench
+from fulmarshore.bench import cold as cold_bench
+from fulmarshore.bench import config as config_bench
+from fulmarshore.bench import forward as forward_bench
+from fulmarshore.bench import once as once_bench
 from fulmarshore.bench import sealing as sealing_bench
+from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
 
 
@@ -60,3 +65,64 @@
 def sealing(as_json: bool) -> None:
     """Measure what sealing costs the socket between entry hosts and agents."""
     show_report(sealing_bench.run(), as_json)
+
+
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def config(as_json: bool) -> None:
+    """Measure how fast accepted configuration is in force, over real daemons."""
+    show_report(config_bench.run(), as_json)
+
+
+@bench.command("forward")
+@click.option("--rounds", type=click.IntRange(1, 100), default=3)
+@click.option("--seconds", type=click.FloatRange(0.1, 60.0), default=0.7)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def forward(rounds: int, seconds: float, as_json: bool) -> None:
+    """Measure packets a second against a bare relay."""
+    result = forward_bench.run(rounds, seconds)
+    if as_json:
+        click.echo(json.dumps(msgspec.to_builtins(result)))
+        return
+    rows = [
+        (name, rate.pps, rate.cpu_pps, result.wall_ratios[name], result.ratios[name])
+        for name, rate in result.rates.items()
+    ]
+    headers = ("subject", "pps", "pps/cpu s", "ratio", "ratio/cpu s")
+    click.echo(tabulate(rows, headers=headers))
+    click.echo(f"cost growth with flows: {result.cost_growth}")
+    click.echo(f"from 1,000 flows on: {result.cost_growth_from_thousand}")
+    click.echo(f"new flows a second: {result.new_flows_per_second:.0f}")
+    held = f"{result.entry_flows} flows in {result.entry_resident_mb} MB resident"
+    click.echo(f"entry host: {held}")
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def cold(seed: int, as_json: bool) -> None:
+    """Measure limits before upstreams that start or turn cold."""
+    show_report(cold_bench.run(seed), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--requests", type=click.IntRange(1), default=once_bench.REQUESTS)
+@click.option(
+    "--fault-interval",
+    type=click.FloatRange(0.1),
+    default=once_bench.FAULT_INTERVAL_S,
+    help="Mean time between two faults, in seconds.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def once(seed: int, requests: int, fault_interval: float, as_json: bool) -> None:
+    """Measure what becomes of requests under every fault."""
+    show_report(once_bench.run(seed, requests, fault_interval), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def surge(seed: int, as_json: bool) -> None:
+    """Measure demand that doubles twice, a loss of half, and a flood."""
+    show_report(surge_bench.run(seed), as_json)
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -3,18 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import time
 from collections import Counter
 
-from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.adapters.datagrams import (
+    RECEIVE_BATCH,
+    RECEIVE_BYTES,
+    DatagramSocket,
+    ReceiveFrom,
+)
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.adapters.peers import PeerSocket
+from fulmarshore.core.codec import LENGTHS, PREPARED_LENGTHS
 from fulmarshore.core.records import (
     Address,
     CloseUpstream,
+    DataMessage,
     Effect,
     Event,
+    Forward,
     Identity,
+    LocalPort,
     Member,
+    OpenUpstream,
+    PeerMessage,
+    Restart,
     SendPeer,
     SendUpstream,
     UpstreamDatagram,
@@ -65,7 +79,7 @@
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
-        self._data = PeerSocket(loop, self.dispatch, self.counters, self.sealer)
+        self._data = PeerSocket(loop, self._take_peer, self.counters, self.sealer)
         data = self._data.bind(self.settings.data)
         settings = self.settings
         identity = Identity(settings.name, draw_incarnation())
@@ -82,6 +96,7 @@
         controls = [format_link(address) for address in settings.controls]
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = AgentCore(subscriber)
+        loop.add_signal_handler(signal.SIGHUP, self._restart)
 
     def list_addresses(self) -> list[Address]:
         """Return the addresses of links and of the data path."""
@@ -104,6 +119,8 @@
                 self._find_upstream(flow).send(payload)
             case SendPeer(destination=destination, message=message):
                 self._data.send(message, destination)
+            case OpenUpstream(flow=flow, port=port):
+                self._open_upstream(flow, port)
             case CloseUpstream(flow=flow):
                 sock = self._upstreams.pop(flow, None)
                 if sock is not None:
@@ -122,19 +139,46 @@
         """Return the counters for the metrics."""
         return [self.counters, self.core.counters, self.core.subscriber.counters]
 
+    def _take_peer(self, message: DataMessage, source: Address, now: float) -> None:
+        if type(message) is Forward and self.core.take_known(message, now):
+            self._find_upstream(message.flow).send(message.payload)
+            return
+        self.execute(self.handle(PeerMessage(source, message), now))
+
     def _find_upstream(self, flow: bytes) -> DatagramSocket:
         sock = self._upstreams.get(flow)
         if sock is not None:
             return sock
+        return self._open_upstream(flow, 0)
 
-        def receive(payload: bytes, source: Address) -> None:
-            self.dispatch(UpstreamDatagram(flow, payload))
+    def _restart(self) -> None:
+        ports = [
+            LocalPort(flow, sock.local_port) for flow, sock in self._upstreams.items()
+        ]
+        self.dispatch(Restart(ports))
+
+    def _open_upstream(self, flow: bytes, port: int) -> DatagramSocket:
+        def drain(receive_from: ReceiveFrom) -> None:
+            self._drain_upstream(flow, receive_from)
 
         def fail() -> None:
             loop.call_soon(self.dispatch, UpstreamGone(flow))
 
         loop = asyncio.get_running_loop()
-        sock = DatagramSocket(loop, receive, fail)
-        sock.connect(self.settings.upstream)
+        sock = DatagramSocket(loop, fail=fail, drain=drain)
+        sock.connect(self.settings.upstream, port)
         self._upstreams[flow] = sock
         return sock
+
+    def _drain_upstream(self, key: bytes, receive_from: ReceiveFrom) -> None:
+        """Send the upstream's datagrams on the socket of a flow back."""
+        now = time.monotonic()
+        for _ in range(RECEIVE_BATCH):
+            payload, _ = receive_from(RECEIVE_BYTES)
+            is_short = len(payload) < PREPARED_LENGTHS
+            flow = self.core.answer_known(key, now) if is_short else None
+            if flow is None:
+                self.dispatch(UpstreamDatagram(key, payload))
+                continue
+            frame = b"".join((flow.head, LENGTHS[len(payload)], payload))
+            self._data.send_frame(frame, flow.entry_address)
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from fulmarshore.admission.gate import Gate
+from fulmarshore.admission.requests import RequestCore
+from fulmarshore.core.codec import encode_head
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
@@ -23,17 +25,25 @@
     Effect,
     Event,
     FlowCheck,
+    FlowRecord,
+    FlowRecords,
+    FlowRecordsKept,
+    FlowRecordsRequest,
     Forward,
+    Identity,
     LinkMessage,
     LoadReport,
+    LocalPort,
     Member,
     MemberState,
+    OpenUpstream,
     OwnedFlow,
     PeerMessage,
     Phase,
     Reason,
     Refusal,
     Released,
+    Restart,
     SendPeer,
     SendUpstream,
     Stop,
@@ -41,17 +51,24 @@
     Takeover,
     TakeoverReply,
     Tick,
+    TimelineEvent,
     UpstreamDatagram,
     UpstreamGone,
+    ViewCheck,
+    ViewConfirmed,
 )
+from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
 from fulmarshore.routing.endings import EndingReport
+from fulmarshore.routing.fence import Fence
 from fulmarshore.routing.flows import Directory, Flow, IdleQueue
 from fulmarshore.routing.held import HeldPackets
 from fulmarshore.routing.homes import Homes
+from fulmarshore.routing.peers import KnownPeers
 from fulmarshore.routing.reports import Reporter
+from fulmarshore.routing.succession import Succession
 from fulmarshore.routing.table import ServiceTable, Table
 
 MAX_HOPS = 12
@@ -79,13 +96,19 @@
         self.subscriber = subscriber
         self.member = subscriber.announcement
         self.table = Table(subscriber.view)
+        self.peers = KnownPeers(self.table)
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
         self.gate = Gate(self.member)
         self._endings = EndingReport()
+        self.requests = RequestCore(subscriber)
         self.arbiter = Arbiter(self.member.name, self.counters)
         self.homes = Homes(self.member.name, self.member.incarnation)
         self.held = HeldPackets()
+        self.fence = Fence(LEASE_S)
+        self.succession = Succession(subscriber.identity, self.member.service)
+        self._recovery_began = False
+        self._has_recovered = False
         self._idle = IdleQueue()
         self._reporter = Reporter(self.member.name, self.member.incarnation)
         self._declined: dict[bytes, int] = {}
@@ -108,10 +131,13 @@
     def is_accepting(self) -> bool:
         """Whether new flows may be opened here, as far as is known."""
         drained = self.member.name in self.table.drained
-        return self.member.state == MemberState.ACCEPTING and not drained
+        leaving = drained or self.succession.is_leaving
+        return self.member.state == MemberState.ACCEPTING and not leaving
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
+        if self.requests.takes(event, self.table):
+            return self.requests.handle(event, self.table, now)
         match event:
             case PeerMessage(message=Forward() as packet, source=source):
                 return self._take_packet(packet, source, now)
@@ -128,11 +154,15 @@
                 return self._tick(now)
             case Stop():
                 return self._begin_stop(now)
+            case Restart(ports=ports):
+                return self._begin_restart(ports, now)
         raise AssertionError(f"unexpected event {event!r}")
 
     def _handle_peer(self, event: PeerMessage, now: float) -> list[Effect]:
         match event.message:
             case Delta() as delta:
+                if not self.peers.may_tell(event.source, delta):
+                    return self._drop(Reason.STRANGER)
                 effects = self.subscriber.apply(delta, event.source[0])
                 return effects + self._update_table(now)
             case DeltaRequest() as request:
@@ -154,6 +184,14 @@
                 return self._give_buckets(ask, event.source, now)
             case TakeoverReply() as reply:
                 return self._take_buckets(reply, now)
+            case FlowRecords() | FlowRecordsKept() | FlowRecordsRequest() as message:
+                view = self.subscriber.view
+                effects = self.succession.handle(message, event.source, view, now)
+                return effects + self._finish_recovery(now)
+            case ViewCheck() as check:
+                return self._confirm_view(check, event.source, now)
+            case ViewConfirmed() as word:
+                return self._take_word(word)
             case FlowCheck() as check:
                 return self._answer_check(check, event.source)
         return self._drop(Reason.MALFORMED)
@@ -164,10 +202,10 @@
         self, packet: Forward, source: Address, now: float
     ) -> list[Effect]:
         if packet.service != self.member.service:
-            return self._drop(Reason.WRONG_SERVICE)
+            return self._drop_misdirected(Reason.WRONG_SERVICE, packet, source)
         wrong = packet.target != self.member.name
         if wrong or packet.incarnation != self.member.incarnation:
-            return self._drop(Reason.WRONG_INCARNATION)
+            return self._drop_misdirected(Reason.WRONG_INCARNATION, packet, source)
         effects: list[Effect] = []
         if packet.version != self.table.version:
             effects += self._compare_versions(packet.version, source, now)
@@ -177,7 +215,44 @@
             return effects
         return effects + self._route(packet, source, now)
 
+    def take_known(self, packet: Forward, now: float) -> bool:
+        """Take a packet of a flow held here that needs nothing but delivery.
+
+        Its payload goes to the upstream on the socket of the flow. False: it
+        is to be handled as an event.
+        """
+        flow = self.flows.get(packet.flow)
+        member = self.member
+        if flow is None or packet.version != self.table.version:
+            return False
+        if packet.service != member.service or packet.target != member.name:
+            return False
+        if packet.incarnation != member.incarnation:
+            return False
+        self._touch(flow, packet, now)
+        return True
+
+    def answer_known(self, key: bytes, now: float) -> Flow | None:
+        """Return the flow that an upstream's datagram goes back on, if simple.
+
+        Its head and the payload, joined, go to its entry host. None: the
+        datagram is to be handled as an event.
+        """
+        flow = self.flows.get(key)
+        if flow is None or flow.entry_address is None:
+            return None
+        flow.last_active = now
+        if flow.head_version != self.table.version:
+            flow.head = encode_head(self._make_answer(flow, b""))
+            flow.head_version = self.table.version
+        self.counters["answered"] += 1
+        return flow
+
     def _deliver(self, flow: Flow, packet: Forward, now: float) -> SendUpstream:
+        self._touch(flow, packet, now)
+        return SendUpstream(packet.flow, packet.payload)
+
+    def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
         flow.last_active = now
         if packet.assignment > flow.assignment:
             flow.assignment = packet.assignment
@@ -185,7 +260,6 @@
             flow.entry = packet.entry
             flow.entry_address = self._find_entry(packet.entry)
         self.counters["delivered"] += 1
-        return SendUpstream(packet.flow, packet.payload)
 
     def _route(self, packet: Forward, source: Address, now: float) -> list[Effect]:
         """Handle a packet of a flow that this agent does not hold."""
@@ -194,6 +268,8 @@
         service = self.service
         if service is None:
             return self._refuse(packet, Reason.NO_UPSTREAM)
+        if not self._has_recovered:
+            return self._hold(packet, source, now)
         bucket = find_bucket(packet.flow)
         if packet.assignment:
             if get_ballot(packet.assignment) >= self.homes.get_ballot(bucket):
@@ -208,7 +284,7 @@
             return self._pass_on(
                 promise.agent, promise.incarnation, promise.address, packet, version
             )
-        if packet.version > self.table.version or self.homes.is_awaited(bucket):
+        if packet.version > self.table.version:
             return self._hold(packet, source, now)
         home = service.get_home(bucket)
         if home is None:
@@ -342,10 +418,13 @@
         return effects
 
     def _must_wait(self, packet: Forward) -> bool:
+        if not self._has_recovered:
+            return True
         bucket = find_bucket(packet.flow)
         if bucket in self.homes.settled or self.homes.find_promise(bucket):
             return False
-        if self.homes.is_awaited(bucket):
+        home = self.service.get_home(bucket) if self.service is not None else None
+        if home is not None and home.name == self.member.name:
             return True
         return packet.version > self.table.version
 
@@ -395,7 +474,11 @@
         if flow.entry_address is None:
             return self._drop(Reason.NO_UPSTREAM)
         self.counters["answered"] += 1
-        answer = Answer(
+        answer = self._make_answer(flow, event.payload)
+        return [SendPeer(flow.entry_address, answer)]
+
+    def _make_answer(self, flow: Flow, payload: bytes) -> Answer:
+        return Answer(
             self.member.service,
             self.member.name,
             self.member.incarnation,
@@ -403,9 +486,8 @@
             flow.key,
             flow.caller.host,
             flow.caller.port,
-            event.payload,
+            payload,
         )
-        return [SendPeer(flow.entry_address, answer)]
 
     # Ends of flows ---------------------------------------------------------
 
@@ -454,9 +536,11 @@
 
     def _answer_check(self, check: FlowCheck, source: Address) -> list[Effect]:
         """Tell the home which of the flows it remembers have ended."""
+        if not self._has_recovered:
+            return []
         effects: list[Effect] = []
         for owned in check.flows:
-            if owned.flow in self.flows or owned.incarnation != self.member.incarnation:
+            if owned.flow in self.flows or owned.incarnation > self.member.incarnation:
                 continue
             released = Released(
                 self.member.service,
@@ -498,8 +582,12 @@
     def _give_buckets(self, ask: Takeover, source: Address, now: float) -> list[Effect]:
         if ask.version < self.table.version:
             return [SendPeer(source, make_delta(self.subscriber.view, ask.version))]
+        if not self._has_recovered or self.fence.is_bound(ask.version, now):
+            self.counters["takeovers_delayed"] += 1
+            return []
         effects: list[Effect] = []
         if ask.version > self.table.version:
+            self.peers.ask(source)
             request = DeltaRequest(self.subscriber.identity, self.table.version)
             effects.append(SendPeer(source, request))
         given, complete = self.homes.give(ask, source, now)
@@ -562,6 +650,114 @@
         self.counters["buckets_taken"] += len(settled)
         return self._resume_held(now)
 
+    # Planned restart -------------------------------------------------------
+
+    def _begin_restart(self, ports: list[LocalPort], now: float) -> list[Effect]:
+        """Hand the flow records to peers, for the successor to fetch."""
+        service = self.service
+        if service is None or self.succession.is_leaving:
+            return [Stopped()] if service is None else []
+        records = []
+        for local in ports:
+            flow = self.flows.get(local.flow)
+            if flow is None:
+                continue
+            record = FlowRecord(
+                flow.key, *flow.caller, flow.entry, local.port, flow.assignment
+            )
+            records.append(record)
+        version = self.table.version
+        self.succession.begin_export(records, service, version, now)
+        event = TimelineEvent("restart_began", detail=f"{len(records)} flows")
+        return [event, *self.succession.tick(version, now)]
+
+    def _begin_recovery(self, now: float) -> list[Effect]:
+        """Ask the peers for the flows of a former self, once a member."""
+        service = self.service
+        if self._recovery_began or service is None:
+            return []
+        member = service.by_name.get(self.member.name)
+        if member is None or member.incarnation != self.member.incarnation:
+            return []
+        self._recovery_began = True
+        self.succession.begin_recovery(service, now)
+        effects = self.succession.tick(self.table.version, now)
+        return effects + self._finish_recovery(now)
+
+    def _finish_recovery(self, now: float) -> list[Effect]:
+        records = self.succession.take_recovered(now)
+        if records is None:
+            return []
+        self._has_recovered = True
+        effects: list[Effect] = []
+        for record in records:
+            caller = Address(record.caller_host, record.caller_port)
+            address = self._find_entry(record.entry)
+            flow = Flow(
+                record.flow, caller, record.entry, address, record.assignment, now
+            )
+            self.flows[record.flow] = flow
+            self._idle.add(flow, now)
+            effects.append(OpenUpstream(record.flow, record.local_port))
+        if records:
+            self.counters["flows_recovered"] += len(records)
+            detail = f"{len(records)} flows"
+            effects.append(TimelineEvent("flows_recovered", detail=detail))
+        return effects + self._guard_lease(now) + self._resume_held(now)
+
+    # Lease -----------------------------------------------------------------
+
+    def _guard_lease(self, now: float) -> list[Effect]:
+        """Stop arbitrating when neither control nor the peers back this agent."""
+        service = self.service
+        if service is None:
+            return []
+        renewed_at = self.subscriber.lease_renewed
+        effects: list[Effect] = []
+        number = self.fence.ask(renewed_at, now)
+        peers = [m for m in service.members if m.name != self.member.name]
+        if number:
+            identity = self.subscriber.identity
+            version = self.table.version
+            check = ViewCheck(self.member.service, *_split(identity), version, number)
+            effects += [SendPeer(Address(m.host, m.port), check) for m in peers]
+        names = {member.name for member in peers}
+        is_backed = self._has_recovered and (
+            self.fence.has_lease(renewed_at, now) or self.fence.is_confirmed(names, now)
+        )
+        if is_backed != self.homes.is_fenced:
+            return effects
+        for bucket in self.homes.set_fenced(not is_backed):
+            self.directory.forget_bucket(bucket)
+        kind = "arbitration_resumed" if is_backed else "arbitration_suspended"
+        self.counters[kind] += 1
+        effects.append(TimelineEvent(kind, service=self.member.service))
+        return effects + self._resume_held(now)
+
+    def _confirm_view(
+        self, check: ViewCheck, source: Address, now: float
+    ) -> list[Effect]:
+        if check.version < self.table.version:
+            return [SendPeer(source, make_delta(self.subscriber.view, check.version))]
+        if check.version > self.table.version:
+            return self._compare_versions(check.version, source, now)
+        if self.homes.promised_version > check.version:
+            return []
+        self.fence.give_word(check.version, now)
+        identity = self.subscriber.identity
+        word = ViewConfirmed(
+            self.member.service, *_split(identity), check.version, check.number
+        )
+        return [SendPeer(source, word)]
+
+    def _take_word(self, word: ViewConfirmed) -> list[Effect]:
+        member = self.service.by_name.get(word.agent)
+        if member is None or member.incarnation != word.incarnation:
+            return self._drop(Reason.WRONG_INCARNATION)
+        if word.version == self.table.version:
+            self.fence.take_word(word.agent, word.number)
+        return []
+
     # Versions and time -----------------------------------------------------
 
     def _compare_versions(
@@ -578,6 +774,7 @@
         if self._newest_seen is None or now - self._delta_asked_at < DELTA_INTERVAL_S:
             return []
         self._delta_asked_at = now
+        self.peers.ask(self._newest_seen[1])
         request = DeltaRequest(self.subscriber.identity, self.table.version)
         return [SendPeer(self._newest_seen[1], request)]
 
@@ -588,6 +785,7 @@
         assert view.version > self.table.version, "versions only go up"
         previous = self.table
         self.table = Table(view, previous)
+        self.peers.follow(self.table)
         self._delta_asked_at = float("-inf")
         if self._newest_seen is not None and view.version >= self._newest_seen[0]:
             self._newest_seen = None
@@ -603,7 +801,8 @@
         self.arbiter.follow(self.service)
         if self.member.zone in self.table.zones_out:
             return self._end_all(Reason.ZONE_OUT)
-        return self._ask_for_buckets(now) + self._resume_held(now)
+        effects = self._begin_recovery(now)
+        return effects + self._ask_for_buckets(now) + self._resume_held(now)
 
     def _end_all(self, reason: Reason) -> list[Effect]:
         effects: list[Effect] = []
@@ -612,9 +811,14 @@
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
+        if self.succession.has_left(now):
+            return [Stopped()]
         if self._is_done(now):
             return [*self.subscriber.leave(), Stopped()]
         effects = self.subscriber.tick(now)
+        effects += self.succession.tick(self.table.version, now)
+        effects += self._finish_recovery(now)
+        effects += self._guard_lease(now)
         effects += self._ask_for_delta(now)
         effects += self._ask_for_buckets(now)
         for packet in self.held.take_expired(now):
@@ -622,6 +826,7 @@
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
         effects += self._endings.collect(self.member.service, self.counters, now)
+        effects += self.requests.handle(Tick(), self.table, now)
         return effects
 
     def _report_load(self, now: float) -> list[Effect]:
@@ -672,6 +877,8 @@
             return False
         if now >= self._stopping_at:
             return True
+        if not self.requests.is_idle(now):
+            return False
         service = self.service
         has_successor = service is not None and bool(service.accepting)
         return not self.flows and not (self.homes.settled and has_successor)
@@ -687,6 +894,19 @@
         self.member = msgspec.structs.replace(self.member, state=MemberState.DRAINING)
         return self.subscriber.announce(self.member)
 
+    def _drop_misdirected(
+        self, reason: Reason, packet: Forward, source: Address
+    ) -> list[Effect]:
+        """Drop a packet for somebody else, and correct a sender that is behind."""
+        self.counters[f"dropped_{reason}"] += 1
+        if packet.version >= self.table.version:
+            return []
+        return [SendPeer(source, make_delta(self.subscriber.view, packet.version))]
+
     def _drop(self, reason: Reason) -> list[Effect]:
         self.counters[f"dropped_{reason}"] += 1
         return []
+
+
+def _split(identity: Identity) -> tuple[str, int]:
+    return identity.name, identity.incarnation
