Status shows replicas; a change decided too long ago is not taken for accepted

Cause: the answer 'forgotten' came with the replicated log and fell through to the accepted branch of apply. Seen failing without the new case.

--- a/fulmarshore/commands/operators.py
+++ b/fulmarshore/commands/operators.py
@@ -357,6 +357,10 @@
         case ChangeReply(status=ChangeStatus.UNAVAILABLE):
             text = "not accepted: no majority of control hosts is reachable"
             fail(text, EXIT_UNKNOWN, as_json)
+        case ChangeReply(status=ChangeStatus.FORGOTTEN):
+            text = f"number {reply.number} was decided too long ago to tell how"
+            fail(text, EXIT_UNKNOWN, as_json)
+    assert reply.status == ChangeStatus.ACCEPTED, reply
     text = text or f"number {reply.number} accepted as version {reply.version}"
     if not as_json:
         click.echo(text)
--- a/fulmarshore/commands/operators_test.py
+++ b/fulmarshore/commands/operators_test.py
@@ -6,6 +6,7 @@
 
 import zmq
 from click.testing import CliRunner
+from msgspec.structs import replace
 
 from fulmarshore.agreement.history import list_history
 from fulmarshore.agreement.state import State, answer_change, apply_command
@@ -19,6 +20,8 @@
     Join,
     Member,
     ProcessStatus,
+    ReplicaId,
+    ReplicaStatus,
     StatusReply,
     StatusRequest,
 )
@@ -38,6 +41,9 @@
 """
 
 
+LEADER = ReplicaStatus(ReplicaId("c", "d1"), "leader", 9, 0.0)
+
+
 class FakeControl:
     """Answers operators from the state machine alone, on a thread."""
 
@@ -76,7 +82,9 @@
                 delta = make_delta(self.state.view, 0)
                 number = self.state.next_number
                 fresh = Freshness(1, 1)
-                return StatusReply("c", "c", fresh, delta, [process], number)
+                return StatusReply(
+                    "c", "c", fresh, delta, [process], number, 3, 9, [LEADER]
+                )
             case HistoryRequest():
                 return list_history(self.state, "c", message)
             case Change():
@@ -111,6 +119,7 @@
             (["drain", "m", *ben], 0, "version 5"),
             (["drain", "n", *ben], 2, "allowed is m"),
             (["status"], 0, "drained"),
+            (["status"], 0, "leader"),
             (["undrain", "m", *ben], 0, "version 6"),
             (["undrain", "m", *ben], 2, "none is known"),
             (["history"], 0, "removed drain m"),
@@ -128,6 +137,17 @@
         result = self.invoke(control, ["status", "--json"])
         self.assertEqual(json.loads(result.output)["stale"], ["m"])
 
+    def test_a_change_decided_long_ago_is_not_taken_for_accepted(self):
+        control = FakeControl()
+        self.addCleanup(control.stop)
+        control.state = replace(control.state, next_number=5)
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "f.toml"
+            path.write_text(FILE)
+            result = self.invoke(control, ["apply", str(path), "--number", "1"])
+        self.assertEqual(result.exit_code, 4, result.output)
+        self.assertIn("too long ago", result.output)
+
     def invoke(self, control, arguments):
         address = f"127.0.0.1:{control.port}"
         return CliRunner().invoke(cli, [*arguments, "--control", address])
--- a/fulmarshore/commands/overview.py
+++ b/fulmarshore/commands/overview.py
@@ -18,7 +18,7 @@
 from fulmarshore.membership.view import View, apply_delta
 
 HEADERS = {
-    "control hosts": ("name", "leader", "term", "stamp", "version", "serves"),
+    "control hosts": ("name", "disk", "state", "term", "in step to", "heard"),
     "zones": ("name", "state", "entry hosts", "upstreams"),
     "services": ("name", "profile", "address", "protocol", "accepting", "not"),
     "entry hosts": ("name", "zone", "address", "version", "heard"),
@@ -85,17 +85,17 @@
 def list_tables(overview: Overview) -> dict[str, list[tuple[Any, ...]]]:
     """Return the rows of every table, under the keys of ``HEADERS``."""
     tables: dict[str, list[tuple[Any, ...]]] = {name: [] for name in HEADERS}
-    for reply in sorted(overview.replies, key=lambda reply: reply.control):
-        tables["control hosts"].append(
-            (
-                reply.control,
-                reply.leader or "none",
-                reply.freshness.term,
-                reply.freshness.stamp,
-                reply.view.version,
-                len(reply.processes),
-            )
+    newest = max(overview.replies, key=lambda reply: (reply.term, reply.commit))
+    for replica in newest.replicas:
+        row = (
+            replica.replica.name,
+            replica.replica.disk,
+            replica.role,
+            newest.term,
+            replica.match,
+            f"{replica.age:.1f} s",
         )
+        tables["control hosts"].append(row)
     for key in sorted(overview.view.items):
         match overview.view.items[key].item:
             case Zone() as zone:
