--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: install test demo check format soak golden
+.PHONY: install test demo check format soak golden pages
 
 install: $(VENV)/.installed
 
@@ -34,3 +34,6 @@
 soak: install
 	@echo "seed $(SEED): repeat with make soak SEED=$(SEED) EXAMPLES=$(EXAMPLES) TESTS='$(TESTS)'"
 	FULMARSHORE_SOAK_SEED=$(SEED) FULMARSHORE_SOAK_EXAMPLES=$(EXAMPLES) $(PYTHON) -m unittest discover --start-directory fulmarshore --top-level-directory . --pattern '$(TESTS)'
+
+pages: install
+	$(PYTHON) -m fulmarshore.commands.reference docs/operating/settings.md
--- /dev/null
+++ b/fulmarshore/commands/reference.py
@@ -0,0 +1,60 @@
+"""The page of all flags and environment variables, written from the commands.
+
+``python -m fulmarshore.commands.reference FILE`` writes it.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+from tabulate import tabulate
+
+from fulmarshore.commands.main import cli
+
+DAEMONS = ("entry", "agent", "control")
+HEADERS = ("flag", "environment variable", "value", "default", "meaning")
+
+
+def make_settings_page() -> str:
+    """Return the settings of the daemons as a page of tables."""
+    lines = [
+        "# Settings",
+        "",
+        "Written by `make pages` from the commands themselves. A flag goes before",
+        "its environment variable. Flags that repeat take several values in one",
+        "variable, separated by spaces.",
+    ]
+    for name in DAEMONS:
+        command = cli.commands[name]
+        lines += ["", f"## fulmarshore {name}", "", command.help or "", ""]
+        rows = [list_cells(name, option) for option in command.params]
+        lines.append(tabulate(rows, headers=HEADERS, tablefmt="github"))
+    return "\n".join(lines) + "\n"
+
+
+def list_cells(command: str, option: click.Parameter) -> tuple[str, ...]:
+    """Return the row of one flag."""
+    assert isinstance(option, click.Option)
+    variable = option.envvar
+    if not isinstance(variable, str):
+        prefix = f"{cli.context_settings['auto_envvar_prefix']}_{command}"
+        variable = f"{prefix}_{option.name}".upper().replace("-", "_")
+    value = "" if option.is_flag else option.type.name.lower()
+    if isinstance(option.type, click.Choice):
+        value = " or ".join(option.type.choices)
+    if isinstance(option.type, click.IntRange | click.FloatRange):
+        value = f"{option.type.min} to {option.type.max}"
+    if option.multiple:
+        value += ", repeats"
+    default = "" if option.required else "none"
+    if option.required:
+        default = "required"
+    elif isinstance(option.default, str | int | float) and not option.is_flag:
+        default = str(option.default)
+    return option.opts[0], variable, value, default, option.help or ""
+
+
+if __name__ == "__main__":
+    Path(sys.argv[1]).write_text(make_settings_page())
