Streams: TCP through entry hosts and agents

An opening is a Forward without payload that the agents decide on as on any packet; the entry host carries it from agent to agent on connections until one accepts, then bytes go both ways with back pressure and half-closes.

A zone out, a lost agent or upstream resets the caller's connection; a planned stop of an entry host stops accepting and waits for its streams.

--- a/fulmarshore/adapters/proxy.py
+++ b/fulmarshore/adapters/proxy.py
@@ -34,9 +34,38 @@
     return frame[:size], frame[size:]
 
 
+def take_stream_header(
+    received: bytes, peer: str
+) -> tuple[Address, int] | Malformed | None:
+    """Return the caller in front of a stream and the length of the header.
+
+    None: more bytes are needed.
+    """
+    if len(received) < FIXED_HEADER_BYTES:
+        return None
+    size = FIXED_HEADER_BYTES + int.from_bytes(received[14:16], "big")
+    if size <= MAX_HEADER_BYTES and len(received) < size:
+        return None
+    parts = split_header(received, peer)
+    if isinstance(parts, Malformed):
+        return parts
+    caller = decode_header(parts[0], socket.SOCK_STREAM)
+    return caller if isinstance(caller, Malformed) else (caller, size)
+
+
 @lru_cache(maxsize=_CACHED_HEADERS)
-def decode_header(header: bytes) -> Address | Malformed:
-    """Return the caller's address that a PROXY header names."""
+def decode_header(
+    header: bytes, kind: socket.SocketKind = socket.SOCK_DGRAM
+) -> Address | Malformed:
+    """Return the caller's address that a PROXY header names.
+
+    Parameters
+    ----------
+    header : bytes
+        The header as it came.
+    kind : socket.SocketKind
+        What it has to stand in front of.
+    """
     try:
         result = _codec.unpack(header)
     except (ProxyProtocolSyntaxError, ValueError, IndexError) as error:
@@ -46,24 +75,28 @@
         return Malformed("decode_header", "", repr(error))
     if not isinstance(result, ProxyResultIPv4 | ProxyResultIPv6):
         return Malformed("decode_header", "", "no IP address in the header")
-    if result.protocol != socket.SOCK_DGRAM:
-        return Malformed("decode_header", "", "not a datagram header")
+    if result.protocol != kind:
+        return Malformed("decode_header", "", f"header of {result.protocol}")
     return Address(str(result.source[0]), result.source[1])
 
 
 @lru_cache(maxsize=_CACHED_HEADERS)
-def encode_header(source: Address, destination: Address) -> bytes:
-    """Return the PROXY header of a datagram from a caller to a service."""
+def encode_header(
+    source: Address,
+    destination: Address,
+    kind: socket.SocketKind = socket.SOCK_DGRAM,
+) -> bytes:
+    """Return the PROXY header of a caller's datagram or stream to a service."""
     if ":" in source.host:
         result = ProxyResultIPv6(
             (IPv6Address(source.host), source.port),
             (IPv6Address(destination.host), destination.port),
-            protocol=socket.SOCK_DGRAM,
+            protocol=kind,
         )
         return _codec.pack(result)
     result = ProxyResultIPv4(
         (IPv4Address(source.host), source.port),
         (IPv4Address(destination.host), destination.port),
-        protocol=socket.SOCK_DGRAM,
+        protocol=kind,
     )
     return _codec.pack(result)
--- a/fulmarshore/core/codec.py
+++ b/fulmarshore/core/codec.py
@@ -14,10 +14,12 @@
     Forward,
     Malformed,
     RequestMessage,
+    StreamMessage,
 )
 
 MAX_DATAGRAM_BYTES = 65_507
 MAX_LINK_FRAME_BYTES = 16 * 1024 * 1024
+MAX_STREAM_FRAME_BYTES = 4096
 PREPARED_LENGTHS = 2048
 """Payloads shorter than this are joined to a head without the encoder."""
 
@@ -26,6 +28,7 @@
 
 _data_decoder = msgspec.msgpack.Decoder(DataMessage)
 _control_decoder = msgspec.msgpack.Decoder(ControlMessage)
+_stream_decoder = msgspec.msgpack.Decoder(StreamMessage)
 _request_decoder = msgspec.msgpack.Decoder(RequestMessage)
 _command_decoder = msgspec.msgpack.Decoder(Command)
 
@@ -71,6 +74,13 @@
         return Malformed("decode_data", peer, str(error))
 
 
+def decode_stream(frame: bytes, peer: str) -> StreamMessage | Malformed:
+    """Decode a record in front of the bytes of a stream."""
+    return _decode(
+        _stream_decoder, frame, MAX_STREAM_FRAME_BYTES, "decode_stream", peer
+    )
+
+
 def decode_control(frame: bytes, peer: str) -> ControlMessage | Malformed:
     """Decode a frame of a control link."""
     return _decode(
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -305,6 +305,7 @@
     STOPPING = "stopping"
     UPSTREAM_GONE = "upstream_gone"
     IDLE = "idle"
+    ENDED = "ended"
 
 
 class Refusal(Record, frozen=True, gc=False):
@@ -518,6 +519,66 @@
     number: int
 
 
+# --------------------------------------------------------------------------
+# Streams: the records in front of the bytes between entry host and agent
+# --------------------------------------------------------------------------
+
+
+class StreamOpen(Record, frozen=True):
+    """Opens a stream at an agent, as a packet without payload would a flow.
+
+    Parameters
+    ----------
+    message : Forward or Declined
+        What the agent is to decide on: an opening, or one that came back.
+    host, port : str, int
+        Data address of the process that the message comes from.
+    """
+
+    message: Forward | Declined
+    host: str
+    port: int
+
+
+class StreamAccepted(Record, frozen=True):
+    """The agent owns the flow and its upstream is connected."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flow: bytes
+
+
+class StreamRedirect(Record, frozen=True):
+    """Another agent is to decide on the message.
+
+    Parameters
+    ----------
+    open : StreamOpen
+        What to send there.
+    host, port : str, int
+        The stream address of that agent.
+    """
+
+    open: StreamOpen
+    host: str
+    port: int
+
+
+class StreamRefused(Record, frozen=True):
+    """The agent opens no stream for the flow."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    flow: bytes
+    reason: Reason
+
+
+StreamMessage = Union[StreamOpen, StreamAccepted, StreamRedirect, StreamRefused]
+
 # --------------------------------------------------------------------------
 # Requests: the record that a caller states in front of its body
 # --------------------------------------------------------------------------
@@ -1368,6 +1429,20 @@
     flow: bytes
 
 
+class StreamOpened(Struct, frozen=True):
+    """Event: the stream of a flow is connected from end to end."""
+
+    service: str
+    flow: bytes
+    owner: Identity
+
+
+class StreamEnded(Struct, frozen=True):
+    """Event: the stream of a flow has ended."""
+
+    flow: bytes
+
+
 class LinkMessage(Struct, frozen=True):
     """Event: a message arrived on a control link."""
 
@@ -1440,6 +1515,16 @@
     flow: bytes
 
 
+class EndStream(Struct, frozen=True):
+    """Effect: reset the stream of a flow."""
+
+    flow: bytes
+
+
+class StopAccepting(Struct, frozen=True):
+    """Effect: accept no further streams."""
+
+
 class SendLink(Struct, frozen=True):
     """Effect: send a message on a control link."""
 
@@ -1528,6 +1613,8 @@
     PeerMessage,
     UpstreamDatagram,
     UpstreamGone,
+    StreamOpened,
+    StreamEnded,
     LinkMessage,
     Tick,
     Stop,
@@ -1540,6 +1627,8 @@
     SendUpstream,
     OpenUpstream,
     CloseUpstream,
+    EndStream,
+    StopAccepting,
     SendLink,
     Stopped,
     TimelineEvent,
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -15,6 +15,7 @@
 )
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.adapters.peers import PeerSocket
+from fulmarshore.adapters.streams import LinkEnd, Listener
 from fulmarshore.core.codec import LENGTHS, PREPARED_LENGTHS
 from fulmarshore.core.records import (
     Address,
@@ -28,9 +29,11 @@
     Member,
     OpenUpstream,
     PeerMessage,
+    Protocol,
     Restart,
     SendPeer,
     SendUpstream,
+    StreamEnded,
     UpstreamDatagram,
     UpstreamGone,
 )
@@ -40,6 +43,7 @@
     draw_incarnation,
     format_link,
 )
+from fulmarshore.daemons.streams import AgentStreams
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.agent import AgentCore
 
@@ -74,12 +78,15 @@
         self.core: AgentCore | None = None
         self._data: PeerSocket | None = None
         self._upstreams: dict[bytes, DatagramSocket] = {}
+        self._streams: AgentStreams | None = None
+        self._listener: Listener | None = None
 
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
         self._data = PeerSocket(loop, self._take_peer, self.counters)
         data = self._data.bind(self.settings.data)
+        self._listener = self._listen(data)
         settings = self.settings
         identity = Identity(settings.name, draw_incarnation())
         announcement = Member(
@@ -91,14 +98,20 @@
             data.port,
             settings.slots,
             settings.connections,
+            stream_port=self._listener.address.port,
         )
         controls = [format_link(address) for address in settings.controls]
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = AgentCore(subscriber)
+        self._streams = AgentStreams(
+            self.core, settings.upstream, self.dispatch, self.dispatch, self.counters
+        )
         loop.add_signal_handler(signal.SIGHUP, self._restart)
 
     def close(self) -> None:
         """Close all sockets."""
+        self._listener.close()
+        self._streams.close()
         self._data.close()
         for sock in self._upstreams.values():
             sock.close()
@@ -109,7 +122,11 @@
 
     def carry_out(self, effect: Effect) -> None:
         """Send to entry hosts, agents and the upstream."""
+        if self._streams.decide(effect):
+            return
         match effect:
+            case SendUpstream(flow=flow) if self._serves_streams:
+                self._drop_datagram(flow)
             case SendUpstream(flow=flow, payload=payload):
                 self._find_upstream(flow).send(payload)
             case SendPeer(destination=destination, message=message):
@@ -117,6 +134,7 @@
             case OpenUpstream(flow=flow, port=port):
                 self._open_upstream(flow, port)
             case CloseUpstream(flow=flow):
+                self._streams.end(flow)
                 sock = self._upstreams.pop(flow, None)
                 if sock is not None:
                     sock.close()
@@ -126,6 +144,7 @@
         return {
             "version": self.core.table.version,
             "flows": len(self.core.flows),
+            "streams": len(self._streams.table),
             "directory_flows": len(self.core.directory),
         }
 
@@ -134,11 +153,34 @@
         return [self.counters, self.core.counters, self.core.subscriber.counters]
 
     def _take_peer(self, message: DataMessage, source: Address, now: float) -> None:
-        if type(message) is Forward and self.core.take_known(message, now):
+        is_packet = type(message) is Forward and not self._serves_streams
+        if is_packet and self.core.take_known(message, now):
             self._find_upstream(message.flow).send(message.payload)
             return
         self.execute(self.handle(PeerMessage(source, message), now))
 
+    def _listen(self, data: Address) -> Listener:
+        """Listen for streams on the port of the data socket, or a free one."""
+        try:
+            return Listener(data, self._accept, LinkEnd)
+        except OSError:
+            return Listener(Address(data.host, 0), self._accept, LinkEnd)
+
+    def _accept(self, end: LinkEnd) -> None:
+        self._streams.accept(end)
+
+    @property
+    def _serves_streams(self) -> bool:
+        service = self.core.service
+        return service is not None and service.service.protocol == Protocol.TCP
+
+    def _drop_datagram(self, flow: bytes) -> None:
+        """Drop a datagram to a service of streams; it opens no flow."""
+        self.counters["dropped_no_stream"] += 1
+        if flow not in self._streams.table:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.dispatch, StreamEnded(flow))
+
     def _find_upstream(self, flow: bytes) -> DatagramSocket:
         sock = self._upstreams.get(flow)
         if sock is not None:
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -22,6 +22,7 @@
     Datagram,
     DataMessage,
     Effect,
+    EndStream,
     EntryHost,
     Event,
     Identity,
@@ -31,6 +32,7 @@
     SendCaller,
     SendPeer,
     Service,
+    StopAccepting,
 )
 from fulmarshore.daemons.process import (
     Daemon,
@@ -39,6 +41,7 @@
     format_link,
     log,
 )
+from fulmarshore.daemons.streams import CallerStreams
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.entry import EntryCore
 from fulmarshore.routing.hints import Source
@@ -92,6 +95,7 @@
         self.core: EntryCore | None = None
         self._data: PeerSocket | None = None
         self._sockets: dict[str, ServiceSocket] = {}
+        self._streams: CallerStreams | None = None
         self._version = -1
         self._is_direct = settings.fabric == Fabric.DIRECT
 
@@ -107,9 +111,13 @@
         controls = [format_link(address) for address in self.settings.controls]
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = EntryCore(subscriber)
+        self._streams = CallerStreams(
+            self.core, self.dispatch, self.counters, self._is_direct
+        )
 
     def close(self) -> None:
         """Close all sockets."""
+        self._streams.close()
         self._data.close()
         for held in self._sockets.values():
             held.socket.close()
@@ -129,6 +137,10 @@
                 self._data.send(message, destination)
             case SendCaller(service=service, destination=caller, payload=payload):
                 self._send_caller(service, caller, payload)
+            case EndStream(flow=flow):
+                self._streams.table.abort(flow)
+            case StopAccepting():
+                self._streams.stop_accepting()
 
     def read_gauges(self) -> Gauges:
         """Return the current values for the metrics."""
@@ -136,6 +148,7 @@
             "version": self.core.table.version,
             "services": len(self._sockets),
             "hints": self.core.hint_count,
+            "streams": len(self._streams.table),
         }
 
     def list_counters(self) -> list[Counter[str]]:
@@ -166,11 +179,14 @@
         held.socket.send(header + payload, held.fabric)
 
     def _follow_services(self) -> None:
-        declared = {
-            name: service.service
-            for name, service in self.core.table.services.items()
-            if service.service.protocol != Protocol.TCP
-        }
+        declared: dict[str, Service] = {}
+        streams: dict[str, Service] = {}
+        for name, table in self.core.table.services.items():
+            is_stream = table.service.protocol == Protocol.TCP
+            (streams if is_stream else declared)[name] = table.service
+        for error in self._streams.follow(streams, self.settings.service_host):
+            self.counters["service_bind_failed"] += 1
+            log.error("service address: {}", error)
         for name, held in list(self._sockets.items()):
             if declared.get(name) == held.service:
                 continue
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -48,6 +48,8 @@
     SendUpstream,
     Stop,
     Stopped,
+    StreamEnded,
+    StreamOpened,
     Takeover,
     TakeoverReply,
     Tick,
@@ -98,6 +100,7 @@
         self.peers = KnownPeers(self.table)
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
+        self.streams: set[bytes] = set()
         self.gate = Gate(self.member)
         self.requests = RequestCore(subscriber)
         self.arbiter = Arbiter(self.member.name, self.counters)
@@ -145,6 +148,11 @@
                 return self._handle_peer(event, now)
             case UpstreamGone(flow=flow):
                 return self._end_flow(flow, Reason.UPSTREAM_GONE)
+            case StreamOpened(flow=flow):
+                self.streams.add(flow)
+                return []
+            case StreamEnded(flow=flow):
+                return self._end_flow(flow, Reason.ENDED)
             case LinkMessage():
                 effects = self.subscriber.handle(event, now)
                 return effects + self._update_table(now)
@@ -491,6 +499,7 @@
 
     def _end_flow(self, key: bytes, reason: Reason) -> list[Effect]:
         flow = self.flows.pop(key, None)
+        self.streams.discard(key)
         if flow is None:
             return []
         self.counters[f"flows_ended_{reason}"] += 1
@@ -849,6 +858,9 @@
         if service is None:
             return []
         timeout = service.profile.idle_timeout
+        for key in self.streams:
+            # A stream tells its end itself, however long it is silent.
+            self.flows[key].last_active = now
         effects: list[Effect] = []
         for flow in self._idle.take_idle(self.flows, timeout, now):
             effects += self._end_flow(flow.key, Reason.IDLE)
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -20,6 +20,7 @@
     Delta,
     DeltaRequest,
     Effect,
+    EndStream,
     Event,
     LinkMessage,
     Member,
@@ -32,7 +33,12 @@
     SendCaller,
     SendPeer,
     Stop,
+    StopAccepting,
     Stopped,
+    StreamEnded,
+    StreamOpen,
+    StreamOpened,
+    StreamRedirect,
     Tick,
 )
 from fulmarshore.membership.subscriber import Subscriber
@@ -43,6 +49,8 @@
 
 STOP_LINGER_S = 1.0
 """Time between leaving the membership and exit, for packets under way."""
+MAX_STREAM_LINGER_S = 3600.0
+"""Longest time that a planned stop waits for streams to end."""
 ROTATION_INTERVAL_S = 60.0
 """A flow that is idle for one to two of these is forgotten here."""
 
@@ -68,6 +76,8 @@
         self._max_hints = max_hints
         self._rotated_at = float("-inf")
         self._stopping_at = float("inf")
+        self._stopped_at = float("inf")
+        self.streams: dict[bytes, StreamOpened] = {}
 
     @property
     def hint_count(self) -> int:
@@ -84,11 +94,15 @@
             case LinkMessage():
                 effects = self.subscriber.handle(event, now)
                 return effects + self._update_table()
+            case StreamOpened():
+                return self._add_stream(event)
+            case StreamEnded(flow=flow):
+                self.streams.pop(flow, None)
+                return []
             case Tick():
                 return self._tick(now)
             case Stop():
-                self._stopping_at = now + STOP_LINGER_S
-                return self.subscriber.leave()
+                return self._begin_stop(now)
         raise AssertionError(f"unexpected event {event!r}")
 
     # Callers' packets ------------------------------------------------------
@@ -127,6 +141,40 @@
         packet = routes.make_packet(flow, source, home, Phase.OPENING, event.payload)
         return [SendPeer(Address(home.host, home.port), packet)]
 
+    # Streams ---------------------------------------------------------------
+
+    def open_stream(self, name: str, caller: Source) -> StreamRedirect | Reason:
+        """Return where a caller's stream is to be opened, or why nowhere."""
+        routes = self.routes.get(name)
+        if routes is None or self._stopping_at < float("inf"):
+            return Reason.STOPPING if routes else Reason.NO_UPSTREAM
+        flow = hash_flow(name, caller[0], caller[1])
+        home = routes.service.get_home(find_bucket(flow))
+        if home is None or not home.stream_port:
+            return Reason.NO_UPSTREAM
+        packet = routes.make_packet(flow, caller, home, Phase.OPENING, b"")
+        host = self.subscriber.announcement
+        ask = StreamOpen(packet, host.host, host.port)
+        return StreamRedirect(ask, home.host, home.stream_port)
+
+    def _add_stream(self, event: StreamOpened) -> list[Effect]:
+        self.streams[event.flow] = event
+        self.counters["streams_opened"] += 1
+        return []
+
+    def _end_unserved(self, previous: Table) -> list[Effect]:
+        """End the streams whose owner has left the table.
+
+        Its zone was taken out, or it is gone. An owner that is newer than the
+        table is waited for.
+        """
+        effects: list[Effect] = []
+        for flow, stream in self.streams.items():
+            if _has_owner(previous, stream) and not _has_owner(self.table, stream):
+                effects.append(EndStream(flow))
+        self.counters["streams_unserved"] += len(effects)
+        return effects
+
     # Messages of agents ----------------------------------------------------
 
     def check_answer(self, answer: Answer, source: Address) -> Source | None:
@@ -256,7 +304,8 @@
         if view.version == self.table.version:
             return []
         assert view.version > self.table.version, "versions only go up"
-        self.table = Table(view, self.table)
+        previous = self.table
+        self.table = Table(view, previous)
         self.peers.follow(self.table)
         routes: dict[str, ServiceRoutes] = {}
         for name, service in self.table.services.items():
@@ -266,11 +315,18 @@
             held.follow(service, view.version)
             routes[name] = held
         self.routes = routes
-        return []
+        return self._end_unserved(previous)
+
+    def _begin_stop(self, now: float) -> list[Effect]:
+        """Leave the membership; streams go on until they end."""
+        self._stopping_at = now + STOP_LINGER_S
+        self._stopped_at = now + MAX_STREAM_LINGER_S
+        return [StopAccepting(), *self.subscriber.leave()]
 
     def _tick(self, now: float) -> list[Effect]:
         if now >= self._stopping_at:
-            return [Stopped()]
+            is_done = not self.streams or now >= self._stopped_at
+            return [Stopped()] if is_done else []
         if self._stopping_at < float("inf"):
             return []
         if now - self._rotated_at >= ROTATION_INTERVAL_S:
@@ -292,3 +348,11 @@
     if service.service.protocol == Protocol.REQUEST:
         return True
     return hash_flow(service.service.name, host, port) == answer.flow
+
+
+def _has_owner(table: Table, stream: StreamOpened) -> bool:
+    service = table.services.get(stream.service)
+    if service is None:
+        return False
+    owner = service.by_name.get(stream.owner.name)
+    return owner is not None and owner.incarnation == stream.owner.incarnation
--- a/fulmarshore/routing/entry_test.py
+++ b/fulmarshore/routing/entry_test.py
@@ -15,6 +15,7 @@
     Datagram,
     Delta,
     DeltaRequest,
+    EndStream,
     EntryHost,
     Forward,
     Identity,
@@ -27,13 +28,18 @@
     Refusal,
     SendCaller,
     Service,
+    Stop,
+    StopAccepting,
+    Stopped,
+    StreamEnded,
+    StreamOpened,
     Tick,
     Versioned,
     Zone,
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.agent import AgentCore
-from fulmarshore.routing.entry import ROTATION_INTERVAL_S, EntryCore
+from fulmarshore.routing.entry import ROTATION_INTERVAL_S, STOP_LINGER_S, EntryCore
 from fulmarshore.routing.flows import Flow
 
 VERSION = 5
@@ -222,3 +228,30 @@
             with self.subTest(head=head):
                 packet = Forward(*head, 0, *CALLER, "e", 0, 0, b"x")
                 self.assertEqual(core.take_known(packet, 1.0), taken)
+
+    def test_silent_stream_is_not_idle(self):
+        later = 10 * ITEMS[0].idle_timeout
+        for is_stream in (False, True):
+            with self.subTest(is_stream=is_stream):
+                core = make_agent()
+                core.handle(Tick(), 0.0)
+                packet = Forward("s", "m", 2, VERSION, FLOW, 1, *CALLER, "e", 0, 0, b"")
+                core.handle(PeerMessage(AGENT, packet), 0.0)
+                self.assertIn(FLOW, core.flows)
+                if is_stream:
+                    core.handle(StreamOpened("s", FLOW, Identity("m", 2)), 0.0)
+                core.handle(Tick(), later)
+                self.assertEqual(FLOW in core.flows, is_stream)
+                core.handle(StreamEnded(FLOW), later)
+                self.assertEqual((core.flows, core.streams), ({}, set()))
+
+    def test_stream_ends_with_its_owner_and_a_stop_waits_for_it(self):
+        core = make_core()
+        core.handle(StreamOpened("s", FLOW, Identity("m", 2)), 0.0)
+        self.assertIn(StopAccepting(), core.handle(Stop(), 0.0))
+        self.assertEqual(core.handle(Tick(), STOP_LINGER_S), [])
+        gone = make_view(VERSION + 1, ITEMS[:3])
+        effects = core.handle(LinkMessage("c", gone), 2.0)
+        self.assertIn(EndStream(FLOW), effects)
+        core.handle(StreamEnded(FLOW), 2.0)
+        self.assertEqual(core.handle(Tick(), STOP_LINGER_S), [Stopped()])
