--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -39,6 +39,7 @@
     ProcessSettings,
     draw_incarnation,
     format_link,
+    measure_age,
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.agent import AgentCore
@@ -78,7 +79,7 @@
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
-        self._data = PeerSocket(loop, self._take_peer, self.counters)
+        self._data = PeerSocket(loop, self._take_peer, self.counters, self.sealer)
         data = self._data.bind(self.settings.data)
         settings = self.settings
         identity = Identity(settings.name, draw_incarnation())
@@ -97,6 +98,10 @@
         self.core = AgentCore(subscriber)
         loop.add_signal_handler(signal.SIGHUP, self._restart)
 
+    def list_addresses(self) -> list[Address]:
+        """Return the addresses of links and of the data path."""
+        return [*self.settings.controls, self.settings.data]
+
     def close(self) -> None:
         """Close all sockets."""
         self._data.close()
@@ -127,6 +132,7 @@
             "version": self.core.table.version,
             "flows": len(self.core.flows),
             "directory_flows": len(self.core.directory),
+            "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
         }
 
     def list_counters(self) -> list[Counter[str]]:
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -38,6 +38,7 @@
     draw_incarnation,
     format_link,
     log,
+    measure_age,
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.entry import EntryCore
@@ -98,7 +99,7 @@
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
-        self._data = PeerSocket(loop, self._take_peer, self.counters)
+        self._data = PeerSocket(loop, self._take_peer, self.counters, self.sealer)
         data = self._data.bind(self.settings.data)
         identity = Identity(self.settings.name, draw_incarnation())
         announcement = EntryHost(
@@ -108,6 +109,10 @@
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = EntryCore(subscriber)
 
+    def list_addresses(self) -> list[Address]:
+        """Return the addresses of links and of the data path."""
+        return [*self.settings.controls, self.settings.data]
+
     def close(self) -> None:
         """Close all sockets."""
         self._data.close()
@@ -135,6 +140,7 @@
         return {
             "version": self.core.table.version,
             "services": len(self._sockets),
+            "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
             "hints": self.core.hint_count,
         }
 
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -61,6 +61,7 @@
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
+from fulmarshore.routing.endings import EndingReport
 from fulmarshore.routing.fence import Fence
 from fulmarshore.routing.flows import Directory, Flow, IdleQueue
 from fulmarshore.routing.held import HeldPackets
@@ -99,6 +100,7 @@
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
         self.gate = Gate(self.member)
+        self._endings = EndingReport()
         self.requests = RequestCore(subscriber)
         self.arbiter = Arbiter(self.member.name, self.counters)
         self.homes = Homes(self.member.name, self.member.incarnation)
@@ -806,8 +808,6 @@
         effects: list[Effect] = []
         for key in list(self.flows):
             effects += self._end_flow(key, reason)
-        if effects:
-            effects.append(TimelineEvent("flows_ended", detail=reason))
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
@@ -825,6 +825,7 @@
             effects += self._refuse(packet, Reason.NOT_SETTLED)
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
+        effects += self._endings.collect(self.member.service, self.counters, now)
         effects += self.requests.handle(Tick(), self.table, now)
         return effects
 
