--- a/fulmarshore/adapters/peers.py
+++ b/fulmarshore/adapters/peers.py
@@ -13,6 +13,7 @@
     DatagramSocket,
     ReceiveFrom,
 )
+from fulmarshore.adapters.sealing import Sealer, SealProblem
 from fulmarshore.core.codec import decode_data, encode
 from fulmarshore.core.records import Address, DataMessage, Malformed
 
@@ -31,16 +32,20 @@
         which the batch was begun that it came in.
     counters : Counter
         Counts what is dropped.
+    sealer : Sealer, optional
+        Without it datagrams are neither authenticated nor encrypted.
     """
 
-    __slots__ = ("_socket", "_receive", "_counters")
+    __slots__ = ("_socket", "_receive", "_counters", "_sealer")
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         receive: ReceiveMessage,
         counters: Counter[str],
+        sealer: Sealer | None = None,
     ) -> None:
+        self._sealer = sealer
         self._receive = receive
         self._counters = counters
         self._socket = DatagramSocket(loop, drain=self._drain)
@@ -55,6 +60,8 @@
 
     def send_frame(self, frame: bytes, destination: Address) -> None:
         """Send an encoded message."""
+        if self._sealer is not None:
+            frame = self._sealer.seal(frame)
         self._socket.send(frame, destination)
 
     def close(self) -> None:
@@ -64,8 +71,15 @@
     def _drain(self, receive_from: ReceiveFrom) -> None:
         now = time.monotonic()
         receive = self._receive
+        sealer = self._sealer
         for _ in range(RECEIVE_BATCH):
             frame, source = receive_from(RECEIVE_BYTES)
+            if sealer is not None:
+                opened = sealer.open(frame)
+                if type(opened) is SealProblem:
+                    self._counters[f"dropped_seal_{opened.value}"] += 1
+                    continue
+                frame = opened
             message = decode_data(frame, source[0])
             if type(message) is Malformed:
                 self._counters["dropped_malformed"] += 1
--- /dev/null
+++ b/fulmarshore/adapters/sealing.py
@@ -0,0 +1,210 @@
+"""Seals the datagrams between entry hosts and agents.
+
+A sealed datagram is the number of the ring key, the session of the sender, a
+nonce of milliseconds and sequence number, and the AES-GCM ciphertext with its tag.
+Each start of a process draws a session of 96 random bits, from which and the
+ring key its own cipher key is derived: so no nonce repeats under one key,
+whatever is restarted, and no counter needs a disk.
+
+A datagram is opened at most once. Within a session a window of sequence
+numbers sees to that. A session that the receiver does not know yet is taken up
+only by a datagram that is about as old as the receiver's clock says, and no
+older than the receiver's own start: so what was recorded before a restart is
+refused after it, as far as the clocks of the hosts agree.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from enum import StrEnum
+
+from cryptography.exceptions import InvalidTag
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
+from cryptography.hazmat.primitives.hashes import SHA256
+from cryptography.hazmat.primitives.kdf.hkdf import HKDF
+
+from fulmarshore.adapters.keys import Ring, RingKey
+
+SESSION_BYTES = 12
+NONCE_BYTES = 12
+TIME_BYTES = 6
+SEQUENCE_BYTES = NONCE_BYTES - TIME_BYTES
+REFRESH_MASK = 63
+"""The time is read again with every 64th datagram, and on ``refresh``."""
+SESSION_END = 1 + SESSION_BYTES
+HEADER_BYTES = SESSION_END + NONCE_BYTES
+TAG_BYTES = 16
+WINDOW = 1024
+MAX_SKEW_MS = 30_000
+MAX_SESSIONS = 16_384
+_WINDOW_MASK = (1 << WINDOW) - 1
+_SEEN_LIMIT = 1 << 2 * WINDOW
+_INFO = b"fulmarshore data path"
+
+
+class SealProblem(StrEnum):
+    """Why a datagram is not opened."""
+
+    SHORT = "short"
+    UNKNOWN_KEY = "unknown_key"
+    FORGED = "forged"
+    REPLAYED = "replayed"
+    STALE = "stale"
+
+
+class Session:
+    """What a receiver knows of one life of one sender under one ring key.
+
+    Parameters
+    ----------
+    cipher : AESGCM
+        Opens what the sender sealed.
+    nonce : bytes
+        Nonce of the newest datagram, which tells when it was sent.
+    highest, seen : int
+        Highest sequence number opened, and a bit for it and each one below,
+        the highest one's lowest.
+    """
+
+    __slots__ = ("cipher", "nonce", "highest", "seen")
+
+    def __init__(self, cipher: AESGCM, nonce: bytes) -> None:
+        self.cipher = cipher
+        self.nonce = nonce
+        self.highest = int.from_bytes(nonce[TIME_BYTES:], "big")
+        self.seen = 1
+
+    def read_sent_ms(self) -> int:
+        """Return when the newest datagram was sent."""
+        return int.from_bytes(self.nonce[:TIME_BYTES], "big")
+
+
+class Sealer:
+    """Seals what a process sends and opens what it receives.
+
+    Parameters
+    ----------
+    ring : Ring
+        The valid keys.
+    read_time : callable
+        Returns real time, in seconds since the epoch.
+    draw : callable
+        Returns so many random bytes.
+    """
+
+    def __init__(
+        self,
+        ring: Ring,
+        read_time: Callable[[], float] = time.time,
+        draw: Callable[[int], bytes] = os.urandom,
+    ) -> None:
+        self._read_time = read_time
+        self._draw = draw
+        self._floor_ms = self._read_ms()
+        self._sessions: dict[bytes, Session] = {}
+        self._keys: dict[int, RingKey] = {}
+        self.use_ring(ring)
+
+    def use_ring(self, ring: Ring) -> None:
+        """Take a changed ring into use; its dropped keys are valid no more."""
+        known = self._keys
+        self.ring = ring
+        self._keys = {key.number: key for key in ring.keys}
+        for prefix in list(self._sessions):
+            key = self._keys.get(prefix[0])
+            if key is None or key.secret != known[prefix[0]].secret:
+                del self._sessions[prefix]
+        self._choose_key()
+
+    def refresh(self) -> None:
+        """Read the time that datagrams carry, and see which key is due."""
+        now_ms = self._read_ms()
+        self._time = now_ms.to_bytes(TIME_BYTES, "big")
+        if now_ms >= self._next_choice_ms:
+            self._choose_key()
+
+    def seal(self, frame: bytes) -> bytes:
+        """Return a frame as a sealed datagram."""
+        if not self._sequence & REFRESH_MASK:
+            self.refresh()
+        self._sequence += 1
+        nonce = self._time + self._sequence.to_bytes(SEQUENCE_BYTES, "big")
+        return self._prefix + nonce + self._cipher.encrypt(nonce, frame, None)
+
+    def open(self, datagram: bytes) -> bytes | SealProblem:
+        """Return the frame in a sealed datagram, or why it is refused."""
+        if len(datagram) < HEADER_BYTES + TAG_BYTES:
+            return SealProblem.SHORT
+        session = self._sessions.get(datagram[:SESSION_END])
+        if session is None:
+            return self._open_first(datagram)
+        nonce = datagram[SESSION_END:HEADER_BYTES]
+        age = session.highest - int.from_bytes(nonce[TIME_BYTES:], "big")
+        if age >= 0 and (age >= WINDOW or session.seen >> age & 1):
+            return SealProblem.REPLAYED
+        try:
+            frame = session.cipher.decrypt(nonce, datagram[HEADER_BYTES:], None)
+        except InvalidTag:
+            return SealProblem.FORGED
+        if age >= 0:
+            session.seen |= 1 << age
+            return frame
+        session.highest -= age
+        session.nonce = nonce
+        session.seen = session.seen << -age | 1 if -age < WINDOW else 1
+        if session.seen > _SEEN_LIMIT:
+            session.seen &= _WINDOW_MASK
+        return frame
+
+    def _open_first(self, datagram: bytes) -> bytes | SealProblem:
+        key = self._keys.get(datagram[0])
+        if key is None:
+            return SealProblem.UNKNOWN_KEY
+        prefix = datagram[:SESSION_END]
+        nonce = datagram[SESSION_END:HEADER_BYTES]
+        session = Session(_derive_cipher(key, prefix[1:]), nonce)
+        sent_ms = session.read_sent_ms()
+        if sent_ms <= self._floor_ms or abs(sent_ms - self._read_ms()) > MAX_SKEW_MS:
+            return SealProblem.STALE
+        try:
+            frame = session.cipher.decrypt(nonce, datagram[HEADER_BYTES:], None)
+        except InvalidTag:
+            return SealProblem.FORGED
+        if len(self._sessions) >= MAX_SESSIONS:
+            self._evict()
+        self._sessions[prefix] = session
+        return frame
+
+    def _evict(self) -> None:
+        """Forget the session longest not heard of; bar what it sent for good."""
+        oldest = min(
+            self._sessions, key=lambda prefix: self._sessions[prefix].read_sent_ms()
+        )
+        session = self._sessions.pop(oldest)
+        self._floor_ms = max(self._floor_ms, session.read_sent_ms())
+
+    def _choose_key(self) -> None:
+        """Send under the newest key whose time has come, in a new session."""
+        now = self._read_time()
+        chosen = self.ring.keys[0]
+        later = float("inf")
+        for key in self.ring.keys[1:]:
+            if key.send_after > now:
+                later = min(later, key.send_after)
+            elif key.send_after >= chosen.send_after or chosen.send_after > now:
+                chosen = key
+        session = self._draw(SESSION_BYTES)
+        self._next_choice_ms = later * 1000
+        self._sequence = 0
+        self._prefix = bytes([chosen.number]) + session
+        self._cipher = _derive_cipher(chosen, session)
+
+    def _read_ms(self) -> int:
+        return int(self._read_time() * 1000)
+
+
+def _derive_cipher(key: RingKey, session: bytes) -> AESGCM:
+    derived = HKDF(SHA256(), 32, session, _INFO).derive(bytes.fromhex(key.secret))
+    return AESGCM(derived)
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -10,10 +10,12 @@
 import click
 
 from fulmarshore.adapters.parameters import ADDRESS, NAME, PEER, Peer
+from fulmarshore.commands.options import refuse_exposed
 from fulmarshore.core.records import Address
 from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
 from fulmarshore.daemons.control import ControlDaemon, ControlSettings
 from fulmarshore.daemons.entry import EntryDaemon, EntrySettings, Fabric
+from fulmarshore.daemons.process import Daemon
 
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 1_000_000
@@ -30,12 +32,32 @@
             type=click.Path(path_type=Path, dir_okay=False),
             help="File of the time line, such as NAME.jsonl.",
         ),
+        click.option(
+            "--keys",
+            type=click.Path(path_type=Path, file_okay=False),
+            envvar="FULMARSHORE_KEYS",
+            help="Folder of the keys; without it only loopback is allowed.",
+        ),
     ]
     for option in reversed(options):
         command = option(command)
     return command
 
 
+def _secure(daemon: Daemon) -> None:
+    """Read the keys; without them nothing may be open to strangers."""
+    if daemon.settings.keys is None:
+        refuse_exposed(daemon.list_addresses())
+    problem = daemon.load_keys()
+    if problem is not None:
+        raise click.BadParameter(str(problem), param_hint="--keys")
+
+
+def _run(daemon: Daemon) -> None:
+    _secure(daemon)
+    daemon.run()
+
+
 def _add_controls(command: Callable[..., Any]) -> Callable[..., Any]:
     return click.option(
         "--control",
@@ -58,9 +80,9 @@
 )
 def entry(controls: tuple[Address, ...], fabric: str, **settings: Any) -> None:
     """Run an entry host."""
-    EntryDaemon(
-        EntrySettings(controls=controls, fabric=Fabric(fabric), **settings)
-    ).run()
+    _run(
+        EntryDaemon(EntrySettings(controls=controls, fabric=Fabric(fabric), **settings))
+    )
 
 
 @click.command()
@@ -73,7 +95,7 @@
 @click.option("--connections", type=click.IntRange(1, MAX_CONNECTIONS), default=2000)
 def agent(controls: tuple[Address, ...], **settings: Any) -> None:
     """Run the agent beside an upstream."""
-    AgentDaemon(AgentSettings(controls=controls, **settings)).run()
+    _run(AgentDaemon(AgentSettings(controls=controls, **settings)))
 
 
 @click.command()
@@ -102,6 +124,7 @@
     if addresses and settings["data_folder"] is None:
         raise click.UsageError("--peer: allowed only together with --data-folder")
     daemon = ControlDaemon(ControlSettings(controls=(), peers=addresses, **settings))
+    _secure(daemon)
     refused = daemon.prepare()
     if refused is not None:
         value = f"{refused.folder!r}: {refused.detail}"
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -42,6 +42,7 @@
     ProcessSettings,
     draw_incarnation,
     format_link,
+    measure_age,
 )
 from fulmarshore.daemons.streams import AgentStreams
 from fulmarshore.membership.subscriber import Subscriber
@@ -84,7 +85,7 @@
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
-        self._data = PeerSocket(loop, self._take_peer, self.counters)
+        self._data = PeerSocket(loop, self._take_peer, self.counters, self.sealer)
         data = self._data.bind(self.settings.data)
         self._listener = self._listen(data)
         settings = self.settings
@@ -108,6 +109,10 @@
         )
         loop.add_signal_handler(signal.SIGHUP, self._restart)
 
+    def list_addresses(self) -> list[Address]:
+        """Return the addresses of links and of the data path."""
+        return [*self.settings.controls, self.settings.data]
+
     def close(self) -> None:
         """Close all sockets."""
         self._listener.close()
@@ -146,6 +151,7 @@
             "flows": len(self.core.flows),
             "streams": len(self._streams.table),
             "directory_flows": len(self.core.directory),
+            "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
         }
 
     def list_counters(self) -> list[Counter[str]]:
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -40,6 +40,7 @@
     draw_incarnation,
     format_link,
     log,
+    measure_age,
 )
 from fulmarshore.daemons.streams import CallerStreams
 from fulmarshore.membership.subscriber import Subscriber
@@ -102,7 +103,7 @@
     def open(self) -> None:
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
-        self._data = PeerSocket(loop, self._take_peer, self.counters)
+        self._data = PeerSocket(loop, self._take_peer, self.counters, self.sealer)
         data = self._data.bind(self.settings.data)
         identity = Identity(self.settings.name, draw_incarnation())
         announcement = EntryHost(
@@ -115,6 +116,10 @@
             self.core, self.dispatch, self.counters, self._is_direct
         )
 
+    def list_addresses(self) -> list[Address]:
+        """Return the addresses of links and of the data path."""
+        return [*self.settings.controls, self.settings.data]
+
     def close(self) -> None:
         """Close all sockets."""
         self._streams.close()
@@ -147,6 +152,7 @@
         return {
             "version": self.core.table.version,
             "services": len(self._sockets),
+            "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
             "hints": self.core.hint_count,
             "streams": len(self._streams.table),
         }
