Tests of admission and the caller library; the gate counts what opens

A cancel of a request in work now reaches the upstream at once: until here it waited for the deadline (executor_test, seen failing before). Asking the gate for room takes nothing from its rate any more.

--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -190,7 +190,7 @@
         if held.flow not in self.working:
             self.queue.remove(held)
             return self._end(held, Verdict.NOT_RUN, Reason.CANCELLED, b"")
-        if held.cancel_at == float("inf"):
+        if held.cancel_at >= held.deadline:
             held.cancel_at = now
         return self._send_cancels(now)
 
--- a/fulmarshore/admission/gate.py
+++ b/fulmarshore/admission/gate.py
@@ -29,7 +29,6 @@
         "_cold_since",
         "_tokens",
         "_refilled_at",
-        "_granted",
     )
 
     def __init__(self, member: Member) -> None:
@@ -39,7 +38,6 @@
         self._cold_since: float | None = None
         self._tokens = 0.0
         self._refilled_at = 0.0
-        self._granted = (-1, float("-inf"))
 
     def follow(self, profile: Profile) -> None:
         """Take the bounds of the service's profile."""
@@ -59,21 +57,16 @@
         return self._connections
 
     def has_room(self, flows: int, now: float) -> bool:
-        """Return whether one more flow may be opened beside those open.
-
-        Asking again at the same time beside the same flows is about the same
-        opening and takes nothing more from the rate.
-        """
+        """Return whether one more flow may be opened beside those open."""
         if flows >= self._connections:
             return False
-        if self._granted == (flows, now):
-            return True
         self._refill(now)
-        if self._tokens < 1.0:
-            return False
+        return self._tokens >= 1.0
+
+    def note_opened(self, now: float) -> None:
+        """Count a flow that was opened."""
+        self._refill(now)
         self._tokens -= 1.0
-        self._granted = (flows, now)
-        return True
 
     def _refill(self, now: float) -> None:
         if self._cold_since is None:
--- /dev/null
+++ b/fulmarshore/admission/limit_test.py
@@ -0,0 +1,66 @@
+from unittest import TestCase
+
+from fulmarshore.admission.limit import Limiter
+
+
+def work(limiter, service_time, seconds, now=0.0):
+    """Keep the limiter busy for a time and return the time and the starts."""
+    running, starts, until = [], 0, now + seconds
+    while now < until:
+        for began in [b for b in running if now - b >= service_time - 1e-9]:
+            limiter.finish(len(running), now - began, now)
+            running.remove(began)
+        while limiter.allows(len(running), now):
+            running.append(now)
+            starts += 1
+        now += 0.01
+    return now, starts
+
+
+class LimiterTest(TestCase):
+    def test_grows_with_work_to_all_slots(self):
+        for slots in (1, 3, 8):
+            with self.subTest(slots=slots):
+                limiter = Limiter(slots, 0.1, 20.0)
+                _, starts = work(limiter, 0.1, 2.0)
+                self.assertLessEqual(starts * 0.1, 0.2 * slots * 2.0 + 0.2)
+                self.assertGreater(starts, 0)
+                work(limiter, 0.1, 30.0, 2.0)
+                self.assertEqual(limiter.limit, slots)
+
+    def test_idle_time_does_not_raise_it(self):
+        limiter = Limiter(3, 0.1, 20.0)
+        limiter.allows(0, 1000.0)
+        self.assertAlmostEqual(limiter.limit, 0.3)
+
+    def test_falls_at_once(self):
+        def slow(limiter, now):
+            for number in range(2):
+                limiter.finish(1, 0.3, now + number)
+
+        table = [
+            ("slow answers", slow, 0.3),
+            ("shed", lambda limiter, now: limiter.shed(3, now), 1.5),
+            ("time-out", lambda limiter, now: limiter.time_out(1.0, now), 0.3),
+            ("late start is no sign", lambda li, now: li.time_out(0.1, now), 3.0),
+            ("gone", lambda limiter, now: limiter.fall_over(now), 0.3),
+            ("hint lowers", lambda limiter, now: limiter.suggest(0.5), 1.5),
+        ]
+        for name, act, wanted in table:
+            with self.subTest(name):
+                limiter = Limiter(3, 0.1, 5.0)
+                now, _ = work(limiter, 0.1, 20.0)
+                self.assertEqual(limiter.limit, 3.0)
+                act(limiter, now)
+                self.assertLessEqual(abs(limiter.limit - wanted), 0.1)
+
+    def test_a_hint_never_raises(self):
+        limiter = Limiter(3, 0.1, 5.0)
+        limiter.suggest(1.0)
+        self.assertAlmostEqual(limiter.limit, 0.3)
+
+    def test_one_slot_is_spaced_out_and_never_stops(self):
+        limiter = Limiter(1, 0.1, 1e9)
+        _, starts = work(limiter, 0.1, 100.0)
+        self.assertGreaterEqual(starts, 90)
+        self.assertLessEqual(starts, 110)
--- /dev/null
+++ b/fulmarshore/admission/queue_test.py
@@ -0,0 +1,49 @@
+from types import SimpleNamespace
+from unittest import TestCase
+
+from fulmarshore.admission.queue import FairQueue
+
+
+def make_item(caller, leave_at):
+    return SimpleNamespace(caller=caller, leave_at=leave_at)
+
+
+class FairQueueTest(TestCase):
+    def test_serves_callers_in_turn_and_each_by_deadline(self):
+        table = [
+            ("one caller", [("a", 3), ("a", 1), ("a", 2)], "a1 a2 a3"),
+            ("in turn", [("a", 1), ("a", 2), ("b", 9), ("a", 3)], "a1 b9 a2 a3"),
+            ("three", [("a", 1), ("b", 1), ("c", 1), ("a", 2)], "a1 b1 c1 a2"),
+        ]
+        for name, items, wanted in table:
+            with self.subTest(name):
+                queue = FairQueue(10)
+                for caller, leave_at in items:
+                    self.assertIsNone(queue.push(make_item(caller, leave_at)))
+                served = []
+                while (item := queue.pop()) is not None:
+                    served.append(f"{item.caller}{item.leave_at}")
+                self.assertEqual(" ".join(served), wanted)
+
+    def test_a_full_queue_takes_from_the_caller_with_most(self):
+        table = [
+            ("flooding caller gets no more", "aaaa", ("a", 9), "a9"),
+            ("another takes its last place", "aaaa", ("b", 9), "a3"),
+            ("even callers: the new one waits outside", "aabb", ("b", 9), "b9"),
+        ]
+        for name, held, (caller, leave_at), displaced in table:
+            with self.subTest(name):
+                queue = FairQueue(4)
+                for number, other in enumerate(held):
+                    queue.push(make_item(other, number))
+                gone = queue.push(make_item(caller, leave_at))
+                self.assertEqual(f"{gone.caller}{gone.leave_at}", displaced)
+                self.assertEqual(len(queue), 4)
+
+    def test_expired_items_leave_in_order(self):
+        queue = FairQueue(10)
+        for leave_at in (5, 1, 3):
+            queue.push(make_item("a", leave_at))
+        self.assertEqual([i.leave_at for i in queue.pop_expired(3)], [1, 3])
+        self.assertEqual(len(queue), 1)
+        self.assertEqual(queue.count_ahead("b"), 1)
--- /dev/null
+++ b/fulmarshore/admission/requests_test.py
@@ -0,0 +1,212 @@
+"""Requests over the cores: directed faults, and randomised runs of all."""
+
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+import fulmarshore.standins.profiles  # noqa: F401
+from fulmarshore.bench.once import KINDS, MODEL, PROFILE, run_once
+from fulmarshore.callers.requests import Answered, NotRun, Unknown
+from fulmarshore.core.codec import decode_request, encode
+from fulmarshore.core.hashing import find_bucket, hash_request
+from fulmarshore.core.records import Datagram, Reason, Request, Verdict, Zone
+from fulmarshore.standins.network import Faults
+from fulmarshore.standins.requests import SERVICE, RequestWorld
+from fulmarshore.standins.work import WorkModel
+
+SETTLED_S = 8.0
+SLOW = WorkModel(
+    slots=3, service_s=1.0, cold_factor=1.0, warm_up_s=1.0, strain=1000.0, spread=0.0
+)
+
+
+class WorldTest(TestCase):
+    def make(self, seed=1, model=MODEL, agents=4, run=SETTLED_S):
+        self.world = RequestWorld(seed, PROFILE, model, agents, 2, 2)
+        self.caller = self.world.callers["caller0"]
+        self.world.network.run(run)
+
+    def submit(self, count=1, timeout=8.0):
+        now = self.world.network.now
+        return [self.caller.submit(timeout, False, now) for _ in range(count)]
+
+    def run_for(self, seconds):
+        self.world.network.run(seconds)
+
+    def get_outcomes(self, numbers):
+        return [self.world.outcomes.get(("caller0", number)) for number in numbers]
+
+    def find_runner(self, number):
+        """Return the agent whose upstream has started a request."""
+        for name, work in self.world.works.items():
+            if work.upstream.ran["caller0", number]:
+                return name
+        return None
+
+    def find_home(self, number):
+        """Return the home of a request by the table in force."""
+        table = self.world.get_agent("agent0").table.services[SERVICE]
+        bucket = find_bucket(hash_request(SERVICE, "caller0", number))
+        return table.get_row(bucket)[0].name
+
+    def assert_kept(self):
+        tally = self.world.tally()
+        self.assertEqual(
+            (tally.ran_twice, tally.false_refusals, tally.wrong_answers, tally.open),
+            (0, 0, 0, 0),
+        )
+
+
+class OutcomeTest(WorldTest):
+    def test_every_request_is_answered_without_faults(self):
+        self.make()
+        numbers = self.submit(50)
+        self.run_for(10.0)
+        for outcome in self.get_outcomes(numbers):
+            self.assertIsInstance(outcome, Answered)
+        self.assert_kept()
+
+    def test_a_resend_through_any_entry_host_gets_the_stored_answer(self):
+        self.make()
+        (number,) = self.submit()
+        self.run_for(1.0)
+        self.assertIsInstance(self.get_outcomes([number])[0], Answered)
+        body = f"caller0:{number}".encode()
+        heard = []
+        self.caller.handle = lambda event, now: (
+            (
+                heard.append(decode_request(event.payload, ""))
+                if isinstance(event, Datagram)
+                else None
+            )
+            or []
+        )
+        for attempt in (0, 0, 1, 5):
+            copy = Request(SERVICE, "caller0", number, attempt, 6.0, False, False, body)
+            self.world.send(self.caller, encode(copy))
+            self.run_for(0.5)
+        self.assertEqual({r.verdict for r in heard}, {Verdict.ANSWERED})
+        self.assertEqual({r.body for r in heard}, {b"done:" + body})
+        self.assert_kept()
+
+    def test_a_lost_executor_hides_only_what_it_had_started(self):
+        self.make(model=SLOW)
+        numbers = self.submit(8, timeout=6.0)
+        self.run_for(0.5)
+        runners = {number: self.find_runner(number) for number in numbers}
+        homes = {number: self.find_home(number) for number in numbers}
+        gone = next(name for name in runners.values() if name)
+        self.world.network.stop(gone)
+        self.run_for(15.0)
+        for number, outcome in zip(numbers, self.get_outcomes(numbers)):
+            with self.subTest(number=number):
+                if isinstance(outcome, Unknown):
+                    self.assertIn(gone, (runners[number], homes[number]))
+        self.assert_kept()
+
+    def test_a_restarted_home_runs_nothing_again(self):
+        self.make()
+        numbers = self.submit(40)
+        self.run_for(2.0)
+        for name in list(self.world.works):
+            self.world.start_agent(name)
+            self.run_for(1.0)
+        for number in numbers:
+            copy = Request(SERVICE, "caller0", number, 1, 5.0, False, False, b"x", 3.0)
+            self.world.send(self.caller, encode(copy))
+        self.run_for(10.0)
+        self.assert_kept()
+
+    def test_zone_out_and_drain_cut_nothing_that_has_not_started(self):
+        self.make(model=SLOW)
+        first = self.submit(6)
+        self.run_for(0.3)
+        self.world.stop_agent("agent1")
+        self.run_for(0.2)
+        second = self.submit(6)
+        self.run_for(20.0)
+        for outcome in self.get_outcomes(first + second):
+            self.assertIsInstance(outcome, Answered, "a drain cuts nothing")
+        third = self.submit(6)
+        self.run_for(0.3)
+        zone = self.world.get_agent("agent2").member.zone
+        self.world.change(Zone(zone, True))
+        self.run_for(20.0)
+        for number, outcome in zip(third, self.get_outcomes(third)):
+            if isinstance(outcome, NotRun):
+                self.assertIsNone(self.find_runner(number))
+        self.assert_kept()
+
+    def test_an_entry_host_that_knows_no_upstream_does_not_say_not_run(self):
+        # Another copy may have reached a home through another entry host.
+        self.make(agents=0, run=2.0)
+        (number,) = self.submit(timeout=25.0)
+        self.run_for(1.0)
+        nodes = self.world.network.nodes
+        said = sum(
+            nodes[name].core.counters[f"dropped_{Reason.NO_UPSTREAM}"]
+            for name in ("entry0", "entry1")
+        )
+        self.assertGreater(said, 0)
+        self.assertEqual(self.get_outcomes([number]), [None], "no final word")
+        self.world.start_agent("agent0")
+        self.run_for(30.0)
+        self.assertNotIsInstance(self.get_outcomes([number])[0], NotRun)
+        self.assert_kept()
+
+    def test_a_partitioned_home_that_comes_back_starts_nothing_again(self):
+        self.make(agents=5, run=36.0)
+        world = self.world
+        others = ["agent0", "agent2", "agent3", "agent4", "control"]
+        world.network.part(["agent1"], others)
+        numbers = []
+        for _ in range(40):
+            numbers += self.submit()
+            self.run_for(0.1)
+        world.network.heal()
+        self.run_for(20.0)
+        answered = [o for o in self.get_outcomes(numbers) if isinstance(o, Answered)]
+        self.assertGreater(len(answered), 30)
+        self.assert_kept()
+
+    def test_cancelled_requests_are_told_the_truth(self):
+        self.make(model=SLOW)
+        numbers = self.submit(20)
+        for number in numbers:
+            datagram = self.caller.core.cancel(number, self.world.network.now)
+            self.world.send(self.caller, datagram)
+        self.run_for(15.0)
+        kinds = {type(outcome) for outcome in self.get_outcomes(numbers)}
+        self.assertIn(NotRun, kinds)
+        self.assert_kept()
+
+
+class RandomisedTest(TestCase):
+    @settings(max_examples=12)
+    @given(
+        seed=st.integers(0, 2**32),
+        loss=st.sampled_from([0.0, 0.01, 0.05]),
+        duplication=st.sampled_from([0.0, 0.05, 0.3]),
+        late=st.sampled_from([0.0, 0.02, 0.2]),
+        max_delay=st.sampled_from([0.002, 0.03]),
+        fault_interval=st.sampled_from([0.7, 1.5, 4.0]),
+        kinds=st.sets(st.sampled_from(KINDS), min_size=1),
+    )
+    def test_at_most_once_true_refusals_right_answers(
+        self, seed, loss, duplication, late, max_delay, fault_interval, kinds
+    ):
+        faults = Faults(loss, duplication, 0.0005, max_delay, late=late, max_late=4.5)
+        result, world = run_once(
+            seed,
+            400,
+            rate=Random(seed).choice([50.0, 150.0]),
+            fault_interval=fault_interval,
+            faults=faults,
+            kinds=tuple(sorted(kinds)),
+        )
+        self.assertEqual(result.ran_twice, 0)
+        self.assertEqual(result.false_refusals, 0)
+        self.assertEqual(result.wrong_answers, 0)
+        self.assertEqual(world.tally().open, 0)
--- /dev/null
+++ b/fulmarshore/callers/requests_test.py
@@ -0,0 +1,75 @@
+from random import Random
+from unittest import TestCase
+
+from msgspec.structs import replace
+
+from fulmarshore.callers.requests import (
+    OUTCOME_GRACE_S,
+    Answered,
+    CallerCore,
+    NotRun,
+    Unknown,
+)
+from fulmarshore.core.codec import decode_request, encode
+from fulmarshore.core.records import Reason, Response, Verdict
+
+ANSWER = Response("s", "c", 1, 0, Verdict.ANSWERED, "", b"done")
+
+
+class CallerTest(TestCase):
+    def setUp(self):
+        self.caller = CallerCore("s", "c", Random(1))
+        self.number, _ = self.caller.submit(b"work", 4.0, False, 0.0)
+
+    def resend(self, now=1.0):
+        datagrams, _ = self.caller.tick(now)
+        return [decode_request(datagram, "") for datagram in datagrams]
+
+    def test_outcomes(self):
+        not_run = replace(ANSWER, verdict=Verdict.NOT_RUN, reason="full", body=b"")
+        unknown = replace(ANSWER, verdict=Verdict.UNKNOWN, reason="gone", body=b"")
+        table = [
+            ("answer", 0, ANSWER, Answered(1, b"done", True)),
+            ("answer to an earlier attempt", 2, ANSWER, Answered(1, b"done", True)),
+            ("not run", 0, not_run, NotRun(1, "full")),
+            ("not run, later attempt open", 1, not_run, None),
+            ("not run covers all", 1, replace(not_run, attempt=1), NotRun(1, "full")),
+            ("unknown", 0, unknown, Unknown(1, "gone")),
+            ("entry host knows none", 0, replace(unknown, reason="no_upstream"), None),
+            ("another request", 0, replace(ANSWER, number=2), None),
+            ("another caller", 0, replace(ANSWER, caller="d"), None),
+            ("another service", 0, replace(ANSWER, service="t"), None),
+        ]
+        for name, resends, response, wanted in table:
+            with self.subTest(name):
+                self.setUp()
+                for step in range(resends):
+                    self.assertEqual(len(self.resend(1.0 + step)), 1)
+                self.assertEqual(self.caller.take(encode(response), 3.0), wanted)
+
+    def test_a_body_that_is_not_held_is_told(self):
+        response = replace(ANSWER, reason=Reason.BODY_NOT_HELD, body=b"")
+        self.assertEqual(
+            self.caller.take(encode(response), 1.0), Answered(1, b"", False)
+        )
+
+    def test_a_part_of_an_answer_is_no_answer(self):
+        frame = encode(ANSWER)
+        for length in range(len(frame)):
+            self.assertIsNone(self.caller.take(frame[:length], 1.0))
+
+    def test_resends_keep_the_number_and_end_at_the_deadline(self):
+        copies = []
+        for step in range(200):
+            now = step * 0.05
+            copies += [(now, copy) for copy in self.resend(now)]
+        self.assertGreater(len(copies), 2)
+        for attempt, (now, copy) in enumerate(copies, 1):
+            self.assertEqual((copy.number, copy.attempt), (1, attempt))
+            self.assertAlmostEqual(copy.timeout, 4.0 - now)
+            self.assertAlmostEqual(copy.age, now)
+            self.assertGreater(copy.timeout, 0.0)
+
+    def test_without_a_word_the_outcome_is_unknown(self):
+        _, outcomes = self.caller.tick(4.0 + OUTCOME_GRACE_S)
+        self.assertEqual(outcomes, [Unknown(1, Reason.EXPIRED)])
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -144,6 +144,7 @@
             case PeerMessage():
                 return self._handle_peer(event, now)
             case UpstreamGone(flow=flow):
+                self.gate.turn_cold(now)
                 return self._end_flow(flow, Reason.UPSTREAM_GONE)
             case LinkMessage():
                 effects = self.subscriber.handle(event, now)
@@ -390,6 +391,7 @@
         flow = Flow(packet.flow, caller, packet.entry, address, packet.assignment, now)
         self.flows[packet.flow] = flow
         self._idle.add(flow, now)
+        self.gate.note_opened(now)
         self.counters["flows_opened"] += 1
         return [SendUpstream(packet.flow, packet.payload)]
 
@@ -787,6 +789,8 @@
         self._delta_asked_at = float("-inf")
         if self._newest_seen is not None and view.version >= self._newest_seen[0]:
             self._newest_seen = None
+        if self.service is not None:
+            self.gate.follow(self.service.profile)
         for flow in self.flows.values():
             flow.entry_address = self._find_entry(flow.entry)
         zone = self.member.zone
