--- /dev/null
+++ b/fulmarshore/standins/requestupstream.py
@@ -0,0 +1,84 @@
+"""An upstream for requests on a real socket, that counts what it runs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from fulmarshore.adapters.datagrams import DatagramSocket
+from fulmarshore.core.codec import decode_request, encode
+from fulmarshore.core.records import Address, Reason, Request, Response, Verdict
+
+
+class RequestUpstream:
+    """Answers ``name|body`` after its service time.
+
+    Parameters
+    ----------
+    name : str
+        Name of the upstream.
+    service_s : float
+        Service time, in seconds.
+    """
+
+    def __init__(self, name: str, service_s: float) -> None:
+        self.name = name
+        self.service_s = service_s
+        self.ran: Counter[tuple[str, int]] = Counter()
+        self._working: dict[tuple[str, int], asyncio.TimerHandle] = {}
+        self._loop = asyncio.get_running_loop()
+        self._socket = DatagramSocket(self._loop, self._take)
+
+    def open(self) -> Address:
+        """Open the upstream and return its address."""
+        return self._socket.bind(Address("127.0.0.1", 0))
+
+    def close(self) -> None:
+        """Close the upstream."""
+        for timer in self._working.values():
+            timer.cancel()
+        self._socket.close()
+
+    def _take(self, payload: bytes, source: Address) -> None:
+        request = decode_request(payload, source[0])
+        if not isinstance(request, Request):
+            return
+        key = (request.caller, request.number)
+        if request.cancel:
+            self._cancel(request, source)
+            return
+        self.ran[key] += 1
+        self._working[key] = self._loop.call_later(
+            self.service_s, self._answer, request, source
+        )
+
+    def _cancel(self, request: Request, source: Address) -> None:
+        timer = self._working.pop((request.caller, request.number), None)
+        verdict = Verdict.NOT_RUN if timer is None else Verdict.UNKNOWN
+        if timer is not None:
+            timer.cancel()
+        self._respond(request, source, verdict, Reason.CANCELLED, b"")
+
+    def _answer(self, request: Request, source: Address) -> None:
+        self._working.pop((request.caller, request.number), None)
+        body = self.name.encode() + b"|" + request.body
+        self._respond(request, source, Verdict.ANSWERED, "", body)
+
+    def _respond(
+        self,
+        request: Request,
+        source: Address,
+        verdict: Verdict,
+        reason: str,
+        body: bytes,
+    ) -> None:
+        response = Response(
+            request.service,
+            request.caller,
+            request.number,
+            request.attempt,
+            verdict,
+            reason,
+            body,
+        )
+        self._socket.send(encode(response), source)
