--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -14,6 +14,7 @@
 from fulmarshore.bench import config as config_bench
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import once as once_bench
+from fulmarshore.bench import sealing as sealing_bench
 from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
 
@@ -59,6 +60,13 @@
     show_report(timeline_bench.run(events), as_json)
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def sealing(as_json: bool) -> None:
+    """Measure what sealing costs the socket between entry hosts and agents."""
+    show_report(sealing_bench.run(), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def config(as_json: bool) -> None:
