--- a/fulmarshore/bench/surge.py
+++ b/fulmarshore/bench/surge.py
@@ -60,6 +60,24 @@
     resends: int
 
 
+class Cost(Struct, frozen=True):
+    """What one request costs when the upstreams are idle.
+
+    Parameters
+    ----------
+    messages : float
+        Messages between entry hosts and agents, the reports of load and the
+        like included.
+    path_ms : float
+        Median time to the answer less the mean service time, in milliseconds.
+    """
+
+    kind: str
+    requests: int
+    messages: float
+    path_ms: float
+
+
 class SurgeReport(Struct, frozen=True):
     """The report of the surge, the loss of half, and the flood.
 
@@ -81,6 +99,7 @@
     wrong_answers: int
     overloads: int
     phases: list[Phase]
+    costs: list[Cost]
 
 
 class _Driver:
@@ -99,13 +118,33 @@
                 self._send(world.callers[name], rate)
             world.network.run(STEP_S)
 
-    def _send(self, caller: CallerNode, rate: float) -> None:
+    def _send(self, caller: CallerNode, rate: float, idempotent: bool = False) -> None:
         due = self.due.get(caller.name, 0.0) + rate * STEP_S
         while due >= 1.0:
             due -= 1.0
-            caller.submit(TIMEOUT_S, False, self.world.network.now)
+            caller.submit(TIMEOUT_S, idempotent, self.world.network.now)
         self.due[caller.name] = due
 
+    def measure_cost(self, kind: Kind) -> Cost:
+        """Send few requests of a kind and return what each of them costs."""
+        world = self.world
+        world.latency = HdrHistogram(1, MAX_LATENCY_US, 3)
+        before, messages = world.tally().requests, world.network.messages
+        until = world.network.now + PHASE_S
+        while world.network.now < until:
+            for caller in world.callers.values():
+                self._send(caller, 1.0, kind == Kind.IDEMPOTENT)
+            world.network.run(STEP_S)
+        world.network.run(1.0)
+        requests = world.tally().requests - before
+        median = world.latency.get_value_at_percentile(50) / 1e3
+        return Cost(
+            kind,
+            requests,
+            round((world.network.messages - messages) / requests, 2),
+            round(median - MODEL.service_s * 1e3, 2),
+        )
+
     def count_retries(self) -> int:
         """Return the repeated hand-overs of all agents so far."""
         total = 0
@@ -147,6 +186,9 @@
     names = list(driver.world.callers)
     driver.offer({}, 6.0)
     driver.offer({name: CAPACITY / CALLERS for name in names}, WARM_UP_S)
+    driver.offer({}, 3.0)
+    kinds = (Kind.IDEMPOTENT, Kind.NON_IDEMPOTENT)
+    costs = [driver.measure_cost(kind) for kind in kinds]
     phases = [
         driver.measure(f"{demand:g}x", demand, PHASE_S, CAPACITY) for demand in DEMANDS
     ]
@@ -170,6 +212,7 @@
         sum(tally.wrong_answers for tally in tallies),
         overloads,
         phases,
+        costs,
     )
 
 
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -137,6 +137,7 @@
         tick_interval: float = TICK_INTERVAL_S,
     ) -> None:
         self.now = 0.0
+        self.messages = 0
         self.tick_interval = tick_interval
         self.faults = faults or Faults()
         self.random = Random(seed)
@@ -243,6 +244,7 @@
     def _carry(self, node: Node, effect: Effect) -> None:
         match effect:
             case SendPeer(destination=destination, message=message):
+                self.messages += 1
                 target = self._by_address.get(Address(*destination))
                 self._transmit(node.name, target, PeerMessage(node.address, message))
             case SendLink(peer=peer, message=message):
