--- a/fulmarshore/admission/requests_test.py
+++ b/fulmarshore/admission/requests_test.py
@@ -7,11 +7,26 @@
 from hypothesis import strategies as st
 
 import fulmarshore.standins.profiles  # noqa: F401
+from fulmarshore.admission.ledger import Stage
 from fulmarshore.bench.once import KINDS, MODEL, PROFILE, run_once
 from fulmarshore.callers.requests import Answered, NotRun, Unknown
 from fulmarshore.core.codec import decode_request, encode
 from fulmarshore.core.hashing import find_bucket, hash_request
-from fulmarshore.core.records import Datagram, Reason, Request, Verdict, Zone
+from fulmarshore.core.records import (
+    Answer,
+    ClaimBackup,
+    ClaimBackupReply,
+    ClaimsQuery,
+    Datagram,
+    Forward,
+    Reason,
+    Request,
+    RunRequest,
+    SendPeer,
+    Tick,
+    Verdict,
+    Zone,
+)
 from fulmarshore.standins.network import Faults
 from fulmarshore.standins.requests import SERVICE, RequestWorld
 from fulmarshore.standins.work import WorkModel
@@ -183,6 +198,80 @@
         self.assert_kept()
 
 
+class TermTest(WorldTest):
+    def setUp(self):
+        self.make()
+        self.now = self.world.network.now
+        number, datagram = self.caller.core.submit(b"x", 8.0, False, self.now)
+        self.caller.began[number] = self.now
+        self.request = decode_request(datagram, "")
+        self.flow = hash_request(SERVICE, "caller0", number)
+        self.name = self.find_home(number)
+        self.home = self.world.get_agent(self.name).requests.home
+
+    def open(self):
+        self.home.open(self.flow, self.request, self.caller.address, "entry0", self.now)
+        return self.home.ledger.find(self.flow)
+
+    def acknowledge(self, state, accepted=True):
+        backup = self.home.backups.find(find_bucket(self.flow))
+        reply = ClaimBackupReply(
+            *(SERVICE, backup.name, backup.incarnation, 1),
+            *(self.flow, state.sequence, accepted),
+        )
+        return self.home.take_backup_reply(reply, self.now)
+
+    def list_messages(self, effects):
+        return [type(e.message) for e in effects if isinstance(e, SendPeer)]
+
+    def test_a_hand_over_waits_for_the_backup(self):
+        state = self.open()
+        self.assertEqual(state.stage, Stage.WRITING)
+        self.assertEqual(self.acknowledge(state, False), [])
+        self.assertEqual(state.stage, Stage.WRITING)
+        self.assertIn(RunRequest, self.list_messages(self.acknowledge(state)))
+
+    def test_a_refusal_waits_for_the_backup(self):
+        state = self.open()
+        effects = self.home.refuse(state, Reason.CANCELLED, self.now)
+        self.assertEqual(self.list_messages(effects), [ClaimBackup])
+        self.assertIn(Answer, self.list_messages(self.acknowledge(state)))
+
+    def test_a_claim_of_an_earlier_term_waits_until_it_is_settled_again(self):
+        state = self.open()
+        self.home.settlement.unsettle(self.now)
+        self.assertEqual(self.acknowledge(state), [])
+        self.assertEqual(state.stage, Stage.WRITING)
+
+    def test_what_has_not_started_goes_back_to_the_new_home(self):
+        state = self.open()
+        other = next(m for m in self.home.service.members if m.name != self.name)
+        query = ClaimsQuery(
+            *(SERVICE, other.name, other.incarnation),
+            *(self.home.settlement.version + 1, 1, [find_bucket(self.flow)]),
+        )
+        self.assertTrue(self.home.settlement.give_up(query))
+        effects = self.acknowledge(state)
+        self.assertEqual(self.list_messages(effects), [ClaimBackup, Forward])
+        self.assertEqual((state.verdict, state.attempt), (Verdict.NOT_RUN, -1))
+
+    def test_without_a_lease_every_member_must_agree(self):
+        self.home.has_lease = False
+        state = self.open()
+        self.assertEqual(len(state.needed), 3)
+        self.assertEqual(self.acknowledge(state), [])
+        self.assertEqual(state.stage, Stage.WRITING)
+
+    def test_a_returned_lease_makes_the_home_ask_again(self):
+        requests = self.world.get_agent(self.name).requests
+        renewed = requests.subscriber.lease_renewed
+        for renewed_at, settled in ((-1000.0, True), (renewed, False)):
+            requests.subscriber.lease_renewed = renewed_at
+            requests.handle(Tick(), self.home.table, self.now)
+            self.assertEqual(bool(self.home.settlement.settled), settled)
+        self.assertIsNotNone(self.home.settlement.round)
+
+
 class RandomisedTest(TestCase):
     @settings(max_examples=12)
     @given(
--- a/fulmarshore/agreement/validation.py
+++ b/fulmarshore/agreement/validation.py
@@ -8,9 +8,11 @@
 import ipaddress
 import re
 
+from fulmarshore.admission.bounds import MAX_TIMEOUT_S
 from fulmarshore.core.records import (
     Change,
     InvalidItem,
+    Kind,
     Profile,
     Service,
 )
@@ -19,6 +21,9 @@
 _NAME = re.compile(r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")
 _STEP = "check_change"
 MAX_PORT = 65_535
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 10_000_000
+MIN_COLD_SHARE = 0.01
 
 
 def check_change(view: View, next_number: int, change: Change) -> list[InvalidItem]:
@@ -84,6 +89,28 @@
         if not 0 <= item.queue_length <= 100_000:
             value = str(item.queue_length)
             errors.append(_error(change, label, "queue_length", value, "0 to 100000"))
+        errors += _check_bounds(change, item)
+    return errors
+
+
+def _check_bounds(change: Change, profile: Profile) -> list[InvalidItem]:
+    """Check what bounds the load of an upstream and the life of a request."""
+    errors = []
+    label = f"profile {profile.name}"
+    for field, most in (("slots", MAX_SLOTS), ("connections", MAX_CONNECTIONS)):
+        value = getattr(profile, field)
+        if 0 <= value <= most:
+            continue
+        errors.append(_error(change, label, field, str(value), f"0 to {most}"))
+    if not MIN_COLD_SHARE <= profile.cold_share <= 1:
+        value = str(profile.cold_share)
+        allowed = f"{MIN_COLD_SHARE} to 1"
+        errors.append(_error(change, label, "cold_share", value, allowed))
+    is_request = profile.kind in (Kind.IDEMPOTENT, Kind.NON_IDEMPOTENT)
+    if is_request and profile.deadline > MAX_TIMEOUT_S:
+        value = str(profile.deadline)
+        allowed = f"at most {MAX_TIMEOUT_S:g} seconds for requests"
+        errors.append(_error(change, label, "deadline", value, allowed))
     return errors
 
 
