--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -82,6 +82,11 @@
         self.configure(slots, cold_share, slow_start)
         self.limit = self._cold_limit
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the limit is that of a start."""
+        return self.limit <= self._cold_limit
+
     def configure(self, slots: int, cold_share: float, slow_start: float) -> None:
         """Take other bounds; the limit reached is kept as far as they allow."""
         self.slots = slots
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -13,6 +13,7 @@
 from fulmarshore.admission.executor import Executor
 from fulmarshore.admission.knowledge import merge_claim, merge_run, split_claims
 from fulmarshore.admission.ledger import Stage
+from fulmarshore.admission.warmth import WarmthReport
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_request
 from fulmarshore.core.records import (
@@ -107,6 +108,7 @@
         random = Random(f"{member.name}|{member.incarnation}")
         self.home = Coordinator(member, Table(subscriber.view), random)
         self.executor: Executor | None = None
+        self._warmth = WarmthReport()
         self.counters: Counter[str] = Counter()
         self._parked: deque[Parked] = deque()
         self._reported = (-1, -1.0)
@@ -563,6 +565,7 @@
         effects += self.home.backups.tick(now)
         effects += self.home.tick(now)
         effects += self.executor.tick(now)
+        effects += self._warmth.collect(service, self.executor.limiter)
         effects += self._report(now)
         if self._is_stopping:
             effects += self._bequeath(now)
--- /dev/null
+++ b/fulmarshore/admission/warmth.py
@@ -0,0 +1,34 @@
+"""Whether an upstream is cold or warm, told on each change."""
+
+from __future__ import annotations
+
+from fulmarshore.admission.limit import Limiter
+from fulmarshore.core.records import TimelineEvent
+
+
+class WarmthReport:
+    """Turns the limit of an upstream into events when it turns cold or warm.
+
+    It is cold at the limit of a start and warm once its limit has reached all
+    of its slots; in between nothing is told.
+    """
+
+    __slots__ = ("_is_warm",)
+
+    def __init__(self) -> None:
+        self._is_warm: bool | None = None
+
+    def collect(self, service: str, limiter: Limiter) -> list[TimelineEvent]:
+        """Return what changed since the last call."""
+        if limiter.limit >= limiter.slots:
+            is_warm = True
+        elif limiter.is_cold:
+            is_warm = False
+        else:
+            return []
+        if is_warm == self._is_warm:
+            return []
+        self._is_warm = is_warm
+        kind = "upstream_warm" if is_warm else "upstream_cold"
+        detail = f"limit {limiter.limit:.2f} of {limiter.slots}"
+        return [TimelineEvent(kind, service, detail=detail)]
