--- a/fulmarshore/commands/operators.py
+++ b/fulmarshore/commands/operators.py
@@ -5,7 +5,7 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import click
 import msgspec
@@ -17,6 +17,7 @@
     load_declarations,
 )
 from fulmarshore.commands.operator import (
+    ASK_ATTEMPTS,
     Controls,
     NoAnswer,
     fetch_every_status,
@@ -276,13 +277,14 @@
 
 
 def _fetch_overview(controls: Controls, as_json: bool) -> Overview:
-    replies, silent = fetch_every_status(controls)
-    if not replies:
-        _fail_unanswered(", ".join(silent), as_json)
-    return merge_replies(replies, silent)
+    for _ in range(ASK_ATTEMPTS):
+        replies, silent = fetch_every_status(controls)
+        if replies:
+            return merge_replies(replies, silent)
+    _fail_unanswered(", ".join(silent), as_json)
 
 
-def _fail_unanswered(peer: str, as_json: bool) -> None:
+def _fail_unanswered(peer: str, as_json: bool) -> NoReturn:
     fail(f"no control host answered: {peer}", EXIT_UNKNOWN, as_json)
 
 
