--- a/fulmarshore/adapters/metrics.py
+++ b/fulmarshore/adapters/metrics.py
@@ -52,6 +52,8 @@
     Family("dropped", "reason", "Packets and messages dropped."),
     Family("refused", "reason", "Packets refused to their callers."),
     Family("flows_ended", "reason", "Flows ended."),
+    Family("outcomes", "verdict", "Requests by the outcome told to callers."),
+    Family("runs_refused", "reason", "Requests that an executor did not start."),
     Family("changes", "status", "Operators' changes answered."),
 )
 HELP = {
@@ -62,6 +64,12 @@
     "passed_on": "Packets passed on to another agent.",
     "handed_over": "Flows given to another upstream by their home.",
     "declined": "Flows given back for want of room.",
+    "claims_made": "Requests claimed by their home.",
+    "runs_started": "Requests handed to the upstream.",
+    "runs_answered": "Requests that the upstream answered.",
+    "runs_unknown": "Requests whose end the executor did not see.",
+    "retries": "Hand-overs repeated by the home.",
+    "slots_closed": "Slots freed by closing the connection to a silent upstream.",
     "deltas_applied": "Newer views taken into force.",
     "control_moves": "Moves to another control host.",
     "service_bind_failed": "Service addresses that could not be bound.",
--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -184,7 +184,7 @@
             state.idempotent and state.verdict == Verdict.UNKNOWN
         )
         if not again or not may_run:
-            self.counters["outcomes_told_again"] += 1
+            self.counters["told_again"] += 1
             return self.respond(state)
         assert state.verdict != Verdict.ANSWERED
         state.attempt = request.attempt
--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -238,7 +238,7 @@
         run.started_at = now or 1e-9
         self.working[run.flow] = run
         run.cancel_at = run.deadline
-        self.counters["requests_started"] += 1
+        self.counters["runs_started"] += 1
         request = replace(run.request, timeout=run.deadline - now)
         return [SendUpstream(run.flow, encode(request))]
 
@@ -289,9 +289,10 @@
         run.verdict = verdict
         run.reason = reason
         run.body = body
-        self.counters[f"requests_{verdict}"] += 1
         if verdict == Verdict.NOT_RUN:
-            self.counters[f"refused_{reason}"] += 1
+            self.counters[f"runs_refused_{reason}"] += 1
+        else:
+            self.counters[f"runs_{verdict}"] += 1
         reply = self._reply(run)
         if run.flow not in self.working:
             run.request = None
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import deque
 from random import Random
 from typing import get_args
 
@@ -107,7 +107,7 @@
         random = Random(f"{member.name}|{member.incarnation}")
         self.home = Coordinator(member, Table(subscriber.view), random)
         self.executor: Executor | None = None
-        self.counters: Counter[str] = Counter()
+        self.counters = self.home.counters
         self._parked: deque[Parked] = deque()
         self._reported = (-1, -1.0)
         self._reported_at = float("-inf")
@@ -148,6 +148,19 @@
         effects += self._handle(event, now)
         return self._loop_back(effects, now)
 
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values for the metrics."""
+        executor = self.executor
+        if executor is None:
+            return {}
+        return {
+            "claims": len(self.home.ledger),
+            "request_limit": executor.limiter.limit,
+            "requests_waiting": len(executor.queue),
+            "requests_working": len(executor.working),
+            "service_time_s": executor.limiter.baseline,
+        }
+
     def is_idle(self, now: float) -> bool:
         """Return whether a stopping agent may go, its knowledge passed on."""
         if self.executor is None:
@@ -172,6 +185,7 @@
             return []
         if self.executor is None:
             self.executor = Executor(self.member, service.profile)
+            self.executor.counters = self.counters
         self.executor.version = table.version
         self.executor.follow(service.profile)
         announced = self._list_announced()
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -152,11 +152,14 @@
             "streams": len(self._streams.table),
             "directory_flows": len(self.core.directory),
             "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
+            **self.core.requests.read_gauges(),
         }
 
     def list_counters(self) -> list[Counter[str]]:
         """Return the counters for the metrics."""
-        return [self.counters, self.core.counters, self.core.subscriber.counters]
+        core = self.core
+        counters = core.counters, core.requests.counters, core.subscriber.counters
+        return [self.counters, *counters]
 
     def _take_peer(self, message: DataMessage, source: Address, now: float) -> None:
         is_packet = type(message) is Forward and not self._serves_streams
