--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -79,6 +79,7 @@
         self._fell_at = float("-inf")
         self._held_until = float("-inf")
         self._cut_at = float("-inf")
+        self.limit = float(slots)
         self.configure(slots, cold_share, slow_start)
         self.limit = self._cold_limit
 
@@ -87,8 +88,7 @@
         self.slots = slots
         self._cold_limit = max(cold_share, 0.01) * slots
         self._rate = math.log(1.0 / max(cold_share, 0.01)) / slow_start
-        if self._recent or self.baseline:
-            self.limit = min(self.limit, float(slots))
+        self.limit = min(self.limit, float(slots))
 
     def allows(self, running: int, now: float) -> bool:
         """Return whether one more request may start beside those running.
--- a/fulmarshore/admission/limit_test.py
+++ b/fulmarshore/admission/limit_test.py
@@ -64,3 +64,11 @@
         _, starts = work(limiter, 0.1, 100.0)
         self.assertGreaterEqual(starts, 90)
         self.assertLessEqual(starts, 110)
+
+    def test_fewer_slots_hold_at_once(self):
+        for slots, limit in ((1, 1.0), (2, 1.5)):
+            with self.subTest(slots=slots):
+                limiter = Limiter(3, 0.5, 5.0)
+                limiter.configure(slots, 0.5, 5.0)
+                self.assertEqual(limiter.limit, limit)
+                self.assertFalse(limiter.allows(slots, 0.0))
