--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -11,8 +11,6 @@
 from collections import Counter
 from random import Random
 
-from msgspec.structs import replace
-
 from fulmarshore.admission.backups import Backups
 from fulmarshore.admission.bounds import (
     COPY_LIFE_S,
@@ -22,25 +20,26 @@
 )
 from fulmarshore.admission.budget import RetryBudget
 from fulmarshore.admission.ledger import ClaimState, Ledger, Stage
+from fulmarshore.admission.loads import Loads
+from fulmarshore.admission.messages import (
+    make_answer,
+    make_backup,
+    make_packet,
+    make_run,
+)
 from fulmarshore.admission.settlement import Settlement
-from fulmarshore.core.codec import encode
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
-    Answer,
     Claim,
     ClaimBackup,
     ClaimBackupReply,
     Effect,
-    Forward,
     Identity,
     Member,
-    Phase,
     Reason,
     Request,
-    Response,
     RunReply,
-    RunRequest,
     SendPeer,
     SlotReport,
     Verdict,
@@ -64,10 +63,6 @@
 NOTHING_BARRED = -1
 """Attempt of a claim that was handed back: each copy may still run."""
 NUMBER_BITS = 48
-PREFERENCE_OF_SELF = 1.25
-"""How much more room a peer must have for a hand-over to be worth its hop."""
-SHARE_OF_REFUSER = 1e6
-"""Added to the load of an executor that has just refused the request."""
 
 RETRYABLE = frozenset(
     {
@@ -108,11 +103,10 @@
         self.counters: Counter[str] = Counter()
         self.has_lease = True
         self.budget = RetryBudget(0.1)
-        self.loads: dict[str, SlotReport] = {}
+        self._loads = Loads(member.name)
         self._random = random
         self._due: list[tuple[float, bytes]] = []
         self._large: list[tuple[float, bytes]] = []
-        self._silent: dict[str, float] = {}
         self._heard: list[RunReply] = []
         self._sequence = random.getrandbits(NUMBER_BITS)
 
@@ -281,13 +275,7 @@
         return [service.by_name[backup.name]]
 
     def _show(self, state: ClaimState, peer: Member, now: float) -> SendPeer:
-        message = ClaimBackup(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            state.to_claim(now),
-        )
+        message = make_backup(self.member, self.table.version, state, now)
         return SendPeer(Address(peer.host, peer.port), message)
 
     def take_backup_reply(self, reply: ClaimBackupReply, now: float) -> list[Effect]:
@@ -355,7 +343,7 @@
             self._schedule(state, now + WRITE_INTERVAL_S)
             return []
         self.counters["claims_handed_back"] += 1
-        passed = self._make_packet(state, home, now)
+        passed = self._pass_on(state, home, now)
         state.verdict, state.reason = Verdict.NOT_RUN, Reason.NOT_SETTLED
         state.attempt = NOTHING_BARRED
         state.stage = Stage.DONE
@@ -363,30 +351,12 @@
         state.writes = 0
         return self._show_outcome(state, now) + passed
 
-    def _make_packet(
-        self, state: ClaimState, home: Identity, now: float
-    ) -> list[Effect]:
-        left = state.deadline - now
+    def _pass_on(self, state: ClaimState, home: Identity, now: float) -> list[Effect]:
         service = self.service
         member = service.by_name.get(home.name) if service else None
-        if left <= 0.0 or state.source is None or member is None:
+        packet = make_packet(self.member, self.table.version, state, home, now)
+        if member is None or packet is None:
             return []
-        age = state.request.age + max(state.request.timeout - left, 0.0)
-        request = replace(state.request, attempt=state.attempt, timeout=left, age=age)
-        packet = Forward(
-            self.member.service,
-            home.name,
-            home.incarnation,
-            self.table.version,
-            state.flow,
-            Phase.OPENING,
-            state.source.host,
-            state.source.port,
-            state.entry,
-            1,
-            0,
-            encode(request),
-        )
         return [SendPeer(Address(member.host, member.port), packet)]
 
     # -- hand-over ---------------------------------------------------------
@@ -396,7 +366,8 @@
         assert state.verdict is None
         if now >= state.deadline:
             return self.refuse(state, Reason.EXPIRED, now)
-        executor = self._choose_executor(state)
+        accepting = self.service.accepting if self.service else ()
+        executor = self._loads.choose(accepting, state.executor, now)
         if executor is None:
             return self.refuse(state, Reason.NO_UPSTREAM, now)
         state.executor = Identity(executor.name, executor.incarnation)
@@ -405,75 +376,19 @@
         state.stage = Stage.RUNNING
         state.polls = 0
         state.heard = False
-        self._expect(executor)
+        self._loads.expect(executor)
         return self._send_run(state, now)
 
-    def _choose_executor(self, state: ClaimState) -> Member | None:
-        service = self.service
-        if service is None:
-            return None
-        best: Member | None = None
-        best_share = float("inf")
-        for member in service.accepting:
-            share = self._find_share(member)
-            refused = state.executor is not None
-            refused = refused and member.name == state.executor.name
-            if refused or member.name in self._silent:
-                share += SHARE_OF_REFUSER
-            elif member.name == self.member.name:
-                share = share / PREFERENCE_OF_SELF if share > 1.0 else 0.0
-            if share < best_share:
-                best, best_share = member, share
-        return best
-
-    def _find_share(self, member: Member) -> float:
-        report = self.loads.get(member.name)
-        if report is None or report.incarnation != member.incarnation:
-            return 0.0
-        return (report.used + 1) / max(report.limit, 0.01)
-
-    def _expect(self, executor: Member) -> None:
-        report = self.loads.get(executor.name)
-        if report is None or report.incarnation != executor.incarnation:
-            slots = float(executor.slots)
-            report = SlotReport(
-                executor.service, executor.name, executor.incarnation, 0, 0, slots
-            )
-        self.loads[executor.name] = replace(report, used=report.used + 1)
-
     def _send_run(self, state: ClaimState, now: float) -> list[Effect]:
         interval = min(POLL_INTERVAL_S * 2**state.polls, MAX_POLL_INTERVAL_S)
         state.polls = min(state.polls + 1, 8)
         self._schedule(state, now + interval)
-        left = max(state.deadline - now, 0.0)
-        request = state.request
-        if request is None:
-            left = 0.0
-            request = self._make_question(state)
-        message = RunRequest(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            state.executor.name,
-            state.executor.incarnation,
-            state.flow,
-            state.run,
-            state.cancelled or (state.request is not None and left <= 0.0),
-            replace(request, timeout=left),
-        )
+        message = make_run(self.member, self.table.version, state, now)
         return [SendPeer(state.executor_address, message)]
 
-    def _make_question(self, state: ClaimState) -> Request:
-        """Return a request that only asks: its time is over, so it never starts."""
-        service = self.member.service
-        caller, number, attempt = state.caller, state.number, state.attempt
-        return Request(service, caller, number, attempt, 0.0, False, False, b"")
-
     def take_load(self, report: SlotReport) -> None:
         """Take what an executor says about its load."""
-        self._silent.pop(report.agent, None)
-        self.loads[report.agent] = report
+        self._loads.take(report)
 
     def take_run_reply(self, reply: RunReply, now: float) -> list[Effect]:
         """Take what an executor says about a hand-over."""
@@ -593,25 +508,7 @@
             entry = next(iter(self.table.entries.values()), None)
         if state.source is None or entry is None:
             return []
-        response = Response(
-            self.member.service,
-            state.caller,
-            state.number,
-            state.attempt,
-            state.verdict,
-            state.reason,
-            state.body,
-        )
-        answer = Answer(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            state.flow,
-            state.source.host,
-            state.source.port,
-            encode(response),
-        )
+        answer = make_answer(self.member, self.table.version, state)
         return [SendPeer(Address(entry.host, entry.port), answer)]
 
     # -- claims of others --------------------------------------------------
@@ -775,7 +672,7 @@
         if gone and state.gone_at == 0.0:
             state.gone_at = now
         if state.polls > POLLS_UNTIL_SILENT and not state.heard:
-            self._silent[state.executor.name] = now
+            self._loads.note_silence(state.executor.name, now)
         waited = gone and now - state.gone_at >= GRACE_S
         if not waited and now < state.deadline + OVERDUE_S:
             return self._send_run(state, now)
--- /dev/null
+++ b/fulmarshore/admission/loads.py
@@ -0,0 +1,88 @@
+"""What a home knows of the executors' load, and which of them it chooses."""
+
+from __future__ import annotations
+
+from msgspec.structs import replace
+
+from fulmarshore.core.records import Identity, Member, SlotReport
+
+PREFERENCE_OF_SELF = 1.25
+"""How much more room a peer must have for a hand-over to be worth its hop."""
+
+SHARE_OF_AVOIDED = 1e6
+"""Added to the load of an executor that refused the request or is silent."""
+
+SILENCE_S = 1.0
+"""How long an executor that said nothing is avoided, unless it is heard."""
+
+MIN_LIMIT = 0.01
+
+
+class Loads:
+    """Chooses executors by the requests they hold over what they bear.
+
+    Parameters
+    ----------
+    name : str
+        The agent itself.
+    """
+
+    __slots__ = ("_name", "_reports", "_silent")
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._reports: dict[str, SlotReport] = {}
+        self._silent: dict[str, float] = {}
+
+    def take(self, report: SlotReport) -> None:
+        """Take what an executor says about its load."""
+        self._silent.pop(report.agent, None)
+        self._reports[report.agent] = report
+
+    def note_silence(self, name: str, now: float) -> None:
+        """Note that an executor does not say a word."""
+        self._silent[name] = now
+
+    def choose(
+        self, accepting: tuple[Member, ...], refuser: Identity | None, now: float
+    ) -> Member | None:
+        """Return the executor with most room.
+
+        Parameters
+        ----------
+        accepting : tuple of Member
+            Who may be chosen.
+        refuser : Identity or None
+            Who refused the request just now.
+        """
+        best: Member | None = None
+        best_share = float("inf")
+        for member in accepting:
+            share = self._find_share(member)
+            is_refuser = refuser is not None and member.name == refuser.name
+            if is_refuser or self._is_silent(member.name, now):
+                share += SHARE_OF_AVOIDED
+            elif member.name == self._name:
+                share = share / PREFERENCE_OF_SELF if share > 1.0 else 0.0
+            if share < best_share:
+                best, best_share = member, share
+        return best
+
+    def expect(self, executor: Member) -> None:
+        """Count a hand-over that the executor has not reported yet."""
+        report = self._reports.get(executor.name)
+        if report is None or report.incarnation != executor.incarnation:
+            slots = float(executor.slots)
+            report = SlotReport(
+                executor.service, executor.name, executor.incarnation, 0, 0, slots
+            )
+        self._reports[executor.name] = replace(report, used=report.used + 1)
+
+    def _find_share(self, member: Member) -> float:
+        report = self._reports.get(member.name)
+        if report is None or report.incarnation != member.incarnation:
+            return 0.0
+        return (report.used + 1) / max(report.limit, MIN_LIMIT)
+
+    def _is_silent(self, name: str, now: float) -> bool:
+        return now - self._silent.get(name, float("-inf")) < SILENCE_S
--- /dev/null
+++ b/fulmarshore/admission/messages.py
@@ -0,0 +1,103 @@
+"""The messages that a home makes from its claims."""
+
+from __future__ import annotations
+
+from msgspec.structs import replace
+
+from fulmarshore.admission.ledger import ClaimState
+from fulmarshore.core.codec import encode
+from fulmarshore.core.records import (
+    Answer,
+    ClaimBackup,
+    Forward,
+    Identity,
+    Member,
+    Phase,
+    Request,
+    Response,
+    RunRequest,
+)
+
+
+def make_backup(
+    member: Member, version: int, state: ClaimState, now: float
+) -> ClaimBackup:
+    """Return the message that shows a claim to a peer."""
+    claim = state.to_claim(now)
+    return ClaimBackup(member.service, member.name, member.incarnation, version, claim)
+
+
+def make_run(member: Member, version: int, state: ClaimState, now: float) -> RunRequest:
+    """Return the hand-over of a request, or a question about one.
+
+    A question is a request whose time is over, so it never starts anything.
+    """
+    left = max(state.deadline - now, 0.0)
+    cancel = state.cancelled or (state.request is not None and left <= 0.0)
+    request = state.request
+    if request is None:
+        left = 0.0
+        caller, number, attempt = state.caller, state.number, state.attempt
+        request = Request(
+            member.service, caller, number, attempt, 0.0, False, False, b""
+        )
+    return RunRequest(
+        member.service,
+        member.name,
+        member.incarnation,
+        version,
+        state.executor.name,
+        state.executor.incarnation,
+        state.flow,
+        state.run,
+        cancel,
+        replace(request, timeout=left),
+    )
+
+
+def make_answer(member: Member, version: int, state: ClaimState) -> Answer:
+    """Return the outcome of a claim on its way to the caller."""
+    response = Response(
+        member.service,
+        state.caller,
+        state.number,
+        state.attempt,
+        state.verdict,
+        state.reason,
+        state.body,
+    )
+    return Answer(
+        member.service,
+        member.name,
+        member.incarnation,
+        version,
+        state.flow,
+        state.source.host,
+        state.source.port,
+        encode(response),
+    )
+
+
+def make_packet(
+    member: Member, version: int, state: ClaimState, home: Identity, now: float
+) -> Forward | None:
+    """Return a copy of a request for another home, None if its time is over."""
+    left = state.deadline - now
+    if left <= 0.0 or state.source is None:
+        return None
+    age = state.request.age + max(state.request.timeout - left, 0.0)
+    request = replace(state.request, attempt=state.attempt, timeout=left, age=age)
+    return Forward(
+        member.service,
+        home.name,
+        home.incarnation,
+        version,
+        state.flow,
+        Phase.OPENING,
+        state.source.host,
+        state.source.port,
+        state.entry,
+        1,
+        0,
+        encode(request),
+    )
