--- /dev/null
+++ b/fulmarshore/admission/bequests.py
@@ -0,0 +1,138 @@
+"""What an agent that stops as planned leaves to its peers."""
+
+from __future__ import annotations
+
+from fulmarshore.admission.coordinator import Coordinator
+from fulmarshore.admission.executor import Executor
+from fulmarshore.admission.knowledge import merge_claim, merge_run, split_claims
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Address,
+    Bequest,
+    BequestReply,
+    Claim,
+    Effect,
+    Identity,
+    Member,
+    SendPeer,
+)
+
+BEQUEST_INTERVAL_S = 0.1
+BEQUEST_TIMEOUT_S = 2.0
+HEIRS = 2
+"""Peers that get each claim."""
+
+
+class Bequests:
+    """Passes the claims of a stopping agent on, once all its work has ended.
+
+    Parameters
+    ----------
+    home : Coordinator
+        The claims.
+    """
+
+    __slots__ = ("_home", "_left", "_began", "_sent_at")
+
+    def __init__(self, home: Coordinator) -> None:
+        self._home = home
+        self._left: dict[Identity, dict[int, Bequest]] | None = None
+        self._began = float("inf")
+        self._sent_at = float("-inf")
+
+    def has_begun(self) -> bool:
+        """Return whether the agent takes no claim of others any more."""
+        return self._left is not None
+
+    def is_done(self, now: float) -> bool:
+        """Return whether every peer took its part, or was waited for."""
+        if self._left is None:
+            return False
+        return not self._left or now - self._began > BEQUEST_TIMEOUT_S
+
+    def tick(self, executor: Executor, now: float) -> list[Effect]:
+        """Send what has not been taken, each claim to two peers."""
+        if self._left is None:
+            if executor.count_used() or self._home.count_open():
+                return []
+            self._left = self._make(executor, now)
+            self._began = now
+        if now - self._sent_at < BEQUEST_INTERVAL_S:
+            return []
+        self._sent_at = now
+        effects: list[Effect] = []
+        service = self._home.service
+        for peer, parts in self._left.items():
+            member = service.by_name.get(peer.name) if service else None
+            if member is None:
+                continue
+            address = Address(member.host, member.port)
+            effects += [SendPeer(address, part) for part in parts.values()]
+        return effects
+
+    def _make(
+        self, executor: Executor, now: float
+    ) -> dict[Identity, dict[int, Bequest]]:
+        service = self._home.service
+        if service is None:
+            return {}
+        own = self._home.member.name
+        others = [member for member in service.members if member.name != own]
+        shares: dict[str, list[Claim]] = {member.name: [] for member in others}
+        for state in self._home.ledger.claims.values():
+            if state.idempotent:
+                continue
+            row = service.get_row(find_bucket(state.flow))
+            heirs = [member.name for member in row if member.name in shares]
+            for name in heirs[:HEIRS]:
+                shares[name].append(state.to_claim(now))
+        runs = executor.list_all(now)
+        bequests = {}
+        for member in others:
+            peer = Identity(member.name, member.incarnation)
+            bequests[peer] = self._split(shares[member.name], runs)
+        return bequests
+
+    def _split(self, claims: list[Claim], runs: list[Claim]) -> dict[int, Bequest]:
+        member: Member = self._home.member
+        split = split_claims(claims, runs)
+        parts = {}
+        for part, (some_claims, some_runs) in enumerate(split):
+            parts[part] = Bequest(
+                member.service,
+                member.name,
+                member.incarnation,
+                self._home.table.version,
+                part,
+                len(split),
+                some_claims,
+                some_runs,
+            )
+        return parts
+
+    def take(self, bequest: Bequest, source: Address, now: float) -> list[Effect]:
+        """Take up a part of what a stopping peer leaves."""
+        home = self._home
+        for claim in bequest.claims:
+            merge_claim(home, claim, now)
+        for claim in bequest.runs:
+            merge_run(home, claim, now, only_known=True)
+        leaver = Identity(bequest.agent, bequest.incarnation)
+        home.settlement.note_bequest(leaver, bequest.part, bequest.parts)
+        reply = BequestReply(
+            home.member.service,
+            home.member.name,
+            home.member.incarnation,
+            home.table.version,
+            bequest.part,
+        )
+        return [SendPeer(source, reply)]
+
+    def take_reply(self, reply: BequestReply) -> None:
+        """Note that a peer took a part."""
+        peer = Identity(reply.agent, reply.incarnation)
+        if self._left is None or peer not in self._left:
+            return
+        self._left[peer].pop(reply.part, None)
+        if not self._left[peer]:
+            del self._left[peer]
--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -13,7 +13,6 @@
 
 from fulmarshore.admission.backups import Backups
 from fulmarshore.admission.bounds import (
-    COPY_LIFE_S,
     LARGE_BODY_LIFE_S,
     MAX_KEPT_BODY_BYTES,
     MAX_RUNS_PER_ATTEMPT,
@@ -31,8 +30,6 @@
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
-    Claim,
-    ClaimBackup,
     ClaimBackupReply,
     Effect,
     Identity,
@@ -161,7 +158,7 @@
             return self._take_late_copy(state, request, now)
         state.attempt = max(state.attempt, request.attempt)
         if state.stage == Stage.ELSEWHERE:
-            self._schedule(state, now + POLL_INTERVAL_S)
+            self.schedule(state, now + POLL_INTERVAL_S)
             return []
         if request.cancel:
             return self._cancel(state, now)
@@ -240,14 +237,14 @@
             return self._hand_back(state, now)
         peers = self._choose_peers(state)
         if not peers and not self.has_lease:
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         if not peers:
             return self._proceed(state, now)
         chosen = {Identity(peer.name, peer.incarnation) for peer in peers}
         if not state.needed or not state.needed <= chosen:
             state.needed = chosen
-        self._schedule(state, now + WRITE_INTERVAL_S)
+        self.schedule(state, now + WRITE_INTERVAL_S)
         effects: list[Effect] = []
         for peer in peers:
             if Identity(peer.name, peer.incarnation) in state.needed:
@@ -301,7 +298,7 @@
         state.verdict, state.reason = None, ""
         home = self.settlement.find_home(find_bucket(state.flow))
         state.coordinator = home or self.identity
-        self._schedule(state, now + GRACE_S)
+        self.schedule(state, now + GRACE_S)
         return []
 
     def _proceed(self, state: ClaimState, now: float) -> list[Effect]:
@@ -309,7 +306,7 @@
         is_home = self.settlement.is_home(bucket)
         if is_home and bucket not in self.settlement.settled and not state.idempotent:
             # Another agent may have been home meanwhile: it is being asked.
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         if is_home:
             state.term = self.settlement.terms.get(bucket, 0)
@@ -340,7 +337,7 @@
         """
         home = self.settlement.find_home(find_bucket(state.flow))
         if home is None or state.request is None or home == self.identity:
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         self.counters["claims_handed_back"] += 1
         passed = self._pass_on(state, home, now)
@@ -382,7 +379,7 @@
     def _send_run(self, state: ClaimState, now: float) -> list[Effect]:
         interval = min(POLL_INTERVAL_S * 2**state.polls, MAX_POLL_INTERVAL_S)
         state.polls = min(state.polls + 1, 8)
-        self._schedule(state, now + interval)
+        self.schedule(state, now + interval)
         message = make_run(self.member, self.table.version, state, now)
         return [SendPeer(state.executor_address, message)]
 
@@ -433,7 +430,7 @@
     def _take_refusal(self, state: ClaimState, reason: str, now: float) -> list[Effect]:
         if reason == Reason.BARRED and not self._may_hand_over(state):
             state.stage = Stage.WAITING
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         if reason in RETRYABLE and self._may_retry(state, reason, now):
             return self._retry(state, now)
@@ -453,7 +450,7 @@
         state.tries += 1
         state.stage = Stage.WAITING
         self.counters["retries"] += 1
-        self._schedule(state, now + self._random.uniform(0.0, RETRY_JITTER_S))
+        self.schedule(state, now + self._random.uniform(0.0, RETRY_JITTER_S))
         return []
 
     # -- outcomes ----------------------------------------------------------
@@ -487,7 +484,7 @@
             state.needed = {Identity(peer.name, peer.incarnation)}
             effects.append(self._show(state, peer, now))
         state.writes += 1
-        self._schedule(state, now + WRITE_INTERVAL_S * 2**state.writes)
+        self.schedule(state, now + WRITE_INTERVAL_S * 2**state.writes)
         return effects
 
     def _conclude(self, state: ClaimState, now: float) -> list[Effect]:
@@ -513,80 +510,6 @@
 
     # -- claims of others --------------------------------------------------
 
-    def take_backup(
-        self, message: ClaimBackup, source: Address, now: float
-    ) -> list[Effect]:
-        """Hold a claim for another agent, unless it is not the home any more."""
-        claim = message.claim
-        accepted, effects = self._hold(message, now)
-        reply = ClaimBackupReply(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            claim.flow,
-            claim.sequence,
-            accepted,
-        )
-        return [SendPeer(source, reply), *effects]
-
-    def _hold(self, message: ClaimBackup, now: float) -> tuple[bool, list[Effect]]:
-        claim = message.claim
-        sender = Identity(message.agent, message.incarnation)
-        state = self.ledger.find(claim.flow)
-        home = self.settlement.find_home(find_bucket(claim.flow))
-        if home not in (None, sender, self.identity):
-            return False, []
-        if state is None:
-            self.adopt(claim, now)
-            return True, []
-        if (state.caller, state.number) != (claim.caller, claim.number):
-            return False, []
-        is_older = (claim.version, claim.sequence) < (state.version, state.sequence)
-        if state.coordinator != sender:
-            if home == self.identity or is_older:
-                return False, []
-        elif is_older:
-            return True, []
-        told = state.stage == Stage.ELSEWHERE and state.source is not None
-        self.fill(state, claim, now)
-        if told and home == self.identity and state.stage == Stage.DONE:
-            return True, self.respond(state)
-        return True, []
-
-    def adopt(self, claim: Claim, now: float) -> ClaimState:
-        """Take up a claim that a peer knows."""
-        coordinator = Identity(claim.coordinator, claim.incarnation)
-        state = ClaimState(claim.flow, claim.caller, claim.number, coordinator)
-        state.adopted = True
-        state.expires = now + max(claim.life, COPY_LIFE_S)
-        self.fill(state, claim, now)
-        self.ledger.add(state)
-        return state
-
-    def fill(self, state: ClaimState, claim: Claim, now: float) -> None:
-        """Replace what is known of a claim by what a peer knows."""
-        state.coordinator = Identity(claim.coordinator, claim.incarnation)
-        if claim.verdict == Verdict.NOT_RUN:
-            state.attempt = claim.attempt
-        state.attempt = max(claim.attempt, state.attempt)
-        state.version, state.sequence = claim.version, claim.sequence
-        state.verdict, state.reason, state.body = (
-            claim.verdict,
-            claim.reason,
-            claim.body,
-        )
-        state.run = max(state.run, claim.run)
-        state.executor = None
-        if claim.executor:
-            state.executor = Identity(claim.executor, claim.executor_incarnation)
-        state.expires = max(state.expires, now + claim.life)
-        state.deadline = max(state.deadline, now + claim.life - COPY_LIFE_S)
-        state.stage = Stage.ELSEWHERE if claim.verdict is None else Stage.DONE
-        state.request = None
-        if state.stage == Stage.ELSEWHERE:
-            self._schedule(state, now + GRACE_S)
-
     def hear_later(self, reply: RunReply) -> None:
         """Keep an executor's last word for the next tick."""
         self._heard.append(reply)
@@ -596,7 +519,7 @@
         for state in self.ledger.claims.values():
             if state.stage != Stage.ELSEWHERE or find_bucket(state.flow) not in buckets:
                 continue
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
 
     def count_open(self) -> int:
         """Return the claims whose outcome this agent still has to find."""
@@ -608,7 +531,8 @@
 
     # -- time --------------------------------------------------------------
 
-    def _schedule(self, state: ClaimState, at: float) -> None:
+    def schedule(self, state: ClaimState, at: float) -> None:
+        """Look at a claim again at a time."""
         state.due = at
         heapq.heappush(self._due, (at, state.flow))
 
@@ -687,11 +611,11 @@
         if not self.settlement.is_home(find_bucket(state.flow)):
             return []
         if find_bucket(state.flow) not in self.settlement.settled:
-            self._schedule(state, now + GRACE_S)
+            self.schedule(state, now + GRACE_S)
             return []
         there = self._is_member(state.coordinator)
         if there and state.coordinator != self.identity:
-            self._schedule(state, now + GRACE_S)
+            self.schedule(state, now + GRACE_S)
             if now < state.deadline + OVERDUE_S:
                 return []
         return self.inherit(state, now)
--- a/fulmarshore/admission/knowledge.py
+++ b/fulmarshore/admission/knowledge.py
@@ -2,27 +2,121 @@
 
 from __future__ import annotations
 
-from fulmarshore.admission.coordinator import Coordinator
+from fulmarshore.admission.bounds import CLAIM_MARGIN_S, COPY_LIFE_S
+from fulmarshore.admission.coordinator import GRACE_S, Coordinator
 from fulmarshore.admission.ledger import ClaimState, Stage
-from fulmarshore.core.records import Claim, Identity, Reason, RunReply, Verdict
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Address,
+    Claim,
+    ClaimBackup,
+    ClaimBackupReply,
+    Effect,
+    Identity,
+    Reason,
+    RunReply,
+    SendPeer,
+    Verdict,
+)
 
 PART_BYTES = 16_000
 CLAIM_BYTES = 160
 """Size of a claim without its body, for the splitting into datagrams."""
 
 
+def take_backup(
+    home: Coordinator, message: ClaimBackup, source: Address, now: float
+) -> list[Effect]:
+    """Hold a claim for another agent, unless it is not the home any more."""
+    claim = message.claim
+    accepted, effects = _hold(home, message, now)
+    reply = ClaimBackupReply(
+        home.member.service,
+        home.member.name,
+        home.member.incarnation,
+        home.table.version,
+        claim.flow,
+        claim.sequence,
+        accepted,
+    )
+    return [SendPeer(source, reply), *effects]
+
+
+def _hold(
+    home: Coordinator, message: ClaimBackup, now: float
+) -> tuple[bool, list[Effect]]:
+    claim = message.claim
+    sender = Identity(message.agent, message.incarnation)
+    state = home.ledger.find(claim.flow)
+    known_home = home.settlement.find_home(find_bucket(claim.flow))
+    if known_home not in (None, sender, home.identity):
+        return False, []
+    if state is None:
+        adopt_claim(home, claim, now)
+        return True, []
+    if (state.caller, state.number) != (claim.caller, claim.number):
+        return False, []
+    is_older = (claim.version, claim.sequence) < (state.version, state.sequence)
+    if state.coordinator != sender:
+        if known_home == home.identity or is_older:
+            return False, []
+    elif is_older:
+        return True, []
+    told = state.stage == Stage.ELSEWHERE and state.source is not None
+    fill_claim(home, state, claim, now)
+    if told and known_home == home.identity and state.stage == Stage.DONE:
+        return True, home.respond(state)
+    return True, []
+
+
+def adopt_claim(home: Coordinator, claim: Claim, now: float) -> ClaimState:
+    """Take up a claim that a peer knows."""
+    coordinator = Identity(claim.coordinator, claim.incarnation)
+    state = ClaimState(claim.flow, claim.caller, claim.number, coordinator)
+    state.adopted = True
+    state.expires = now + max(claim.life, COPY_LIFE_S)
+    fill_claim(home, state, claim, now)
+    home.ledger.add(state)
+    return state
+
+
+def fill_claim(home: Coordinator, state: ClaimState, claim: Claim, now: float) -> None:
+    """Replace what is known of a claim by what a peer knows."""
+    state.coordinator = Identity(claim.coordinator, claim.incarnation)
+    if claim.verdict == Verdict.NOT_RUN:
+        state.attempt = claim.attempt
+    state.attempt = max(claim.attempt, state.attempt)
+    state.version, state.sequence = claim.version, claim.sequence
+    state.verdict, state.reason, state.body = (
+        claim.verdict,
+        claim.reason,
+        claim.body,
+    )
+    state.run = max(state.run, claim.run)
+    state.executor = None
+    if claim.executor:
+        state.executor = Identity(claim.executor, claim.executor_incarnation)
+    state.expires = max(state.expires, now + claim.life)
+    left = claim.life - COPY_LIFE_S - CLAIM_MARGIN_S
+    state.deadline = max(state.deadline, now + left)
+    state.stage = Stage.ELSEWHERE if claim.verdict is None else Stage.DONE
+    state.request = None
+    if state.stage == Stage.ELSEWHERE:
+        home.schedule(state, now + GRACE_S)
+
+
 def merge_claim(home: Coordinator, claim: Claim, now: float) -> None:
     """Take up a claim that a peer holds, if it tells more than the own one."""
     state = home.ledger.find(claim.flow)
     if state is None:
-        home.adopt(claim, now)
+        adopt_claim(home, claim, now)
         return
     if (state.caller, state.number) != (claim.caller, claim.number):
         return
     state.expires = max(state.expires, now + claim.life)
     if not _tells_more(home, state, claim):
         return
-    home.fill(state, claim, now)
+    fill_claim(home, state, claim, now)
 
 
 def _tells_more(home: Coordinator, state: ClaimState, claim: Claim) -> bool:
@@ -65,7 +159,7 @@
 def _adopt_run(home: Coordinator, run: Claim, now: float) -> None:
     if run.verdict == Verdict.NOT_RUN:
         return
-    home.adopt(run, now)
+    adopt_claim(home, run, now)
 
 
 def _tell_run(home: Coordinator, run: Claim) -> None:
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -8,10 +8,16 @@
 
 from msgspec.structs import replace
 
+from fulmarshore.admission.bequests import Bequests
 from fulmarshore.admission.bounds import MAX_ATTEMPTS, MAX_TIMEOUT_S
 from fulmarshore.admission.coordinator import Coordinator
 from fulmarshore.admission.executor import Executor
-from fulmarshore.admission.knowledge import merge_claim, merge_run, split_claims
+from fulmarshore.admission.knowledge import (
+    merge_claim,
+    merge_run,
+    split_claims,
+    take_backup,
+)
 from fulmarshore.admission.ledger import Stage
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_request
@@ -54,8 +60,6 @@
 MAX_PARKED = 1_024
 """Copies that wait until their bucket is settled; more are dropped."""
 REPORT_INTERVAL_S = 0.25
-BEQUEST_INTERVAL_S = 0.1
-BEQUEST_TIMEOUT_S = 2.0
 
 COMPARE_INTERVAL_S = 0.02
 LEASE_MARGIN_S = 1.0
@@ -112,9 +116,7 @@
         self._reported = (-1, -1.0)
         self._reported_at = float("-inf")
         self._is_stopping = False
-        self._bequests: dict[Identity, dict[int, Bequest]] | None = None
-        self._bequeathed_at = float("inf")
-        self._bequest_sent_at = float("-inf")
+        self._bequests = Bequests(self.home)
         self._compared_at = float("-inf")
         self._zone_version = 0
 
@@ -166,9 +168,7 @@
         if self.executor is None:
             return True
         self._is_stopping = True
-        if self._bequests is None:
-            return False
-        return not self._bequests or now - self._bequeathed_at > BEQUEST_TIMEOUT_S
+        return self._bequests.is_done(now)
 
     def _is_draining(self) -> bool:
         if self._is_stopping:
@@ -219,7 +219,7 @@
     def _take_sync(
         self, message: BackupSync, source: Address, now: float
     ) -> list[Effect]:
-        if self._bequests is not None:
+        if self._bequests.has_begun():
             return self._drop(Reason.STOPPING)
         for claim in message.claims:
             merge_claim(self.home, claim, now)
@@ -310,9 +310,9 @@
             case RunReply():
                 return self.home.take_run_reply(message, now)
             case ClaimBackup():
-                if self._bequests is not None:
+                if self._bequests.has_begun():
                     return self._drop(Reason.STOPPING)
-                return self.home.take_backup(message, source, now)
+                return take_backup(self.home, message, source, now)
             case ClaimBackupReply():
                 return self.home.take_backup_reply(message, now)
             case BackupSync():
@@ -329,9 +329,10 @@
                 self.home.settlement.take_reply(message)
                 return self._settle(now)
             case Bequest():
-                return self._take_bequest(message, source, now)
+                return self._bequests.take(message, source, now)
             case BequestReply():
-                return self._take_bequest_reply(message)
+                self._bequests.take_reply(message)
+                return []
         return self._drop(Reason.MALFORMED)
 
     # -- copies of requests ------------------------------------------------
@@ -487,86 +488,6 @@
         for claim in claims:
             merge_claim(self.home, claim, now)
 
-    # -- planned stop ------------------------------------------------------
-
-    def _bequeath(self, now: float) -> list[Effect]:
-        """Leave what is known to the peers, each claim to two of them."""
-        if self._bequests is None:
-            if self.executor.working or len(self.executor.queue):
-                return []
-            if self.home.count_open():
-                return []
-            self._bequests = self._make_bequests(now)
-            self._bequeathed_at = now
-        if now - self._bequest_sent_at < BEQUEST_INTERVAL_S:
-            return []
-        self._bequest_sent_at = now
-        effects: list[Effect] = []
-        for peer, parts in self._bequests.items():
-            member = self.home.service.by_name.get(peer.name)
-            if member is None:
-                continue
-            address = Address(member.host, member.port)
-            effects += [SendPeer(address, part) for part in parts.values()]
-        return effects
-
-    def _make_bequests(self, now: float) -> dict[Identity, dict[int, Bequest]]:
-        service = self.home.service
-        others = [m for m in service.members if m.name != self.member.name]
-        shares: dict[str, list[Claim]] = {member.name: [] for member in others}
-        for state in self.home.ledger.claims.values():
-            if state.idempotent:
-                continue
-            row = service.get_row(find_bucket(state.flow))
-            heirs = [m.name for m in row if m.name in shares][:2]
-            for name in heirs:
-                shares[name].append(state.to_claim(now))
-        runs = self.executor.list_all(now)
-        bequests: dict[Identity, dict[int, Bequest]] = {}
-        for member in others:
-            split = split_claims(shares[member.name], runs)
-            parts = {}
-            for part, (claims, some_runs) in enumerate(split):
-                parts[part] = Bequest(
-                    self.member.service,
-                    self.member.name,
-                    self.member.incarnation,
-                    self.home.table.version,
-                    part,
-                    len(split),
-                    claims,
-                    some_runs,
-                )
-            bequests[Identity(member.name, member.incarnation)] = parts
-        return bequests
-
-    def _take_bequest(
-        self, bequest: Bequest, source: Address, now: float
-    ) -> list[Effect]:
-        for claim in bequest.claims:
-            merge_claim(self.home, claim, now)
-        for claim in bequest.runs:
-            merge_run(self.home, claim, now, only_known=True)
-        leaver = Identity(bequest.agent, bequest.incarnation)
-        self.home.settlement.note_bequest(leaver, bequest.part, bequest.parts)
-        reply = BequestReply(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.home.table.version,
-            bequest.part,
-        )
-        return [SendPeer(source, reply)]
-
-    def _take_bequest_reply(self, reply: BequestReply) -> list[Effect]:
-        peer = Identity(reply.agent, reply.incarnation)
-        if self._bequests is None or peer not in self._bequests:
-            return []
-        self._bequests[peer].pop(reply.part, None)
-        if not self._bequests[peer]:
-            del self._bequests[peer]
-        return []
-
     # -- time --------------------------------------------------------------
 
     def _tick(self, now: float) -> list[Effect]:
@@ -579,7 +500,7 @@
         effects += self.executor.tick(now)
         effects += self._report(now)
         if self._is_stopping:
-            effects += self._bequeath(now)
+            effects += self._bequests.tick(self.executor, now)
         return effects
 
     def _report(self, now: float) -> list[Effect]:
--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -350,6 +350,7 @@
     def _is_survived(self, current: Round, now: float) -> bool:
         """Return whether each claim has a holder left among those who answered."""
         lost = {gone for gone, at in self._lost.items() if now - at <= NEEDED_S}
+        lost -= self.left_cleanly
         witnessed = self.get_memory_age(now) >= NEEDED_S
         for parts in current.replies.values():
             reply = next(iter(parts.values()))
@@ -357,7 +358,6 @@
             for gone in reply.lost:
                 lost.add(Identity(gone.agent, gone.incarnation))
         lost -= current.list_answered()
-        lost -= self.left_cleanly
         lost.discard(self.identity)
         return witnessed and len(lost) <= MAX_LOST_MEMORIES
 
