--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -84,8 +84,8 @@
         self.socket = socket
         self.address = Address(service.host, service.port)
         self.fabric: Address | None = None
-        is_opaque = service.protocol == Protocol.OPAQUE
-        self.is_plain = is_opaque and ":" not in service.host
+        is_known = service.protocol in (Protocol.OPAQUE, Protocol.QUIC)
+        self.is_plain = is_known and ":" not in service.host
 
 
 class EntryDaemon(Daemon):
@@ -232,6 +232,7 @@
             return
         forwarded = 0
         is_direct = self._is_direct
+        is_opaque = held.service.protocol == Protocol.OPAQUE
         find = routes.find
         send = self._data.send_frame
         try:
@@ -243,7 +244,8 @@
                         continue
                     source, payload = named
                 hint = find(source)
-                if hint is None or len(payload) >= PREPARED_LENGTHS:
+                is_usual = is_opaque or routes.is_usual(payload)
+                if hint is None or len(payload) >= PREPARED_LENGTHS or not is_usual:
                     self.dispatch(Datagram(held.service.name, source, payload))
                     continue
                 forwarded += 1
--- a/fulmarshore/routing/entry_test.py
+++ b/fulmarshore/routing/entry_test.py
@@ -23,7 +23,9 @@
     LinkMessage,
     Member,
     PeerMessage,
+    Phase,
     Profile,
+    Protocol,
     Reason,
     Refusal,
     SendCaller,
@@ -186,6 +188,23 @@
         self.assertEqual(frame, encode(send.message))
         self.assertEqual(hint.address, send.destination)
 
+    def test_short_way_is_only_for_the_usual_phase(self):
+        core = make_core()
+        quic = Service("s", "p", "127.0.0.9", 80, Protocol.QUIC)
+        view = make_view(VERSION + 1, [quic, *ITEMS[:1], *ITEMS[2:]])
+        core.handle(LinkMessage("c", view), 1.0)
+        routes = core.routes["s"]
+        table = [(0xC0, Phase.OPENING), (0x40, Phase.MIDDLE), (0xE0, Phase.MIDDLE)]
+        for first, phase in table:
+            with self.subTest(first=first):
+                payload = bytes([first]) * 9
+                (send,) = core.handle(Datagram("s", CALLER, payload), 1.0)
+                self.assertEqual(send.message.phase, phase)
+                is_short = routes.is_usual(payload)
+                self.assertEqual(is_short, phase == Phase.MIDDLE)
+                frame = routes.find(CALLER).head + LENGTHS[9] + payload
+                self.assertEqual(frame == encode(send.message), is_short)
+
     def test_hints_are_bounded_and_idle_flows_are_forgotten(self):
         core = make_core(max_hints=8)
         core.handle(Tick(), 0.0)
--- a/fulmarshore/routing/hints.py
+++ b/fulmarshore/routing/hints.py
@@ -10,7 +10,7 @@
 
 from fulmarshore.core.codec import encode_head
 from fulmarshore.core.hashing import find_bucket, hash_flow
-from fulmarshore.core.phases import get_usual_phase
+from fulmarshore.core.phases import find_phase, get_usual_phase
 from fulmarshore.core.records import Address, Forward, Member, Phase
 from fulmarshore.routing.table import ServiceTable
 
@@ -108,6 +108,10 @@
             return hint
         return self._refresh(source, hint)
 
+    def is_usual(self, payload: bytes) -> bool:
+        """Return whether a payload is in the phase that heads are made for."""
+        return find_phase(self.service.service.protocol, payload) == self._phase
+
     def peek(self, source: Source) -> Hint | None:
         """Return the current hint of a caller that spoke not long ago."""
         hint = self._young.get(source)
