Bench forward by bursts that wait in the subject's buffer

A subject is now stopped while a burst is put into its buffer, and the sink looks from time to time.

--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -1,9 +1,10 @@
 """The cost of a packet: a bare relay, the entry host's path, the agent's path.
 
 Every subject runs in a process of its own, the daemons with their real loop
-and sockets. Rounds of all subjects are interleaved. The load is sent from this
-process without pause: what the subject has no time for is dropped by the
-kernel, and only what reaches the sink is counted.
+and sockets. Rounds of all subjects are interleaved. So that the load is never
+the limit, a subject is stopped while a burst is put into its socket's buffer;
+the time runs from its going on to the last datagram at the sink, and only what
+reaches the sink is counted.
 """
 
 from __future__ import annotations
@@ -26,7 +27,6 @@
     open_socket,
     run_relay,
     run_sink,
-    send_for,
 )
 from fulmarshore.core.codec import encode
 from fulmarshore.core.hashing import hash_flow
@@ -52,6 +52,8 @@
 FLOWS = (1, 1_000, 300_000)
 AGENT_FLOWS = 2_000
 ANSWERED_FLOWS = 100
+BURST = 2_500
+"""Datagrams that fit into the buffer of one socket."""
 VERSION = 1
 IDLE_TIMEOUT_S = 3600.0
 PRIME_ROUNDS = 20
@@ -240,13 +242,27 @@
         return self._sum_up(measured, self._measure_new_flows(), resident, held)
 
     def _measure(self, subject: Subject) -> Rate:
+        """Measure bursts that wait in the subject's buffer before it starts."""
+        child = subject.child
         before, _ = count_sink(self.sink)
-        cpu = subject.child.read_cpu()
-        elapsed = send_for(self.seconds, subject.send, subject.count)
-        after, waited = count_sink(self.sink)
-        packets = after - before
-        spent = subject.child.read_cpu() - cpu
-        return Rate(packets / (elapsed + waited), packets / max(spent, 1e-9))
+        first = before
+        cpu = child.read_cpu()
+        busy = 0.0
+        number = 0
+        while busy < self.seconds:
+            child.pause()
+            for _ in range(BURST):
+                subject.send(number % subject.count)
+                number += 1
+            start = time.perf_counter()
+            child.resume()
+            after, last = count_sink(self.sink)
+            if after == before:
+                raise RuntimeError(f"nothing came through {subject.name}")
+            busy += last - start
+            before = after
+        packets = before - first
+        return Rate(packets / busy, packets / (child.read_cpu() - cpu))
 
     def _start(self, *arguments: object) -> Child:
         child = Child(*arguments)
--- a/fulmarshore/bench/traffic.py
+++ b/fulmarshore/bench/traffic.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import multiprocessing
+import os
+import signal
 import socket
 import struct
 import time
@@ -24,11 +26,10 @@
 """Linux's number of the ancillary message, which the library does not name."""
 MAX_CALLERS = 1 << 22
 BUFFER_BYTES = 4 * 1024 * 1024
-SINK_TIMEOUT_S = 0.05
+SINK_PAUSE_S = 0.0003
 SINK_BATCH = 512
 START_TIMEOUT_S = 20.0
-CLOCK_CHECK_PACKETS = 64
-SETTLE_S = 0.06
+SETTLE_S = 0.012
 
 _CONTEXT = multiprocessing.get_context("spawn")
 
@@ -63,6 +64,14 @@
         times = self._usage.cpu_times()
         return times.user + times.system
 
+    def pause(self) -> None:
+        """Stop the child until it is resumed."""
+        os.kill(self._process.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let the child run on."""
+        os.kill(self._process.pid, signal.SIGCONT)
+
     def read_resident(self) -> int:
         """Return the resident memory, in bytes."""
         return self._usage.memory_info().rss
@@ -84,23 +93,30 @@
 
 
 def run_sink(pipe: Connection) -> None:
-    """Count datagrams and tell the count whenever asked, until terminated."""
+    """Count datagrams and tell the count whenever asked, until terminated.
+
+    It looks from time to time in place of waiting: a sender would pay for
+    waking it, and the slower ones more often.
+    """
     sock = open_socket("0.0.0.0")
-    seconds = struct.pack("ll", 0, int(SINK_TIMEOUT_S * 1e6))
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, seconds)
+    sock.setblocking(False)
     pipe.send(Address(LOOPBACK, sock.getsockname()[1]))
     buffer = bytearray(65_536)
     count = 0
+    last = 0.0
     while True:
+        before = count
         try:
             for _ in range(SINK_BATCH):
                 sock.recv_into(buffer)
                 count += 1
         except BlockingIOError:
-            pass
+            time.sleep(SINK_PAUSE_S)
+        if count > before:
+            last = time.perf_counter()
         while pipe.poll():
             pipe.recv()
-            pipe.send(count)
+            pipe.send((count, last))
 
 
 def open_socket(host: str) -> socket.socket:
@@ -128,27 +144,6 @@
     return found
 
 
-def send_for(seconds: float, send: Callable[[int], None], count: int) -> float:
-    """Send the datagrams of all numbers below a count in turn, for a time.
-
-    Returns
-    -------
-    float
-        The time it took, in seconds.
-    """
-    start = time.perf_counter()
-    number = 0
-    while True:
-        for _ in range(CLOCK_CHECK_PACKETS):
-            send(number)
-            number += 1
-            if number == count:
-                number = 0
-        elapsed = time.perf_counter() - start
-        if elapsed >= seconds:
-            return elapsed
-
-
 def count_sink(sink: Child) -> tuple[int, float]:
     """Return what the sink has counted once nothing more arrives.
 
@@ -156,17 +151,14 @@
     -------
     count : int
         Datagrams so far.
-    waited : float
-        Time until the last of them had arrived, in seconds.
+    last : float
+        When the last of them arrived, on the clock that all processes share.
     """
-    start = time.perf_counter()
     count = -1
-    waited = 0.0
     while True:
         sink.pipe.send(None)
-        found = sink.receive()
+        found, last = sink.receive()
         if found == count:
-            return count, waited
+            return count, last
         count = found
-        waited = time.perf_counter() - start
         time.sleep(SETTLE_S)
