--- a/fulmarshore/admission/requests_test.py
+++ b/fulmarshore/admission/requests_test.py
@@ -186,6 +186,22 @@
         self.assertGreater(len(answered), 30)
         self.assert_kept()
 
+    def test_orders_go_on_without_control_while_every_agent_is_there(self):
+        self.make()
+        self.world.network.stop("control")
+        self.run_for(6.0)
+        numbers = self.submit(20)
+        self.run_for(3.0)
+        for outcome in self.get_outcomes(numbers):
+            self.assertIsInstance(outcome, Answered)
+        self.world.network.stop("agent1")
+        numbers = self.submit(20)
+        self.run_for(12.0)
+        kinds = {type(outcome) for outcome in self.get_outcomes(numbers)}
+        self.assertEqual(kinds, {Unknown}, "nobody can tell who is home")
+        self.assertEqual(sum(self.world.count_ran().values()), 20)
+        self.assert_kept()
+
     def test_cancelled_requests_are_told_the_truth(self):
         self.make(model=SLOW)
         numbers = self.submit(20)
