--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -11,36 +11,32 @@
 from collections import Counter
 from random import Random
 
-from msgspec.structs import replace
-
 from fulmarshore.admission.backups import Backups
 from fulmarshore.admission.bounds import (
-    COPY_LIFE_S,
     LARGE_BODY_LIFE_S,
     MAX_KEPT_BODY_BYTES,
     MAX_RUNS_PER_ATTEMPT,
 )
 from fulmarshore.admission.budget import RetryBudget
 from fulmarshore.admission.ledger import ClaimState, Ledger, Stage
+from fulmarshore.admission.loads import Loads
+from fulmarshore.admission.messages import (
+    make_answer,
+    make_backup,
+    make_packet,
+    make_run,
+)
 from fulmarshore.admission.settlement import Settlement
-from fulmarshore.core.codec import encode
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
-    Answer,
-    Claim,
-    ClaimBackup,
     ClaimBackupReply,
     Effect,
-    Forward,
     Identity,
     Member,
-    Phase,
     Reason,
     Request,
-    Response,
     RunReply,
-    RunRequest,
     SendPeer,
     SlotReport,
     Verdict,
@@ -64,10 +60,6 @@
 NOTHING_BARRED = -1
 """Attempt of a claim that was handed back: each copy may still run."""
 NUMBER_BITS = 48
-PREFERENCE_OF_SELF = 1.25
-"""How much more room a peer must have for a hand-over to be worth its hop."""
-SHARE_OF_REFUSER = 1e6
-"""Added to the load of an executor that has just refused the request."""
 
 RETRYABLE = frozenset(
     {
@@ -108,11 +100,10 @@
         self.counters: Counter[str] = Counter()
         self.has_lease = True
         self.budget = RetryBudget(0.1)
-        self.loads: dict[str, SlotReport] = {}
+        self._loads = Loads(member.name)
         self._random = random
         self._due: list[tuple[float, bytes]] = []
         self._large: list[tuple[float, bytes]] = []
-        self._silent: dict[str, float] = {}
         self._heard: list[RunReply] = []
         self._sequence = random.getrandbits(NUMBER_BITS)
 
@@ -167,7 +158,7 @@
             return self._take_late_copy(state, request, now)
         state.attempt = max(state.attempt, request.attempt)
         if state.stage == Stage.ELSEWHERE:
-            self._schedule(state, now + POLL_INTERVAL_S)
+            self.schedule(state, now + POLL_INTERVAL_S)
             return []
         if request.cancel:
             return self._cancel(state, now)
@@ -184,7 +175,7 @@
             state.idempotent and state.verdict == Verdict.UNKNOWN
         )
         if not again or not may_run:
-            self.counters["outcomes_told_again"] += 1
+            self.counters["told_again"] += 1
             return self.respond(state)
         assert state.verdict != Verdict.ANSWERED
         state.attempt = request.attempt
@@ -246,14 +237,14 @@
             return self._hand_back(state, now)
         peers = self._choose_peers(state)
         if not peers and not self.has_lease:
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         if not peers:
             return self._proceed(state, now)
         chosen = {Identity(peer.name, peer.incarnation) for peer in peers}
         if not state.needed or not state.needed <= chosen:
             state.needed = chosen
-        self._schedule(state, now + WRITE_INTERVAL_S)
+        self.schedule(state, now + WRITE_INTERVAL_S)
         effects: list[Effect] = []
         for peer in peers:
             if Identity(peer.name, peer.incarnation) in state.needed:
@@ -281,13 +272,7 @@
         return [service.by_name[backup.name]]
 
     def _show(self, state: ClaimState, peer: Member, now: float) -> SendPeer:
-        message = ClaimBackup(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            state.to_claim(now),
-        )
+        message = make_backup(self.member, self.table.version, state, now)
         return SendPeer(Address(peer.host, peer.port), message)
 
     def take_backup_reply(self, reply: ClaimBackupReply, now: float) -> list[Effect]:
@@ -313,7 +298,7 @@
         state.verdict, state.reason = None, ""
         home = self.settlement.find_home(find_bucket(state.flow))
         state.coordinator = home or self.identity
-        self._schedule(state, now + GRACE_S)
+        self.schedule(state, now + GRACE_S)
         return []
 
     def _proceed(self, state: ClaimState, now: float) -> list[Effect]:
@@ -321,7 +306,7 @@
         is_home = self.settlement.is_home(bucket)
         if is_home and bucket not in self.settlement.settled and not state.idempotent:
             # Another agent may have been home meanwhile: it is being asked.
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         if is_home:
             state.term = self.settlement.terms.get(bucket, 0)
@@ -352,10 +337,10 @@
         """
         home = self.settlement.find_home(find_bucket(state.flow))
         if home is None or state.request is None or home == self.identity:
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         self.counters["claims_handed_back"] += 1
-        passed = self._make_packet(state, home, now)
+        passed = self._pass_on(state, home, now)
         state.verdict, state.reason = Verdict.NOT_RUN, Reason.NOT_SETTLED
         state.attempt = NOTHING_BARRED
         state.stage = Stage.DONE
@@ -363,30 +348,12 @@
         state.writes = 0
         return self._show_outcome(state, now) + passed
 
-    def _make_packet(
-        self, state: ClaimState, home: Identity, now: float
-    ) -> list[Effect]:
-        left = state.deadline - now
+    def _pass_on(self, state: ClaimState, home: Identity, now: float) -> list[Effect]:
         service = self.service
         member = service.by_name.get(home.name) if service else None
-        if left <= 0.0 or state.source is None or member is None:
+        packet = make_packet(self.member, self.table.version, state, home, now)
+        if member is None or packet is None:
             return []
-        age = state.request.age + max(state.request.timeout - left, 0.0)
-        request = replace(state.request, attempt=state.attempt, timeout=left, age=age)
-        packet = Forward(
-            self.member.service,
-            home.name,
-            home.incarnation,
-            self.table.version,
-            state.flow,
-            Phase.OPENING,
-            state.source.host,
-            state.source.port,
-            state.entry,
-            1,
-            0,
-            encode(request),
-        )
         return [SendPeer(Address(member.host, member.port), packet)]
 
     # -- hand-over ---------------------------------------------------------
@@ -396,7 +363,8 @@
         assert state.verdict is None
         if now >= state.deadline:
             return self.refuse(state, Reason.EXPIRED, now)
-        executor = self._choose_executor(state)
+        accepting = self.service.accepting if self.service else ()
+        executor = self._loads.choose(accepting, state.executor, now)
         if executor is None:
             return self.refuse(state, Reason.NO_UPSTREAM, now)
         state.executor = Identity(executor.name, executor.incarnation)
@@ -405,75 +373,19 @@
         state.stage = Stage.RUNNING
         state.polls = 0
         state.heard = False
-        self._expect(executor)
+        self._loads.expect(executor)
         return self._send_run(state, now)
 
-    def _choose_executor(self, state: ClaimState) -> Member | None:
-        service = self.service
-        if service is None:
-            return None
-        best: Member | None = None
-        best_share = float("inf")
-        for member in service.accepting:
-            share = self._find_share(member)
-            refused = state.executor is not None
-            refused = refused and member.name == state.executor.name
-            if refused or member.name in self._silent:
-                share += SHARE_OF_REFUSER
-            elif member.name == self.member.name:
-                share = share / PREFERENCE_OF_SELF if share > 1.0 else 0.0
-            if share < best_share:
-                best, best_share = member, share
-        return best
-
-    def _find_share(self, member: Member) -> float:
-        report = self.loads.get(member.name)
-        if report is None or report.incarnation != member.incarnation:
-            return 0.0
-        return (report.used + 1) / max(report.limit, 0.01)
-
-    def _expect(self, executor: Member) -> None:
-        report = self.loads.get(executor.name)
-        if report is None or report.incarnation != executor.incarnation:
-            slots = float(executor.slots)
-            report = SlotReport(
-                executor.service, executor.name, executor.incarnation, 0, 0, slots
-            )
-        self.loads[executor.name] = replace(report, used=report.used + 1)
-
     def _send_run(self, state: ClaimState, now: float) -> list[Effect]:
         interval = min(POLL_INTERVAL_S * 2**state.polls, MAX_POLL_INTERVAL_S)
         state.polls = min(state.polls + 1, 8)
-        self._schedule(state, now + interval)
-        left = max(state.deadline - now, 0.0)
-        request = state.request
-        if request is None:
-            left = 0.0
-            request = self._make_question(state)
-        message = RunRequest(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            state.executor.name,
-            state.executor.incarnation,
-            state.flow,
-            state.run,
-            state.cancelled or (state.request is not None and left <= 0.0),
-            replace(request, timeout=left),
-        )
+        self.schedule(state, now + interval)
+        message = make_run(self.member, self.table.version, state, now)
         return [SendPeer(state.executor_address, message)]
 
-    def _make_question(self, state: ClaimState) -> Request:
-        """Return a request that only asks: its time is over, so it never starts."""
-        service = self.member.service
-        caller, number, attempt = state.caller, state.number, state.attempt
-        return Request(service, caller, number, attempt, 0.0, False, False, b"")
-
     def take_load(self, report: SlotReport) -> None:
         """Take what an executor says about its load."""
-        self._silent.pop(report.agent, None)
-        self.loads[report.agent] = report
+        self._loads.take(report)
 
     def take_run_reply(self, reply: RunReply, now: float) -> list[Effect]:
         """Take what an executor says about a hand-over."""
@@ -518,7 +430,7 @@
     def _take_refusal(self, state: ClaimState, reason: str, now: float) -> list[Effect]:
         if reason == Reason.BARRED and not self._may_hand_over(state):
             state.stage = Stage.WAITING
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         if reason in RETRYABLE and self._may_retry(state, reason, now):
             return self._retry(state, now)
@@ -538,7 +450,7 @@
         state.tries += 1
         state.stage = Stage.WAITING
         self.counters["retries"] += 1
-        self._schedule(state, now + self._random.uniform(0.0, RETRY_JITTER_S))
+        self.schedule(state, now + self._random.uniform(0.0, RETRY_JITTER_S))
         return []
 
     # -- outcomes ----------------------------------------------------------
@@ -572,7 +484,7 @@
             state.needed = {Identity(peer.name, peer.incarnation)}
             effects.append(self._show(state, peer, now))
         state.writes += 1
-        self._schedule(state, now + WRITE_INTERVAL_S * 2**state.writes)
+        self.schedule(state, now + WRITE_INTERVAL_S * 2**state.writes)
         return effects
 
     def _conclude(self, state: ClaimState, now: float) -> list[Effect]:
@@ -593,103 +505,11 @@
             entry = next(iter(self.table.entries.values()), None)
         if state.source is None or entry is None:
             return []
-        response = Response(
-            self.member.service,
-            state.caller,
-            state.number,
-            state.attempt,
-            state.verdict,
-            state.reason,
-            state.body,
-        )
-        answer = Answer(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            state.flow,
-            state.source.host,
-            state.source.port,
-            encode(response),
-        )
+        answer = make_answer(self.member, self.table.version, state)
         return [SendPeer(Address(entry.host, entry.port), answer)]
 
     # -- claims of others --------------------------------------------------
 
-    def take_backup(
-        self, message: ClaimBackup, source: Address, now: float
-    ) -> list[Effect]:
-        """Hold a claim for another agent, unless it is not the home any more."""
-        claim = message.claim
-        accepted, effects = self._hold(message, now)
-        reply = ClaimBackupReply(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            claim.flow,
-            claim.sequence,
-            accepted,
-        )
-        return [SendPeer(source, reply), *effects]
-
-    def _hold(self, message: ClaimBackup, now: float) -> tuple[bool, list[Effect]]:
-        claim = message.claim
-        sender = Identity(message.agent, message.incarnation)
-        state = self.ledger.find(claim.flow)
-        home = self.settlement.find_home(find_bucket(claim.flow))
-        if home not in (None, sender, self.identity):
-            return False, []
-        if state is None:
-            self.adopt(claim, now)
-            return True, []
-        if (state.caller, state.number) != (claim.caller, claim.number):
-            return False, []
-        is_older = (claim.version, claim.sequence) < (state.version, state.sequence)
-        if state.coordinator != sender:
-            if home == self.identity or is_older:
-                return False, []
-        elif is_older:
-            return True, []
-        told = state.stage == Stage.ELSEWHERE and state.source is not None
-        self.fill(state, claim, now)
-        if told and home == self.identity and state.stage == Stage.DONE:
-            return True, self.respond(state)
-        return True, []
-
-    def adopt(self, claim: Claim, now: float) -> ClaimState:
-        """Take up a claim that a peer knows."""
-        coordinator = Identity(claim.coordinator, claim.incarnation)
-        state = ClaimState(claim.flow, claim.caller, claim.number, coordinator)
-        state.adopted = True
-        state.expires = now + max(claim.life, COPY_LIFE_S)
-        self.fill(state, claim, now)
-        self.ledger.add(state)
-        return state
-
-    def fill(self, state: ClaimState, claim: Claim, now: float) -> None:
-        """Replace what is known of a claim by what a peer knows."""
-        state.coordinator = Identity(claim.coordinator, claim.incarnation)
-        if claim.verdict == Verdict.NOT_RUN:
-            state.attempt = claim.attempt
-        state.attempt = max(claim.attempt, state.attempt)
-        state.version, state.sequence = claim.version, claim.sequence
-        state.verdict, state.reason, state.body = (
-            claim.verdict,
-            claim.reason,
-            claim.body,
-        )
-        state.run = max(state.run, claim.run)
-        state.executor = None
-        if claim.executor:
-            state.executor = Identity(claim.executor, claim.executor_incarnation)
-        state.expires = max(state.expires, now + claim.life)
-        state.deadline = max(state.deadline, now + claim.life - COPY_LIFE_S)
-        state.stage = Stage.ELSEWHERE if claim.verdict is None else Stage.DONE
-        state.request = None
-        if state.stage == Stage.ELSEWHERE:
-            self._schedule(state, now + GRACE_S)
-
     def hear_later(self, reply: RunReply) -> None:
         """Keep an executor's last word for the next tick."""
         self._heard.append(reply)
@@ -699,7 +519,7 @@
         for state in self.ledger.claims.values():
             if state.stage != Stage.ELSEWHERE or find_bucket(state.flow) not in buckets:
                 continue
-            self._schedule(state, now + WRITE_INTERVAL_S)
+            self.schedule(state, now + WRITE_INTERVAL_S)
 
     def count_open(self) -> int:
         """Return the claims whose outcome this agent still has to find."""
@@ -711,7 +531,8 @@
 
     # -- time --------------------------------------------------------------
 
-    def _schedule(self, state: ClaimState, at: float) -> None:
+    def schedule(self, state: ClaimState, at: float) -> None:
+        """Look at a claim again at a time."""
         state.due = at
         heapq.heappush(self._due, (at, state.flow))
 
@@ -775,7 +596,7 @@
         if gone and state.gone_at == 0.0:
             state.gone_at = now
         if state.polls > POLLS_UNTIL_SILENT and not state.heard:
-            self._silent[state.executor.name] = now
+            self._loads.note_silence(state.executor.name, now)
         waited = gone and now - state.gone_at >= GRACE_S
         if not waited and now < state.deadline + OVERDUE_S:
             return self._send_run(state, now)
@@ -790,11 +611,11 @@
         if not self.settlement.is_home(find_bucket(state.flow)):
             return []
         if find_bucket(state.flow) not in self.settlement.settled:
-            self._schedule(state, now + GRACE_S)
+            self.schedule(state, now + GRACE_S)
             return []
         there = self._is_member(state.coordinator)
         if there and state.coordinator != self.identity:
-            self._schedule(state, now + GRACE_S)
+            self.schedule(state, now + GRACE_S)
             if now < state.deadline + OVERDUE_S:
                 return []
         return self.inherit(state, now)
