--- a/fulmarshore/bench/config.py
+++ b/fulmarshore/bench/config.py
@@ -154,13 +154,12 @@
         self.names: list[str] = []
         self.client: Client | None = None
         self._count = 0
+        self._context: zmq.asyncio.Context | None = None
 
     async def run(self) -> ConfigReport:
         """Start everything, measure, and stop everything."""
-        context = zmq.asyncio.Context()
-        self.client = Client(context, self.controls)
         try:
-            await self._start()
+            await self.start()
             rate = await self._measure_rate()
             in_force = await self._measure_in_force()
             catch_up = await self._measure_catch_up()
@@ -170,9 +169,7 @@
                 failovers.append(round(await self._measure_failover(), 3))
             lost = await self._count_lost()
         finally:
-            self.client.close()
-            await self.processes.stop_all()
-            context.destroy(linger=0)
+            await self.stop()
         return ConfigReport(
             len(self.names),
             round(rate, 1),
@@ -186,7 +183,17 @@
             lost,
         )
 
-    async def _start(self) -> None:
+    async def stop(self) -> None:
+        """Stop everything."""
+        if self.client is not None:
+            self.client.close()
+            self._context.destroy(linger=0)
+        await self.processes.stop_all()
+
+    async def start(self) -> None:
+        """Start all processes and wait until the services are in force."""
+        self._context = zmq.asyncio.Context()
+        self.client = Client(self._context, self.controls)
         for number in range(CONTROLS):
             await self._start_control(number)
         for number in range(ENTRY_HOSTS):
@@ -225,7 +232,7 @@
     async def _measure_rate(self) -> float:
         started = time.monotonic()
         for _ in range(CHANGES):
-            reply = await self._change()
+            reply = await self.change()
         rate = CHANGES / (time.monotonic() - started)
         await self._wait_processes(reply.version)
         return rate
@@ -233,7 +240,7 @@
     async def _measure_in_force(self) -> list[float]:
         answered = []
         for _ in range(SPACED_CHANGES):
-            reply = await self._change()
+            reply = await self.change()
             answered.append((reply.version, time.time()))
             await asyncio.sleep(SPACING_S)
         await self._wait_processes(answered[-1][0])
@@ -248,7 +255,7 @@
         name = self.names[0]
         self.processes.signal(name, signal.SIGSTOP)
         for _ in range(MISSED_CHANGES):
-            reply = await self._change()
+            reply = await self.change()
         resumed = time.time()
         self.processes.signal(name, signal.SIGCONT)
         await self._wait_processes(reply.version)
@@ -262,7 +269,7 @@
         self.processes.signal(name, signal.SIGKILL)
         await self.processes.wait(name)
         for _ in range(MISSED_CHANGES):
-            await self._change()
+            await self.change()
         restarted = time.time()
         await self._start_control(number)
         until = time.time() + WAIT_TIMEOUT_S
@@ -280,7 +287,7 @@
         number = int(status.leader.rpartition("-")[2])
         killed = time.monotonic()
         self.processes.signal(status.leader, signal.SIGKILL)
-        await self._change()
+        await self.change()
         taken = time.monotonic() - killed
         await self.processes.wait(status.leader)
         await self._start_control(number)
@@ -298,7 +305,8 @@
         lost += profile.queue_length != self._count
         return lost
 
-    async def _change(self) -> ChangeReply:
+    async def change(self) -> ChangeReply:
+        """Submit a change of one profile."""
         self._count += 1
         return await self.client.submit(
             [Profile("feed", Kind.FEED, queue_length=self._count)]
--- /dev/null
+++ b/fulmarshore/bench/control.py
@@ -0,0 +1,343 @@
+"""What control costs: bytes, processor time and memory, by size of a region.
+
+Three control cores on a simulated network serve subscribers in this process.
+Bytes are those of the encoded messages; processor time and memory are those
+of one core of a kind, taken apart from the others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+import tracemalloc
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import msgspec
+import psutil
+from msgspec import Struct
+
+from fulmarshore.agreement.state import decode_state, encode_state
+from fulmarshore.bench.config import ConfigBench
+from fulmarshore.core.codec import encode
+from fulmarshore.core.records import (
+    Announcement,
+    Change,
+    Effect,
+    EntryHost,
+    Event,
+    Identity,
+    Kind,
+    LinkMessage,
+    LogEntry,
+    Member,
+    Profile,
+    Service,
+    Tick,
+    Zone,
+)
+from fulmarshore.membership.control import ControlCore
+from fulmarshore.membership.subscriber import Subscriber
+from fulmarshore.standins.network import FakeNetwork
+from fulmarshore.standins.region import TICK_INTERVAL_S, Region
+
+ENDPOINTS = (10, 100, 1000)
+ENDPOINTS_PER_SERVICE = 4
+ENDPOINTS_PER_ENTRY_HOST = 11
+SETTLE_S = 3.0
+REST_S = 20.0
+BUSY_S = 30.0
+DAEMONS_S = 12.0
+CHANGES_PER_MINUTE = 10
+FRAME_BYTES = 11
+"""What TCP's part of a frame and zmq's add, without the packets' headers."""
+
+
+_decode_entries = msgspec.msgpack.Decoder(list[LogEntry]).decode
+
+
+class Load(Struct, frozen=True):
+    """What control costs in one state of a region.
+
+    Parameters
+    ----------
+    endpoints, entry_hosts, services : int
+        Size of the region.
+    changes_per_minute : int
+        Operators' changes.
+    entry_bytes_per_s, agent_bytes_per_s : float
+        Sent and received by one entry host, and by one agent.
+    leader_bytes_per_s, follower_bytes_per_s : float
+        Sent and received by one control host.
+    leader_cpu_share : float
+        Of one processor core, for the leader's core.
+    subscriber_cpu_share : float
+        Of one processor core, for a subscriber.
+    state_memory_bytes : int
+        Memory of the state and the log of a control host.
+    """
+
+    endpoints: int
+    entry_hosts: int
+    services: int
+    changes_per_minute: int
+    entry_bytes_per_s: float
+    agent_bytes_per_s: float
+    leader_bytes_per_s: float
+    follower_bytes_per_s: float
+    leader_cpu_share: float
+    subscriber_cpu_share: float
+    state_memory_bytes: int
+
+
+class DaemonCost(Struct, frozen=True):
+    """What a real daemon costs on loopback, with 3 entry hosts and 10 agents.
+
+    Parameters
+    ----------
+    name : str
+        The process.
+    changes_per_minute : int
+        Operators' changes.
+    cpu_share : float
+        Of one processor core.
+    memory_bytes : int
+        Resident memory.
+    """
+
+    name: str
+    changes_per_minute: int
+    cpu_share: float
+    memory_bytes: int
+
+
+class ControlReport(Struct, frozen=True):
+    """Loads, and the slope of bytes a second for each endpoint added.
+
+    Parameters
+    ----------
+    loads : list of Load
+        One for each size, at rest and under changes.
+    daemons : list of DaemonCost
+        Real processes, at rest and under changes.
+    leader_bytes_per_endpoint : float
+        Bytes a second of the leader, for each endpoint.
+    agent_bytes_per_endpoint : float
+        Bytes a second of one agent, for each endpoint, under changes.
+    leader_cpu_per_endpoint : float
+        Share of a processor core of the leader, for each endpoint.
+    """
+
+    loads: list[Load]
+    daemons: list[DaemonCost]
+    leader_bytes_per_endpoint: float
+    agent_bytes_per_endpoint: float
+    leader_cpu_per_endpoint: float
+
+
+class Process:
+    """A subscriber alone in its process."""
+
+    def __init__(self, subscriber: Subscriber) -> None:
+        self.subscriber = subscriber
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Hand an event to the subscriber."""
+        if isinstance(event, Tick):
+            return self.subscriber.tick(now)
+        if isinstance(event, LinkMessage):
+            return self.subscriber.handle(event, now)
+        return []
+
+
+class Meter:
+    """Wraps a core: counts bytes in and out, and its processor time."""
+
+    def __init__(self, core: ControlCore | Process, bytes_of: Counter[str]) -> None:
+        self.core = core
+        self.seconds = 0.0
+        self._bytes_of = bytes_of
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.core, name)
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Hand an event to the core and measure."""
+        started = time.perf_counter()
+        effects = self.core.handle(event, now)
+        self.seconds += time.perf_counter() - started
+        return effects
+
+
+class MeteredNetwork(FakeNetwork):
+    """Counts the bytes of every message by sender and receiver."""
+
+    bytes_of: Counter[str] = Counter()
+
+    def _transmit(self, source: str, target: str | None, event: Event) -> None:
+        if isinstance(event, LinkMessage):
+            size = len(encode(event.message)) + FRAME_BYTES
+            self.bytes_of[source] += size
+            self.bytes_of[target or ""] += size
+        super()._transmit(source, target, event)
+
+
+class Site:
+    """A region with announced endpoints.
+
+    Parameters
+    ----------
+    endpoints : int
+        Agents.
+    """
+
+    def __init__(self, endpoints: int) -> None:
+        self.region = Region(
+            1, network=MeteredNetwork(1, tick_interval=TICK_INTERVAL_S)
+        )
+        self.network = self.region.network
+        self.bytes_of: Counter[str] = Counter()
+        self.network.bytes_of = self.bytes_of
+        self.services = max(1, endpoints // ENDPOINTS_PER_SERVICE)
+        self.entries = max(3, endpoints // ENDPOINTS_PER_ENTRY_HOST)
+        self.number = 0
+        items = [Profile("p", Kind.FEED), *(Zone(zone) for zone in "abc")]
+        for number in range(self.services):
+            items.append(Service(f"service-{number}", "p", "10.0.0.1", 1024 + number))
+        self.change(items)
+        for number in range(self.entries):
+            host = EntryHost(f"entry-{number}", 1, "a", "10.0.0.1", 5000)
+            self._add(host)
+        for number in range(endpoints):
+            service = f"service-{number % self.services}"
+            self._add(Member(f"agent-{number}", 1, service, "a", "10.0.0.1", 5000))
+        self.network.run(SETTLE_S)
+        self.meters = {}
+        for name in (*self.region.names, "entry-0", "agent-0"):
+            node = self.network.nodes[name]
+            node.core = self.meters[name] = Meter(node.core, self.bytes_of)
+
+    def change(self, items: list[Profile | Service | Zone]) -> None:
+        """Submit a change to the leader."""
+        self.number += 1
+        leader = self.region.find_leader()
+        change = Change(self.number, "bench", items, [])
+        self.network.inject(leader.name, LinkMessage("bench", change))
+
+    def measure(self, seconds: float, changes_per_minute: int) -> Load:
+        """Run for a time and return what it cost."""
+        self.bytes_of.clear()
+        for meter in self.meters.values():
+            meter.seconds = 0.0
+        until = self.network.now + seconds
+        pause = 60.0 / changes_per_minute if changes_per_minute else seconds
+        while self.network.now < until:
+            if changes_per_minute:
+                self.change([Profile("p", Kind.FEED, queue_length=self.number)])
+            self.network.run(pause)
+        leader = self.region.find_leader().name
+        follower = next(name for name in self.region.names if name != leader)
+        agents = [name for name in self.network.nodes if name.startswith("agent")]
+        entries = [name for name in self.network.nodes if name.startswith("entry")]
+        return Load(
+            len(agents),
+            len(entries),
+            self.services,
+            changes_per_minute,
+            self._mean(entries, seconds),
+            self._mean(agents, seconds),
+            round(self.bytes_of[leader] / seconds, 1),
+            round(self.bytes_of[follower] / seconds, 1),
+            round(self.meters[leader].seconds / seconds, 5),
+            round(self.meters["agent-0"].seconds / seconds, 6),
+            self._measure_memory(),
+        )
+
+    def _measure_memory(self) -> int:
+        """Return the memory of a copy of the leader's state and log."""
+        core = self.region.find_leader()
+        state = encode_state(core.state)
+        entries = encode(core.replica.log.entries)
+        tracemalloc.start()
+        copies = (decode_state(state), _decode_entries(entries))
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        del copies
+        return size
+
+    def _mean(self, names: list[str], seconds: float) -> float:
+        total = sum(self.bytes_of[name] for name in names)
+        return round(total / len(names) / seconds, 1)
+
+    def _add(self, announcement: Announcement) -> None:
+        identity = Identity(announcement.name, announcement.incarnation)
+        controls = self.region.names
+        subscriber = Subscriber(
+            identity, announcement, controls, Random(announcement.name)
+        )
+        self.network.add(announcement.name, Process(subscriber))
+
+
+def run(endpoints: tuple[int, ...] = ENDPOINTS) -> ControlReport:
+    """Run the measurement at each size."""
+    loads = []
+    for count in endpoints:
+        site = Site(count)
+        loads.append(site.measure(REST_S, 0))
+        loads.append(site.measure(BUSY_S, CHANGES_PER_MINUTE))
+    rest = [load for load in loads if not load.changes_per_minute]
+    busy = [load for load in loads if load.changes_per_minute]
+    return ControlReport(
+        loads,
+        asyncio.run(measure_daemons()),
+        _find_slope(rest, "leader_bytes_per_s"),
+        _find_slope(busy, "agent_bytes_per_s"),
+        _find_slope(rest, "leader_cpu_share"),
+    )
+
+
+async def measure_daemons() -> list[DaemonCost]:
+    """Measure real daemons, at rest and under changes."""
+    with tempfile.TemporaryDirectory() as folder:
+        bench = ConfigBench(Path(folder))
+        try:
+            await bench.start()
+            found = await _measure_processes(bench, 0)
+            return found + await _measure_processes(bench, CHANGES_PER_MINUTE)
+        finally:
+            await bench.stop()
+
+
+async def _measure_processes(
+    bench: ConfigBench, changes_per_minute: int
+) -> list[DaemonCost]:
+    names = ("control-0", "control-1", bench.names[0], bench.names[-1])
+    processes = {name: psutil.Process(bench.processes.get_pid(name)) for name in names}
+    before = {name: _read_cpu(process) for name, process in processes.items()}
+    started = time.monotonic()
+    while time.monotonic() - started < DAEMONS_S:
+        if changes_per_minute:
+            await bench.change()
+            await asyncio.sleep(60.0 / changes_per_minute)
+        else:
+            await asyncio.sleep(1.0)
+    seconds = time.monotonic() - started
+    costs = []
+    for name, process in processes.items():
+        share = (_read_cpu(process) - before[name]) / seconds
+        memory = process.memory_info().rss
+        costs.append(DaemonCost(name, changes_per_minute, round(share, 4), memory))
+    return costs
+
+
+def _read_cpu(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _find_slope(loads: list[Load], name: str) -> float:
+    first, last = loads[0], loads[-1]
+    rise = getattr(last, name) - getattr(first, name)
+    return round(rise / max(1, last.endpoints - first.endpoints), 6)
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -11,6 +11,7 @@
 
 from fulmarshore.bench import capacity as capacity_bench
 from fulmarshore.bench import config as config_bench
+from fulmarshore.bench import control as control_bench
 from fulmarshore.bench import timeline as timeline_bench
 
 
@@ -60,3 +61,10 @@
 def config(as_json: bool) -> None:
     """Measure how fast accepted configuration is in force, over real daemons."""
     show_report(config_bench.run(), as_json)
+
+
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def control(as_json: bool) -> None:
+    """Measure bytes, processor time and memory of control, by size."""
+    show_report(control_bench.run(), as_json)
--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -25,6 +25,7 @@
     Recovered,
     Store,
     Stored,
+    TimelineEvent,
 )
 from fulmarshore.daemons.process import Daemon, ProcessSettings, log
 from fulmarshore.membership.control import ControlCore
@@ -62,7 +63,8 @@
         self._disk: FileDisk | None = None
         self._server: LinkServer | None = None
         self._clients: LinkClient | None = None
-        self._failed = False
+        self._recovered: Recovered | None = None
+        self._notices: list[TimelineEvent] = []
 
     def prepare(self) -> FolderRefused | None:
         """Open the data folder and read the log file, before the links."""
@@ -70,7 +72,8 @@
         recovered = make_new_replica(settings.name)
         bootstrap = settings.bootstrap
         if settings.data_folder is None:
-            log.warn("no data folder: nothing survives this process")
+            detail = "nothing survives this process"
+            self._notices.append(TimelineEvent("no_data_folder", detail=detail))
             bootstrap = True
         else:
             self._folder = DataFolder(settings.data_folder, settings.name)
@@ -86,6 +89,8 @@
     def open(self) -> None:
         """Open the links and start the disk."""
         loop = asyncio.get_running_loop()
+        for notice in self._notices:
+            self.note(notice)
         if self._folder is not None:
 
             def done(sequence: int) -> None:
@@ -155,19 +160,16 @@
         outcome = self._folder.read()
         if isinstance(outcome, DamagedFile):
             suffix = self._folder.put_aside()
-            log.error(
-                "{} damaged at byte {}: {}; put aside as {}.{}, "
-                "this host comes back as a new replica",
-                outcome.file,
-                outcome.offset,
-                outcome.detail,
-                outcome.file,
-                suffix,
+            detail = (
+                f"{outcome.file} at byte {outcome.offset}: {outcome.detail}; put aside "
+                f"as {outcome.file}.{suffix}, this host comes back as a new replica"
             )
+            self._notices.append(TimelineEvent("log_damaged", detail=detail))
             self.counters["log_damaged"] += 1
             return make_new_replica(self.settings.name)
         if outcome.cut:
-            log.warn("{} unsynced bytes of the log were cut off", outcome.cut)
+            detail = f"{outcome.cut} unsynced bytes"
+            self._notices.append(TimelineEvent("log_tail_cut", detail=detail))
             self.counters["log_tail_cut"] += 1
         return outcome
 
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -301,7 +301,7 @@
             return [self._refuse(held.origin, held.change)]
         self.counters[f"changes_{reply.status}"] += 1
         effects: list[Effect] = [held.origin.answer(reply)]
-        if reply.status == ChangeStatus.ACCEPTED:
+        if reply.status == ChangeStatus.ACCEPTED and reply.version == entry.index:
             change = held.change
             detail = f"number {change.number} by {change.operator}"
             effects.append(
--- a/fulmarshore/membership/replicas.py
+++ b/fulmarshore/membership/replicas.py
@@ -7,8 +7,12 @@
 
 
 def describe_replicas(replica: Replica, now: float) -> list[ReplicaStatus]:
-    """Return the voters and learners; without the lead, only who votes."""
-    voters = replica.current_voters
+    """Return the voters and learners; without the lead, only who votes.
+
+    A new disk is told as a voter only once that is committed: until then the
+    group does not bear the loss of another host.
+    """
+    voters = replica.find_voters(replica.commit).replicas
     if not replica.is_leader:
         found = [ReplicaStatus(voter, "voter", 0, -1.0) for voter in voters]
         if replica.identity not in voters:
--- a/fulmarshore/standins/processes.py
+++ b/fulmarshore/standins/processes.py
@@ -72,6 +72,10 @@
         """Send a signal to a daemon."""
         self._running[name].send_signal(number)
 
+    def get_pid(self, name: str) -> int:
+        """Return the process number of a daemon."""
+        return self._running[name].pid
+
     async def wait(self, name: str) -> int:
         """Wait for a daemon's end and return its exit code."""
         return await self._running.pop(name).wait()
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -120,6 +120,8 @@
         Entries between two snapshots.
     running : int or None
         So many hosts start at first; None starts all and waits for them.
+    network : FakeNetwork or None
+        Where the hosts are; None makes one.
     """
 
     def __init__(
@@ -129,9 +131,10 @@
         faults: Faults | None = None,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         running: int | None = None,
+        network: FakeNetwork | None = None,
     ) -> None:
         self.snapshot_entries = snapshot_entries
-        self.network = FakeNetwork(seed, faults, TICK_INTERVAL_S)
+        self.network = network or FakeNetwork(seed, faults, TICK_INTERVAL_S)
         self.random = Random(seed)
         self.names = [f"c{number}" for number in range(hosts)]
         self.disks = {name: FakeDisk(name, self.random) for name in self.names}
