--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 
+from fulmarshore.admission.refusals import refuse_request
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_flow, hash_request
 from fulmarshore.core.phases import find_phase
@@ -79,6 +80,11 @@
         self._hint_count = 0
         self._stopping_at = float("inf")
 
+    @property
+    def hint_count(self) -> int:
+        """Number of flows whose owner is remembered."""
+        return self._hint_count
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event and return what is to be done."""
         match event:
@@ -117,7 +123,8 @@
         flow = hash_request(request.service, request.caller, request.number)
         hint = self._make_hint(service, flow)
         if hint is None:
-            return self._drop(Reason.NO_UPSTREAM)
+            self.counters[f"dropped_{Reason.NO_UPSTREAM}"] += 1
+            return [refuse_request(request, event.source)]
         return [self._send(service, hint, Phase.OPENING, event)]
 
     def _send(
--- a/fulmarshore/routing/homes.py
+++ b/fulmarshore/routing/homes.py
@@ -80,6 +80,8 @@
         "settled",
         "awaited",
         "promises",
+        "promised_version",
+        "is_fenced",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -92,6 +94,8 @@
         self.settled: dict[int, int] = {}
         self.awaited: dict[int, set[str]] = {}
         self.promises: dict[int, Promise] = {}
+        self.promised_version = 0
+        self.is_fenced = False
 
     def follow(self, service: ServiceTable | None, version: int) -> list[int]:
         """Take in a newer table; asks under older versions start again.
@@ -109,7 +113,7 @@
             return []
         self._members = {}
         self.awaited = {}
-        if not self._is_member(service):
+        if self.is_fenced or not self._is_member(service):
             self.settled = {}
             return []
         self._members = {m.name: m for m in service.members if m.name != self._name}
@@ -121,6 +125,19 @@
         self.settled = {}
         self._service = None
 
+    def set_fenced(self, is_fenced: bool) -> list[int]:
+        """Stop arbitrating, or ask the peers to begin again.
+
+        Returns
+        -------
+        awaited : list of int
+            Buckets about which the peers are going to be asked.
+        """
+        service = self._service
+        self.is_fenced = is_fenced
+        self.unsettle()
+        return self.follow(service, self._version)
+
     def is_awaited(self, bucket: int) -> bool:
         """Return whether the bucket is this agent's, once it has settled."""
         return bucket in self.awaited
@@ -176,6 +193,7 @@
             self.promises[bucket] = Promise(
                 ask.version, ask.agent, ask.incarnation, source, was_home, now
             )
+            self.promised_version = max(self.promised_version, ask.version)
             given.append(bucket)
             if was_home:
                 complete.append(bucket)
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -73,6 +73,10 @@
         Bounds of the delay of a message, in seconds.
     max_disk_delay : float
         Bound of the time that a disk takes to sync, in seconds.
+    late : float
+        Share of messages of which one more copy comes much later.
+    max_late : float
+        Bound of the delay of such a copy, in seconds.
     """
 
     loss: float = 0.0
@@ -80,6 +84,8 @@
     min_delay: float = 0.0005
     max_delay: float = 0.002
     max_disk_delay: float = 0.004
+    late: float = 0.0
+    max_late: float = 0.0
 
 
 Observe = Callable[["Node", Effect, float], None]
@@ -101,6 +107,12 @@
         self.disk: FakeDisk | None = None
 
 
+class Addressed(Struct, frozen=True):
+    """A datagram goes to whoever has the address when it arrives."""
+
+    address: Address
+
+
 class SyncDue(Struct, frozen=True):
     """The oldest write of a node's disk is due to be synced."""
 
@@ -133,7 +145,7 @@
         self._by_address: dict[Address, str] = {}
         self._cut: set[tuple[str, str]] = set()
         self._muted: set[tuple[str, str]] = set()
-        self._queue: list[tuple[float, int, Node, Event | SyncDue]] = []
+        self._queue: list[tuple[float, int, Node | Addressed, Event | SyncDue]] = []
         self._sequence = 0
 
     def add(
@@ -186,11 +198,30 @@
         """Hand an event to a core now."""
         self._deliver(self.nodes[name], event)
 
+    def draw_delays(self) -> list[float]:
+        """Return the delay of each copy of a message, none if it is lost."""
+        faults = self.faults
+        delays = []
+        copies = 1 + (self.random.random() < faults.duplication)
+        for _ in range(copies):
+            if self.random.random() < faults.loss:
+                continue
+            delays.append(self.random.uniform(faults.min_delay, faults.max_delay))
+        if faults.late and self.random.random() < faults.late:
+            delays.append(self.random.uniform(0.0, faults.max_late))
+        return delays
+
+    def schedule(self, delay: float, name: str, event: Event) -> None:
+        """Hand an event to a core after a delay."""
+        self._push(self.now + delay, self.nodes[name], event)
+
     def run(self, seconds: float) -> None:
         """Run for a time."""
         until = self.now + seconds
         while self._queue and self._queue[0][0] <= until:
             self.now, _, node, event = heapq.heappop(self._queue)
+            if isinstance(node, Addressed):
+                node = self.nodes[self._by_address[node.address]]
             if not node.running or self.nodes.get(node.name) is not node:
                 continue
             if isinstance(event, SyncDue):
@@ -230,13 +261,12 @@
             return
         if self._muted and self._is_muted(source, target, event):
             return
-        faults = self.faults
-        copies = 1 + (self.random.random() < faults.duplication)
-        for _ in range(copies):
-            if self.random.random() < faults.loss:
-                continue
-            delay = self.random.uniform(faults.min_delay, faults.max_delay)
-            self._push(self.now + delay, self.nodes[target], event)
+        node = self.nodes[target]
+        for delay in self.draw_delays():
+            if isinstance(event, PeerMessage):
+                self._push(self.now + delay, Addressed(node.address), event)
+            else:
+                self._push(self.now + delay, node, event)
 
     def _is_muted(self, source: str, target: str, event: Event) -> bool:
         """Whether a message takes a link that went silent.
@@ -249,6 +279,6 @@
             return (target, source) in self._muted
         return (source, target) in self._muted
 
-    def _push(self, at: float, node: Node, event: Event | SyncDue) -> None:
+    def _push(self, at: float, node: Node | Addressed, event: Event | SyncDue) -> None:
         self._sequence += 1
         heapq.heappush(self._queue, (at, self._sequence, node, event))
