--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -15,6 +15,8 @@
 from fulmarshore.core.records import (
     JoinReply,
     JoinRequest,
+    LogEntry,
+    Noop,
     ReplicaId,
     SendLink,
     Snapshot,
@@ -31,6 +33,29 @@
 REPLACED_SILENCE_S = 1.5
 """A disk that was heard of within this time is not replaced by a new one."""
 LEARNER_SILENCE_S = 10.0
+RECOVERY_ENTRIES = 10_000
+"""Entries by which a recovered group is ahead of its former self."""
+
+
+def recover_alone(replica: Replica) -> None:
+    """Make the only disk that is left the only voter of a new group.
+
+    For an operator, once a majority of the disks is lost for good. All
+    entries of this disk count as accepted from now on. Its versions go on
+    above what the lost disks may have handed out.
+    """
+    replica.group = f"{replica.random.getrandbits(64):016x}"
+    replica.term += 1
+    replica.vote = None
+    for _ in range(RECOVERY_ENTRIES):
+        _append(replica, Noop())
+    _append(replica, Voters([replica.identity]))
+    replica.rewrite()
+    replica.note("group_recovered", detail=replica.group)
+
+
+def _append(replica: Replica, command: Noop | Voters) -> None:
+    replica.append(LogEntry(replica.log.last_index + 1, replica.term, command))
 
 
 def tick(replica: Replica, now: float) -> None:
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -96,6 +96,11 @@
     is_flag=True,
     help="First start of a region: begin a group if no peer has one.",
 )
+@click.option(
+    "--recover",
+    metavar="GROUP",
+    help="A majority of this group is lost for good: go on alone with this disk.",
+)
 def control(peers: tuple[Peer, ...], **settings: Any) -> None:
     """Run a control host."""
     addresses = {peer.name: peer.address for peer in peers}
--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -14,6 +14,7 @@
 )
 from fulmarshore.adapters.links import LinkClient, LinkServer
 from fulmarshore.adapters.metrics import Gauges
+from fulmarshore.agreement.joining import recover_alone
 from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
     Address,
@@ -44,12 +45,16 @@
         Where the log file lives; None keeps nothing, for a trial alone.
     bootstrap : bool
         Start the group if no peer belongs to one: for the first start.
+    recover : str or None
+        The group that lost a majority for good: go on alone with this disk.
+        Ignored by a disk of another group, so also once it has been done.
     """
 
     listen: Address
     peers: dict[str, Address] = {}
     data_folder: Path | None = None
     bootstrap: bool = False
+    recover: str | None = None
 
 
 class ControlDaemon(Daemon):
@@ -82,6 +87,9 @@
                 return refused
             recovered = self._recover()
         replica = Replica(recovered, list(settings.peers), self.random, bootstrap)
+        self._notices.append(describe_log(replica))
+        if settings.recover is not None and settings.recover == replica.group:
+            recover_alone(replica)
         self.core = ControlCore(settings.name, replica)
         self._recovered = recovered
         return None
@@ -178,3 +186,12 @@
         log.error("disk of {} failed: {}", self.settings.name, error)
         self.exit_code = 1
         self._done.set()
+
+
+def describe_log(replica: Replica) -> TimelineEvent:
+    """Return the event that tells which log a control host starts with."""
+    detail = (
+        f"group {replica.group or 'none'}, disk {replica.identity.disk}, "
+        f"term {replica.log.last_term}, entries up to {replica.log.last_index}"
+    )
+    return TimelineEvent("log_opened", detail=detail)
--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -284,6 +284,41 @@
         reply = self.submit(region, 1, [Zone("a", True)])
         self.assertEqual(reply.status, ChangeStatus.ACCEPTED)
 
+    def test_new_process_takes_nothing_from_a_control_host_that_is_cut_off(self):
+        region = self.make_region(count=0)
+        self.submit(region, 1, [Zone("a")])
+        leader = region.find_leader().name
+        cut = next(name for name in region.names if name != leader)
+        region.isolate(cut)
+        self.submit(region, 2, [Zone("a", True)], leader)
+        stale = self.add_process(region, "m0", controls=[cut])
+        moving = self.add_process(region, "m1", controls=[cut, leader])
+        region.network.run(4.0)
+        self.assertEqual(stale.view.version, 0)
+        self.assertTrue(moving.view.items[("Zone", "a")].item.out)
+
+    def test_group_goes_on_from_one_disk_after_a_lost_majority(self):
+        region = self.make_region(count=2)
+        first = self.submit(region, 1, [Zone("a", True)])
+        region.network.run(0.5)
+        versions = self.list_versions(region, ["m0", "m1"])
+        for name in region.names:
+            region.crash(name)
+        for name in region.names[1:]:
+            region.disks[name].wipe()
+        region.start("c0", recover=True)
+        for name in region.names[1:]:
+            region.start(name)
+        self.assertTrue(region.run_until(region.is_whole))
+        self.assertEqual(self.submit(region, 1, [Zone("a", True)]), first)
+        second = self.submit(region, 2, [Zone("a", False)])
+        region.network.run(2.0)
+        for name, before in zip(("m0", "m1"), versions, strict=True):
+            after = region.network.nodes[name].core.subscriber.view
+            self.assertGreaterEqual(after.version, second.version)
+            self.assertGreater(after.version, before)
+            self.assertFalse(after.items[("Zone", "a")].item.out)
+
     def test_status_tells_leader_term_commit_and_replicas(self):
         region = self.make_region()
         leader = region.find_leader()
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -23,6 +23,8 @@
 from fulmarshore.membership.view import View, apply_delta
 
 HEARTBEAT_INTERVAL_S = 0.5
+CONFIRM_INTERVAL_S = 0.15
+"""Interval of the heartbeats of a process that has just started."""
 SILENCE_TIMEOUT_S = 1.5
 """A control host that says nothing, or nothing fresh, for this long is left."""
 
@@ -63,6 +65,8 @@
         self._sent_at = float("-inf")
         self._subscribed = False
         self._revision = 0
+        self._is_confirmed = False
+        self._unconfirmed: Delta | None = None
 
     @property
     def control(self) -> str:
@@ -87,7 +91,10 @@
             self._fresh_at = now
         if now - self._fresh_at > SILENCE_TIMEOUT_S:
             effects += self._move(now)
-        if now - self._sent_at < HEARTBEAT_INTERVAL_S:
+        interval = HEARTBEAT_INTERVAL_S
+        if not self._is_confirmed:
+            interval = CONFIRM_INTERVAL_S
+        if now - self._sent_at < interval:
             return effects
         self._sent_at = now
         if not self._subscribed:
@@ -100,6 +107,8 @@
     def handle(self, event: LinkMessage, now: float) -> list[Effect]:
         """Take a message from a control host."""
         match event.message:
+            case Delta() as delta if not self._is_confirmed:
+                return self._keep(delta)
             case Delta() as delta:
                 return self.apply(delta, event.peer)
             case HeartbeatReply() as reply:
@@ -123,19 +132,43 @@
 
     def _take_reply(self, peer: str, reply: HeartbeatReply, now: float) -> list[Effect]:
         stamp = (reply.freshness.term, reply.freshness.stamp)
+        effects: list[Effect] = []
         if stamp > (self._freshness.term, self._freshness.stamp):
+            effects = self._confirm(peer)
             self._freshness = reply.freshness
             self._fresh_at = now
             if reply.known:
                 self.lease_renewed = now
         if peer != self.control:
-            return []
+            return effects
         if reply.known:
             self._subscribed = True
-        if not reply.known or reply.version > self.view.version:
-            return [self._subscribe()]
+        version = self.view.version
+        if self._unconfirmed is not None:
+            version = max(version, self._unconfirmed.version)
+        if not reply.known or reply.version > version:
+            effects.append(self._subscribe())
+        return effects
+
+    def _keep(self, delta: Delta) -> list[Effect]:
+        """Keep the first snapshot until control is seen to be fresh.
+
+        A process that has just started knows no stamp to compare with, so
+        that a control host that is cut off could hand it what its former
+        self had long left behind.
+        """
+        if self._unconfirmed is None or delta.since == 0:
+            self._unconfirmed = delta
         return []
 
+    def _confirm(self, peer: str) -> list[Effect]:
+        """Take the first snapshot once the stamp was seen to be renewed."""
+        if self._is_confirmed or self._freshness == Freshness(0, 0):
+            return []
+        self._is_confirmed = True
+        kept, self._unconfirmed = self._unconfirmed, None
+        return self.apply(kept, peer) if kept is not None else []
+
     def _subscribe(self) -> SendLink:
         message = Subscribe(
             self.identity, self.announcement, self.view.version, self._revision
@@ -147,6 +180,9 @@
         step = 1 if len(self._controls) <= 2 else self._random.choice((1, 2))
         self._current = (self._current + step) % len(self._controls)
         self._subscribed = False
+        if not self._is_confirmed:
+            self._freshness = Freshness(0, 0)
+            self._unconfirmed = None
         self._fresh_at = now
         self._sent_at = float("-inf")
         self.counters["control_moves"] += 1
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from fulmarshore.agreement.joining import recover_alone
 from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
     Change,
@@ -165,7 +166,9 @@
         states = [self.get(name).state for name in self.names]
         return all(state.index == states[0].index for state in states)
 
-    def start(self, name: str, bootstrap: bool = False) -> Recovered | DamagedFile:
+    def start(
+        self, name: str, bootstrap: bool = False, recover: bool = False
+    ) -> Recovered | DamagedFile:
         """Start a host on its disk, as the daemon does."""
         disk = self.disks[name]
         outcome = self._make_new(name) if disk.is_empty else disk.read()
@@ -175,6 +178,8 @@
             recovered = self._make_new(name)
         peers = [peer for peer in self.names if peer != name]
         replica = Replica(recovered, peers, self.random, bootstrap)
+        if recover:
+            recover_alone(replica)
         replica.chunk_bytes = CHUNK_BYTES
         core = ControlCore(name, replica, self.snapshot_entries)
         self.network.add(name, core, disk=disk)
