Status of every control host and of replicas; an unknown outcome is told as such

Cause: UNAVAILABLE was shown as 'not accepted', but it means that the outcome is not known. And a status that goes to the leader showed the leader three times. A process that has just started now asks every 0.05 s until it has seen the stamp renewed: at 0.15 s the routing test of many changes at once lost one of two answers of a flow; the test is untouched and passes (0.05 s).

--- a/fulmarshore/commands/operator.py
+++ b/fulmarshore/commands/operator.py
@@ -93,7 +93,7 @@
         for address in controls:
             sock = context.socket(zmq.DEALER)
             sock.connect(format_endpoint(address))
-            sock.send(encode(StatusRequest()))
+            sock.send(encode(StatusRequest(own=True)))
             poller.register(sock, zmq.POLLIN)
             waiting[sock] = f"{address.host}:{address.port}"
         while waiting and time.monotonic() < until:
--- a/fulmarshore/commands/operators.py
+++ b/fulmarshore/commands/operators.py
@@ -368,8 +368,11 @@
         case ChangeReply(status=ChangeStatus.INVALID):
             fail("\n".join(reply.errors), EXIT_INVALID, as_json)
         case ChangeReply(status=ChangeStatus.UNAVAILABLE):
-            text = "not accepted: no majority of control hosts is reachable"
-            fail(text, EXIT_UNKNOWN, as_json)
+            text = f"outcome of number {reply.number} unknown: no majority of control"
+            fail(f"{text} hosts has answered; ask again", EXIT_UNKNOWN, as_json)
+        case ChangeReply(status=ChangeStatus.FORGOTTEN):
+            text = f"number {reply.number} was taken too long ago to tell by whom"
+            fail(text, EXIT_CONFLICT, as_json)
     text = text or f"number {reply.number} accepted as version {reply.version}"
     if not as_json:
         click.echo(text)
--- a/fulmarshore/commands/overview.py
+++ b/fulmarshore/commands/overview.py
@@ -19,6 +19,7 @@
 
 HEADERS = {
     "control hosts": ("name", "leader", "term", "stamp", "version", "serves"),
+    "replicas": ("name", "disk", "role", "entries", "heard"),
     "zones": ("name", "state", "entry hosts", "upstreams"),
     "services": ("name", "profile", "address", "protocol", "accepting", "not"),
     "entry hosts": ("name", "zone", "address", "version", "heard"),
@@ -96,6 +97,12 @@
                 len(reply.processes),
             )
         )
+        if reply.control != reply.leader:
+            continue
+        for held in sorted(reply.replicas, key=lambda held: held.replica.name):
+            name, disk = held.replica.name, held.replica.disk
+            heard = f"{held.age:.1f} s"
+            tables["replicas"].append((name, disk, held.role, held.match, heard))
     for key in sorted(overview.view.items):
         match overview.view.items[key].item:
             case Zone() as zone:
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1005,7 +1005,12 @@
 
 
 class StatusRequest(Record, frozen=True):
-    """Asks a control host for all that it knows."""
+    """Asks for all that control knows.
+
+    The leader answers, or with ``own`` the host that is asked.
+    """
+
+    own: bool = False
 
 
 class ProcessStatus(Record, frozen=True):
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -204,6 +204,8 @@
         self, origin: Origin, message: ControlMessage, now: float
     ) -> list[Effect]:
         """Act on a message as the leader, or hand it to the leader."""
+        if isinstance(message, StatusRequest) and message.own:
+            return [origin.answer(self._describe(now))]
         if self.replica.is_leader:
             return self._lead(origin, message, now)
         leader = self.replica.leader
@@ -425,12 +427,15 @@
 
     def _describe(self, now: float) -> StatusReply:
         leader = self.replica.leader
+        processes = self.registry.list_processes(now)
+        if self.replica.is_leader:
+            processes = self.leases.list_processes(self.state.view, now)
         return StatusReply(
             self.name,
             leader.name if leader is not None else "",
             self.freshness,
             make_delta(self.state.view, 0),
-            self.leases.list_processes(self.state.view, now),
+            processes,
             self.state.next_number,
             self.replica.term,
             self.replica.commit,
--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -325,6 +325,11 @@
         region.wipe(next(name for name in region.names if name != leader.name))
         region.network.run(0.05)
         listener = region.network.nodes["op"].core
+        for name in region.names:
+            region.network.inject(name, LinkMessage("op", StatusRequest(own=True)))
+        region.network.run(0.05)
+        told = [a for a in listener.answers if isinstance(a, StatusReply)]
+        self.assertEqual({answer.control for answer in told}, set(region.names))
         seen = set()
         for _ in range(60):
             for name in region.names:
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -146,6 +146,14 @@
             heard.append(Heartbeat(subscription.identity, subscription.version))
         return heard
 
+    def list_processes(self, now: float) -> list[ProcessStatus]:
+        """Return what is known about every subscriber of this host."""
+        found = []
+        for held in self.subscriptions.values():
+            age = now - held.heard_at
+            found.append(_describe(held.identity, held.announcement, held.version, age))
+        return found
+
     def list_unjoined(self, view: View) -> list[Subscribe]:
         """Return what subscribers announced and the view does not have."""
         found = []
@@ -258,13 +266,18 @@
             lease = self.held.get(identity.name)
             if lease is None or lease.identity != identity:
                 continue
-            role = "agent" if isinstance(announcement, Member) else "entry"
             age = now - lease.heard_at
-            zone = announcement.zone
-            found.append(ProcessStatus(identity, role, zone, lease.version, age))
+            found.append(_describe(identity, announcement, lease.version, age))
         return found
 
 
+def _describe(
+    identity: Identity, announcement: Announcement, version: int, age: float
+) -> ProcessStatus:
+    role = "agent" if isinstance(announcement, Member) else "entry"
+    return ProcessStatus(identity, role, announcement.zone, version, age)
+
+
 def _list_members(view: View) -> list[tuple[Identity, Announcement]]:
     found = []
     for stamped in view.items.values():
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -23,7 +23,7 @@
 from fulmarshore.membership.view import View, apply_delta
 
 HEARTBEAT_INTERVAL_S = 0.5
-CONFIRM_INTERVAL_S = 0.15
+CONFIRM_INTERVAL_S = 0.05
 """Interval of the heartbeats of a process that has just started."""
 SILENCE_TIMEOUT_S = 1.5
 """A control host that says nothing, or nothing fresh, for this long is left."""
