--- a/fulmarshore/core/codec.py
+++ b/fulmarshore/core/codec.py
@@ -7,15 +7,19 @@
 import msgspec
 
 from fulmarshore.core.records import (
+    Answer,
     Command,
     ControlMessage,
     DataMessage,
+    Forward,
     Malformed,
     RequestMessage,
 )
 
 MAX_DATAGRAM_BYTES = 65_507
 MAX_LINK_FRAME_BYTES = 16 * 1024 * 1024
+PREPARED_LENGTHS = 2048
+"""Payloads shorter than this are joined to a head without the encoder."""
 
 _encoder = msgspec.msgpack.Encoder()
 encode = _encoder.encode
@@ -26,6 +30,24 @@
 _command_decoder = msgspec.msgpack.Decoder(Command)
 
 
+def encode_length(size: int) -> bytes:
+    """Return what the codec puts in front of that many bytes."""
+    return encode(bytes(size))[: -size or None]
+
+
+LENGTHS = tuple(encode_length(size) for size in range(PREPARED_LENGTHS))
+
+
+def encode_head(message: Forward | Answer) -> bytes:
+    """Encode a message without its payload, its last field.
+
+    The head, the entry of ``LENGTHS`` for a payload and the payload, joined,
+    are the encoded message with that payload.
+    """
+    assert not message.payload, "the payload comes later"
+    return encode(message).removesuffix(LENGTHS[0])
+
+
 def decode_data(frame: bytes, peer: str) -> DataMessage | Malformed:
     """Decode a datagram of the data path.
 
@@ -41,7 +63,12 @@
     message : DataMessage or Malformed
         The message, or what is wrong with the frame.
     """
-    return _decode(_data_decoder, frame, MAX_DATAGRAM_BYTES, "decode_data", peer)
+    if len(frame) > MAX_DATAGRAM_BYTES:
+        return Malformed("decode_data", peer, f"{len(frame)} bytes")
+    try:
+        return _data_decoder.decode(frame)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return Malformed("decode_data", peer, str(error))
 
 
 def decode_control(frame: bytes, peer: str) -> ControlMessage | Malformed:
