--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -130,8 +130,11 @@
 
     @property
     def freshness(self) -> Freshness:
-        """The stamp that this host hands on."""
-        return self.replica.freshness
+        """The stamp that this host hands on; none before enough disks vote.
+
+        A host that started a group of its own by mistake is never fresh.
+        """
+        return self.replica.freshness if self.is_ready else Freshness(0, 0)
 
     @property
     def is_ready(self) -> bool:
--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -272,6 +272,7 @@
 
     def test_first_host_alone_accepts_nothing(self):
         region = Region(1, running=1)
+        subscriber = self.add_process(region, "m0")
         region.network.add("op", Listener())
         change = Change(1, "op", [Zone("a", True)], [])
         for _ in range(4):
@@ -279,6 +280,7 @@
             region.network.run(0.5)
         told = {answer.status for answer in region.network.nodes["op"].core.answers}
         self.assertEqual(told, {ChangeStatus.UNAVAILABLE})
+        self.assertEqual(subscriber.lease_renewed, float("-inf"), "never fresh")
         region.start("c1")
         region.network.run(2.0)
         reply = self.submit(region, 1, [Zone("a", True)])
