--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -46,6 +46,7 @@
 )
 from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
 from fulmarshore.daemons.entry import EntryDaemon, EntrySettings
+from fulmarshore.standins.control import list_renewals
 
 PAYLOAD = bytes(200)
 NOWHERE = Address(LOOPBACK, 1)
@@ -120,6 +121,8 @@
     def open(self) -> None:
         """Open the sockets, put the view in force and say where they are."""
         super().open()
+        for event in list_renewals("bench"):
+            self.dispatch(event)
         self.dispatch(LinkMessage("bench", make_snapshot(self._items)))
         self._pipe.send(self.core.subscriber.announcement)
         self._loop_answers()
@@ -146,6 +149,8 @@
         """Open the sockets, put the view in force and say where they are."""
         super().open()
         items = [*self._items, self.core.member]
+        for event in list_renewals("bench"):
+            self.dispatch(event)
         self.dispatch(LinkMessage("bench", make_snapshot(items)))
         self._pipe.send(self.core.member)
 
--- a/fulmarshore/routing/entry_test.py
+++ b/fulmarshore/routing/entry_test.py
@@ -35,6 +35,7 @@
 from fulmarshore.routing.agent import AgentCore
 from fulmarshore.routing.entry import ROTATION_INTERVAL_S, EntryCore
 from fulmarshore.routing.flows import Flow
+from fulmarshore.standins.control import list_renewals
 
 VERSION = 5
 AGENT = Address("127.0.0.1", 7001)
@@ -58,7 +59,8 @@
     host = EntryHost("e", 1, "a", "127.0.0.1", 7000)
     subscriber = Subscriber(Identity("e", 1), host, ["c"], Random(1))
     core = EntryCore(subscriber, max_hints)
-    core.handle(LinkMessage("c", make_view(VERSION, ITEMS)), 0.0)
+    for event in (*list_renewals("c"), LinkMessage("c", make_view(VERSION, ITEMS))):
+        core.handle(event, 0.0)
     return core
 
 
@@ -66,7 +68,8 @@
     member = Member("m", 2, "s", "a", *AGENT)
     subscriber = Subscriber(Identity("m", 2), member, ["c"], Random(1))
     core = AgentCore(subscriber)
-    core.handle(LinkMessage("c", make_view(VERSION, ITEMS)), 0.0)
+    for event in (*list_renewals("c"), LinkMessage("c", make_view(VERSION, ITEMS))):
+        core.handle(event, 0.0)
     return core
 
 
