An address belongs to the newest process; tests of the real disk

Cause: after a crash and the reuse of its address by another service, the former member stayed until its lease ran out. The newer incarnation at an address now ends the older one at once, and a late copy of the older one changes nothing.

--- /dev/null
+++ b/fulmarshore/adapters/disk_test.py
@@ -0,0 +1,93 @@
+import threading
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from fulmarshore.adapters.disk import DataFolder, FileDisk
+from fulmarshore.core.records import (
+    DamagedFile,
+    FileHeader,
+    LogBase,
+    LogEntry,
+    Noop,
+    Recovered,
+    Store,
+    TermVote,
+)
+
+WAIT_TIMEOUT_S = 10.0
+
+
+class DiskTest(TestCase):
+    def setUp(self):
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "data"
+        self.folder = DataFolder(self.path, "c0")
+        self.assertIsNone(self.folder.open())
+        self.addCleanup(self.folder.close)
+        self.errors = []
+        self.sequence = 0
+
+    def write(self, *writes):
+        """Write, wait until all is synced, and return the newest sequence."""
+        recovered = self.folder.read()
+        done = threading.Event()
+        last = self.sequence + len(writes)
+
+        def take(sequence):
+            if sequence == last:
+                done.set()
+
+        def fail(error):
+            self.errors.append(error)
+            done.set()
+
+        disk = FileDisk(self.path, recovered, take, fail)
+        for records, replace in writes:
+            self.sequence += 1
+            disk.submit(Store(self.sequence, records, replace))
+        self.assertTrue(done.wait(WAIT_TIMEOUT_S))
+        disk.close()
+        return recovered
+
+    def start(self, generation=1):
+        replica = self.folder.read().replica
+        header = FileHeader(replica, generation)
+        return [header, TermVote("g", 1, None), LogBase(0, 0)]
+
+    def test_records_come_back_after_each_start(self):
+        new = self.write((self.start(), True), ([LogEntry(1, 1, Noop())], False))
+        self.write(([LogEntry(2, 1, Noop())], False), ([LogEntry(3, 1, Noop())], False))
+        held = self.folder.read()
+        self.assertIsInstance(held, Recovered)
+        self.assertNotEqual(held.replica, new.replica, "each new disk has its own")
+        self.assertEqual([entry.index for entry in held.entries], [1, 2, 3])
+        self.write((self.start(2), True), ([LogEntry(1, 2, Noop())], False))
+        held = self.folder.read()
+        self.assertEqual((held.generation, len(held.entries)), (2, 1))
+        self.write(([LogEntry(2, 2, Noop())], False))
+        self.assertEqual(len(self.folder.read().entries), 2)
+
+    def test_torn_tail_is_cut_and_damage_is_told(self):
+        self.write((self.start(), True), ([LogEntry(1, 1, Noop())], False))
+        log = self.path / "log"
+        whole = log.read_bytes()
+        log.write_bytes(whole + b"torn")
+        self.assertEqual(self.folder.read().cut, 4)
+        self.assertEqual(log.read_bytes(), whole)
+        log.write_bytes(whole[:-1])
+        self.assertIsInstance(self.folder.read(), DamagedFile)
+        self.folder.put_aside()
+        self.assertEqual(self.folder.read().generation, 0)
+        self.assertEqual(len(list(self.path.glob("*.damaged-*"))), 2)
+
+    def test_failed_write_is_told_and_nothing_follows(self):
+        (self.path / "log.new").mkdir()
+        self.write((self.start(), True))
+        self.assertEqual(len(self.errors), 1)
+        self.assertFalse((self.path / "log").exists())
+
+    def test_folder_is_locked(self):
+        other = DataFolder(self.path, "c0")
+        self.assertEqual(other.open().detail, "another process uses it")
--- a/fulmarshore/agreement/state.py
+++ b/fulmarshore/agreement/state.py
@@ -183,10 +183,18 @@
     lives = dict(state.lives)
     items: dict[Key, Member | EntryHost] = {}
     gone: dict[Key, Removed] = {}
+    holders = _list_holders(state.view)
     for command in commands:
         match command:
             case Join():
-                _join(lives, items, gone, command)
+                former = _find_former(holders, command.announcement)
+                if former is not None and _is_older(command.announcement, former):
+                    continue
+                if not _join(lives, items, gone, command):
+                    continue
+                if former is not None:
+                    _take_address(state, lives, items, gone, former)
+                _hold_address(holders, command.announcement)
             case Expire():
                 _expire(state, lives, items, gone, command)
     changed = []
@@ -206,12 +214,60 @@
     return replace(state, view=change_view(state.view, state.index, changed, removed))
 
 
+def _list_holders(view: View) -> dict[tuple[str, int], Member | EntryHost]:
+    """Return who announced which data address."""
+    holders: dict[tuple[str, int], Member | EntryHost] = {}
+    for stamped in view.items.values():
+        if isinstance(stamped.item, Member | EntryHost):
+            _hold_address(holders, stamped.item)
+    return holders
+
+
+def _hold_address(
+    holders: dict[tuple[str, int], Member | EntryHost],
+    announcement: Member | EntryHost,
+) -> None:
+    holders[announcement.host, announcement.port] = announcement
+
+
+def _find_former(
+    holders: dict[tuple[str, int], Member | EntryHost],
+    announcement: Member | EntryHost,
+) -> Member | EntryHost | None:
+    """Return the process of another name that had the address before."""
+    held = holders.get((announcement.host, announcement.port))
+    if held is None or get_key(held) == get_key(announcement):
+        return None
+    return held
+
+
+def _is_older(announcement: Member | EntryHost, held: Member | EntryHost) -> bool:
+    """Whether an announcement is that of a process which lost its address.
+
+    Incarnations are drawn from the clock of the host that has the address.
+    """
+    return announcement.incarnation < held.incarnation
+
+
+def _take_address(
+    state: State,
+    lives: dict[Key, Life],
+    items: dict[Key, Member | EntryHost],
+    gone: dict[Key, Removed],
+    former: Member | EntryHost,
+) -> None:
+    """End the membership of whoever had an address before."""
+    identity = Identity(former.name, former.incarnation)
+    _expire(state, lives, items, gone, Expire(identity))
+
+
 def _join(
     lives: dict[Key, Life],
     items: dict[Key, Member | EntryHost],
     gone: dict[Key, Removed],
     command: Join,
-) -> None:
+) -> bool:
+    """Take an announcement unless a newer one of that name was taken."""
     announcement = command.announcement
     key = get_key(announcement)
     held = lives.get(key)
@@ -219,11 +275,12 @@
         announcement.incarnation,
         command.revision,
     ):
-        return
+        return False
     lives.pop(key, None)
     lives[key] = Life(announcement.incarnation, command.revision)
     gone.pop(key, None)
     items[key] = announcement
+    return True
 
 
 def _expire(
--- a/fulmarshore/agreement/state_test.py
+++ b/fulmarshore/agreement/state_test.py
@@ -2,6 +2,7 @@
 
 from fulmarshore.agreement.state import State, answer_change, apply_command
 from fulmarshore.core.records import (
+    Batch,
     Change,
     ChangeStatus,
     Expire,
@@ -77,6 +78,29 @@
         _, reply = submit(state, Change(2, "a", [], [Removed(0, "Profile", "feed")]))
         self.assertEqual(reply.status, ChangeStatus.INVALID)
 
+    def test_an_address_belongs_to_the_newest_process(self):
+        old = Member("m", 5, "mendbook", "z", "127.0.0.1", 1)
+        new = Member("r", 7, "ribplans", "z", "127.0.0.1", 1)
+        moved = Member("m", 5, "mendbook", "z", "127.0.0.1", 2)
+        table = [
+            ("taken over", [Join(old), Join(new)], {"r"}),
+            (
+                "late copy of the former holder",
+                [Join(old), Join(new), Join(old)],
+                {"r"},
+            ),
+            ("former holder elsewhere", [Join(old), Join(moved, 1), Join(new)], "mr"),
+            ("in one batch", [Batch([Join(old), Join(new)])], {"r"}),
+            ("in one batch, late", [Batch([Join(new), Join(old)])], {"r"}),
+        ]
+        for label, commands, names in table:
+            with self.subTest(label):
+                state = State()
+                for index, command in enumerate(commands, start=1):
+                    state, _ = apply_command(state, index, command)
+                held = {key[1] for key in state.view.items if key[0] == "Member"}
+                self.assertEqual(held, set(names))
+
     def test_membership_follows_incarnations(self):
         old = Member("m", 1, "mendbook", "z", "127.0.0.1", 1)
         new = Member("m", 2, "mendbook", "z", "127.0.0.1", 2)
--- a/fulmarshore/bench/control.py
+++ b/fulmarshore/bench/control.py
@@ -208,11 +208,12 @@
             items.append(Service(f"service-{number}", "p", "10.0.0.1", 1024 + number))
         self.change(items)
         for number in range(self.entries):
-            host = EntryHost(f"entry-{number}", 1, "a", "10.0.0.1", 5000)
+            host = EntryHost(f"entry-{number}", 1, "a", "10.0.0.1", 2000 + number)
             self._add(host)
         for number in range(endpoints):
             service = f"service-{number % self.services}"
-            self._add(Member(f"agent-{number}", 1, service, "a", "10.0.0.1", 5000))
+            port = 3000 + number
+            self._add(Member(f"agent-{number}", 1, service, "a", "10.0.0.1", port))
         self.network.run(SETTLE_S)
         self.meters = {}
         for name in (*self.region.names, "entry-0", "agent-0"):
--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -62,7 +62,7 @@
         return region
 
     def add_process(self, region, name, incarnation=1, controls=None):
-        member = Member(name, incarnation, "s", "a", "127.0.0.1", 1)
+        member = Member(name, incarnation, "s", "a", name, 1)
         subscriber = Subscriber(
             Identity(name, incarnation), member, controls or region.names, Random(name)
         )
@@ -200,9 +200,7 @@
         region = self.make_region(count=1)
         subscriber = region.network.nodes["m0"].core.subscriber
         accepting = Subscribe(subscriber.identity, subscriber.announcement, 0)
-        draining = Member(
-            *("m0", 1, "s", "a", "127.0.0.1", 1), state=MemberState.DRAINING
-        )
+        draining = Member(*("m0", 1, "s", "a", "m0", 1), state=MemberState.DRAINING)
         for effect in subscriber.announce(draining):
             region.network.inject(effect.peer, LinkMessage("m0", effect.message))
         region.network.run(0.5)
