--- a/fulmarshore/adapters/disk_test.py
+++ b/fulmarshore/adapters/disk_test.py
@@ -4,6 +4,7 @@
 from unittest import TestCase
 
 from fulmarshore.adapters.disk import DataFolder, FileDisk
+from fulmarshore.agreement.storage import MARK_SLOT_BYTES, read_mark
 from fulmarshore.core.records import (
     DamagedFile,
     FileHeader,
@@ -69,6 +70,21 @@
         self.write(([LogEntry(2, 2, Noop())], False))
         self.assertEqual(len(self.folder.read().entries), 2)
 
+    def test_torn_mark_leaves_the_one_before(self):
+        self.write((self.start(), True))
+        for index in range(1, 4):
+            with self.subTest(index=index):
+                before = read_mark((self.path / "mark").read_bytes())
+                self.write(([LogEntry(index, 1, Noop())], False))
+                content = bytearray((self.path / "mark").read_bytes())
+                newest = read_mark(bytes(content))
+                self.assertGreater(newest, before)
+                for start in (0, MARK_SLOT_BYTES):
+                    slot = bytes(content[start : start + MARK_SLOT_BYTES])
+                    if read_mark(slot) == newest:
+                        content[start] ^= 1
+                self.assertEqual(read_mark(bytes(content)), before)
+
     def test_torn_tail_is_cut_and_damage_is_told(self):
         self.write((self.start(), True), ([LogEntry(1, 1, Noop())], False))
         log = self.path / "log"
