--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -48,6 +48,8 @@
     SendUpstream,
     Stop,
     Stopped,
+    StreamEnded,
+    StreamOpened,
     Takeover,
     TakeoverReply,
     Tick,
@@ -61,6 +63,7 @@
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
+from fulmarshore.routing.endings import EndingReport
 from fulmarshore.routing.fence import Fence
 from fulmarshore.routing.flows import Directory, Flow, IdleQueue
 from fulmarshore.routing.held import HeldPackets
@@ -98,7 +101,9 @@
         self.peers = KnownPeers(self.table)
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
+        self.streams: set[bytes] = set()
         self.gate = Gate(self.member)
+        self._endings = EndingReport()
         self.requests = RequestCore(subscriber)
         self.arbiter = Arbiter(self.member.name, self.counters)
         self.homes = Homes(self.member.name, self.member.incarnation)
@@ -145,6 +150,11 @@
                 return self._handle_peer(event, now)
             case UpstreamGone(flow=flow):
                 return self._end_flow(flow, Reason.UPSTREAM_GONE)
+            case StreamOpened(flow=flow):
+                self.streams.add(flow)
+                return []
+            case StreamEnded(flow=flow):
+                return self._end_flow(flow, Reason.ENDED)
             case LinkMessage():
                 effects = self.subscriber.handle(event, now)
                 return effects + self._update_table(now)
@@ -491,6 +501,7 @@
 
     def _end_flow(self, key: bytes, reason: Reason) -> list[Effect]:
         flow = self.flows.pop(key, None)
+        self.streams.discard(key)
         if flow is None:
             return []
         self.counters[f"flows_ended_{reason}"] += 1
@@ -806,8 +817,6 @@
         effects: list[Effect] = []
         for key in list(self.flows):
             effects += self._end_flow(key, reason)
-        if effects:
-            effects.append(TimelineEvent("flows_ended", detail=reason))
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
@@ -825,6 +834,7 @@
             effects += self._refuse(packet, Reason.NOT_SETTLED)
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
+        effects += self._endings.collect(self.member.service, self.counters, now)
         effects += self.requests.handle(Tick(), self.table, now)
         return effects
 
@@ -849,6 +859,9 @@
         if service is None:
             return []
         timeout = service.profile.idle_timeout
+        for key in self.streams:
+            # A stream tells its end itself, however long it is silent.
+            self.flows[key].last_active = now
         effects: list[Effect] = []
         for flow in self._idle.take_idle(self.flows, timeout, now):
             effects += self._end_flow(flow.key, Reason.IDLE)
