--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -15,6 +15,7 @@
 from fulmarshore.adapters.keys import format_owner
 from fulmarshore.adapters.links import LinkClient, LinkServer
 from fulmarshore.adapters.metrics import Gauges
+from fulmarshore.agreement.joining import recover_alone
 from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
     Address,
@@ -27,6 +28,7 @@
     Recovered,
     Store,
     Stored,
+    TimelineEvent,
 )
 from fulmarshore.daemons.process import Daemon, ProcessSettings, log
 from fulmarshore.membership.control import ControlCore
@@ -45,12 +47,16 @@
         Where the log file lives; None keeps nothing, for a trial alone.
     bootstrap : bool
         Start the group if no peer belongs to one: for the first start.
+    recover : str or None
+        The group that lost a majority for good: go on alone with this disk.
+        Ignored by a disk of another group, so also once it has been done.
     """
 
     listen: Address
     peers: dict[str, Address] = {}
     data_folder: Path | None = None
     bootstrap: bool = False
+    recover: str | None = None
 
 
 class ControlDaemon(Daemon):
@@ -64,7 +70,8 @@
         self._disk: FileDisk | None = None
         self._server: LinkServer | None = None
         self._clients: LinkClient | None = None
-        self._failed = False
+        self._recovered: Recovered | None = None
+        self._notices: list[TimelineEvent] = []
 
     def prepare(self) -> FolderRefused | None:
         """Open the data folder and read the log file, before the links."""
@@ -72,7 +79,8 @@
         recovered = make_new_replica(settings.name)
         bootstrap = settings.bootstrap
         if settings.data_folder is None:
-            log.warn("no data folder: nothing survives this process")
+            detail = "nothing survives this process"
+            self._notices.append(TimelineEvent("no_data_folder", detail=detail))
             bootstrap = True
         else:
             self._folder = DataFolder(settings.data_folder, settings.name)
@@ -81,6 +89,9 @@
                 return refused
             recovered = self._recover()
         replica = Replica(recovered, list(settings.peers), self.random, bootstrap)
+        self._notices.append(describe_log(replica))
+        if settings.recover is not None and settings.recover == replica.group:
+            recover_alone(replica)
         self.core = ControlCore(settings.name, replica)
         self._recovered = recovered
         return None
@@ -88,6 +99,8 @@
     def open(self) -> None:
         """Open the links and start the disk."""
         loop = asyncio.get_running_loop()
+        for notice in self._notices:
+            self.note(notice)
         if self._folder is not None:
 
             def done(sequence: int) -> None:
@@ -166,19 +179,16 @@
         outcome = self._folder.read()
         if isinstance(outcome, DamagedFile):
             suffix = self._folder.put_aside()
-            log.error(
-                "{} damaged at byte {}: {}; put aside as {}.{}, "
-                "this host comes back as a new replica",
-                outcome.file,
-                outcome.offset,
-                outcome.detail,
-                outcome.file,
-                suffix,
+            detail = (
+                f"{outcome.file} at byte {outcome.offset}: {outcome.detail}; put aside "
+                f"as {outcome.file}.{suffix}, this host comes back as a new replica"
             )
+            self._notices.append(TimelineEvent("log_damaged", detail=detail))
             self.counters["log_damaged"] += 1
             return make_new_replica(self.settings.name)
         if outcome.cut:
-            log.warn("{} unsynced bytes of the log were cut off", outcome.cut)
+            detail = f"{outcome.cut} unsynced bytes"
+            self._notices.append(TimelineEvent("log_tail_cut", detail=detail))
             self.counters["log_tail_cut"] += 1
         return outcome
 
@@ -187,3 +197,12 @@
         log.error("disk of {} failed: {}", self.settings.name, error)
         self.exit_code = 1
         self._done.set()
+
+
+def describe_log(replica: Replica) -> TimelineEvent:
+    """Return the event that tells which log a control host starts with."""
+    detail = (
+        f"group {replica.group or 'none'}, disk {replica.identity.disk}, "
+        f"term {replica.log.last_term}, entries up to {replica.log.last_index}"
+    )
+    return TimelineEvent("log_opened", detail=detail)
--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -62,7 +62,7 @@
         return region
 
     def add_process(self, region, name, incarnation=1, controls=None):
-        member = Member(name, incarnation, "s", "a", "127.0.0.1", 1)
+        member = Member(name, incarnation, "s", "a", name, 1)
         subscriber = Subscriber(
             Identity(name, incarnation), member, controls or region.names, Random(name)
         )
@@ -200,9 +200,7 @@
         region = self.make_region(count=1)
         subscriber = region.network.nodes["m0"].core.subscriber
         accepting = Subscribe(subscriber.identity, subscriber.announcement, 0)
-        draining = Member(
-            *("m0", 1, "s", "a", "127.0.0.1", 1), state=MemberState.DRAINING
-        )
+        draining = Member(*("m0", 1, "s", "a", "m0", 1), state=MemberState.DRAINING)
         for effect in subscriber.announce(draining):
             region.network.inject(effect.peer, LinkMessage("m0", effect.message))
         region.network.run(0.5)
@@ -272,6 +270,7 @@
 
     def test_first_host_alone_accepts_nothing(self):
         region = Region(1, running=1)
+        subscriber = self.add_process(region, "m0")
         region.network.add("op", Listener())
         change = Change(1, "op", [Zone("a", True)], [])
         for _ in range(4):
@@ -279,17 +278,58 @@
             region.network.run(0.5)
         told = {answer.status for answer in region.network.nodes["op"].core.answers}
         self.assertEqual(told, {ChangeStatus.UNAVAILABLE})
+        self.assertEqual(subscriber.lease_renewed, float("-inf"), "never fresh")
         region.start("c1")
         region.network.run(2.0)
         reply = self.submit(region, 1, [Zone("a", True)])
         self.assertEqual(reply.status, ChangeStatus.ACCEPTED)
 
+    def test_new_process_takes_nothing_from_a_control_host_that_is_cut_off(self):
+        region = self.make_region(count=0)
+        self.submit(region, 1, [Zone("a")])
+        leader = region.find_leader().name
+        cut = next(name for name in region.names if name != leader)
+        region.isolate(cut)
+        self.submit(region, 2, [Zone("a", True)], leader)
+        stale = self.add_process(region, "m0", controls=[cut])
+        moving = self.add_process(region, "m1", controls=[cut, leader])
+        region.network.run(4.0)
+        self.assertEqual(stale.view.version, 0)
+        self.assertTrue(moving.view.items[("Zone", "a")].item.out)
+
+    def test_group_goes_on_from_one_disk_after_a_lost_majority(self):
+        region = self.make_region(count=2)
+        first = self.submit(region, 1, [Zone("a", True)])
+        region.network.run(0.5)
+        versions = self.list_versions(region, ["m0", "m1"])
+        for name in region.names:
+            region.crash(name)
+        for name in region.names[1:]:
+            region.disks[name].wipe()
+        region.start("c0", recover=True)
+        for name in region.names[1:]:
+            region.start(name)
+        self.assertTrue(region.run_until(region.is_whole))
+        self.assertEqual(self.submit(region, 1, [Zone("a", True)]), first)
+        second = self.submit(region, 2, [Zone("a", False)])
+        region.network.run(2.0)
+        for name, before in zip(("m0", "m1"), versions, strict=True):
+            after = region.network.nodes[name].core.subscriber.view
+            self.assertGreaterEqual(after.version, second.version)
+            self.assertGreater(after.version, before)
+            self.assertFalse(after.items[("Zone", "a")].item.out)
+
     def test_status_tells_leader_term_commit_and_replicas(self):
         region = self.make_region()
         leader = region.find_leader()
         region.wipe(next(name for name in region.names if name != leader.name))
         region.network.run(0.05)
         listener = region.network.nodes["op"].core
+        for name in region.names:
+            region.network.inject(name, LinkMessage("op", StatusRequest(own=True)))
+        region.network.run(0.05)
+        told = [a for a in listener.answers if isinstance(a, StatusReply)]
+        self.assertEqual({answer.control for answer in told}, set(region.names))
         seen = set()
         for _ in range(60):
             for name in region.names:
