--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -12,6 +12,7 @@
 from fulmarshore.bench import capacity as capacity_bench
 from fulmarshore.bench import cold as cold_bench
 from fulmarshore.bench import config as config_bench
+from fulmarshore.bench import control as control_bench
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import once as once_bench
 from fulmarshore.bench import sealing as sealing_bench
@@ -74,6 +75,13 @@
     show_report(config_bench.run(), as_json)
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def control(as_json: bool) -> None:
+    """Measure bytes, processor time and memory of control, by size."""
+    show_report(control_bench.run(), as_json)
+
+
 @bench.command("forward")
 @click.option("--rounds", type=click.IntRange(1, 100), default=3)
 @click.option("--seconds", type=click.FloatRange(0.1, 60.0), default=0.7)
--- a/fulmarshore/commands/operators.py
+++ b/fulmarshore/commands/operators.py
@@ -357,8 +357,8 @@
         case ChangeReply(status=ChangeStatus.INVALID):
             fail("\n".join(reply.errors), EXIT_INVALID, as_json)
         case ChangeReply(status=ChangeStatus.UNAVAILABLE):
-            text = "not accepted: no majority of control hosts is reachable"
-            fail(text, EXIT_UNKNOWN, as_json)
+            text = f"outcome of number {reply.number} unknown: no majority of control"
+            fail(f"{text} hosts has answered; ask again", EXIT_UNKNOWN, as_json)
         case ChangeReply(status=ChangeStatus.FORGOTTEN):
             text = f"number {reply.number} was decided too long ago to tell how"
             fail(text, EXIT_UNKNOWN, as_json)
