--- a/fulmarshore/adapters/parameters.py
+++ b/fulmarshore/adapters/parameters.py
@@ -38,6 +38,21 @@
         return address
 
 
+class HostType(click.ParamType):
+    """An IP address in numeric form, without a port."""
+
+    name = "ip"
+
+    def convert(
+        self, value: str, param: click.Parameter | None, ctx: click.Context | None
+    ) -> str:
+        """Return the address in its usual spelling or fail."""
+        try:
+            return str(ipaddress.ip_address(value))
+        except ValueError:
+            self.fail(f"{value!r}: allowed is a numeric IP address", param, ctx)
+
+
 class NameType(click.ParamType):
     """A name of a host, an availability zone or a service."""
 
@@ -94,5 +109,6 @@
 
 
 ADDRESS = AddressType()
+HOST = HostType()
 NAME = NameType()
 PEER = PeerType()
--- a/fulmarshore/adapters/streams.py
+++ b/fulmarshore/adapters/streams.py
@@ -12,6 +12,7 @@
 import struct
 from collections.abc import Callable
 
+from fulmarshore.adapters.sealing import Sealer, SealProblem
 from fulmarshore.core.codec import MAX_STREAM_FRAME_BYTES, decode_stream, encode
 from fulmarshore.core.records import Address, Malformed, StreamMessage
 
@@ -139,18 +140,6 @@
         if self.is_open:
             self.transport.write(data)
 
-    def take_message(self, peer: str) -> StreamMessage | Malformed | None:
-        """Take a framed record off what was received; None if not yet whole."""
-        size = int.from_bytes(self.received[:LENGTH_BYTES], "big")
-        if size > MAX_STREAM_FRAME_BYTES:
-            return Malformed("take_message", peer, f"{size} bytes")
-        end = LENGTH_BYTES + size
-        if len(self.received) < max(end, LENGTH_BYTES + 1):
-            return None
-        frame = bytes(self.received[LENGTH_BYTES:end])
-        del self.received[:end]
-        return decode_stream(frame, peer)
-
     def splice(self, other: StreamEnd) -> None:
         """Let the bytes of each end go to the other from now on."""
         if not self.is_open or not other.is_open:
@@ -207,7 +196,7 @@
     takes half of an upload or a download for the whole.
     """
 
-    __slots__ = ("_left", "_length")
+    __slots__ = ("sealer", "_left", "_length")
 
     def __init__(
         self,
@@ -216,6 +205,7 @@
         on_lost: Callable[[], None] | None = None,
     ) -> None:
         super().__init__(on_made, on_bytes, on_lost)
+        self.sealer: Sealer | None = None
         self._left = 0
         self._length = bytearray()
 
@@ -232,8 +222,26 @@
             self.transport.write(data)
 
     def send(self, message: StreamMessage) -> None:
-        """Send a framed record."""
-        self.write(encode(message))
+        """Send a framed record, sealed where there are keys."""
+        frame = encode(message)
+        self.write(frame if self.sealer is None else self.sealer.seal(frame))
+
+    def take_message(self, peer: str) -> StreamMessage | Malformed | None:
+        """Take a framed record off what was received; None if not yet whole."""
+        size = int.from_bytes(self.received[:LENGTH_BYTES], "big")
+        if size > MAX_STREAM_FRAME_BYTES:
+            return Malformed("take_message", peer, f"{size} bytes")
+        end = LENGTH_BYTES + size
+        if len(self.received) < max(end, LENGTH_BYTES + 1):
+            return None
+        frame = bytes(self.received[LENGTH_BYTES:end])
+        del self.received[:end]
+        if self.sealer is None:
+            return decode_stream(frame, peer)
+        opened = self.sealer.open(frame)
+        if isinstance(opened, SealProblem):
+            return Malformed("take_message", peer, opened.value)
+        return decode_stream(opened, peer)
 
     def finish(self) -> None:
         """Half-close: send the empty chunk."""
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -9,7 +9,7 @@
 
 import click
 
-from fulmarshore.adapters.parameters import ADDRESS, NAME, PEER, Peer
+from fulmarshore.adapters.parameters import ADDRESS, HOST, NAME, PEER, Peer
 from fulmarshore.commands.options import refuse_exposed
 from fulmarshore.core.records import Address
 from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
@@ -74,9 +74,12 @@
 @_add_shared
 @_add_controls
 @click.option("--data", type=ADDRESS, required=True, help="Address towards agents.")
-@click.option("--service-host", type=str, help="Bind services here instead.")
+@click.option("--service-host", type=HOST, help="Bind services here instead.")
 @click.option(
-    "--fabric", type=click.Choice([mode.value for mode in Fabric]), default="direct"
+    "--fabric",
+    type=click.Choice([mode.value for mode in Fabric]),
+    default="direct",
+    help="Whether callers' packets come as they are or behind PROXY v2 headers.",
 )
 def entry(controls: tuple[Address, ...], fabric: str, **settings: Any) -> None:
     """Run an entry host."""
@@ -91,8 +94,18 @@
 @click.option("--data", type=ADDRESS, required=True, help="Address towards entries.")
 @click.option("--service", type=NAME, required=True, help="Service of the upstream.")
 @click.option("--upstream", type=ADDRESS, required=True, help="The upstream's address.")
-@click.option("--slots", type=click.IntRange(1, MAX_SLOTS), default=1)
-@click.option("--connections", type=click.IntRange(1, MAX_CONNECTIONS), default=2000)
+@click.option(
+    "--slots",
+    type=click.IntRange(1, MAX_SLOTS),
+    default=1,
+    help="Requests that the warm upstream works on at once.",
+)
+@click.option(
+    "--connections",
+    type=click.IntRange(1, MAX_CONNECTIONS),
+    default=2000,
+    help="Flows that the upstream holds at most.",
+)
 def agent(controls: tuple[Address, ...], **settings: Any) -> None:
     """Run the agent beside an upstream."""
     _run(AgentDaemon(AgentSettings(controls=controls, **settings)))
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -108,7 +108,12 @@
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = AgentCore(subscriber)
         self._streams = AgentStreams(
-            self.core, settings.upstream, self.dispatch, self.dispatch, self.counters
+            self.core,
+            settings.upstream,
+            self.dispatch,
+            self.dispatch,
+            self.counters,
+            self.sealer,
         )
         loop.add_signal_handler(signal.SIGHUP, self._restart)
 
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -113,7 +113,7 @@
         subscriber = Subscriber(identity, announcement, controls, self.random)
         self.core = EntryCore(subscriber)
         self._streams = CallerStreams(
-            self.core, self.dispatch, self.counters, self._is_direct
+            self.core, self.dispatch, self.counters, self._is_direct, self.sealer
         )
 
     def list_addresses(self) -> list[Address]:
--- a/fulmarshore/daemons/path_test.py
+++ b/fulmarshore/daemons/path_test.py
@@ -181,6 +181,29 @@
                     await self.cluster.wait_counter("m9", counted, least)
 
 
+class DirectTest(ProcessCase):
+    async def test_services_on_one_port_of_several_hosts_and_ipv6(self):
+        await self.cluster.start_entry("entry-0", None, "--data", "[::1]:0")
+        hosts = {"s": "127.0.2.7", "t": "127.0.2.8", "v": "::1"}
+        for service in hosts:
+            await self.start_agent(f"m-{service}", service, "--data", "[::1]:0")
+        port = find_address().port
+        await self.declare()
+        self.services = {name: Address(host, port) for name, host in hosts.items()}
+        items = [Service(name, "feeds", *at) for name, at in self.services.items()]
+        await self.cluster.apply(items)
+        await self.cluster.wait_settled()
+        callers = [self.make_caller(service) for service in hosts]
+        loop = asyncio.get_running_loop()
+        runs = [asyncio.create_task(c.run(loop.time() + 60)) for c in callers]
+        await wait_until(lambda: all(caller.answers >= 3 for caller in callers))
+        for caller, run in zip(callers, runs):
+            run.cancel()
+            caller.close()
+            self.assertEqual(caller.upstream, f"m-{caller.service}")
+            self.assertEqual((caller.broken, caller.wrong_answers), (0, 0))
+
+
 class GarbageTest(ProcessCase):
     async def test_garbage_on_every_port_is_counted(self):
         await self.cluster.start_entry("entry-0", "127.0.2.6", "--fabric", "proxy")
--- a/fulmarshore/daemons/streams.py
+++ b/fulmarshore/daemons/streams.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from fulmarshore.adapters.proxy import take_stream_header
+from fulmarshore.adapters.sealing import Sealer
 from fulmarshore.adapters.streams import LinkEnd, Listener, StreamEnd
 from fulmarshore.core.addresses import is_address
 from fulmarshore.core.records import (
@@ -99,6 +100,8 @@
         Counts what is refused.
     is_direct : bool
         Whether connections come as they are, or behind a PROXY v2 header.
+    sealer : Sealer or None
+        Seals the records in front of streams; not their bytes.
     """
 
     def __init__(
@@ -107,7 +110,9 @@
         dispatch: Dispatch,
         counters: Counter[str],
         is_direct: bool,
+        sealer: Sealer | None,
     ) -> None:
+        self._sealer = sealer
         self.table = StreamTable(dispatch)
         self._core = core
         self._counters = counters
@@ -188,6 +193,7 @@
             if agent is None:
                 answer = Reason.UPSTREAM_GONE
                 break
+            agent.sealer = self._sealer
             reply = await _ask(agent, answer.open)
             if isinstance(reply, StreamAccepted) and reply.service == name:
                 flow = _get_packet(answer.open).flow
@@ -227,7 +233,9 @@
         take: Callable[[PeerMessage], None],
         dispatch: Dispatch,
         counters: Counter[str],
+        sealer: Sealer | None,
     ) -> None:
+        self._sealer = sealer
         self.table = StreamTable(dispatch)
         self._core = core
         self._upstream = upstream
@@ -239,6 +247,7 @@
 
     def accept(self, end: LinkEnd) -> None:
         """Take a connection of an entry host."""
+        end.sealer = self._sealer
         end.watch(on_bytes=lambda: self._take_opening(end))
 
     def decide(self, effect: Effect) -> bool:
--- a/fulmarshore/daemons/streams_test.py
+++ b/fulmarshore/daemons/streams_test.py
@@ -29,9 +29,11 @@
 from fulmarshore.standins.streams import FileServer, StreamUpstream, make_bytes
 
 TIMEOUT_S = 10.0
-LARGE = 48 << 20
-MAX_BUFFERED = 24 << 20
-"""What the kernel's and the processes' buffers of one stream may hold."""
+LARGE = 32 << 20
+ENDLESS = 96 << 20
+"""More than the kernel's buffers on the way hold."""
+MAX_GROWTH = 8 << 20
+"""What one stream may add to the memory of a process."""
 STEADY_POLLS = 10
 
 
@@ -117,7 +119,9 @@
 
     async def test_slow_reader_stops_the_upstream(self):
         await self.start()
-        reader, writer = await self.connect(f"SEND {LARGE}\n".encode())
+        names = ("entry-0", "m0")
+        before = [self.cluster.processes.read_resident(name) for name in names]
+        reader, writer = await self.connect(f"SEND {ENDLESS}\n".encode())
         writer.transport.pause_reading()
         seen = []
 
@@ -127,12 +131,17 @@
             return len(seen) >= STEADY_POLLS and len(last) == 1 and seen[-1]
 
         await wait_until(is_steady)
-        self.assertLess(self.upstreams[0].sent, MAX_BUFFERED)
+        self.assertLess(self.upstreams[0].sent, ENDLESS)
+        for name, resident in zip(names, before):
+            growth = self.cluster.processes.read_resident(name) - resident
+            self.assertLess(growth, MAX_GROWTH, name)
         writer.transport.resume_reading()
+        digest = hashlib.sha256()
         async with asyncio.timeout(TIMEOUT_S):
-            found = await reader.readexactly(LARGE)
-        whole = make_bytes(65_536) * (LARGE // 65_536)
-        self.assertEqual(hashlib.sha256(found).digest(), hashlib.sha256(whole).digest())
+            while chunk := await reader.read(1 << 20):
+                digest.update(chunk)
+        whole = hashlib.sha256(make_bytes(65_536) * (ENDLESS // 65_536))
+        self.assertEqual(digest.digest(), whole.digest())
 
     async def test_caller_behind_a_proxy_header(self):
         await self.start(fabric="proxy")
--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -55,14 +55,20 @@
             *("--listen", format_address(self.controls[0])),
         )
 
-    async def start_entry(self, name: str, service_host: str, *more: str) -> None:
-        """Start an entry host that binds services on an address of its own."""
+    async def start_entry(
+        self, name: str, service_host: str | None, *more: str
+    ) -> None:
+        """Start an entry host that binds services on an address of its own.
+
+        Without one it binds the services' own addresses.
+        """
         metrics = self._add(name)
+        place = ("--service-host", service_host) if service_host else ()
         await self.processes.start(
             name,
             *("entry", "--name", name, "--zone", ZONE, "--metrics", metrics),
             *("--control", format_address(self.controls[0])),
-            *("--data", "127.0.0.1:0", "--service-host", service_host, *more),
+            *("--data", "127.0.0.1:0", *place, *more),
         )
 
     async def start_agent(
--- a/fulmarshore/standins/processes.py
+++ b/fulmarshore/standins/processes.py
@@ -8,6 +8,8 @@
 import sys
 from pathlib import Path
 
+import psutil
+
 STOP_TIMEOUT_S = 5.0
 
 
@@ -68,6 +70,10 @@
             )
         self._running[name] = process
 
+    def read_resident(self, name: str) -> int:
+        """Return the resident memory of a daemon, in bytes."""
+        return psutil.Process(self._running[name].pid).memory_info().rss
+
     def signal(self, name: str, number: int = signal.SIGTERM) -> None:
         """Send a signal to a daemon."""
         self._running[name].send_signal(number)
