--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -254,7 +254,9 @@
         stated = (response.service, response.caller, response.number, response.attempt)
         if stated != (request.service, request.caller, request.number, request.attempt):
             return self._drop("unmatched_answer")
-        if response.verdict == Verdict.NOT_RUN and response.reason == Reason.SHED:
+        if response.verdict == Verdict.NOT_RUN and response.reason != Reason.CANCELLED:
+            # Whatever the upstream calls it, it did not take the work.
+            response = replace(response, reason=Reason.SHED)
             self.limiter.shed(len(self.working), now)
         elif response.verdict == Verdict.ANSWERED:
             self.limiter.finish(len(self.working), now - run.started_at, now)
--- a/fulmarshore/admission/executor_test.py
+++ b/fulmarshore/admission/executor_test.py
@@ -164,3 +164,20 @@
         )
         sent, _ = self.answer(1, 0.1)
         self.assertEqual([request.number for request in sent], [2])
+
+    def test_an_upstream_that_does_not_take_work_lowers_the_limit(self):
+        table = [
+            ("shed", Reason.SHED, 0.5),
+            ("busy", Reason.SHED, 0.5),
+            (Reason.CANCELLED, Reason.CANCELLED, 1.0),
+        ]
+        profile = replace(PROFILE, cold_share=0.1, slow_start=1.0)
+        for said, told, limit in table:
+            with self.subTest(said=said):
+                self.setUp()
+                self.executor.follow(profile)
+                self.executor.limiter.limit = 1.0
+                self.take(self.make(1))
+                _, words = self.answer(1, 0.1, Verdict.NOT_RUN, reason=said, body=b"")
+                self.assertEqual(words, [(Verdict.NOT_RUN, told)])
+                self.assertEqual(self.executor.limiter.limit, limit)
--- /dev/null
+++ b/fulmarshore/bench/cold_test.py
@@ -0,0 +1,30 @@
+from unittest import TestCase
+
+from fulmarshore.admission.limit import Limiter
+from fulmarshore.bench.cold import FixedLimit, Schedule, run_policy
+from fulmarshore.standins.work import WorkModel
+
+MAX_TIME_RATIO = 1.5
+"""Time to full over that of the best fixed schedule, the target."""
+
+
+class ColdTest(TestCase):
+    def test_no_overload_and_soon_at_full_capacity(self):
+        for slots in (1, 3):
+            with self.subTest(slots=slots):
+                model = WorkModel(slots=slots)
+                limiter = Limiter(slots, model.cold_share, model.warm_up_s)
+                own = run_policy("u", "own", limiter, model, 2)
+                schedule = Schedule(slots, model.cold_share, model.warm_up_s)
+                best = run_policy("u", "schedule", schedule, model, 2)
+                self.assertEqual(own.overloads, 0)
+                for mine, other in (
+                    (own.time_to_full_s, best.time_to_full_s),
+                    (own.time_to_full_again_s, best.time_to_full_again_s),
+                ):
+                    self.assertGreater(mine, 0.0)
+                    self.assertLessEqual(mine, MAX_TIME_RATIO * other)
+
+    def test_the_stand_in_falls_over_without_a_limit(self):
+        outcome = run_policy("u", "none", FixedLimit(3, 6.0), WorkModel(slots=3), 2)
+        self.assertGreater(outcome.overloads, 0)
