Keep a flow at its home unless the home holds more than its part

Now a home keeps a flow while it holds no more than its part by 1%, compares itself on figures as late as those of its peers, and expects the other homes to assign as much as itself. The gate is asked only for a flow that the home means to keep.

--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 from tabulate import tabulate
 
+from fulmarshore.bench import balance as balance_bench
 from fulmarshore.bench import capacity as capacity_bench
 from fulmarshore.bench import config as config_bench
 from fulmarshore.bench import forward as forward_bench
@@ -41,6 +42,13 @@
         click.echo(tabulate(plain.items()))
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def balance(as_json: bool) -> None:
+    """Measure how evenly flows spread, beside a hash and two choices."""
+    show_report(balance_bench.run(), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def capacity(as_json: bool) -> None:
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -264,8 +264,15 @@
     def _open(self, service: ServiceTable, packet: Forward, now: float) -> list[Effect]:
         entry = self.directory.find(packet.flow)
         tried = entry.tried if entry is not None else ()
-        own_share = self._find_own_share(now)
-        owner = self.arbiter.choose_owner(service, tried, own_share, now)
+        limit = self.gate.get_limit(now)
+        is_open = self.is_accepting and len(self.flows) < limit
+        own = self._reporter.get_room(is_open, limit)
+        owner = self.arbiter.choose_owner(service, tried, own, now)
+        if owner is not None and owner.name == self.member.name:
+            # The gate is asked only now: asking takes from its rate.
+            if not self._has_room(now):
+                tried = (*tried, self.member.name)
+                owner = self.arbiter.choose_owner(service, tried, own, now)
         if owner is None:
             self.directory.forget(packet.flow)
             has_accepting = bool(service.accepting)
@@ -274,16 +281,14 @@
             )
         if owner.name == self.member.name:
             self.directory.forget(packet.flow)
+            self._reporter.note_opening(True)
             return self._admit(packet, now)
+        self._reporter.note_opening(False)
         self.counters["handed_over"] += 1
         return self._assign(owner, packet, True, now)
 
-    def _find_own_share(self, now: float) -> float:
-        if not self.is_accepting:
-            return 1.0
-        if not self.gate.has_room(len(self.flows), now):
-            return 1.0
-        return len(self.flows) / max(self.gate.get_limit(now), 1)
+    def _has_room(self, now: float) -> bool:
+        return self.is_accepting and self.gate.has_room(len(self.flows), now)
 
     def _assign(
         self, owner: Member, packet: Forward, is_new: bool, now: float
@@ -303,7 +308,7 @@
             refusal = self._refuse(packet, Reason.FLOW_UNKNOWN)
             return [*refusal, SendPeer(source, self._release(packet))]
         declined = self._declined.get(packet.flow, 0) >= packet.assignment
-        if not declined and self._find_own_share(now) < 1.0:
+        if not declined and self._has_room(now):
             return self._admit(packet, now)
         return self._decline(packet, source)
 
--- a/fulmarshore/routing/arbitration.py
+++ b/fulmarshore/routing/arbitration.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
+from msgspec import Struct
+
 from fulmarshore.core.records import (
     Declined,
     LoadReport,
@@ -17,6 +20,8 @@
 
 ASSIGNMENT_BITS = 24
 """Low bits of an assignment count; the bits above are the home's version."""
+KEEP_MARGIN = 0.01
+"""A home keeps a flow while it holds more than its part by no more than this."""
 CHECK_INTERVAL_S = 2.0
 CHECK_BATCH = 64
 """Flows asked about at a time; bounds the cost of a check."""
@@ -29,6 +34,28 @@
     return assignment >> ASSIGNMENT_BITS
 
 
+class Room(Struct, frozen=True):
+    """What the home itself holds.
+
+    Parameters
+    ----------
+    flows, limit : int
+        Flows held and flows that may be held.
+    reported : int
+        Flows held at the last report, when the peers' loads were reported.
+    openings : int
+        Openings that this agent has arbitrated since.
+    is_open : bool
+        Whether a flow may be admitted right now.
+    """
+
+    flows: int
+    limit: int
+    reported: int
+    openings: int
+    is_open: bool
+
+
 class Arbiter:
     """Remembers the owners of the flows an agent is home of, and chooses new ones.
 
@@ -74,13 +101,13 @@
         return None
 
     def choose_owner(
-        self,
-        service: ServiceTable,
-        tried: tuple[str, ...],
-        own_share: float,
-        now: float,
+        self, service: ServiceTable, tried: tuple[str, ...], own: Room, now: float
     ) -> Member | None:
-        """Return the accepting member with most room, itself on a tie.
+        """Return the member that gets a new flow: itself, or the emptiest.
+
+        The home keeps the flow unless it would hold more than its part by a
+        margin: a flow that is handed over costs a hop on every packet that
+        reaches the home first.
 
         Parameters
         ----------
@@ -88,8 +115,8 @@
             The members.
         tried : tuple of str
             Members that have declined this flow.
-        own_share : float
-            Share of its own limit that is taken; 1 and more is full.
+        own : Room
+            What this agent itself holds, and whether it may take a flow.
         now : float
             The time, in seconds.
 
@@ -101,20 +128,30 @@
         """
         best: Member | None = None
         best_share = float("inf")
+        itself: Member | None = None
+        flows = own.reported + 1
+        limits = own.limit
+        homes = len(service.accepting)
         for member in service.accepting:
-            if member.name in tried:
-                continue
             if member.name == self.name:
-                if own_share < 1.0 and own_share <= best_share:
-                    best, best_share = member, own_share
+                itself = member
                 continue
             load = self.loads.find(member)
-            if now - load.full_at < FULL_MEMORY_S:
+            flows += load.flows
+            limits += load.limit
+            if member.name in tried or now - load.full_at < FULL_MEMORY_S:
                 continue
-            share = load.find_share()
+            share = load.find_share(homes)
             if share < best_share:
                 best, best_share = member, share
-        return best
+        if itself is None or not own.is_open or self.name in tried:
+            return best
+        # The reports lack what came since: most likely as much to each home.
+        part = flows * own.limit / max(limits, 1) + own.openings
+        if own.flows + 1 <= max(math.ceil(part), part * (1.0 + KEEP_MARGIN)):
+            return itself
+        own_share = own.flows / max(own.limit, 1)
+        return itself if best is None or own_share <= best_share else best
 
     def assign(
         self, flow: bytes, owner: Member, version: int, is_new: bool, now: float
--- a/fulmarshore/routing/loads.py
+++ b/fulmarshore/routing/loads.py
@@ -29,9 +29,16 @@
         self.full_at = float("-inf")
         self.expected: deque[int] = deque(maxlen=MAX_EXPECTED)
 
-    def find_share(self) -> float:
-        """Return the share of the limit that is taken; 1 and more is full."""
-        return (self.flows + len(self.expected)) / max(self.limit, 1)
+    def find_share(self, homes: int) -> float:
+        """Return the share of the limit that is taken, as is to be expected.
+
+        Parameters
+        ----------
+        homes : int
+            Homes of the service. None knows what the others assign, so each
+            takes it that they assign as much to the member as itself.
+        """
+        return (self.flows + len(self.expected) * homes) / max(self.limit, 1)
 
 
 class Loads:
--- a/fulmarshore/routing/reports.py
+++ b/fulmarshore/routing/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarshore.core.records import Address, LoadReport
+from fulmarshore.routing.arbitration import Room
 from fulmarshore.routing.table import ServiceTable
 
 REPORT_INTERVAL_S = 0.25
@@ -30,6 +31,8 @@
         "_flows",
         "_limit",
         "_reported_at",
+        "_kept",
+        "_openings",
         "_seen",
     )
 
@@ -39,9 +42,29 @@
         self._number = 0
         self._flows = -1
         self._limit = -1
+        self._kept = 0
+        self._openings = 0
         self._reported_at = float("-inf")
         self._seen: dict[Address, int] = {}
 
+    def note_opening(self, is_kept: bool) -> None:
+        """Note that this agent, as home, has arbitrated an opening."""
+        self._openings += 1
+        self._kept += is_kept
+
+    def get_room(self, is_open: bool, limit: int) -> Room:
+        """Return this agent's room, known as late as that of its peers.
+
+        The loads of peers lack what other homes have assigned since the last
+        reports. A home that counted itself exactly would seem fuller than
+        the rest whenever flows grow, and hand over what it should keep.
+        """
+        if self._limit >= 0:
+            limit = self._limit
+        reported = max(self._flows, 0)
+        flows = reported + self._kept
+        return Room(flows, limit, reported, self._openings, is_open)
+
     def note_assignment(self, home: Address, assignment: int) -> None:
         """Note that the load reflects an assignment of a home from now on."""
         if assignment > self._seen.get(home, 0):
@@ -51,11 +74,16 @@
         self, service: ServiceTable, version: int, flows: int, limit: int, now: float
     ) -> list[tuple[Address, LoadReport]]:
         """Return the reports that are due, one for each peer."""
+        if flows == self._flows and limit == self._limit:
+            self._openings = 0
+            self._kept = 0
         if not self._is_due(flows, limit, now):
             return []
         self._reported_at = now
         self._flows = flows
         self._limit = limit
+        self._kept = 0
+        self._openings = 0
         self._number += 1
         reports = []
         seen: dict[Address, int] = {}
