--- /dev/null
+++ b/fulmarshore/bench/flows.py
@@ -0,0 +1,282 @@
+"""What planned changes and faults do to established flows, over the cores.
+
+Every flow is opened, then the change happens, then every flow sends on
+through random entry hosts that know no owners by heart, each packet to any of
+them. A flow is broken if another upstream, or another life of its own, gets
+its packets, or if nothing answers it any more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from fulmarshore.core.records import Drain, Removed, UpstreamGone, Zone
+from fulmarshore.standins.routing import RoutedRegion
+
+SERVICE = "s"
+UPSTREAMS = 7
+ENTRIES = 4
+CONNECTIONS = 4_000
+SIZES = (700, 7_000)
+WARM_UP_S = 35.0
+"""Longer than the slow start of the upstreams."""
+OPENING_TIME_S = 8.0
+ROUNDS_AFTER = 2
+HIDDEN_S = 60.0
+"""How long entry hosts keep an old version."""
+SEED = 7
+
+Apply = Callable[[RoutedRegion], None]
+
+
+class ChangeRow(Struct, frozen=True):
+    """What one change did to some open flows.
+
+    Parameters
+    ----------
+    change : str
+        What happened.
+    planned : bool
+        Whether it must break nothing.
+    flows : int
+        Flows open when it happened.
+    broken, given_up : int
+        Flows that moved or went silent: those that had to stay, and those of
+        an upstream that crashed or a zone taken out.
+    opened_twice, misdelivered : int
+        Flows at two upstreams at once, and packets at one of another service.
+    extra_hops : float
+        Agents that a packet after the change passed through beyond its owner.
+    """
+
+    change: str
+    planned: bool
+    flows: int
+    broken: int
+    given_up: int
+    opened_twice: int
+    misdelivered: int
+    extra_hops: float
+
+
+class FlowsReport(Struct, frozen=True):
+    """All changes, and the sums over the planned ones."""
+
+    planned_flows: int
+    broken: int
+    opened_twice: int
+    misdelivered: int
+    changes: list[ChangeRow]
+
+
+def run(sizes: tuple[int, ...] = SIZES) -> FlowsReport:
+    """Apply every change to every number of open flows."""
+    rows = []
+    for planned, changes in ((True, PLANNED), (False, FAULTS)):
+        for change in changes:
+            for size in sizes:
+                rows.append(_measure(change, planned, size))
+    return FlowsReport(
+        sum(row.flows for row in rows if row.planned),
+        sum(row.broken for row in rows if row.planned),
+        sum(row.opened_twice for row in rows),
+        sum(row.misdelivered for row in rows),
+        rows,
+    )
+
+
+def _measure(change: Apply, planned: bool, size: int) -> ChangeRow:
+    services = {SERVICE: UPSTREAMS, "other": 2}
+    region = RoutedRegion(SEED, services, ENTRIES, CONNECTIONS, idle_timeout=600.0)
+    _warm_up(region, size)
+    ports = range(1, size + 1)
+    region.send_all(SERVICE, ports, gap=OPENING_TIME_S / size)
+    before = dict(region.owners)
+    change(region)
+    region.network.run(4.0)
+    # A datagram to a process that is gone is lost; callers send another.
+    region.send_all(SERVICE, ports, gap=0.0002)
+    region.network.run(1.0)
+    answers = dict(region.answers)
+    passed = _count_passed(region)
+    region.send_all(SERVICE, ports, ROUNDS_AFTER, gap=0.0002)
+    region.network.run(1.0)
+    lost = _list_lost(region)
+    broken = given_up = 0
+    for port in ports:
+        flow = region.get_flow(SERVICE, port)
+        got = region.answers[SERVICE, port] - answers.get((SERVICE, port), 0)
+        if flow not in region.moved and got >= ROUNDS_AFTER:
+            continue
+        if before[flow][0] in lost:
+            given_up += 1
+        else:
+            broken += 1
+    hops = (_count_passed(region) - passed) / (ROUNDS_AFTER * size)
+    return ChangeRow(
+        change.__name__.strip("_"),
+        planned,
+        size,
+        broken,
+        given_up,
+        region.opened_twice,
+        region.misdelivered,
+        round(hops, 4),
+    )
+
+
+def _warm_up(region: RoutedRegion, size: int) -> None:
+    """Open and end a flow at each upstream, and wait for the slow start."""
+    for port in range(size + 1, size + 201):
+        region.send(SERVICE, port)
+        region.network.run(0.02)
+    for flow, (name, _) in list(region.owners.items()):
+        region.network.inject(name, UpstreamGone(flow))
+    region.owners.clear()
+    region.network.run(WARM_UP_S)
+
+
+def _count_passed(region: RoutedRegion) -> int:
+    return sum(core.counters["passed_on"] for core in region.list_agents(SERVICE))
+
+
+def _list_lost(region: RoutedRegion) -> set[str]:
+    """Return the upstreams that crashed or whose zone is out."""
+    return {name for name in region.members if name in region.lost}
+
+
+def _add_upstream(region: RoutedRegion) -> None:
+    region.add_agent(f"{SERVICE}-9", SERVICE, "a")
+
+
+def _drain_upstream(region: RoutedRegion) -> None:
+    region.change(Drain(f"{SERVICE}-1"))
+
+
+def _drain_and_return(region: RoutedRegion) -> None:
+    _drain_upstream(region)
+    region.network.run(2.0)
+    region.change(removed=(Removed(0, "Drain", f"{SERVICE}-1"),))
+
+
+def _change_weight(region: RoutedRegion) -> None:
+    core = region.get_agent(f"{SERVICE}-2")
+    core.member = replace(core.member, connections=CONNECTIONS // 2)
+    region.carry(f"{SERVICE}-2", core.subscriber.announce(core.member))
+
+
+def _add_entry_host(region: RoutedRegion) -> None:
+    region.add_entry("entry9", "b")
+
+
+def _stop_entry_host(region: RoutedRegion) -> None:
+    region.stop("entry0")
+
+
+def _kill_entry_host(region: RoutedRegion) -> None:
+    region.crash("entry0")
+
+
+def _restart_entry_hosts(region: RoutedRegion) -> None:
+    for number in range(ENTRIES):
+        region.add_entry(f"entry{number}", "a")
+
+
+def _stop_agent(region: RoutedRegion) -> None:
+    region.stop(f"{SERVICE}-3")
+
+
+def _restart_agent(region: RoutedRegion) -> None:
+    region.restart(f"{SERVICE}-4")
+
+
+def _restart_agent_twice(region: RoutedRegion) -> None:
+    region.restart(f"{SERVICE}-4")
+    region.network.run(2.0)
+    region.restart(f"{SERVICE}-4")
+
+
+def _restart_every_agent_in_turn(region: RoutedRegion) -> None:
+    for number in range(UPSTREAMS):
+        region.restart(f"{SERVICE}-{number}")
+        region.network.run(2.0)
+
+
+def _hide_versions_for_a_minute(region: RoutedRegion) -> None:
+    for number in range(ENTRIES // 2):
+        region.network.cut("control", f"entry{number}")
+    _drain_and_return(region)
+    _add_upstream(region)
+    region.network.run(HIDDEN_S)
+    region.network.heal()
+
+
+def _many_at_once(region: RoutedRegion) -> None:
+    region.network.cut("control", "entry1")
+    _kill_entry_host(region)
+    _add_upstream(region)
+    _drain_upstream(region)
+    _change_weight(region)
+    _restart_agent(region)
+    _stop_agent(region)
+    _add_entry_host(region)
+
+
+def _many_at_once_twice(region: RoutedRegion) -> None:
+    _many_at_once(region)
+    region.network.run(2.0)
+    region.network.heal()
+    region.change(removed=(Removed(0, "Drain", f"{SERVICE}-1"),))
+    region.add_entry("entry0", "a")
+    region.restart(f"{SERVICE}-5")
+    region.change(Drain(f"{SERVICE}-6"))
+
+
+def _hundred_versions(region: RoutedRegion) -> None:
+    for number in range(50):
+        name = f"{SERVICE}-{number % UPSTREAMS}"
+        region.change(Drain(name))
+        region.network.run(0.3)
+        region.change(removed=(Removed(0, "Drain", name),))
+        region.network.run(0.3)
+
+
+def _crash_upstream(region: RoutedRegion) -> None:
+    region.crash(f"{SERVICE}-1")
+    region.lost.add(f"{SERVICE}-1")
+
+
+def _crash_agent_and_return(region: RoutedRegion) -> None:
+    region.lost.add(f"{SERVICE}-1")
+    region.add_agent(f"{SERVICE}-1", SERVICE, "b")
+
+
+def _zone_out(region: RoutedRegion) -> None:
+    region.change(Zone("b", True))
+    for name, member in region.members.items():
+        if member.zone == "b":
+            region.lost.add(name)
+
+
+PLANNED: tuple[Apply, ...] = (
+    _add_upstream,
+    _drain_upstream,
+    _drain_and_return,
+    _change_weight,
+    _add_entry_host,
+    _stop_entry_host,
+    _kill_entry_host,
+    _restart_entry_hosts,
+    _stop_agent,
+    _restart_agent,
+    _restart_agent_twice,
+    _restart_every_agent_in_turn,
+    _hide_versions_for_a_minute,
+    _many_at_once,
+    _many_at_once_twice,
+    _hundred_versions,
+)
+FAULTS: tuple[Apply, ...] = (_crash_upstream, _crash_agent_and_return, _zone_out)
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -12,6 +12,7 @@
 from fulmarshore.bench import balance as balance_bench
 from fulmarshore.bench import capacity as capacity_bench
 from fulmarshore.bench import config as config_bench
+from fulmarshore.bench import flows as flows_bench
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import timeline as timeline_bench
 
@@ -49,6 +50,13 @@
     show_report(balance_bench.run(), as_json)
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def flows(as_json: bool) -> None:
+    """Count the flows that planned changes and faults break."""
+    show_report(flows_bench.run(), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def capacity(as_json: bool) -> None:
--- a/fulmarshore/routing/changes_test.py
+++ b/fulmarshore/routing/changes_test.py
@@ -2,7 +2,9 @@
 
 from unittest import TestCase
 
-from fulmarshore.core.records import Drain, Member, Removed, Stop
+from msgspec.structs import replace
+
+from fulmarshore.core.records import Drain, Removed, Stop
 from fulmarshore.standins.network import Faults
 from fulmarshore.standins.routing import RoutedRegion
 
@@ -26,14 +28,8 @@
 
 def change_weight(region):
     core = region.get_agent("s-1")
-    old = core.member
-    core.member = Member(*[*_list(old)[:7], 500, *_list(old)[8:]])
-    for effect in core.subscriber.announce(core.member):
-        region.network._carry(region.network.nodes["s-1"], effect)
-
-
-def _list(member):
-    return [getattr(member, name) for name in member.__struct_fields__]
+    core.member = replace(core.member, connections=500)
+    region.carry("s-1", core.subscriber.announce(core.member))
 
 
 def add_entry(region):
--- a/fulmarshore/standins/routing.py
+++ b/fulmarshore/standins/routing.py
@@ -89,6 +89,7 @@
         self.opened_twice = 0
         self.misdelivered = 0
         self.moved: set[bytes] = set()
+        self.lost: set[str] = set()
         self._services_of: dict[bytes, str] = {}
         self.network.add("control", ControlCore("control"))
         for number in range(entries):
@@ -143,6 +144,12 @@
         """Begin the planned stop of a process."""
         self.network.inject(name, Stop())
 
+    def carry(self, name: str, effects: list[Effect]) -> None:
+        """Carry out effects that a core was asked for directly."""
+        node = self.network.nodes[name]
+        for effect in effects:
+            self.network._carry(node, effect)
+
     def restart(self, name: str) -> None:
         """Restart an agent as planned: its successor starts once it has left."""
         flows = self.get_agent(name).flows
