--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from fulmarshore.agreement.joining import recover_alone
 from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
     Change,
@@ -120,6 +121,8 @@
         Entries between two snapshots.
     running : int or None
         So many hosts start at first; None starts all and waits for them.
+    network : FakeNetwork or None
+        Where the hosts are; None makes one.
     """
 
     def __init__(
@@ -129,9 +132,10 @@
         faults: Faults | None = None,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         running: int | None = None,
+        network: FakeNetwork | None = None,
     ) -> None:
         self.snapshot_entries = snapshot_entries
-        self.network = FakeNetwork(seed, faults, TICK_INTERVAL_S)
+        self.network = network or FakeNetwork(seed, faults, TICK_INTERVAL_S)
         self.random = Random(seed)
         self.names = [f"c{number}" for number in range(hosts)]
         self.disks = {name: FakeDisk(name, self.random) for name in self.names}
@@ -162,7 +166,9 @@
         states = [self.get(name).state for name in self.names]
         return all(state.index == states[0].index for state in states)
 
-    def start(self, name: str, bootstrap: bool = False) -> Recovered | DamagedFile:
+    def start(
+        self, name: str, bootstrap: bool = False, recover: bool = False
+    ) -> Recovered | DamagedFile:
         """Start a host on its disk, as the daemon does."""
         disk = self.disks[name]
         outcome = self._make_new(name) if disk.is_empty else disk.read()
@@ -172,6 +178,8 @@
             recovered = self._make_new(name)
         peers = [peer for peer in self.names if peer != name]
         replica = Replica(recovered, peers, self.random, bootstrap)
+        if recover:
+            recover_alone(replica)
         replica.chunk_bytes = CHUNK_BYTES
         core = ControlCore(name, replica, self.snapshot_entries)
         self.network.add(name, core, disk=disk)
