--- a/fulmarshore/bench/balance.py
+++ b/fulmarshore/bench/balance.py
@@ -133,8 +133,8 @@
 def _drain_and_return(region: RoutedRegion, ports: list[int], gap: float) -> float:
     """Drain an upstream until its flows have ended, and let it come back.
 
-    Callers open a new flow in place of each that ended, and while the
-    upstream is back half of all flows end and are opened anew.
+    Callers open a new flow in place of each that ended, and once the
+    upstream is back every flow ends and is opened anew.
     """
     random = Random(ports[0])
     name = f"{SERVICE}-1"
@@ -147,7 +147,7 @@
     region.network.run(1.0)
     open_now = kept + fresh
     random.shuffle(open_now)
-    _replace(region, open_now[: len(open_now) // 2], 4 * gap)
+    _replace(region, open_now, gap)
     return _find_spread(region)
 
 
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -196,9 +196,10 @@
     ) -> list[Effect]:
         if packet.service != self.member.service:
             return self._drop_misdirected(Reason.WRONG_SERVICE, packet, source)
-        wrong = packet.target != self.member.name
-        if wrong or packet.incarnation != self.member.incarnation:
+        if packet.target != self.member.name:
             return self._drop_misdirected(Reason.WRONG_INCARNATION, packet, source)
+        if packet.incarnation != self.member.incarnation:
+            return self._take_former(packet, source, now)
         effects: list[Effect] = []
         if packet.version != self.table.version:
             effects += self._compare_versions(packet.version, source, now)
@@ -208,6 +209,17 @@
             return effects
         return effects + self._route(packet, source, now)
 
+    def _take_former(
+        self, packet: Forward, source: Address, now: float
+    ) -> list[Effect]:
+        """Take a packet for a former self only where its flow was recovered."""
+        flow = self.flows.get(packet.flow)
+        if flow is None or packet.incarnation > self.member.incarnation:
+            return self._drop_misdirected(Reason.WRONG_INCARNATION, packet, source)
+        effects = self._correct_sender(packet, source)
+        effects.append(self._deliver(flow, packet, now))
+        return effects
+
     def _deliver(self, flow: Flow, packet: Forward, now: float) -> SendUpstream:
         flow.last_active = now
         if packet.assignment > flow.assignment:
@@ -745,6 +757,8 @@
         self._delta_asked_at = float("-inf")
         if self._newest_seen is not None and view.version >= self._newest_seen[0]:
             self._newest_seen = None
+        if self.service is not None:
+            self.gate.follow(self.service.profile)
         for flow in self.flows.values():
             flow.entry_address = self._find_entry(flow.entry)
         zone = self.member.zone
@@ -755,8 +769,10 @@
             # What is left of an earlier time as home may be outdated.
             self.directory.forget_bucket(bucket)
         self.arbiter.follow(self.service)
-        if self.member.zone in self.table.zones_out:
+        if zone in self.table.zones_out:
             return self._end_all(Reason.ZONE_OUT)
+        if zone in previous.zones_out:
+            self.gate.turn_cold(now)
         effects = self._begin_recovery(now)
         return effects + self._ask_for_buckets(now) + self._resume_held(now)
 
@@ -856,6 +872,9 @@
     ) -> list[Effect]:
         """Drop a packet for somebody else, and correct a sender that is behind."""
         self.counters[f"dropped_{reason}"] += 1
+        return self._correct_sender(packet, source)
+
+    def _correct_sender(self, packet: Forward, source: Address) -> list[Effect]:
         if packet.version >= self.table.version:
             return []
         return [SendPeer(source, make_delta(self.subscriber.view, packet.version))]
