--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -16,6 +16,7 @@
 from fulmarshore.bench import flows as flows_bench
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import timeline as timeline_bench
+from fulmarshore.bench import zone as zone_bench
 
 
 @click.group()
@@ -108,3 +109,10 @@
     click.echo(f"new flows a second: {result.new_flows_per_second:.0f}")
     held = f"{result.entry_flows} flows in {result.entry_resident_mb} MB resident"
     click.echo(f"entry host: {held}")
+
+
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def zone(as_json: bool) -> None:
+    """Measure service while a zone goes and returns, demand doubled."""
+    show_report(zone_bench.run(), as_json)
--- a/fulmarshore/standins/routing.py
+++ b/fulmarshore/standins/routing.py
@@ -90,6 +90,7 @@
         self.misdelivered = 0
         self.moved: set[bytes] = set()
         self.lost: set[str] = set()
+        self.first_zone: dict[bytes, str] = {}
         self._services_of: dict[bytes, str] = {}
         self.network.add("control", ControlCore("control"))
         for number in range(entries):
@@ -256,6 +257,7 @@
         if self._services_of.get(flow) != member.service:
             self.misdelivered += 1
         owner = (node.name, member.incarnation)
+        self.first_zone.setdefault(flow, member.zone)
         held = self.owners.get(flow)
         if held is not None and held != owner:
             self.moved.add(flow)
