--- /dev/null
+++ b/fulmarshore/routing/homes_test.py
@@ -0,0 +1,148 @@
+"""The take-over of buckets, message by message."""
+
+from unittest import TestCase
+
+from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
+from fulmarshore.core.records import (
+    Address,
+    Kind,
+    Member,
+    MemberState,
+    Profile,
+    Service,
+    Takeover,
+    TakeoverReply,
+    Zone,
+)
+from fulmarshore.membership.view import View, change_view
+from fulmarshore.routing.homes import GIVEN_MEMORY_S, Homes
+from fulmarshore.routing.table import Table
+
+SOURCE = Address("127.0.0.1", 9)
+
+
+def make_service(*names, draining=()):
+    items = [Profile("p", Kind.FEED), Service("s", "p", "127.0.0.9", 80), Zone("z")]
+    for number, name in enumerate(names):
+        state = MemberState.DRAINING if name in draining else MemberState.ACCEPTING
+        items.append(Member(name, 1, "s", "z", "127.0.0.1", 9 + number, state=state))
+    return Table(change_view(View(), 1, items, [])).services["s"]
+
+
+def make_homes(name, service, version=1):
+    homes = Homes(name, 1)
+    homes.is_fenced = False
+    homes.follow(service, version)
+    return homes
+
+
+def make_reply(name, version, buckets, complete=(), incarnation=1):
+    return TakeoverReply("s", name, incarnation, version, buckets, [], list(complete))
+
+
+class HomesTest(TestCase):
+    def test_first_member_settles_at_once(self):
+        homes = make_homes("a", make_service("a"))
+        self.assertEqual(len(homes.settled), BUCKETS_PER_SERVICE)
+        self.assertEqual(homes.list_asks(0.0), [])
+
+    def test_settles_on_the_former_home_or_on_everybody(self):
+        service = make_service("a", "b", "c")
+        table = [
+            ("nobody", [], False),
+            ("one of two", [("b", False)], False),
+            ("both", [("b", False), ("c", False)], True),
+            ("the former home", [("c", True)], True),
+            ("one of them twice", [("b", False), ("b", False)], False),
+        ]
+        for title, answers, expected in table:
+            with self.subTest(title):
+                homes = make_homes("a", service)
+                bucket = next(iter(homes.awaited))
+                for name, is_home in answers:
+                    complete = [bucket] if is_home else []
+                    homes.take_answer(make_reply(name, 1, [bucket], complete))
+                self.assertEqual(bucket in homes.settled, expected)
+
+    def test_answers_that_do_not_count(self):
+        homes = make_homes("a", make_service("a", "b"), version=5)
+        bucket = next(iter(homes.awaited))
+        table = [
+            ("an older version", make_reply("b", 4, [bucket], [bucket])),
+            ("a newer version", make_reply("b", 6, [bucket], [bucket])),
+            ("a former self", make_reply("b", 5, [bucket], [bucket], incarnation=0)),
+            ("a stranger", make_reply("x", 5, [bucket], [bucket])),
+        ]
+        for title, reply in table:
+            with self.subTest(title):
+                self.assertFalse(homes.is_answer(reply))
+
+    def test_lost_questions_are_repeated(self):
+        homes = make_homes("a", make_service("a", "b", "c"))
+        self.assertEqual({m.name for m, _ in homes.list_asks(0.0)}, {"b", "c"})
+        self.assertEqual(homes.list_asks(0.05), [])
+        homes.take_answer(make_reply("b", 1, list(homes.awaited)))
+        self.assertEqual({m.name for m, _ in homes.list_asks(0.2)}, {"c"})
+
+    def test_crossed_versions(self):
+        """The promise under the newest version holds, whatever comes later."""
+        homes = make_homes("a", make_service("a"))
+        asks = [("b", 3, True), ("c", 2, False), ("b", 3, True), ("c", 4, True)]
+        for name, version, expected in asks:
+            with self.subTest(name=name, version=version):
+                ask = Takeover("s", name, 1, version, [7])
+                given, _ = homes.give(ask, SOURCE, 0.0)
+                self.assertEqual(given == [7], expected)
+        self.assertEqual(homes.find_promise(7).agent, "c")
+        self.assertEqual(homes.get_ballot(7), 4)
+
+    def test_only_the_former_home_gives_a_complete_answer(self):
+        homes = make_homes("a", make_service("a"))
+        table = [
+            ("first", "b", 3, [7]),
+            ("repeated", "b", 3, [7]),
+            ("another asks, the first may have settled", "c", 4, []),
+            ("the first one again, settled in between", "b", 5, []),
+        ]
+        for title, name, version, expected in table:
+            with self.subTest(title):
+                ask = Takeover("s", name, 1, version, [7])
+                _, complete = homes.give(ask, SOURCE, 0.0)
+                self.assertEqual(complete, expected)
+
+    def test_forgotten_flows_make_no_complete_answer(self):
+        homes = make_homes("a", make_service("a"))
+        ask = Takeover("s", "b", 1, 3, [7])
+        homes.give(ask, SOURCE, 0.0)
+        self.assertFalse(homes.is_lapsed(7, GIVEN_MEMORY_S - 1.0))
+        self.assertTrue(homes.is_lapsed(7, GIVEN_MEMORY_S))
+        self.assertEqual(homes.give(ask, SOURCE, 11.0)[1], [])
+
+    def test_a_newer_view_asks_everybody_anew(self):
+        homes = make_homes("a", make_service("a", "b", "c"))
+        bucket = next(iter(homes.awaited))
+        homes.take_answer(make_reply("b", 1, [bucket]))
+        homes.follow(make_service("a", "b", "c"), 2)
+        self.assertEqual(homes.awaited[bucket], {"b", "c"})
+
+    def test_a_member_without_a_lease_or_in_no_view_arbitrates_nothing(self):
+        service = make_service("a")
+        homes = make_homes("a", service)
+        for title, follow in (
+            ("fenced", lambda: homes.set_fenced(True)),
+            ("back", lambda: homes.set_fenced(False)),
+            ("expired", lambda: homes.follow(make_service("b"), 2)),
+            ("back again", lambda: homes.follow(make_service("a"), 3)),
+            ("service removed", lambda: homes.follow(None, 4)),
+        ):
+            with self.subTest(title):
+                follow()
+                expected = BUCKETS_PER_SERVICE if "back" in title else 0
+                self.assertEqual(len(homes.settled), expected)
+
+    def test_a_drained_home_arbitrates_until_it_is_asked(self):
+        homes = make_homes("a", make_service("a"))
+        homes.follow(make_service("a", "b", draining=("a",)), 2)
+        self.assertIn(7, homes.settled)
+        homes.give(Takeover("s", "b", 1, 2, [7]), SOURCE, 0.0)
+        self.assertNotIn(7, homes.settled)
