--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -11,10 +11,14 @@
 
 from fulmarshore.bench import balance as balance_bench
 from fulmarshore.bench import capacity as capacity_bench
+from fulmarshore.bench import cold as cold_bench
 from fulmarshore.bench import config as config_bench
 from fulmarshore.bench import control as control_bench
 from fulmarshore.bench import flows as flows_bench
 from fulmarshore.bench import forward as forward_bench
+from fulmarshore.bench import once as once_bench
+from fulmarshore.bench import sealing as sealing_bench
+from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
 from fulmarshore.bench import zone as zone_bench
 
@@ -74,6 +78,13 @@
     show_report(timeline_bench.run(events), as_json)
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def sealing(as_json: bool) -> None:
+    """Measure what sealing costs the socket between entry hosts and agents."""
+    show_report(sealing_bench.run(), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def config(as_json: bool) -> None:
@@ -111,6 +122,37 @@
     click.echo(f"entry host: {held}")
 
 
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def cold(seed: int, as_json: bool) -> None:
+    """Measure limits before upstreams that start or turn cold."""
+    show_report(cold_bench.run(seed), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--requests", type=click.IntRange(1), default=once_bench.REQUESTS)
+@click.option(
+    "--fault-interval",
+    type=click.FloatRange(0.1),
+    default=once_bench.FAULT_INTERVAL_S,
+    help="Mean time between two faults, in seconds.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def once(seed: int, requests: int, fault_interval: float, as_json: bool) -> None:
+    """Measure what becomes of requests under every fault."""
+    show_report(once_bench.run(seed, requests, fault_interval), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def surge(seed: int, as_json: bool) -> None:
+    """Measure demand that doubles twice, a loss of half, and a flood."""
+    show_report(surge_bench.run(seed), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def zone(as_json: bool) -> None:
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -293,6 +293,8 @@
     WRONG_SERVICE = "wrong_service"
     WRONG_INCARNATION = "wrong_incarnation"
     TOO_MANY_HOPS = "too_many_hops"
+    WRONG_SOURCE = "wrong_source"
+    STRANGER = "stranger"
     MALFORMED = "malformed"
     EXPIRED = "expired"
     LEDGER_FULL = "ledger_full"
@@ -303,6 +305,7 @@
     STOPPING = "stopping"
     UPSTREAM_GONE = "upstream_gone"
     IDLE = "idle"
+    RECLAIMED = "reclaimed"
 
 
 class Refusal(Record, frozen=True, gc=False):
@@ -1243,6 +1246,22 @@
     HistoryReply,
 ]
 
+
+class KeyRole(enum.StrEnum):
+    """Whose key opened a control link."""
+
+    CONTROL = "control"
+    PROCESS = "process"
+    OPERATOR = "operator"
+
+
+class KeyOwner(Record, frozen=True):
+    """The owner of the key that opened a control link."""
+
+    role: KeyRole
+    name: str
+
+
 # --------------------------------------------------------------------------
 # Commands of the replicated log
 # --------------------------------------------------------------------------
--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -12,6 +12,7 @@
     FolderRefused,
     make_new_replica,
 )
+from fulmarshore.adapters.keys import format_owner
 from fulmarshore.adapters.links import LinkClient, LinkServer
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.agreement.joining import recover_alone
@@ -22,6 +23,7 @@
     DamagedFile,
     Effect,
     Event,
+    KeyRole,
     LinkMessage,
     Recovered,
     Store,
@@ -108,8 +110,17 @@
                 loop.call_soon_threadsafe(self._fail_disk, error)
 
             self._disk = FileDisk(self._folder.path, self._recovered, done, fail)
-        self._clients = LinkClient(self.context, self.settings.peers, self._take_link)
-        self._server = LinkServer(self.context, self.settings.listen, self._take_link)
+        shared = (self._take_link, self.security, self.counters)
+        self._clients = LinkClient(self.context, self.settings.peers, *shared)
+        self._server = LinkServer(self.context, self.settings.listen, *shared)
+
+    def list_addresses(self) -> list[Address]:
+        """Return the addresses of links."""
+        return [self.settings.listen, *self.settings.peers.values()]
+
+    def find_owner(self) -> tuple[KeyRole, str]:
+        """Return under which role and name this host's key is kept."""
+        return KeyRole.CONTROL, format_owner(self.settings.listen)
 
     def close(self) -> None:
         """Close the links and the disk."""
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 from collections import Counter
+from random import Random
 
 import msgspec
 
 from fulmarshore.admission.gate import Gate
 from fulmarshore.admission.requests import RequestCore
+from fulmarshore.core.codec import encode_head
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
@@ -60,10 +62,12 @@
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
+from fulmarshore.routing.endings import EndingReport
 from fulmarshore.routing.fence import Fence
-from fulmarshore.routing.flows import Directory, Flow, IdleQueue
+from fulmarshore.routing.flows import Directory, Flow, IdleQueue, list_oldest
 from fulmarshore.routing.held import HeldPackets
 from fulmarshore.routing.homes import Homes
+from fulmarshore.routing.peers import KnownPeers
 from fulmarshore.routing.reports import Reporter
 from fulmarshore.routing.succession import Succession
 from fulmarshore.routing.table import ServiceTable, Table
@@ -73,6 +77,11 @@
 IDLE_SCAN_INTERVAL_S = 1.0
 MAX_FLOWS_PER_REPLY = 800
 """Keeps a `TakeoverReply` far below the size of a datagram."""
+RECLAIM_INTERVAL_S = 0.25
+RECLAIM_BATCH = 16
+"""Idle flows ended at a time to make room for new ones."""
+RECLAIM_FLOOR_SHARE = 0.5
+"""A flow idle for less than this share of the time-out is never reclaimed."""
 MAX_DECLINED = 4096
 """Assignments that an agent remembers to have declined."""
 DELTA_INTERVAL_S = 0.1
@@ -93,9 +102,11 @@
         self.subscriber = subscriber
         self.member = subscriber.announcement
         self.table = Table(subscriber.view)
+        self.peers = KnownPeers(self.table)
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
         self.gate = Gate(self.member)
+        self._endings = EndingReport()
         self.requests = RequestCore(subscriber)
         self.arbiter = Arbiter(self.member.name, self.counters)
         self.homes = Homes(self.member.name, self.member.incarnation)
@@ -104,6 +115,8 @@
         self.succession = Succession(subscriber.identity, self.member.service)
         self._recovery_began = False
         self._has_recovered = False
+        self._random = Random(self.member.incarnation)
+        self._reclaimed_at = float("-inf")
         self._idle = IdleQueue()
         self._reporter = Reporter(self.member.name, self.member.incarnation)
         self._declined: dict[bytes, int] = {}
@@ -156,6 +169,8 @@
     def _handle_peer(self, event: PeerMessage, now: float) -> list[Effect]:
         match event.message:
             case Delta() as delta:
+                if not self.peers.may_tell(event.source, delta):
+                    return self._drop(Reason.STRANGER)
                 effects = self.subscriber.apply(delta, event.source[0])
                 return effects + self._update_table(now)
             case DeltaRequest() as request:
@@ -220,7 +235,44 @@
         effects.append(self._deliver(flow, packet, now))
         return effects
 
+    def take_known(self, packet: Forward, now: float) -> bool:
+        """Take a packet of a flow held here that needs nothing but delivery.
+
+        Its payload goes to the upstream on the socket of the flow. False: it
+        is to be handled as an event.
+        """
+        flow = self.flows.get(packet.flow)
+        member = self.member
+        if flow is None or packet.version != self.table.version:
+            return False
+        if packet.service != member.service or packet.target != member.name:
+            return False
+        if packet.incarnation != member.incarnation:
+            return False
+        self._touch(flow, packet, now)
+        return True
+
+    def answer_known(self, key: bytes, now: float) -> Flow | None:
+        """Return the flow that an upstream's datagram goes back on, if simple.
+
+        Its head and the payload, joined, go to its entry host. None: the
+        datagram is to be handled as an event.
+        """
+        flow = self.flows.get(key)
+        if flow is None or flow.entry_address is None:
+            return None
+        flow.last_active = now
+        if flow.head_version != self.table.version:
+            flow.head = encode_head(self._make_answer(flow, b""))
+            flow.head_version = self.table.version
+        self.counters["answered"] += 1
+        return flow
+
     def _deliver(self, flow: Flow, packet: Forward, now: float) -> SendUpstream:
+        self._touch(flow, packet, now)
+        return SendUpstream(packet.flow, packet.payload)
+
+    def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
         flow.last_active = now
         if packet.assignment > flow.assignment:
             flow.assignment = packet.assignment
@@ -228,7 +280,6 @@
             flow.entry = packet.entry
             flow.entry_address = self._find_entry(packet.entry)
         self.counters["delivered"] += 1
-        return SendUpstream(packet.flow, packet.payload)
 
     def _route(self, packet: Forward, source: Address, now: float) -> list[Effect]:
         """Handle a packet of a flow that this agent does not hold."""
@@ -274,6 +325,9 @@
         return self._open(service, packet, now)
 
     def _open(self, service: ServiceTable, packet: Forward, now: float) -> list[Effect]:
+        effects = self._make_room(now)
+        if effects:
+            return effects + self._open(service, packet, now)
         entry = self.directory.find(packet.flow)
         tried = entry.tried if entry is not None else ()
         limit = self.gate.get_limit(now)
@@ -302,6 +356,23 @@
     def _has_room(self, now: float) -> bool:
         return self.is_accepting and self.gate.has_room(len(self.flows), now)
 
+    def _make_room(self, now: float) -> list[Effect]:
+        """End the flows that were idle for longest, where the bound is reached.
+
+        A flow that is active, or was within the floor, is never ended.
+        """
+        service = self.service
+        if service is None or len(self.flows) < self.gate.get_limit(now):
+            return []
+        if now - self._reclaimed_at < RECLAIM_INTERVAL_S:
+            return []
+        self._reclaimed_at = now
+        floor = service.profile.idle_timeout * RECLAIM_FLOOR_SHARE
+        effects: list[Effect] = []
+        for flow in list_oldest(self.flows, floor, RECLAIM_BATCH, now):
+            effects += self._end_flow(flow.key, Reason.RECLAIMED)
+        return effects
+
     def _assign(
         self, owner: Member, packet: Forward, is_new: bool, now: float
     ) -> list[Effect]:
@@ -315,6 +386,9 @@
         self, packet: Forward, source: Address, now: float
     ) -> list[Effect]:
         """Admit a flow that its home gave to this agent, or give it back."""
+        effects = self._make_room(now)
+        if effects:
+            return effects + self._take_assigned(packet, source, now)
         self._reporter.note_assignment(source, packet.assignment)
         if packet.phase in (Phase.MIDDLE, Phase.END):
             refusal = self._refuse(packet, Reason.FLOW_UNKNOWN)
@@ -434,9 +508,12 @@
         return Address(entry.host, entry.port)
 
     def _any_entry(self) -> Address | None:
-        for entry in self.table.entries.values():
-            return Address(entry.host, entry.port)
-        return None
+        """Return a live entry host in place of one that is gone."""
+        entries = list(self.table.entries.values())
+        if not entries:
+            return None
+        entry = self._random.choice(entries)
+        return Address(entry.host, entry.port)
 
     def _answer(self, event: UpstreamDatagram, now: float) -> list[Effect]:
         flow = self.flows.get(event.flow)
@@ -448,7 +525,11 @@
         if flow.entry_address is None:
             return self._drop(Reason.NO_UPSTREAM)
         self.counters["answered"] += 1
-        answer = Answer(
+        answer = self._make_answer(flow, event.payload)
+        return [SendPeer(flow.entry_address, answer)]
+
+    def _make_answer(self, flow: Flow, payload: bytes) -> Answer:
+        return Answer(
             self.member.service,
             self.member.name,
             self.member.incarnation,
@@ -456,9 +537,8 @@
             flow.key,
             flow.caller.host,
             flow.caller.port,
-            event.payload,
+            payload,
         )
-        return [SendPeer(flow.entry_address, answer)]
 
     # Ends of flows ---------------------------------------------------------
 
@@ -558,6 +638,7 @@
             return []
         effects: list[Effect] = []
         if ask.version > self.table.version:
+            self.peers.ask(source)
             request = DeltaRequest(self.subscriber.identity, self.table.version)
             effects.append(SendPeer(source, request))
         given, complete = self.homes.give(ask, source, now)
@@ -744,6 +825,7 @@
         if self._newest_seen is None or now - self._delta_asked_at < DELTA_INTERVAL_S:
             return []
         self._delta_asked_at = now
+        self.peers.ask(self._newest_seen[1])
         request = DeltaRequest(self.subscriber.identity, self.table.version)
         return [SendPeer(self._newest_seen[1], request)]
 
@@ -754,6 +836,7 @@
         assert view.version > self.table.version, "versions only go up"
         previous = self.table
         self.table = Table(view, previous)
+        self.peers.follow(self.table)
         self._delta_asked_at = float("-inf")
         if self._newest_seen is not None and view.version >= self._newest_seen[0]:
             self._newest_seen = None
@@ -770,20 +853,44 @@
             self.directory.forget_bucket(bucket)
         self.arbiter.follow(self.service)
         if zone in self.table.zones_out:
-            return self._end_all(Reason.ZONE_OUT)
+            return self._leave_zone(now)
         if zone in previous.zones_out:
             self.gate.turn_cold(now)
         effects = self._begin_recovery(now)
         return effects + self._ask_for_buckets(now) + self._resume_held(now)
 
-    def _end_all(self, reason: Reason) -> list[Effect]:
+    def _leave_zone(self, now: float) -> list[Effect]:
+        """End all flows with a refusal that callers can be shown."""
         effects: list[Effect] = []
-        for key in list(self.flows):
-            effects += self._end_flow(key, reason)
-        if effects:
-            effects.append(TimelineEvent("flows_ended", detail=reason))
+        self.directory.clear()
+        for _, packet, _ in self.held.take_all():
+            effects += self._refuse(packet, Reason.ZONE_OUT)
+        count = len(self.flows)
+        for flow in list(self.flows.values()):
+            effects += self._refuse_flow(flow, Reason.ZONE_OUT)
+            del self.flows[flow.key]
+            effects.append(CloseUpstream(flow.key))
+        self.counters[f"flows_ended_{Reason.ZONE_OUT}"] += count
+        if count:
+            detail = f"{count} flows, {Reason.ZONE_OUT}"
+            effects.append(TimelineEvent("flows_ended", detail=detail))
         return effects
 
+    def _refuse_flow(self, flow: Flow, reason: Reason) -> list[Effect]:
+        address = flow.entry_address or self._any_entry()
+        if address is None:
+            return []
+        refusal = Refusal(
+            self.member.service,
+            self.member.name,
+            self.member.incarnation,
+            self.table.version,
+            flow.key,
+            *flow.caller,
+            reason,
+        )
+        return [SendPeer(address, refusal)]
+
     def _tick(self, now: float) -> list[Effect]:
         if self.succession.has_left(now):
             return [Stopped()]
@@ -799,6 +906,7 @@
             effects += self._refuse(packet, Reason.NOT_SETTLED)
         effects += self._report_load(now)
         effects += self._reclaim_idle(now)
+        effects += self._endings.collect(self.member.service, self.counters, now)
         effects += self.requests.handle(Tick(), self.table, now)
         return effects
 
--- a/fulmarshore/routing/agent_test.py
+++ b/fulmarshore/routing/agent_test.py
@@ -14,8 +14,11 @@
     FlowRecord,
     FlowRecords,
     Forward,
+    Freshness,
+    HeartbeatReply,
     Identity,
     Kind,
+    LinkMessage,
     LoadReport,
     Member,
     OpenUpstream,
@@ -79,10 +82,13 @@
     def start_unsettled(self, name="a", connections=2000, names=NAMES):
         member = make_member(name, connections)
         subscriber = Subscriber(Identity(name, 1), member, ["x"], Random(1))
-        subscriber.lease_renewed = 1e9
         core = AgentCore(subscriber)
+        for stamp in (1, 2):
+            reply = HeartbeatReply("x", Freshness(1, stamp), VERSION, True)
+            core.handle(LinkMessage("x", reply), 0.0)
+        subscriber.lease_renewed = 1e9
         delta = make_delta(make_view(names), 0)
-        core.handle(PeerMessage(ENTRY, delta), 0.0)
+        core.handle(LinkMessage("x", delta), 0.0)
         return core
 
     def find_flow(self, core, home):
@@ -185,12 +191,17 @@
             ("a late one", 1, 0, 1, 1),
             ("one that saw all", 3, numbers[2], 1, 0),
         ]
+        flows_known = 0
         for title, number, seen, incarnation, expected in table:
             with self.subTest(title):
-                report = LoadReport("s", "b", incarnation, 3, 10, 20, number, seen)
+                flows_known = max(flows_known, 10 + number) if incarnation else 11
+                report = LoadReport(
+                    "s", "b", incarnation, 3, 10 + number, 20, number, seen
+                )
                 self.send(core, report, get_address("b"))
                 load = core.arbiter.loads.find(member)
                 self.assertEqual(len(load.expected), expected)
+                self.assertEqual(load.flows, flows_known)
 
     def test_lost_release_is_found_by_a_check(self):
         core = self.start()
@@ -203,11 +214,61 @@
         self.assertEqual([(r.flow, r.assignment) for r in released], [(gone, 5)])
 
 
+class LifeTest(AgentCase):
+    def open(self, core, now, port):
+        flow = hash_flow("s", "10.0.0.3", port)
+        packet = self.make_packet(flow, (9 << ASSIGNMENT_BITS) + port)
+        return flow, self.send(core, packet, get_address("b"), now)
+
+    def test_oldest_idle_flows_make_room_and_active_ones_stay(self):
+        core = self.start(connections=3)
+        opened = [self.open(core, now, port)[0] for port, now in enumerate((2, 100))]
+        active, _ = self.open(core, 110.0, 2)
+        table = [
+            ("nothing idle beyond the floor", 140.0, [], True),
+            ("one idle beyond the floor", 200.0, opened[:1], False),
+        ]
+        core.flows[active].last_active = 130.0
+        for number, (title, now, ended, declined) in enumerate(table):
+            with self.subTest(title):
+                before = set(core.flows)
+                _, effects = self.open(core, now, 10 + number)
+                self.assertEqual(before - set(core.flows), set(ended))
+                self.assertEqual(bool(self.list_sent(effects, Declined)), declined)
+        self.assertIn(active, core.flows)
+
+    def test_idle_flows_end_and_used_ones_stay(self):
+        core = self.start()
+        idle, _ = self.open(core, 2.0, 1)
+        used, _ = self.open(core, 2.0, 2)
+        self.open(core, 200.0, 2)
+        core.handle(Tick(), 310.0)
+        self.assertEqual(set(core.flows), {used})
+        self.assertEqual(core.counters["flows_ended_idle"], 1)
+        core.handle(Tick(), 620.0)
+        self.assertEqual(core.flows, {})
+
+    def test_zone_out_ends_flows_with_a_refusal_and_then_silence(self):
+        core = self.start()
+        flow, _ = self.open(core, 2.0, 1)
+        view = change_view(make_view(), 8, [Zone("za", True)], [])
+        delta = make_delta(view, VERSION)
+        effects = core.handle(LinkMessage("x", delta), 3.0)
+        refused = self.list_sent(effects, Refusal)
+        self.assertEqual([(r.flow, r.reason) for r in refused], [(flow, "zone_out")])
+        effects = self.send(core, self.make_packet(flow), now=3.1)
+        sent = [type(effect.message).__name__ for effect in effects]
+        self.assertEqual(sent, ["Delta"])
+        ticks = [core.handle(Tick(), now) for now in (3.2, 4.0, 6.0)]
+        peers = [e for part in ticks for e in part if isinstance(e, SendPeer)]
+        self.assertEqual(peers, [])
+
+
 class UnsettledTest(AgentCase):
     def test_packets_wait_for_the_take_over(self):
         core = self.start()
         flow = self.find_flow(core, "b")
-        core.handle(PeerMessage(ENTRY, make_delta(make_view("ac", 9), 0)), 2.0)
+        core.handle(LinkMessage("x", make_delta(make_view("ac", 9), 0)), 2.0)
         flow = next(
             hash_flow("s", "10.0.0.1", port)
             for port in range(1000)
@@ -225,7 +286,7 @@
     def test_zone_out_and_back_unseen_unsettles(self):
         core = self.start()
         view = change_view(make_view(), 8, [Zone("za")], [])
-        core.handle(PeerMessage(ENTRY, make_delta(view, VERSION)), 2.0)
+        core.handle(LinkMessage("x", make_delta(view, VERSION)), 2.0)
         self.assertEqual(len(core.homes.settled), 0)
         self.assertTrue(core.homes.awaited)
 
--- a/fulmarshore/routing/flows.py
+++ b/fulmarshore/routing/flows.py
@@ -18,6 +18,8 @@
         "entry_address",
         "last_active",
         "assignment",
+        "head",
+        "head_version",
     )
 
     def __init__(
@@ -35,6 +37,9 @@
         self.entry_address = address
         self.assignment = assignment
         self.last_active = now
+        # An encoded answer up to the payload, and the version it belongs to.
+        self.head = b""
+        self.head_version = -1
 
 
 class IdleQueue:
@@ -76,6 +81,15 @@
         self._queue.append((max(last, flow.last_active), flow))
 
 
+def list_oldest(
+    flows: dict[bytes, Flow], floor: float, count: int, now: float
+) -> list[Flow]:
+    """Return the flows that were idle for longest, all for at least the floor."""
+    idle = [flow for flow in flows.values() if now - flow.last_active >= floor]
+    idle.sort(key=lambda flow: flow.last_active)
+    return idle[:count]
+
+
 class Entry:
     """What the home remembers of a flow that another agent owns."""
 
