--- a/fulmarshore/commands/operator.py
+++ b/fulmarshore/commands/operator.py
@@ -133,7 +133,7 @@
     try:
         for address in reached.addresses:
             sock = reached.connect(context, address)
-            sock.send(encode(StatusRequest()))
+            sock.send(encode(StatusRequest(own=True)))
             poller.register(sock, zmq.POLLIN)
             waiting[sock] = f"{address.host}:{address.port}"
         while waiting and time.monotonic() < until:
