--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -272,6 +272,7 @@
 
     def test_first_host_alone_accepts_nothing(self):
         region = Region(1, running=1)
+        subscriber = self.add_process(region, "m0")
         region.network.add("op", Listener())
         change = Change(1, "op", [Zone("a", True)], [])
         for _ in range(4):
@@ -279,6 +280,7 @@
             region.network.run(0.5)
         told = {answer.status for answer in region.network.nodes["op"].core.answers}
         self.assertEqual(told, {ChangeStatus.UNAVAILABLE})
+        self.assertEqual(subscriber.lease_renewed, float("-inf"), "never fresh")
         region.start("c1")
         region.network.run(2.0)
         reply = self.submit(region, 1, [Zone("a", True)])
@@ -325,6 +327,11 @@
         region.wipe(next(name for name in region.names if name != leader.name))
         region.network.run(0.05)
         listener = region.network.nodes["op"].core
+        for name in region.names:
+            region.network.inject(name, LinkMessage("op", StatusRequest(own=True)))
+        region.network.run(0.05)
+        told = [a for a in listener.answers if isinstance(a, StatusReply)]
+        self.assertEqual({answer.control for answer in told}, set(region.names))
         seen = set()
         for _ in range(60):
             for name in region.names:
