Answers to take-overs in a module of their own; silent QUIC paths are replaced

A QUIC flow that gets no answer for 3 s while others of the upstream do gets a new socket: its connection outlives the change of address (RFC 9000, 9). An opaque flow may be silent in good order, so it is left to its idle time-out.

--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -38,9 +38,9 @@
     Member,
     MemberState,
     OpenUpstream,
-    OwnedFlow,
     PeerMessage,
     Phase,
+    Protocol,
     Reason,
     Refusal,
     Released,
@@ -66,19 +66,20 @@
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
 from fulmarshore.routing.endings import EndingReport
 from fulmarshore.routing.fence import Fence
-from fulmarshore.routing.flows import Directory, Flow, IdleQueue, list_oldest
+from fulmarshore.routing.flows import NEVER, Directory, Flow, IdleQueue, list_oldest
 from fulmarshore.routing.held import HeldPackets
 from fulmarshore.routing.homes import Homes
 from fulmarshore.routing.peers import KnownPeers
 from fulmarshore.routing.reports import Reporter
 from fulmarshore.routing.succession import Succession
 from fulmarshore.routing.table import ServiceTable, Table
+from fulmarshore.routing.takeover import list_replies
 
 MAX_HOPS = 12
 """Bounds what agents may pass one packet on, whatever their tables say."""
 IDLE_SCAN_INTERVAL_S = 1.0
-MAX_FLOWS_PER_REPLY = 800
-"""Keeps a `TakeoverReply` far below the size of a datagram."""
+SILENT_TIMEOUT_S = 3.0
+"""A QUIC flow that is not answered for this long gets a new socket."""
 RECLAIM_INTERVAL_S = 0.25
 RECLAIM_BATCH = 16
 """Idle flows ended at a time to make room for new ones."""
@@ -120,6 +121,8 @@
         self._has_recovered = False
         self._random = Random(self.member.incarnation)
         self._reclaimed_at = float("-inf")
+        self._answered_at = float("-inf")
+        self._silent_timeout = NEVER
         self._idle = IdleQueue()
         self._reporter = Reporter(self.member.name, self.member.incarnation)
         self._declined: dict[bytes, int] = {}
@@ -228,6 +231,8 @@
             effects += self._compare_versions(packet.version, source, now)
         flow = self.flows.get(packet.flow)
         if flow is not None:
+            if now >= flow.silent_at:
+                effects += self._replace_path(flow, now)
             effects.append(self._deliver(flow, packet, now))
             return effects
         return effects + self._route(packet, source, now)
@@ -255,7 +260,7 @@
             return False
         if packet.service != member.service or packet.target != member.name:
             return False
-        if packet.incarnation != member.incarnation:
+        if packet.incarnation != member.incarnation or now >= flow.silent_at:
             return False
         self._touch(flow, packet, now)
         return True
@@ -270,6 +275,8 @@
         if flow is None or flow.entry_address is None:
             return None
         flow.last_active = now
+        flow.silent_at = NEVER
+        self._answered_at = now
         if flow.head_version != self.table.version:
             flow.head = encode_head(self._make_answer(flow, b""))
             flow.head_version = self.table.version
@@ -280,8 +287,23 @@
         self._touch(flow, packet, now)
         return SendUpstream(packet.flow, packet.payload)
 
+    def _replace_path(self, flow: Flow, now: float) -> list[Effect]:
+        """Move a flow that gets no answers to a new socket, if others do.
+
+        Something between agent and upstream may have lost track of it. Only
+        QUIC, whose connections outlive a change of address, can be moved
+        without harm; an opaque flow without answers may be in order.
+        """
+        flow.silent_at = now + 2 * SILENT_TIMEOUT_S
+        if now - self._answered_at > SILENT_TIMEOUT_S / 2:
+            return []
+        self.counters["paths_replaced"] += 1
+        return [CloseUpstream(flow.key)]
+
     def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
         flow.last_active = now
+        if flow.silent_at == NEVER:
+            flow.silent_at = now + self._silent_timeout
         if packet.assignment > flow.assignment:
             flow.assignment = packet.assignment
         if flow.entry != packet.entry:
@@ -400,7 +422,10 @@
         self._reporter.note_assignment(source, packet.assignment)
         if packet.phase in (Phase.MIDDLE, Phase.END):
             refusal = self._refuse(packet, Reason.FLOW_UNKNOWN)
-            return [*refusal, SendPeer(source, self._release(packet))]
+            return [
+                *refusal,
+                SendPeer(source, self._release(packet.flow, packet.assignment)),
+            ]
         declined = self._declined.get(packet.flow, 0) >= packet.assignment
         if not declined and self._has_room(now):
             return self._admit(packet, now)
@@ -528,6 +553,8 @@
         if flow is None:
             return self._drop(Reason.FLOW_UNKNOWN)
         flow.last_active = now
+        flow.silent_at = NEVER
+        self._answered_at = now
         if flow.entry_address is None:
             flow.entry_address = self._find_entry(flow.entry)
         if flow.entry_address is None:
@@ -560,14 +587,7 @@
         address = self._find_home(find_bucket(key))
         if address is None:
             return effects
-        released = Released(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            key,
-            flow.assignment,
-        )
+        released = self._release(key, flow.assignment)
         effects.append(SendPeer(address, released))
         return effects
 
@@ -584,14 +604,14 @@
             return None
         return Address(home.host, home.port)
 
-    def _release(self, packet: Forward) -> Released:
+    def _release(self, flow: bytes, assignment: int) -> Released:
         return Released(
             self.member.service,
             self.member.name,
             self.member.incarnation,
             self.table.version,
-            packet.flow,
-            packet.assignment,
+            flow,
+            assignment,
         )
 
     def _answer_check(self, check: FlowCheck, source: Address) -> list[Effect]:
@@ -602,30 +622,28 @@
         for owned in check.flows:
             if owned.flow in self.flows or owned.incarnation > self.member.incarnation:
                 continue
-            released = Released(
-                self.member.service,
-                self.member.name,
-                self.member.incarnation,
-                self.table.version,
-                owned.flow,
-                owned.assignment,
-            )
+            released = self._release(owned.flow, owned.assignment)
             effects.append(SendPeer(source, released))
         return effects
 
     def _refuse(self, packet: Forward, reason: Reason) -> list[Effect]:
         self.counters[f"refused_{reason}"] += 1
+        caller = Address(packet.caller_host, packet.caller_port)
         address = self._find_entry(packet.entry)
+        return self._send_refusal(packet.flow, caller, address, reason)
+
+    def _send_refusal(
+        self, flow: bytes, caller: Address, address: Address | None, reason: Reason
+    ) -> list[Effect]:
         if address is None:
             return []
         refusal = Refusal(
-            packet.service,
+            self.member.service,
             self.member.name,
             self.member.incarnation,
             self.table.version,
-            packet.flow,
-            packet.caller_host,
-            packet.caller_port,
+            flow,
+            *caller,
             reason,
         )
         return [SendPeer(address, refusal)]
@@ -651,54 +669,18 @@
             request = DeltaRequest(self.subscriber.identity, self.table.version)
             effects.append(SendPeer(source, request))
         given, complete = self.homes.give(ask, source, now)
-        own = self._list_own(set(given))
-        part: list[int] = []
-        flows: list[OwnedFlow] = []
-        for bucket in given:
-            found = own.get(bucket, []) + self.directory.list_flows(bucket)
-            if part and len(flows) + len(found) > MAX_FLOWS_PER_REPLY:
-                effects.append(self._reply(ask, source, part, flows, complete))
-                part, flows = [], []
-            part.append(bucket)
-            flows += found
-        if part:
-            effects.append(self._reply(ask, source, part, flows, complete))
+        replies = list_replies(
+            ask,
+            self.subscriber.identity,
+            given,
+            complete,
+            self.flows.values(),
+            self.directory,
+        )
+        effects += [SendPeer(source, reply) for reply in replies]
         self.counters["buckets_given"] += len(given)
         return effects
 
-    def _reply(
-        self,
-        ask: Takeover,
-        source: Address,
-        buckets: list[int],
-        flows: list[OwnedFlow],
-        complete: list[int],
-    ) -> SendPeer:
-        known = set(complete)
-        reply = TakeoverReply(
-            ask.service,
-            self.member.name,
-            self.member.incarnation,
-            ask.version,
-            buckets,
-            flows,
-            [bucket for bucket in buckets if bucket in known],
-        )
-        return SendPeer(source, reply)
-
-    def _list_own(self, buckets: set[int]) -> dict[int, list[OwnedFlow]]:
-        found: dict[int, list[OwnedFlow]] = {}
-        identity = self.subscriber.identity
-        for flow in self.flows.values():
-            bucket = find_bucket(flow.key)
-            if bucket not in buckets:
-                continue
-            owned = OwnedFlow(
-                flow.key, identity.name, identity.incarnation, flow.assignment
-            )
-            found.setdefault(bucket, []).append(owned)
-        return found
-
     def _take_buckets(self, reply: TakeoverReply, now: float) -> list[Effect]:
         if not self.homes.is_answer(reply):
             self.counters["takeover_replies_late"] += 1
@@ -851,6 +833,8 @@
             self._newest_seen = None
         if self.service is not None:
             self.gate.follow(self.service.profile)
+            is_quic = self.service.service.protocol == Protocol.QUIC
+            self._silent_timeout = SILENT_TIMEOUT_S if is_quic else NEVER
         for flow in self.flows.values():
             flow.entry_address = self._find_entry(flow.entry)
         zone = self.member.zone
@@ -876,7 +860,10 @@
             effects += self._refuse(packet, Reason.ZONE_OUT)
         count = len(self.flows)
         for flow in list(self.flows.values()):
-            effects += self._refuse_flow(flow, Reason.ZONE_OUT)
+            address = flow.entry_address or self._any_entry()
+            effects += self._send_refusal(
+                flow.key, flow.caller, address, Reason.ZONE_OUT
+            )
             del self.flows[flow.key]
             effects.append(CloseUpstream(flow.key))
         self.counters[f"flows_ended_{Reason.ZONE_OUT}"] += count
@@ -885,21 +872,6 @@
             effects.append(TimelineEvent("flows_ended", detail=detail))
         return effects
 
-    def _refuse_flow(self, flow: Flow, reason: Reason) -> list[Effect]:
-        address = flow.entry_address or self._any_entry()
-        if address is None:
-            return []
-        refusal = Refusal(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            flow.key,
-            *flow.caller,
-            reason,
-        )
-        return [SendPeer(address, refusal)]
-
     def _tick(self, now: float) -> list[Effect]:
         if self.succession.has_left(now):
             return [Stopped()]
--- a/fulmarshore/routing/agent_test.py
+++ b/fulmarshore/routing/agent_test.py
@@ -8,6 +8,7 @@
 from fulmarshore.core.hashing import find_bucket, hash_flow
 from fulmarshore.core.records import (
     Address,
+    CloseUpstream,
     Declined,
     EntryHost,
     FlowCheck,
@@ -25,6 +26,7 @@
     OwnedFlow,
     PeerMessage,
     Profile,
+    Protocol,
     Reason,
     Refusal,
     Released,
@@ -34,6 +36,7 @@
     Takeover,
     TakeoverReply,
     Tick,
+    UpstreamDatagram,
     Zone,
 )
 from fulmarshore.membership.subscriber import Subscriber
@@ -248,6 +251,30 @@
         core.handle(Tick(), 620.0)
         self.assertEqual(core.flows, {})
 
+    def test_a_silent_quic_flow_moves_to_a_new_socket(self):
+        table = [
+            ("others are answered", Protocol.QUIC, True, True),
+            ("nobody is answered", Protocol.QUIC, False, False),
+            ("not known to survive it", Protocol.OPAQUE, True, False),
+        ]
+        for title, protocol, others, expected in table:
+            with self.subTest(title):
+                core = self.start()
+                service = Service("s", "p", "127.0.0.9", 80, protocol)
+                view = change_view(make_view(), 8, [service], [])
+                core.handle(LinkMessage("x", make_delta(view, VERSION)), 2.0)
+                silent, _ = self.open(core, 2.0, 1)
+                other, _ = self.open(core, 2.0, 2)
+                self.send(core, self.make_packet(silent, version=8), now=3.0)
+                if others:
+                    core.handle(UpstreamDatagram(other, b"y"), 5.9)
+                packet = self.make_packet(silent, version=8)
+                effects = self.send(core, packet, now=6.0)
+                moved = [e for e in effects if isinstance(e, CloseUpstream)]
+                self.assertEqual(moved == [CloseUpstream(silent)], expected)
+                self.assertTrue(self.is_delivered(effects))
+                self.assertFalse(self.send(core, packet, now=6.1)[:-1])
+
     def test_zone_out_ends_flows_with_a_refusal_and_then_silence(self):
         core = self.start()
         flow, _ = self.open(core, 2.0, 1)
--- a/fulmarshore/routing/flows.py
+++ b/fulmarshore/routing/flows.py
@@ -7,6 +7,8 @@
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import Address, OwnedFlow
 
+NEVER = float("inf")
+
 
 class Flow:
     """A flow that this agent's upstream serves."""
@@ -17,6 +19,7 @@
         "entry",
         "entry_address",
         "last_active",
+        "silent_at",
         "assignment",
         "head",
         "head_version",
@@ -37,6 +40,7 @@
         self.entry_address = address
         self.assignment = assignment
         self.last_active = now
+        self.silent_at = NEVER
         # An encoded answer up to the payload, and the version it belongs to.
         self.head = b""
         self.head_version = -1
