--- a/fulmarshore/standins/upstream.py
+++ b/fulmarshore/standins/upstream.py
@@ -25,12 +25,14 @@
         self.packets = 0
         self.misdelivered = 0
         self.last_packet_at = 0.0
+        self.address: Address | None = None
         self._loop = asyncio.get_running_loop()
         self._socket = DatagramSocket(self._loop, self._take)
 
     def open(self) -> Address:
         """Open the upstream and return its address."""
-        return self._socket.bind(Address("127.0.0.1", 0))
+        self.address = self._socket.bind(Address("127.0.0.1", 0))
+        return self.address
 
     def close(self) -> None:
         """Close the upstream."""
