--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -160,6 +160,7 @@
             case PeerMessage():
                 return self._handle_peer(event, now)
             case UpstreamGone(flow=flow):
+                self.gate.turn_cold(now)
                 return self._end_flow(flow, Reason.UPSTREAM_GONE)
             case StreamOpened(flow=flow):
                 self.streams.add(flow)
@@ -473,6 +474,7 @@
         flow = Flow(packet.flow, caller, packet.entry, address, packet.assignment, now)
         self.flows[packet.flow] = flow
         self._idle.add(flow, now)
+        self.gate.note_opened(now)
         self.counters["flows_opened"] += 1
         return [SendUpstream(packet.flow, packet.payload)]
 
