--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -238,7 +238,7 @@
         run.started_at = now or 1e-9
         self.working[run.flow] = run
         run.cancel_at = run.deadline
-        self.counters["requests_started"] += 1
+        self.counters["runs_started"] += 1
         request = replace(run.request, timeout=run.deadline - now)
         return [SendUpstream(run.flow, encode(request))]
 
@@ -254,7 +254,9 @@
         stated = (response.service, response.caller, response.number, response.attempt)
         if stated != (request.service, request.caller, request.number, request.attempt):
             return self._drop("unmatched_answer")
-        if response.verdict == Verdict.NOT_RUN and response.reason == Reason.SHED:
+        if response.verdict == Verdict.NOT_RUN and response.reason != Reason.CANCELLED:
+            # Whatever the upstream calls it, it did not take the work.
+            response = replace(response, reason=Reason.SHED)
             self.limiter.shed(len(self.working), now)
         elif response.verdict == Verdict.ANSWERED:
             self.limiter.finish(len(self.working), now - run.started_at, now)
@@ -289,9 +291,10 @@
         run.verdict = verdict
         run.reason = reason
         run.body = body
-        self.counters[f"requests_{verdict}"] += 1
         if verdict == Verdict.NOT_RUN:
-            self.counters[f"refused_{reason}"] += 1
+            self.counters[f"runs_refused_{reason}"] += 1
+        else:
+            self.counters[f"runs_{verdict}"] += 1
         reply = self._reply(run)
         if run.flow not in self.working:
             run.request = None
