--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -9,15 +9,18 @@
 from msgspec import Struct
 from tabulate import tabulate
 
+from fulmarshore.bench import balance as balance_bench
 from fulmarshore.bench import capacity as capacity_bench
 from fulmarshore.bench import cold as cold_bench
 from fulmarshore.bench import config as config_bench
 from fulmarshore.bench import control as control_bench
+from fulmarshore.bench import flows as flows_bench
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import once as once_bench
 from fulmarshore.bench import sealing as sealing_bench
 from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
+from fulmarshore.bench import zone as zone_bench
 
 
 @click.group()
@@ -46,6 +49,20 @@
         click.echo(tabulate(plain.items()))
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def balance(as_json: bool) -> None:
+    """Measure how evenly flows spread, beside a hash and two choices."""
+    show_report(balance_bench.run(), as_json)
+
+
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def flows(as_json: bool) -> None:
+    """Count the flows that planned changes and faults break."""
+    show_report(flows_bench.run(), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def capacity(as_json: bool) -> None:
@@ -135,3 +152,10 @@
 def surge(seed: int, as_json: bool) -> None:
     """Measure demand that doubles twice, a loss of half, and a flood."""
     show_report(surge_bench.run(seed), as_json)
+
+
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def zone(as_json: bool) -> None:
+    """Measure service while a zone goes and returns, demand doubled."""
+    show_report(zone_bench.run(), as_json)
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -305,6 +305,7 @@
     STOPPING = "stopping"
     UPSTREAM_GONE = "upstream_gone"
     IDLE = "idle"
+    RECLAIMED = "reclaimed"
     ENDED = "ended"
 
 
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from random import Random
 
 import msgspec
 
@@ -37,9 +38,9 @@
     Member,
     MemberState,
     OpenUpstream,
-    OwnedFlow,
     PeerMessage,
     Phase,
+    Protocol,
     Reason,
     Refusal,
     Released,
@@ -65,19 +66,25 @@
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
 from fulmarshore.routing.endings import EndingReport
 from fulmarshore.routing.fence import Fence
-from fulmarshore.routing.flows import Directory, Flow, IdleQueue
+from fulmarshore.routing.flows import NEVER, Directory, Flow, IdleQueue, list_oldest
 from fulmarshore.routing.held import HeldPackets
 from fulmarshore.routing.homes import Homes
 from fulmarshore.routing.peers import KnownPeers
 from fulmarshore.routing.reports import Reporter
 from fulmarshore.routing.succession import Succession
 from fulmarshore.routing.table import ServiceTable, Table
+from fulmarshore.routing.takeover import list_replies
 
 MAX_HOPS = 12
 """Bounds what agents may pass one packet on, whatever their tables say."""
 IDLE_SCAN_INTERVAL_S = 1.0
-MAX_FLOWS_PER_REPLY = 800
-"""Keeps a `TakeoverReply` far below the size of a datagram."""
+SILENT_TIMEOUT_S = 3.0
+"""A QUIC flow that is not answered for this long gets a new socket."""
+RECLAIM_INTERVAL_S = 0.25
+RECLAIM_BATCH = 16
+"""Idle flows ended at a time to make room for new ones."""
+RECLAIM_FLOOR_SHARE = 0.5
+"""A flow idle for less than this share of the time-out is never reclaimed."""
 MAX_DECLINED = 4096
 """Assignments that an agent remembers to have declined."""
 DELTA_INTERVAL_S = 0.1
@@ -112,6 +119,10 @@
         self.succession = Succession(subscriber.identity, self.member.service)
         self._recovery_began = False
         self._has_recovered = False
+        self._random = Random(self.member.incarnation)
+        self._reclaimed_at = float("-inf")
+        self._answered_at = float("-inf")
+        self._silent_timeout = NEVER
         self._idle = IdleQueue()
         self._reporter = Reporter(self.member.name, self.member.incarnation)
         self._declined: dict[bytes, int] = {}
@@ -212,18 +223,32 @@
     ) -> list[Effect]:
         if packet.service != self.member.service:
             return self._drop_misdirected(Reason.WRONG_SERVICE, packet, source)
-        wrong = packet.target != self.member.name
-        if wrong or packet.incarnation != self.member.incarnation:
+        if packet.target != self.member.name:
             return self._drop_misdirected(Reason.WRONG_INCARNATION, packet, source)
+        if packet.incarnation != self.member.incarnation:
+            return self._take_former(packet, source, now)
         effects: list[Effect] = []
         if packet.version != self.table.version:
             effects += self._compare_versions(packet.version, source, now)
         flow = self.flows.get(packet.flow)
         if flow is not None:
+            if now >= flow.silent_at:
+                effects += self._replace_path(flow, now)
             effects.append(self._deliver(flow, packet, now))
             return effects
         return effects + self._route(packet, source, now)
 
+    def _take_former(
+        self, packet: Forward, source: Address, now: float
+    ) -> list[Effect]:
+        """Take a packet for a former self only where its flow was recovered."""
+        flow = self.flows.get(packet.flow)
+        if flow is None or packet.incarnation > self.member.incarnation:
+            return self._drop_misdirected(Reason.WRONG_INCARNATION, packet, source)
+        effects = self._correct_sender(packet, source)
+        effects.append(self._deliver(flow, packet, now))
+        return effects
+
     def take_known(self, packet: Forward, now: float) -> bool:
         """Take a packet of a flow held here that needs nothing but delivery.
 
@@ -236,7 +261,7 @@
             return False
         if packet.service != member.service or packet.target != member.name:
             return False
-        if packet.incarnation != member.incarnation:
+        if packet.incarnation != member.incarnation or now >= flow.silent_at:
             return False
         self._touch(flow, packet, now)
         return True
@@ -251,6 +276,8 @@
         if flow is None or flow.entry_address is None:
             return None
         flow.last_active = now
+        flow.silent_at = NEVER
+        self._answered_at = now
         if flow.head_version != self.table.version:
             flow.head = encode_head(self._make_answer(flow, b""))
             flow.head_version = self.table.version
@@ -261,8 +288,23 @@
         self._touch(flow, packet, now)
         return SendUpstream(packet.flow, packet.payload)
 
+    def _replace_path(self, flow: Flow, now: float) -> list[Effect]:
+        """Move a flow that gets no answers to a new socket, if others do.
+
+        Something between agent and upstream may have lost track of it. Only
+        QUIC, whose connections outlive a change of address, can be moved
+        without harm; an opaque flow without answers may be in order.
+        """
+        flow.silent_at = now + 2 * SILENT_TIMEOUT_S
+        if now - self._answered_at > SILENT_TIMEOUT_S / 2:
+            return []
+        self.counters["paths_replaced"] += 1
+        return [CloseUpstream(flow.key)]
+
     def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
         flow.last_active = now
+        if flow.silent_at == NEVER:
+            flow.silent_at = now + self._silent_timeout
         if packet.assignment > flow.assignment:
             flow.assignment = packet.assignment
         if flow.entry != packet.entry:
@@ -314,10 +356,20 @@
         return self._open(service, packet, now)
 
     def _open(self, service: ServiceTable, packet: Forward, now: float) -> list[Effect]:
+        effects = self._make_room(now)
+        if effects:
+            return effects + self._open(service, packet, now)
         entry = self.directory.find(packet.flow)
         tried = entry.tried if entry is not None else ()
-        own_share = self._find_own_share(now)
-        owner = self.arbiter.choose_owner(service, tried, own_share, now)
+        limit = self.gate.get_limit(now)
+        is_open = self.is_accepting and len(self.flows) < limit
+        own = self._reporter.get_room(is_open, limit)
+        owner = self.arbiter.choose_owner(service, tried, own, now)
+        if owner is not None and owner.name == self.member.name:
+            # The gate is asked only now: asking takes from its rate.
+            if not self._has_room(now):
+                tried = (*tried, self.member.name)
+                owner = self.arbiter.choose_owner(service, tried, own, now)
         if owner is None:
             self.directory.forget(packet.flow)
             has_accepting = bool(service.accepting)
@@ -326,16 +378,31 @@
             )
         if owner.name == self.member.name:
             self.directory.forget(packet.flow)
+            self._reporter.note_opening(True)
             return self._admit(packet, now)
+        self._reporter.note_opening(False)
         self.counters["handed_over"] += 1
         return self._assign(owner, packet, True, now)
 
-    def _find_own_share(self, now: float) -> float:
-        if not self.is_accepting:
-            return 1.0
-        if not self.gate.has_room(len(self.flows), now):
-            return 1.0
-        return len(self.flows) / max(self.gate.get_limit(now), 1)
+    def _has_room(self, now: float) -> bool:
+        return self.is_accepting and self.gate.has_room(len(self.flows), now)
+
+    def _make_room(self, now: float) -> list[Effect]:
+        """End the flows that were idle for longest, where the bound is reached.
+
+        A flow that is active, or was within the floor, is never ended.
+        """
+        service = self.service
+        if service is None or len(self.flows) < self.gate.get_limit(now):
+            return []
+        if now - self._reclaimed_at < RECLAIM_INTERVAL_S:
+            return []
+        self._reclaimed_at = now
+        floor = service.profile.idle_timeout * RECLAIM_FLOOR_SHARE
+        effects: list[Effect] = []
+        for flow in list_oldest(self.flows, floor, RECLAIM_BATCH, now):
+            effects += self._end_flow(flow.key, Reason.RECLAIMED)
+        return effects
 
     def _assign(
         self, owner: Member, packet: Forward, is_new: bool, now: float
@@ -350,12 +417,18 @@
         self, packet: Forward, source: Address, now: float
     ) -> list[Effect]:
         """Admit a flow that its home gave to this agent, or give it back."""
+        effects = self._make_room(now)
+        if effects:
+            return effects + self._take_assigned(packet, source, now)
         self._reporter.note_assignment(source, packet.assignment)
         if packet.phase in (Phase.MIDDLE, Phase.END):
             refusal = self._refuse(packet, Reason.FLOW_UNKNOWN)
-            return [*refusal, SendPeer(source, self._release(packet))]
+            return [
+                *refusal,
+                SendPeer(source, self._release(packet.flow, packet.assignment)),
+            ]
         declined = self._declined.get(packet.flow, 0) >= packet.assignment
-        if not declined and self._find_own_share(now) < 1.0:
+        if not declined and self._has_room(now):
             return self._admit(packet, now)
         return self._decline(packet, source)
 
@@ -470,15 +543,20 @@
         return Address(entry.host, entry.port)
 
     def _any_entry(self) -> Address | None:
-        for entry in self.table.entries.values():
-            return Address(entry.host, entry.port)
-        return None
+        """Return a live entry host in place of one that is gone."""
+        entries = list(self.table.entries.values())
+        if not entries:
+            return None
+        entry = self._random.choice(entries)
+        return Address(entry.host, entry.port)
 
     def _answer(self, event: UpstreamDatagram, now: float) -> list[Effect]:
         flow = self.flows.get(event.flow)
         if flow is None:
             return self._drop(Reason.FLOW_UNKNOWN)
         flow.last_active = now
+        flow.silent_at = NEVER
+        self._answered_at = now
         if flow.entry_address is None:
             flow.entry_address = self._find_entry(flow.entry)
         if flow.entry_address is None:
@@ -511,14 +589,7 @@
         address = self._find_home(find_bucket(key))
         if address is None:
             return effects
-        released = Released(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.table.version,
-            key,
-            flow.assignment,
-        )
+        released = self._release(key, flow.assignment)
         effects.append(SendPeer(address, released))
         return effects
 
@@ -535,14 +606,14 @@
             return None
         return Address(home.host, home.port)
 
-    def _release(self, packet: Forward) -> Released:
+    def _release(self, flow: bytes, assignment: int) -> Released:
         return Released(
             self.member.service,
             self.member.name,
             self.member.incarnation,
             self.table.version,
-            packet.flow,
-            packet.assignment,
+            flow,
+            assignment,
         )
 
     def _answer_check(self, check: FlowCheck, source: Address) -> list[Effect]:
@@ -553,30 +624,28 @@
         for owned in check.flows:
             if owned.flow in self.flows or owned.incarnation > self.member.incarnation:
                 continue
-            released = Released(
-                self.member.service,
-                self.member.name,
-                self.member.incarnation,
-                self.table.version,
-                owned.flow,
-                owned.assignment,
-            )
+            released = self._release(owned.flow, owned.assignment)
             effects.append(SendPeer(source, released))
         return effects
 
     def _refuse(self, packet: Forward, reason: Reason) -> list[Effect]:
         self.counters[f"refused_{reason}"] += 1
+        caller = Address(packet.caller_host, packet.caller_port)
         address = self._find_entry(packet.entry)
+        return self._send_refusal(packet.flow, caller, address, reason)
+
+    def _send_refusal(
+        self, flow: bytes, caller: Address, address: Address | None, reason: Reason
+    ) -> list[Effect]:
         if address is None:
             return []
         refusal = Refusal(
-            packet.service,
+            self.member.service,
             self.member.name,
             self.member.incarnation,
             self.table.version,
-            packet.flow,
-            packet.caller_host,
-            packet.caller_port,
+            flow,
+            *caller,
             reason,
         )
         return [SendPeer(address, refusal)]
@@ -602,54 +671,18 @@
             request = DeltaRequest(self.subscriber.identity, self.table.version)
             effects.append(SendPeer(source, request))
         given, complete = self.homes.give(ask, source, now)
-        own = self._list_own(set(given))
-        part: list[int] = []
-        flows: list[OwnedFlow] = []
-        for bucket in given:
-            found = own.get(bucket, []) + self.directory.list_flows(bucket)
-            if part and len(flows) + len(found) > MAX_FLOWS_PER_REPLY:
-                effects.append(self._reply(ask, source, part, flows, complete))
-                part, flows = [], []
-            part.append(bucket)
-            flows += found
-        if part:
-            effects.append(self._reply(ask, source, part, flows, complete))
+        replies = list_replies(
+            ask,
+            self.subscriber.identity,
+            given,
+            complete,
+            self.flows.values(),
+            self.directory,
+        )
+        effects += [SendPeer(source, reply) for reply in replies]
         self.counters["buckets_given"] += len(given)
         return effects
 
-    def _reply(
-        self,
-        ask: Takeover,
-        source: Address,
-        buckets: list[int],
-        flows: list[OwnedFlow],
-        complete: list[int],
-    ) -> SendPeer:
-        known = set(complete)
-        reply = TakeoverReply(
-            ask.service,
-            self.member.name,
-            self.member.incarnation,
-            ask.version,
-            buckets,
-            flows,
-            [bucket for bucket in buckets if bucket in known],
-        )
-        return SendPeer(source, reply)
-
-    def _list_own(self, buckets: set[int]) -> dict[int, list[OwnedFlow]]:
-        found: dict[int, list[OwnedFlow]] = {}
-        identity = self.subscriber.identity
-        for flow in self.flows.values():
-            bucket = find_bucket(flow.key)
-            if bucket not in buckets:
-                continue
-            owned = OwnedFlow(
-                flow.key, identity.name, identity.incarnation, flow.assignment
-            )
-            found.setdefault(bucket, []).append(owned)
-        return found
-
     def _take_buckets(self, reply: TakeoverReply, now: float) -> list[Effect]:
         if not self.homes.is_answer(reply):
             self.counters["takeover_replies_late"] += 1
@@ -802,6 +835,8 @@
             self._newest_seen = None
         if self.service is not None:
             self.gate.follow(self.service.profile)
+            is_quic = self.service.service.protocol == Protocol.QUIC
+            self._silent_timeout = SILENT_TIMEOUT_S if is_quic else NEVER
         for flow in self.flows.values():
             flow.entry_address = self._find_entry(flow.entry)
         zone = self.member.zone
@@ -812,15 +847,31 @@
             # What is left of an earlier time as home may be outdated.
             self.directory.forget_bucket(bucket)
         self.arbiter.follow(self.service)
-        if self.member.zone in self.table.zones_out:
-            return self._end_all(Reason.ZONE_OUT)
+        if zone in self.table.zones_out:
+            return self._leave_zone(now)
+        if zone in previous.zones_out:
+            self.gate.turn_cold(now)
         effects = self._begin_recovery(now)
         return effects + self._ask_for_buckets(now) + self._resume_held(now)
 
-    def _end_all(self, reason: Reason) -> list[Effect]:
+    def _leave_zone(self, now: float) -> list[Effect]:
+        """End all flows with a refusal that callers can be shown."""
         effects: list[Effect] = []
-        for key in list(self.flows):
-            effects += self._end_flow(key, reason)
+        self.directory.clear()
+        for _, packet, _ in self.held.take_all():
+            effects += self._refuse(packet, Reason.ZONE_OUT)
+        count = len(self.flows)
+        for flow in list(self.flows.values()):
+            address = flow.entry_address or self._any_entry()
+            effects += self._send_refusal(
+                flow.key, flow.caller, address, Reason.ZONE_OUT
+            )
+            del self.flows[flow.key]
+            effects.append(CloseUpstream(flow.key))
+        self.counters[f"flows_ended_{Reason.ZONE_OUT}"] += count
+        if count:
+            detail = f"{count} flows, {Reason.ZONE_OUT}"
+            effects.append(TimelineEvent("flows_ended", detail=detail))
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
@@ -915,6 +966,9 @@
     ) -> list[Effect]:
         """Drop a packet for somebody else, and correct a sender that is behind."""
         self.counters[f"dropped_{reason}"] += 1
+        return self._correct_sender(packet, source)
+
+    def _correct_sender(self, packet: Forward, source: Address) -> list[Effect]:
         if packet.version >= self.table.version:
             return []
         return [SendPeer(source, make_delta(self.subscriber.view, packet.version))]
--- a/fulmarshore/standins/routing.py
+++ b/fulmarshore/standins/routing.py
@@ -89,6 +89,9 @@
         self.opened_twice = 0
         self.misdelivered = 0
         self.moved: set[bytes] = set()
+        self._past_owners: dict[bytes, set[tuple[str, int]]] = {}
+        self.lost: set[str] = set()
+        self.first_zone: dict[bytes, str] = {}
         self._services_of: dict[bytes, str] = {}
         self.network.add("control", ControlCore("control"))
         for number in range(entries):
@@ -143,6 +146,12 @@
         """Begin the planned stop of a process."""
         self.network.inject(name, Stop())
 
+    def carry(self, name: str, effects: list[Effect]) -> None:
+        """Carry out effects that a core was asked for directly."""
+        node = self.network.nodes[name]
+        for effect in effects:
+            self.network._carry(node, effect)
+
     def restart(self, name: str) -> None:
         """Restart an agent as planned: its successor starts once it has left."""
         flows = self.get_agent(name).flows
@@ -249,12 +258,16 @@
         if self._services_of.get(flow) != member.service:
             self.misdelivered += 1
         owner = (node.name, member.incarnation)
+        self.first_zone.setdefault(flow, member.zone)
         held = self.owners.get(flow)
         if held is not None and held != owner:
             self.moved.add(flow)
-            if self._still_holds(held, flow):
+            # An agent that control took for dead may go on with its flows.
+            is_opening = owner not in self._past_owners.get(flow, set())
+            if is_opening and self._still_holds(held, flow):
                 self.opened_twice += 1
         self.owners[flow] = owner
+        self._past_owners.setdefault(flow, set()).add(owner)
         self.network.inject(node.name, UpstreamDatagram(flow, b"echo"))
 
     def _recover(self, flow: bytes, name: str) -> None:
