--- a/fulmarshore/standins/processes.py
+++ b/fulmarshore/standins/processes.py
@@ -8,6 +8,8 @@
 import sys
 from pathlib import Path
 
+import psutil
+
 STOP_TIMEOUT_S = 5.0
 
 
@@ -68,10 +70,18 @@
             )
         self._running[name] = process
 
+    def read_resident(self, name: str) -> int:
+        """Return the resident memory of a daemon, in bytes."""
+        return psutil.Process(self._running[name].pid).memory_info().rss
+
     def signal(self, name: str, number: int = signal.SIGTERM) -> None:
         """Send a signal to a daemon."""
         self._running[name].send_signal(number)
 
+    def get_pid(self, name: str) -> int:
+        """Return the process number of a daemon."""
+        return self._running[name].pid
+
     async def wait(self, name: str) -> int:
         """Wait for a daemon's end and return its exit code."""
         return await self._running.pop(name).wait()
