Bound hints for the whole entry host

Cause: the bound stood for each service, so 542 services might hold 2 x 330,000 hints each; at 321 bytes that is no bound at all. After: every tick the service with most hints gives its idle ones up until the host is within two generations; a test with six services holds it. Before: 48 hints at a bound of 16 in that test; after: at most 16.

--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -63,7 +63,7 @@
     subscriber : Subscriber
         Keeps the view in force.
     max_hints : int
-        Bound of one generation of the hints of a service.
+        Bound of one generation of the hints of the host.
     """
 
     def __init__(self, subscriber: Subscriber, max_hints: int = MAX_HINTS) -> None:
@@ -334,8 +334,18 @@
             self._rotated_at = now
             for routes in self.routes.values():
                 self.counters["hints_forgotten"] += routes.rotate()
+        self._bound_hints()
         return self.subscriber.tick(now)
 
+    def _bound_hints(self) -> None:
+        """Keep two generations of hints for the whole host, not for a service.
+
+        The service with most hints pays, and with its idle flows first.
+        """
+        while self.hint_count > 2 * self._max_hints:
+            routes = max(self.routes.values(), key=len)
+            self.counters["hints_forgotten"] += routes.rotate()
+
     def _drop(self, reason: Reason) -> list[Effect]:
         self.counters[f"dropped_{reason}"] += 1
         return []
--- a/fulmarshore/routing/entry_test.py
+++ b/fulmarshore/routing/entry_test.py
@@ -222,6 +222,21 @@
         core.handle(LinkMessage("c", gone), 2.0)
         self.assertEqual(core.hint_count, 0)
 
+    def test_hints_of_many_services_share_the_bound_of_the_host(self):
+        core = make_core(max_hints=8)
+        items = list(ITEMS)
+        for number in range(6):
+            items.append(Service(f"s{number}", "p", "127.0.0.9", 90 + number))
+            items.append(Member(f"m{number}", 1, f"s{number}", "a", "127.0.0.1", 7100))
+        core.handle(LinkMessage("c", make_view(VERSION + 1, items)), 0.0)
+        for number in range(6):
+            for port in range(1, 9):
+                core.handle(Datagram(f"s{number}", Address("10.0.0.1", port), b"x"), 0)
+        self.assertEqual(core.hint_count, 48)
+        core.handle(Tick(), 0.0)
+        self.assertLessEqual(core.hint_count, 16)
+        self.assertGreater(core.hint_count, 0)
+
     def test_hint_follows_the_table(self):
         core = make_core()
         core.handle(Datagram("s", CALLER, b"x"), 1.0)
