Bench balance ends flows as callers do

Ruled out: the margin of the home (hops unchanged), the returned upstream's own slow start (it had 1,839 tokens left, the others none).

--- a/fulmarshore/bench/balance.py
+++ b/fulmarshore/bench/balance.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from fulmarshore.core.hashing import find_bucket
-from fulmarshore.core.records import Drain, Removed, UpstreamGone
+from fulmarshore.core.records import Drain, Removed, StreamEnded
 from fulmarshore.routing.table import ServiceTable
 from fulmarshore.standins.routing import RoutedRegion
 
@@ -156,7 +156,7 @@
     for port, new in zip(ports, fresh, strict=True):
         flow = region.get_flow(SERVICE, port)
         owner = _find_owner(region, port)
-        region.network.inject(owner, UpstreamGone(flow))
+        region.network.inject(owner, StreamEnded(flow))
         region.send(SERVICE, new)
         region.network.run(gap)
     region.network.run(1.0)
