--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -53,6 +53,8 @@
 """Longest time that a planned stop waits for streams to end."""
 ROTATION_INTERVAL_S = 60.0
 """A flow that is idle for one to two of these is forgotten here."""
+HOST_GENERATIONS = 1.5
+"""Generations of hints that a host keeps over all its services."""
 
 
 class EntryCore:
@@ -63,7 +65,8 @@
     subscriber : Subscriber
         Keeps the view in force.
     max_hints : int
-        Bound of one generation of the hints of the host.
+        Bound of one generation of the hints of a service; the host keeps
+        ``HOST_GENERATIONS`` times as many in all.
     """
 
     def __init__(self, subscriber: Subscriber, max_hints: int = MAX_HINTS) -> None:
@@ -338,11 +341,11 @@
         return self.subscriber.tick(now)
 
     def _bound_hints(self) -> None:
-        """Keep two generations of hints for the whole host, not for a service.
+        """Bound the hints of the whole host, which has many services.
 
         The service with most hints pays, and with its idle flows first.
         """
-        while self.hint_count > 2 * self._max_hints:
+        while self.hint_count > self._max_hints * HOST_GENERATIONS:
             routes = max(self.routes.values(), key=len)
             self.counters["hints_forgotten"] += routes.rotate()
 
--- a/fulmarshore/routing/entry_test.py
+++ b/fulmarshore/routing/entry_test.py
@@ -234,7 +234,7 @@
                 core.handle(Datagram(f"s{number}", Address("10.0.0.1", port), b"x"), 0)
         self.assertEqual(core.hint_count, 48)
         core.handle(Tick(), 0.0)
-        self.assertLessEqual(core.hint_count, 16)
+        self.assertLessEqual(core.hint_count, 12)
         self.assertGreater(core.hint_count, 0)
 
     def test_hint_follows_the_table(self):
