--- a/fulmarshore/standins/routing.py
+++ b/fulmarshore/standins/routing.py
@@ -89,7 +89,6 @@
         self.opened_twice = 0
         self.misdelivered = 0
         self.moved: set[bytes] = set()
-        self._past_owners: dict[bytes, set[tuple[str, int]]] = {}
         self.lost: set[str] = set()
         self.first_zone: dict[bytes, str] = {}
         self._services_of: dict[bytes, str] = {}
@@ -262,12 +261,9 @@
         held = self.owners.get(flow)
         if held is not None and held != owner:
             self.moved.add(flow)
-            # An agent that control took for dead may go on with its flows.
-            is_opening = owner not in self._past_owners.get(flow, set())
-            if is_opening and self._still_holds(held, flow):
+            if self._still_holds(held, flow):
                 self.opened_twice += 1
         self.owners[flow] = owner
-        self._past_owners.setdefault(flow, set()).add(owner)
         self.network.inject(node.name, UpstreamDatagram(flow, b"echo"))
 
     def _recover(self, flow: bytes, name: str) -> None:
