--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -118,6 +118,13 @@
     sealing_cost: float
 
 
+def put_in_force(daemon: EntryDaemon | AgentDaemon, items: list[Item]) -> None:
+    """Give a daemon its view, as a control host would."""
+    for event in list_renewals("bench"):
+        daemon.dispatch(event)
+    daemon.dispatch(LinkMessage("bench", make_snapshot(items)))
+
+
 class BenchEntry(EntryDaemon):
     """An entry daemon that gets its view from the bench."""
 
@@ -131,9 +138,7 @@
     def open(self) -> None:
         """Open the sockets, put the view in force and say where they are."""
         super().open()
-        for event in list_renewals("bench"):
-            self.dispatch(event)
-        self.dispatch(LinkMessage("bench", make_snapshot(self._items)))
+        put_in_force(self, self._items)
         self._pipe.send(self.core.subscriber.announcement)
         self._loop_answers()
 
@@ -158,10 +163,7 @@
     def open(self) -> None:
         """Open the sockets, put the view in force and say where they are."""
         super().open()
-        items = [*self._items, self.core.member]
-        for event in list_renewals("bench"):
-            self.dispatch(event)
-        self.dispatch(LinkMessage("bench", make_snapshot(items)))
+        put_in_force(self, [*self._items, self.core.member])
         self._pipe.send(self.core.member)
 
 
