--- a/fulmarshore/standins/profiles.py
+++ b/fulmarshore/standins/profiles.py
@@ -26,9 +26,12 @@
     database=None,
     suppress_health_check=_SLOW,
 )
+# A derandomised profile ignores the seed, and hypothesis itself starts from one
+# wherever the variable CI is set.
 settings.register_profile(
     "soak",
     max_examples=int(os.environ.get(EXAMPLES_VARIABLE, SOAK_EXAMPLES)),
+    derandomize=False,
     deadline=None,
     database=None,
     print_blob=True,
--- a/fulmarshore/standins/profiles_test.py
+++ b/fulmarshore/standins/profiles_test.py
@@ -18,8 +18,13 @@
 
 
 class ProfilesTest(TestCase):
-    def draw(self, seed, examples="20"):
-        environment = {**os.environ, SEED_VARIABLE: seed, EXAMPLES_VARIABLE: examples}
+    def draw(self, seed, variables):
+        environment = {
+            **{name: os.environ[name] for name in os.environ if name != "CI"},
+            SEED_VARIABLE: seed,
+            EXAMPLES_VARIABLE: "20",
+            **variables,
+        }
         return subprocess.run(
             [sys.executable, "-c", PROGRAM],
             env=environment,
@@ -29,7 +34,13 @@
         ).stdout
 
     def test_a_seed_repeats_its_examples_and_another_draws_others(self):
-        first = self.draw("1")
-        self.assertEqual(self.draw("1"), first)
-        self.assertNotEqual(self.draw("2"), first)
-        self.assertEqual(first.count(",") + 1, 20)
+        cases = [
+            ("on a machine of one's own", {}),
+            ("in CI, where hypothesis starts derandomised", {"CI": "true"}),
+        ]
+        for name, variables in cases:
+            with self.subTest(name):
+                first = self.draw("1", variables)
+                self.assertEqual(self.draw("1", variables), first)
+                self.assertNotEqual(self.draw("2", variables), first)
+                self.assertEqual(first.count(",") + 1, 20)
