One function makes a response from its request

Conclusion: an entry host's refusals and both stand-in upstreams use it; a claim keeps its own, since it may have outlived its request.

--- a/fulmarshore/admission/refusals.py
+++ b/fulmarshore/admission/refusals.py
@@ -7,10 +7,10 @@
     Address,
     Reason,
     Request,
-    Response,
     SendCaller,
     Verdict,
 )
+from fulmarshore.core.responses import make_response
 
 
 def refuse_request(request: Request, source: Address) -> SendCaller:
@@ -22,13 +22,5 @@
     with the same number until its deadline.
     """
     verdict = Verdict.NOT_RUN if request.idempotent else Verdict.UNKNOWN
-    response = Response(
-        request.service,
-        request.caller,
-        request.number,
-        request.attempt,
-        verdict,
-        Reason.NO_UPSTREAM,
-        b"",
-    )
+    response = make_response(request, verdict, Reason.NO_UPSTREAM)
     return SendCaller(request.service, source, encode(response))
--- a/fulmarshore/standins/requestupstream.py
+++ b/fulmarshore/standins/requestupstream.py
@@ -7,7 +7,8 @@
 
 from fulmarshore.adapters.datagrams import DatagramSocket
 from fulmarshore.core.codec import decode_request, encode
-from fulmarshore.core.records import Address, Reason, Request, Response, Verdict
+from fulmarshore.core.records import Address, Reason, Request, Verdict
+from fulmarshore.core.responses import make_response
 
 
 class RequestUpstream:
@@ -72,13 +73,5 @@
         reason: str,
         body: bytes,
     ) -> None:
-        response = Response(
-            request.service,
-            request.caller,
-            request.number,
-            request.attempt,
-            verdict,
-            reason,
-            body,
-        )
+        response = make_response(request, verdict, reason, body)
         self._socket.send(encode(response), source)
--- a/fulmarshore/standins/work.py
+++ b/fulmarshore/standins/work.py
@@ -13,11 +13,11 @@
     Event,
     Reason,
     Request,
-    Response,
     UpstreamDatagram,
     UpstreamGone,
     Verdict,
 )
+from fulmarshore.core.responses import make_response
 
 REFUSED_S = 0.05
 """Time until a connection to an upstream that is down is given up."""
@@ -140,30 +140,14 @@
     def _cancel(self, flow: bytes, request: Request) -> list[tuple[float, Event]]:
         held = self._working.pop(flow, None)
         verdict = Verdict.NOT_RUN if held is None else Verdict.UNKNOWN
-        response = Response(
-            request.service,
-            request.caller,
-            request.number,
-            request.attempt,
-            verdict,
-            Reason.CANCELLED,
-            b"",
-        )
+        response = make_response(request, verdict, Reason.CANCELLED)
         return [(0.001, UpstreamDatagram(flow, encode(response)))]
 
     def _respond(
         self, flow: bytes, request: Request, verdict: Verdict, body: bytes, delay: float
     ) -> tuple[float, Event]:
         reason = Reason.SHED if verdict == Verdict.NOT_RUN else ""
-        response = Response(
-            request.service,
-            request.caller,
-            request.number,
-            request.attempt,
-            verdict,
-            reason,
-            body,
-        )
+        response = make_response(request, verdict, reason, body)
         return delay, UpstreamDatagram(flow, encode(response))
 
     def _find_limit(self) -> float:
