A process whose clock is behind its former self joins all the same

Cause, found in a read-through: incarnations come from the host's clock, and control refuses an announcement below the newest life of its name or address. A host whose clock was set back, or a replacement whose clock is behind, stayed out for ever while its lease looked renewed. Ruled out: a number on disk (no disk there); numbers given out by control (a start would wait for a majority); outbidding at any time (two processes of one name would take turns). Conclusion: HeartbeatReply names the incarnation that bars a process; a barred process holds no lease; one that was never a member begins anew above it.

--- a/fulmarshore/agreement/state.py
+++ b/fulmarshore/agreement/state.py
@@ -223,6 +223,22 @@
     return holders
 
 
+def find_newer(state: State, announcement: Member | EntryHost) -> int:
+    """Return the incarnation that bars an announcement; 0 if none does."""
+    key = get_key(announcement)
+    held = state.view.items.get(key)
+    if held is not None and held.item.incarnation == announcement.incarnation:
+        return 0
+    newest = 0
+    life = state.lives.get(key)
+    if life is not None:
+        newest = life.incarnation
+    former = _find_former(_list_holders(state.view), announcement)
+    if former is not None:
+        newest = max(newest, former.incarnation)
+    return newest if newest > announcement.incarnation else 0
+
+
 def _hold_address(
     holders: dict[tuple[str, int], Member | EntryHost],
     announcement: Member | EntryHost,
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -988,13 +988,31 @@
 
 
 class HeartbeatReply(Record, frozen=True):
-    """Control's half of the two-way heartbeat."""
+    """Control's half of the two-way heartbeat.
+
+    Parameters
+    ----------
+    control : str
+        Name of the control host.
+    freshness : Freshness
+        Its stamp, renewed by a leader that hears a majority.
+    version : int
+        Version that it has in force.
+    known : bool
+        Whether the process is subscribed there and may be a member.
+    clock : int
+        The sender's hybrid logical clock.
+    newest : int
+        Incarnation that bars the process from the membership: a newer life
+        of its name, or of another name at its address. 0 if none does.
+    """
 
     control: str
     freshness: Freshness
     version: int
     known: bool
     clock: int = 0
+    newest: int = 0
 
 
 class Change(Record, frozen=True):
@@ -1564,6 +1582,22 @@
     peer: str
 
 
+class Outdated(Struct, frozen=True):
+    """Effect: the process has to begin anew with a newer incarnation.
+
+    Its own is not above that of an earlier life, so that it can not become a
+    member: the clock of its host was set back, or the host was replaced by
+    one whose clock is behind.
+
+    Parameters
+    ----------
+    newest : int
+        The incarnation to be above of.
+    """
+
+    newest: int
+
+
 class Store(Struct, frozen=True):
     """Effect: append records to the log file, or replace the file by them.
 
@@ -1659,6 +1693,7 @@
     Stopped,
     TimelineEvent,
     ReplaceLink,
+    Outdated,
     Store,
     Applied,
     Restored,
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -28,6 +28,7 @@
     LocalPort,
     Member,
     OpenUpstream,
+    Outdated,
     PeerMessage,
     Protocol,
     Restart,
@@ -79,6 +80,7 @@
         super().__init__("agent", settings)
         self.core: AgentCore | None = None
         self._data: PeerSocket | None = None
+        self._data_address: Address | None = None
         self._upstreams: dict[bytes, DatagramSocket] = {}
         self._streams: AgentStreams | None = None
         self._listener: Listener | None = None
@@ -91,8 +93,17 @@
         self._data = PeerSocket(loop, self._take_peer, self.counters, self.sealer)
         data = self._data.bind(self.settings.data)
         self._listener = self._listen(data)
+        loop.add_signal_handler(signal.SIGHUP, self._restart)
+        self._data_address = data
+        self._begin(draw_incarnation())
+
+    def _begin(self, incarnation: int) -> None:
+        """Create the core of a new life of this process."""
+        if self._streams is not None:
+            self._streams.close()
+        data = self._data_address
         settings = self.settings
-        identity = Identity(settings.name, draw_incarnation())
+        identity = Identity(settings.name, incarnation)
         announcement = Member(
             identity.name,
             identity.incarnation,
@@ -115,7 +126,6 @@
             self.counters,
             self.sealer,
         )
-        loop.add_signal_handler(signal.SIGHUP, self._restart)
 
     def list_addresses(self) -> list[Address]:
         """Return the addresses of links and of the data path."""
@@ -152,6 +162,9 @@
                 self._data.send(message, destination)
             case OpenUpstream(flow=flow, port=port):
                 self._open_upstream(flow, port)
+            case Outdated(newest=newest):
+                self.note_outdated(newest)
+                self._begin(newest + 1)
             case CloseUpstream(flow=flow):
                 self._streams.end(flow)
                 sock = self._upstreams.pop(flow, None)
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -27,6 +27,7 @@
     Event,
     Identity,
     Malformed,
+    Outdated,
     PeerMessage,
     Protocol,
     SendCaller,
@@ -95,6 +96,7 @@
         super().__init__("entry", settings)
         self.core: EntryCore | None = None
         self._data: PeerSocket | None = None
+        self._data_address: Address | None = None
         self._sockets: dict[str, ServiceSocket] = {}
         self._streams: CallerStreams | None = None
         self._version = -1
@@ -104,8 +106,15 @@
         """Open the data socket and create the core."""
         loop = asyncio.get_running_loop()
         self._data = PeerSocket(loop, self._take_peer, self.counters, self.sealer)
-        data = self._data.bind(self.settings.data)
-        identity = Identity(self.settings.name, draw_incarnation())
+        self._data_address = self._data.bind(self.settings.data)
+        self._begin(draw_incarnation())
+
+    def _begin(self, incarnation: int) -> None:
+        """Create the core of a new life of this process."""
+        if self._streams is not None:
+            self._streams.close()
+        data = self._data_address
+        identity = Identity(self.settings.name, incarnation)
         announcement = EntryHost(
             identity.name, identity.incarnation, self.settings.zone, *data
         )
@@ -144,6 +153,9 @@
                 self._send_caller(service, caller, payload)
             case EndStream(flow=flow):
                 self._streams.table.abort(flow)
+            case Outdated(newest=newest):
+                self.note_outdated(newest)
+                self._begin(newest + 1)
             case StopAccepting():
                 self._streams.stop_accepting()
 
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -173,6 +173,12 @@
             event.detail,
         )
 
+    def note_outdated(self, newest: int) -> None:
+        """Put on the time line that an earlier life had a newer incarnation."""
+        self.counters["incarnations_raised"] += 1
+        detail = f"the clock is behind: raised above {newest}"
+        self.note(TimelineEvent("incarnation_raised", detail=detail))
+
     def list_addresses(self) -> list[Address]:
         """Return the addresses of links and of the data path."""
         return list(self.settings.controls)
--- a/fulmarshore/daemons/restart_test.py
+++ b/fulmarshore/daemons/restart_test.py
@@ -2,8 +2,17 @@
 
 import asyncio
 import signal
+import time
 
+import zmq.asyncio
+
+from fulmarshore.adapters.links import LinkClient
+from fulmarshore.core.records import EntryHost, Identity, Member, Subscribe
 from fulmarshore.daemons.path_test import CALLERS, ProcessCase, wait_until
+from fulmarshore.standins.cluster import ZONE, find_member
+
+AHEAD_US = 3_600 * 1_000_000
+"""How far ahead the clock of an earlier life was, in microseconds."""
 
 
 class RestartTest(ProcessCase):
@@ -34,3 +43,37 @@
             caller.close()
         self.assertEqual([caller.upstream for caller in callers], owners)
         self.assertEqual(self.upstreams["m0"].callers, ports)
+
+
+class ClockTest(ProcessCase):
+    async def test_processes_join_although_the_clock_was_set_back(self):
+        ahead = time.time_ns() // 1_000 + AHEAD_US
+        self.announce(Member("m0", ahead, "s", ZONE, "127.0.0.1", 1))
+        self.announce(EntryHost("entry-0", ahead, ZONE, "127.0.0.1", 2))
+        while len((await self.cluster.wait_settled()).processes) < 2:
+            await asyncio.sleep(0.05)
+        await self.cluster.start_entry("entry-0", "127.0.2.9", "--fabric", "proxy")
+        await self.start_agent("m0", "s")
+        await self.declare("s")
+        self.open_fabric("s", ["127.0.2.9"])
+        for name in ("m0", "entry-0"):
+            await self.cluster.wait_counter(name, "incarnations_raised", 1)
+        caller = self.make_caller("s")
+        loop = asyncio.get_running_loop()
+        run = asyncio.create_task(caller.run(loop.time() + 60))
+        await wait_until(lambda: caller.answers >= 2)
+        status = await self.cluster.wait_settled()
+        for name in ("m0", "entry-0"):
+            self.assertEqual(find_member(status, name).incarnation, ahead + 1)
+        run.cancel()
+        caller.close()
+
+    def announce(self, announcement):
+        """Let control know an earlier life that says no more."""
+        context = zmq.asyncio.Context()
+        self.addCleanup(context.destroy, linger=0)
+        controls = {"control": self.cluster.controls[0]}
+        client = LinkClient(context, controls, lambda peer, message: None)
+        self.addCleanup(client.close)
+        identity = Identity(announcement.name, announcement.incarnation)
+        client.send("control", Subscribe(identity, announcement, 0))
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -193,8 +193,7 @@
     def _heartbeat(self, peer: str, beat: Heartbeat, now: float) -> list[Effect]:
         if self.replica.is_leader:
             self.leases.hear(beat, now)
-        view = self.state.view
-        return self.registry.heartbeat(peer, beat, view, self.freshness, now)
+        return self.registry.heartbeat(peer, beat, self.state, self.freshness, now)
 
     def _subscribe(self, peer: str, message: Subscribe, now: float) -> list[Effect]:
         effects: list[Effect] = []
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from fulmarshore.agreement.state import State, find_newer
 from fulmarshore.core.records import (
     Announcement,
     Effect,
@@ -89,18 +90,23 @@
         self,
         peer: str,
         message: Heartbeat,
-        view: View,
+        state: State,
         freshness: Freshness,
         now: float,
     ) -> list[Effect]:
         """Answer a heartbeat with this host's half of it."""
+        newest = 0
         held = self.subscriptions.get(message.identity.name)
         known = held is not None and held.identity == message.identity
         if known:
             held.heard_at = now
             held.version = message.version
             held.peer = peer
-        reply = HeartbeatReply(self.name, freshness, view.version, known)
+            newest = find_newer(state, held.announcement)
+        version = state.view.version
+        reply = HeartbeatReply(
+            self.name, freshness, version, known and not newest, newest=newest
+        )
         return [SendLink(peer, reply)]
 
     def leave(self, message: Leave) -> None:
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -15,13 +15,14 @@
     Identity,
     Leave,
     LinkMessage,
+    Outdated,
     ReplaceLink,
     SendLink,
     Subscribe,
     TimelineEvent,
 )
 from fulmarshore.membership.changes import describe_delta
-from fulmarshore.membership.view import View, apply_delta
+from fulmarshore.membership.view import View, apply_delta, get_key
 
 HEARTBEAT_INTERVAL_S = 0.5
 CONFIRM_INTERVAL_S = 0.05
@@ -67,6 +68,7 @@
         self._subscribed = False
         self._revision = 0
         self._is_confirmed = False
+        self._was_member = False
         self._unconfirmed: Delta | None = None
 
     @property
@@ -74,6 +76,12 @@
         """Name of the link to the control host in use."""
         return self._controls[self._current]
 
+    @property
+    def is_member(self) -> bool:
+        """Whether the view holds this life of the process."""
+        held = self.view.items.get(get_key(self.announcement))
+        return held is not None and held.item.incarnation == self.identity.incarnation
+
     def announce(self, announcement: Announcement) -> list[Effect]:
         """Replace the announcement, such as by one that drains."""
         self.announcement = announcement
@@ -127,6 +135,7 @@
             return []
         events = describe_delta(self.view, delta, peer)
         self.view = view
+        self._was_member = self._was_member or self.is_member
         self.counters["deltas_applied"] += 1
         return list[Effect](events)
 
@@ -141,6 +150,8 @@
                 self.lease_renewed = now
         if peer != self.control:
             return effects
+        if reply.newest > self.identity.incarnation and not self._was_member:
+            return [Outdated(reply.newest)]
         if reply.known:
             self._subscribed = True
         version = self.view.version
