A leader that is stopped by plan hands over the lead

A planned stop of the leader cost as much as its loss: the others waited for their election timeout. The leader now takes no more commands, brings the voter that is furthest along up to date and tells it to stand at once; the vote asked for carries that the leader ordered it, so hearing the leader is no reason to refuse it. Changes asked meanwhile are held and handed on.

Ruled out: telling a target that is behind (it cannot win and costs a term); checking the role of the target besides its leader, which says the same.

The harness first left a host down that stopped while it settled; it now waits for the stop's end.

bench config waited for the host that had left by its last heartbeat, so a second one went before the first was back; it now waits for the restarted host's own event.

--- a/fulmarshore/agreement/election.py
+++ b/fulmarshore/agreement/election.py
@@ -37,7 +37,7 @@
     replica.role = Role.TRIAL
     replica.votes = {replica.identity}
     if len(replica.votes) >= replica.majority:
-        _stand(replica, now)
+        stand(replica, now)
         return
     for request in _list_requests(replica, replica.term + 1, trial=True):
         replica.emit(request)
@@ -46,7 +46,7 @@
 def answer_vote(replica: Replica, peer: str, request: VoteRequest, now: float) -> None:
     """Give or refuse a vote, or tell whether it would be given."""
     heard = now - replica.leader_heard_at < MIN_ELECTION_TIMEOUT_S
-    if heard or replica.is_leader:
+    if (heard or replica.is_leader) and not request.ordered:
         # A replica that hears its leader takes no part: one that was cut off
         # and returns cannot push the others into a new term.
         granted = False
@@ -75,7 +75,7 @@
             return
         replica.votes.add(reply.sender)
         if len(replica.votes) >= replica.majority:
-            _stand(replica, now)
+            stand(replica, now)
         return
     if replica.role != Role.CANDIDATE or reply.term != replica.term:
         return
@@ -86,13 +86,15 @@
     """Count the replica's vote for itself, now that it is synced."""
     if replica.role != Role.CANDIDATE or replica.term != term:
         return
-    for request in _list_requests(replica, term, trial=False):
+    for request in _list_requests(replica, term, False, replica.is_ordered):
         replica.emit(request)
     _count(replica, replica.identity, now)
 
 
-def _stand(replica: Replica, now: float) -> None:
+def stand(replica: Replica, now: float, ordered: bool = False) -> None:
+    """Begin a term and ask for votes once the own one is synced."""
     replica.role = Role.CANDIDATE
+    replica.is_ordered = ordered
     replica.term += 1
     replica.vote = replica.identity
     replica.votes = set()
@@ -135,7 +137,9 @@
     replica.leader = None
 
 
-def _list_requests(replica: Replica, term: int, trial: bool) -> list[SendLink]:
+def _list_requests(
+    replica: Replica, term: int, trial: bool, ordered: bool = False
+) -> list[SendLink]:
     requests = []
     for voter in replica.current_voters:
         if voter == replica.identity:
@@ -148,6 +152,7 @@
             replica.log.last_index,
             replica.log.last_term,
             trial,
+            ordered,
         )
         requests.append(SendLink(voter.name, request))
     return requests
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -10,7 +10,7 @@
 from collections import Counter, deque
 from random import Random
 
-from fulmarshore.agreement import election, joining, replication, snapshots
+from fulmarshore.agreement import election, joining, replication, snapshots, transfer
 from fulmarshore.agreement.log import Log
 from fulmarshore.agreement.progress import OwnEntries, OwnVote, Progress, Role
 from fulmarshore.core.records import (
@@ -36,6 +36,7 @@
     SendLink,
     Snapshot,
     SnapshotChunk,
+    StandNow,
     Store,
     Stored,
     TermVote,
@@ -47,7 +48,7 @@
     Voters,
 )
 
-REPLICA_REQUESTS = (VoteRequest, AppendRequest, SnapshotChunk, JoinRequest)
+REPLICA_REQUESTS = (VoteRequest, StandNow, AppendRequest, SnapshotChunk, JoinRequest)
 REPLICA_REPLIES = (VoteReply, AppendReply, ChunkReply, JoinReply)
 
 
@@ -101,6 +102,8 @@
         self.started_at: float | None = None
         self.chunk_bytes = snapshots.CHUNK_BYTES
         self.incoming: snapshots.Incoming | None = None
+        self.transfer: transfer.Transfer | None = None
+        self.is_ordered = False
         self._leader_of_term: tuple[int, ReplicaId] | None = None
         self._restored = False
         self._sequence = 0
@@ -116,6 +119,11 @@
         """Whether the replica leads its group."""
         return self.role == Role.LEADER
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether the replica leads and is not handing over the lead."""
+        return self.is_leader and self.transfer is None
+
     @property
     def current_voters(self) -> list[ReplicaId]:
         """The replicas that vote, from the newest such entry in the log."""
@@ -146,11 +154,16 @@
 
     def propose(self, command: Command, now: float) -> tuple[LogEntry, list[Effect]]:
         """Append a command to the leader's log."""
-        assert self.is_leader, "only a leader proposes"
+        assert self.is_accepting, "only a leader that keeps the lead proposes"
         entry = replication.append_command(self, command)
         replication.send_news(self, now)
         return entry, self.drain(now)
 
+    def hand_over(self, now: float) -> list[Effect]:
+        """Begin to hand over the lead to another voter."""
+        transfer.begin(self, now)
+        return self.drain(now)
+
     def compact(self, state: bytes, kept: int, now: float) -> list[Effect]:
         """Take a snapshot of the state at the last entry applied."""
         snapshots.compact(self, state, kept)
@@ -212,6 +225,7 @@
             self.note("leader_stepped_down", detail=f"term {self.term}")
             self.leader = None
         self.role = Role.FOLLOWER
+        self.transfer = None
         self.progress = {}
         self.votes = set()
 
@@ -313,6 +327,8 @@
                 election.answer_vote(self, peer, message, now)
             case VoteReply():
                 election.take_vote(self, message, now)
+            case StandNow():
+                transfer.take_order(self, message, now)
             case AppendRequest():
                 replication.take_entries(self, peer, message, now)
             case AppendReply():
@@ -324,7 +340,9 @@
 
     def _is_ours(self, message: ControlMessage) -> bool:
         """Whether a message belongs to this group and is for this disk."""
-        request = isinstance(message, VoteRequest | AppendRequest | SnapshotChunk)
+        request = isinstance(
+            message, VoteRequest | StandNow | AppendRequest | SnapshotChunk
+        )
         if request and message.target != self.identity:
             self.counters["dropped_other_disk"] += 1
             return False
--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fulmarshore.agreement import joining, snapshots
+from fulmarshore.agreement import joining, snapshots, transfer
 from fulmarshore.agreement.progress import (
     BEAT_INTERVAL_S,
     MIN_ELECTION_TIMEOUT_S,
@@ -60,7 +60,9 @@
         replica.counters["stepped_down_no_majority"] += 1
         replica.step_down(replica.term)
         return
-    joining.tick_leader(replica, now)
+    transfer.tick_leader(replica, now)
+    if replica.transfer is None:
+        joining.tick_leader(replica, now)
     if now - replica.beat_at >= BEAT_INTERVAL_S:
         _broadcast(replica, now)
 
@@ -133,6 +135,7 @@
     progress.match = max(progress.match, reply.match)
     progress.next_index = progress.match + 1
     _advance(replica, now)
+    transfer.advance(replica)
     if progress.next_index <= replica.log.last_index and not progress.waiting:
         _send(replica, reply.sender, progress)
 
--- a/fulmarshore/bench/config.py
+++ b/fulmarshore/bench/config.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import signal
 import tempfile
@@ -46,6 +47,7 @@
 SPACING_S = 0.1
 MISSED_CHANGES = 500
 FAILOVERS = 3
+PLANNED_STOPS = 5
 ASK_TIMEOUT_S = 0.3
 PAUSE_S = 0.02
 WAIT_TIMEOUT_S = 30.0
@@ -73,6 +75,10 @@
         From the restarted control host's first event until it was in step.
     failover_s : list of float
         From SIGKILL of the leader until the next change was accepted.
+    planned_stop_s : list of float
+        From SIGTERM of the leader until the next change was accepted.
+    without_leader_s : list of float
+        On these planned stops, from the end of one lead to the next lead.
     lost_changes : int
         Accepted changes that are not in force at the end.
     """
@@ -86,6 +92,8 @@
     catch_up_s: float
     control_catch_up_s: float
     failover_s: list[float]
+    planned_stop_s: list[float]
+    without_leader_s: list[float]
     lost_changes: int
 
 
@@ -166,7 +174,12 @@
             control_catch_up = await self._measure_control_catch_up()
             failovers = []
             for _ in range(FAILOVERS):
-                failovers.append(round(await self._measure_failover(), 3))
+                taken = await self._measure_failover(signal.SIGKILL)
+                failovers.append(round(taken, 3))
+            stops = []
+            for _ in range(PLANNED_STOPS):
+                taken = await self._measure_failover(signal.SIGTERM)
+                stops.append(round(taken, 3))
             lost = await self._count_lost()
         finally:
             await self.stop()
@@ -180,6 +193,8 @@
             round(catch_up, 3),
             round(control_catch_up, 3),
             failovers,
+            stops,
+            self._list_gaps(PLANNED_STOPS),
             lost,
         )
 
@@ -272,6 +287,10 @@
             await self.change()
         restarted = time.time()
         await self._start_control(number)
+        return await self._wait_in_step(name, restarted)
+
+    async def _wait_in_step(self, name: str, restarted: float) -> float:
+        """Wait for a restarted control host, and return how long it took."""
         until = time.time() + WAIT_TIMEOUT_S
         while time.time() < until:
             events = {entry.kind: entry for entry in self._read_entries(name)}
@@ -282,17 +301,33 @@
             await asyncio.sleep(PAUSE_S)
         raise TimeoutError(f"{name} does not catch up")
 
-    async def _measure_failover(self) -> float:
+    async def _measure_failover(self, number_of_signal: int) -> float:
         status = await self._wait_whole()
         number = int(status.leader.rpartition("-")[2])
         killed = time.monotonic()
-        self.processes.signal(status.leader, signal.SIGKILL)
+        self.processes.signal(status.leader, number_of_signal)
         await self.change()
         taken = time.monotonic() - killed
         await self.processes.wait(status.leader)
+        restarted = time.time()
         await self._start_control(number)
+        await self._wait_in_step(status.leader, restarted)
         return taken
 
+    def _list_gaps(self, count: int) -> list[float]:
+        """Return the newest times between two leaders, from the time lines."""
+        leads: list[tuple[float, str]] = []
+        for number in range(CONTROLS):
+            for entry in self._read_entries(f"control-{number}"):
+                if entry.kind in ("leader_elected", "leader_stepped_down"):
+                    leads.append((read_seconds(entry.clock), entry.kind))
+        leads.sort()
+        gaps = []
+        for (ended, former), (begun, kind) in itertools.pairwise(leads):
+            if former == "leader_stepped_down" and kind == "leader_elected":
+                gaps.append(round(begun - ended, 4))
+        return gaps[-count:]
+
     async def _count_lost(self) -> int:
         """Count accepted changes that another one has not followed in order."""
         status = await self._wait_whole()
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1135,7 +1135,11 @@
 
 
 class VoteRequest(Record, frozen=True):
-    """A candidate asks for a vote, or with ``trial`` whether it would get it."""
+    """A candidate asks for a vote, or with ``trial`` whether it would get it.
+
+    With ``ordered`` the leader itself told it to stand, so that hearing the
+    leader is no reason to refuse.
+    """
 
     group: str
     sender: ReplicaId
@@ -1144,6 +1148,7 @@
     last_index: int
     last_term: int
     trial: bool
+    ordered: bool = False
 
 
 class VoteReply(Record, frozen=True):
@@ -1156,6 +1161,15 @@
     trial: bool
 
 
+class StandNow(Record, frozen=True):
+    """The leader of a term tells a voter to stand for election at once."""
+
+    group: str
+    sender: ReplicaId
+    target: ReplicaId
+    term: int
+
+
 class AppendRequest(Record, frozen=True):
     """The leader's entries after an index, and its half of the heartbeat.
 
@@ -1302,6 +1316,7 @@
     StatusReply,
     VoteRequest,
     VoteReply,
+    StandNow,
     AppendRequest,
     AppendReply,
     SnapshotChunk,
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -62,6 +62,10 @@
 HOLD_TIMEOUT_S = 1.0
 """How long a change waits for a leader before it is answered."""
 MAX_HELD = 256
+STOP_TIMEOUT_S = 1.0
+"""How long a planned stop waits for another host to take up the lead."""
+ANSWER_LINGER_S = 0.1
+"""How long a former leader stays for the answers of what it handed on."""
 SNAPSHOT_ENTRIES = 1024
 """Entries between two snapshots."""
 
@@ -127,6 +131,8 @@
         self._scanned_at = float("-inf")
         self._reported_at = float("-inf")
         self._asked_at: dict[str, float] = {}
+        self._stop_at: float | None = None
+        self._is_handed_over = False
 
     @property
     def freshness(self) -> Freshness:
@@ -152,14 +158,41 @@
             case Stored():
                 effects = self._absorb(self.replica.handle(event, now), now)
             case Stop():
-                return [Stopped()]
+                effects = self._begin_stop(now)
             case _:
                 raise AssertionError(f"unexpected event {event!r}")
         effects += self._follow_lead(now)
         effects += self._compact(now)
         effects += self.registry.push(self.state.view, now)
+        if self._stop_at is not None:
+            effects += self._stop(now)
         return effects
 
+    def _begin_stop(self, now: float) -> list[Effect]:
+        if self._stop_at is not None:
+            return []
+        self._stop_at = now
+        if not self.replica.is_leader:
+            return []
+        self._stop_at = now + STOP_TIMEOUT_S
+        return self._absorb(self.replica.hand_over(now), now)
+
+    def _stop(self, now: float) -> list[Effect]:
+        """End once another host leads, nobody can, or it takes too long."""
+        if self.replica.is_accepting:
+            self._stop_at = now
+        is_led = not self.replica.is_leader and self.replica.leader is not None
+        if is_led and not self._is_handed_over:
+            self._is_handed_over = True
+            self._stop_at = min(self._stop_at, now + ANSWER_LINGER_S)
+        if now < self._stop_at:
+            return []
+        effects = self._give_up(max(self._pending, default=0))
+        held, self._held = self._held, []
+        for entry in held:
+            effects.append(self._refuse(entry.origin, entry.change))
+        return [*effects, Stopped()]
+
     def _handle_link(self, event: LinkMessage, now: float) -> list[Effect]:
         message = event.message
         if isinstance(message, REPLICA_REQUESTS + REPLICA_REPLIES):
@@ -261,14 +294,14 @@
         if reply is not None:
             self.counters[f"changes_{reply.status}"] += 1
             return [origin.answer(reply)]
-        if not self.is_ready:
+        if not self.is_ready or not self.replica.is_accepting:
             return self._hold(origin, change, now)
         entry, effects = self.replica.propose(change, now)
         self._pending[entry.index] = Held(origin, change, entry.term, now)
         return self._absorb(effects, now)
 
     def _propose(self, commands: list[Join | Expire], now: float) -> list[Effect]:
-        if not commands:
+        if not commands or not self.replica.is_accepting:
             return []
         entry, effects = self.replica.propose(Batch(commands), now)
         expired = [command for command in commands if isinstance(command, Expire)]
@@ -351,7 +384,9 @@
             self._leading_term = term
             effects += self._give_up(max(self._pending, default=0))
             self.leases.reset(self.state.view, now)
-        ready = self.is_ready if term else self.replica.leader is not None
+        ready = self.replica.leader is not None
+        if term:
+            ready = self.is_ready and self.replica.is_accepting
         if self._held and ready:
             held, self._held = self._held, []
             for entry in held:
@@ -374,7 +409,7 @@
             if now >= held.until:
                 self._held.remove(held)
                 effects.append(self._refuse(held.origin, held.change))
-        if self.replica.is_leader:
+        if self.replica.is_accepting:
             joins = self.leases.list_joins(self.state.view)
             effects += self._propose(joins, now)
         if now - self._scanned_at >= EXPIRY_SCAN_INTERVAL_S:
@@ -387,7 +422,7 @@
 
     def _scan(self, now: float) -> list[Effect]:
         self.registry.drop_silent(now)
-        if not self.replica.is_leader:
+        if not self.replica.is_accepting:
             return []
         view = self.state.view
         self.leases.drop_gone(view, now)
--- a/fulmarshore/membership/region_test.py
+++ b/fulmarshore/membership/region_test.py
@@ -26,6 +26,7 @@
     "heal",
     "leader",
     "power",
+    "stop",
 )
 STEP = st.tuples(
     st.sampled_from(KINDS),
@@ -51,6 +52,10 @@
                 region.crash(host)
             for host in region.names:
                 region.start(host)
+        case "stop":
+            leader = region.find_leader()
+            if leader is not None:
+                region.stop(leader.name)
         case "wipe" if region.is_whole():
             region.wipe(name)
         case "part":
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -23,11 +23,13 @@
     Recovered,
     ReplicaId,
     SendLink,
+    Stop,
+    Stopped,
     TermVote,
 )
 from fulmarshore.membership.control import SNAPSHOT_ENTRIES, ControlCore
 from fulmarshore.standins.disk import FakeDisk
-from fulmarshore.standins.network import FakeNetwork, Faults
+from fulmarshore.standins.network import FakeNetwork, Faults, Node
 
 OPERATOR_TIMEOUT_S = 0.7
 TICK_INTERVAL_S = 0.1
@@ -143,6 +145,7 @@
         self.leaders: dict[int, ReplicaId] = {}
         self.entries: dict[int, LogEntry] = {}
         self.checked: dict[str, int] = {}
+        self.stopping: set[str] = set()
         for name in self.names[:running]:
             self.start(name, bootstrap=name == self.names[0])
         self.run_until(self.is_whole if running is None else self._has_leader)
@@ -182,7 +185,7 @@
             recover_alone(replica)
         replica.chunk_bytes = CHUNK_BYTES
         core = ControlCore(name, replica, self.snapshot_entries)
-        self.network.add(name, core, disk=disk)
+        self.network.add(name, core, observe=self._observe, disk=disk)
         self.checked[name] = 0
         return outcome
 
@@ -197,9 +200,16 @@
     def crash(self, name: str) -> None:
         """Kill a host; what was not synced is lost."""
         self.check()
+        self.stopping.discard(name)
         self.network.stop(name)
         self.disks[name].crash()
 
+    def stop(self, name: str) -> None:
+        """Begin a planned stop of a host; it ends when its core says so."""
+        if self.is_running(name):
+            self.stopping.add(name)
+            self.network.inject(name, Stop())
+
     def wipe(self, name: str) -> None:
         """Replace the disk of a host and start it again."""
         self.crash(name)
@@ -246,6 +256,7 @@
         """End all faults, start every host, and run until all is settled."""
         self.network.heal()
         self.network.faults = Faults()
+        assert self.run_until(lambda: not self.stopping), "a planned stop ends"
         for name in self.names:
             if not self.is_running(name):
                 self.start(name)
@@ -260,6 +271,11 @@
             if self.is_running(name):
                 self._check_host(name)
 
+    def _observe(self, node: Node, effect: Effect, now: float) -> None:
+        self.network.outbox.append((now, node.name, effect))
+        if isinstance(effect, Stopped):
+            self.crash(node.name)
+
     def _has_leader(self) -> bool:
         return self.find_leader() is not None
 
