Answer to a change that was handed on twice goes back or is told unknown

A change relayed to a host that had just lost the lead was held there and handed on again without the host that it came from. Such a change is now told as unknown, which operators ask again.

--- a/fulmarshore/agreement/transfer_test.py
+++ b/fulmarshore/agreement/transfer_test.py
@@ -19,9 +19,10 @@
     Zone,
 )
 from fulmarshore.membership.control import STOP_TIMEOUT_S
+from fulmarshore.membership.control_test import Listener
 from fulmarshore.standins.history import check_history
 from fulmarshore.standins.network import Faults
-from fulmarshore.standins.region import Operator, Region
+from fulmarshore.standins.region import Region
 
 STEP_S = 0.01
 SEEDS = range(12)
@@ -95,7 +96,7 @@
         former = region.find_leader().name
         region.stop(former)
         change = Change(region.get(former).state.next_number, "op", [Zone("a")], [])
-        region.network.add("op", Operator("op", [], region.random, stopped=True))
+        region.network.add("op", Listener())
         region.network.inject(former, LinkMessage("op", change))
         self.assertIsNotNone(region.get(former).replica.transfer)
         run_until_stopped(region, former)
@@ -103,6 +104,23 @@
         decided = region.find_leader().state.decisions[change.number]
         self.assertEqual(decided.change, change)
 
+    def test_answer_to_a_relayed_change_goes_back_the_same_way(self):
+        """The peer's name is one of the relaying host; no other may use it."""
+        region = Region(1)
+        core = region.find_leader()
+        relaying = next(name for name in region.names if name != core.name)
+        for name in region.names:
+            if name != relaying:
+                region.network.cut(name, "op")
+        listener = Listener()
+        region.network.add("op", listener)
+        change = Change(core.state.next_number, "op", [Zone("a")], [])
+        region.stop(core.name)
+        region.network.inject(relaying, LinkMessage("op", change))
+        run_until_stopped(region, core.name)
+        region.network.run(0.5)
+        self.assertEqual([reply.number for reply in listener.answers], [change.number])
+
     def test_only_the_leader_of_the_term_is_obeyed(self):
         table = [
             ("the leader", B, 2, 2),
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -390,6 +390,10 @@
         if self._held and ready:
             held, self._held = self._held, []
             for entry in held:
+                if not term and entry.origin.via is not None:
+                    # Handed on twice, its answer would not find back.
+                    effects.append(self._refuse(entry.origin, entry.change))
+                    continue
                 effects += self._take(entry.origin, entry.change, now)
         return effects
 
