Control that hears no process at all evicts none

Ruled out: a share of members that must be heard (a zone's loss is a real one); holding for a bounded time (regions part for minutes). Before: members after a minute cut off: none; after: all, with the version unchanged once they are heard again, and what was really gone leaves a lease later. Both seen failing without the guard. The test of 300 processes that are gone at once now keeps one alive, since with nobody there membership stays: the 299 must still be gone in time.

--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -123,6 +123,7 @@
         self.state = State()
         self.registry = Registry(name)
         self.leases = Leases()
+        self._is_isolated = False
         self.counters: Counter[str] = Counter()
         self.required_voters = (len(self.replica.peers) + 1) // 2 + 1
         self._pending: dict[int, Held] = {}
@@ -428,13 +429,25 @@
         if not self.replica.is_accepting:
             return []
         view = self.state.view
+        effects = self._note_isolation(now)
         self.leases.drop_gone(view, now)
         expired = self.leases.list_expired(view, self.state.index, now)
-        effects = self._propose(expired, now)
+        effects += self._propose(expired, now)
         for command in expired:
             effects.append(TimelineEvent("lease_expired", peer=command.identity.name))
         return effects
 
+    def _note_isolation(self, now: float) -> list[Effect]:
+        """Tell when the last process has gone silent, and when one is heard."""
+        is_isolated = self.leases.is_isolated(now) and bool(self.leases.held)
+        if is_isolated == self._is_isolated:
+            return []
+        self._is_isolated = is_isolated
+        kind = "processes_silent" if is_isolated else "processes_heard"
+        self.counters[kind] += 1
+        detail = f"{len(self.leases.held)} leases"
+        return [TimelineEvent(kind, detail=detail)]
+
     def _report(self, now: float) -> list[Effect]:
         """Tell the leader who was heard and who is not yet a member."""
         unjoined = self.registry.list_unjoined(self.state.view)
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -30,6 +30,8 @@
 """Shortest time between two deltas to one subscriber."""
 LEASE_S = 3.0
 """A process that is not heard of for this long loses its membership."""
+ISOLATION_TIMEOUT_S = 1.5
+"""A leader that hears no process for this long takes itself for cut off."""
 
 
 class Subscription:
@@ -183,9 +185,15 @@
 
 
 class Leases:
-    """The leases of all members, judged by the leader's clock."""
+    """The leases of all members, judged by the leader's clock.
+
+    No lease ends while the leader hears no process at all: then it is rather
+    cut off itself, and nobody is there to whom a smaller membership would be
+    of use. Whoever is heard first after that finds all leases full again.
+    """
 
     def __init__(self) -> None:
+        self.heard_at = float("-inf")
         self.held: dict[str, Lease] = {}
         self.wanted: dict[tuple[str, str], Subscribe] = {}
         self._proposed: dict[str, int] = {}
@@ -195,11 +203,15 @@
         self.held = {}
         self.wanted = {}
         self._proposed = {}
+        self.heard_at = now
         for identity, _ in _list_members(view):
             self.held[identity.name] = Lease(identity, now, 0)
 
     def hear(self, beat: Heartbeat, now: float) -> None:
         """Renew the lease of a process."""
+        if self.is_isolated(now):
+            self._renew_all(now)
+        self.heard_at = now
         lease = self.held.get(beat.identity.name)
         if lease is None or lease.identity.incarnation < beat.identity.incarnation:
             self.held[beat.identity.name] = Lease(beat.identity, now, beat.version)
@@ -208,6 +220,14 @@
             lease.heard_at = now
             lease.version = beat.version
 
+    def is_isolated(self, now: float) -> bool:
+        """Return whether no process has been heard for long."""
+        return now - self.heard_at >= ISOLATION_TIMEOUT_S
+
+    def _renew_all(self, now: float) -> None:
+        for lease in self.held.values():
+            lease.heard_at = now
+
     def want(self, message: Subscribe, now: float) -> None:
         """Take an announcement that shall get into the membership."""
         key = get_key(message.announcement)
@@ -238,6 +258,8 @@
 
         One that is under way is not proposed again.
         """
+        if self.is_isolated(now):
+            return []
         commands = []
         for identity, _ in _list_members(view):
             lease = self.held.get(identity.name)
