An agent evicted while it lives ends its flows before others open them

Homes open them elsewhere; when it is a member again, an entry host sends it a packet of such a flow and it delivers: two owners.

Now whoever sees a member leave the view tells it so (Eviction). It ends the flows that it took up to that version with a refusal, takes no assignment of such a version and no lease, and answers EvictionDone. Until then, for 1 s at the most (as long as a peer's word counts), no peer opens a flow that it does not know, nor gives a bucket. A former member that was silent towards the peer for 2 s, as a crashed one is, is not waited for; one that leaves says so before. One that starts where nobody was a member before it waits 1 s. An agent that sees no newer view goes on: control down breaks nothing. Keepers take the version of the records, and the lease that the agent had left, in place of 2 s for everybody; one that is behind the successor answers once it is not.

A declined packet whose owner has a newer assignment of the flow is now dropped.

Ruled out: keeping the flows as unconfirmed until a home names the owner again. It saves only the flows without a packet in between, and needs a mark on every claim. Not evicting while control hears nobody would keep more, and contradicts control_test's 300 processes that are gone at once.

entry_test: the stream opens 1 s after the start of its agent, which was first in its service and now waits; what it asserts is unchanged.

--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -307,6 +307,7 @@
     IDLE = "idle"
     RECLAIMED = "reclaimed"
     ENDED = "ended"
+    EVICTED = "evicted"
 
 
 class Refusal(Record, frozen=True, gc=False):
@@ -469,6 +470,8 @@
         The agent itself, or the peer that kept the records for it.
     part, parts : int
         Number of this part and count of all; 0 parts where none are kept.
+    lease_left : float
+        Time for which the agent is a member for certain, in seconds.
     """
 
     service: str
@@ -479,6 +482,7 @@
     part: int
     parts: int
     flows: list[FlowRecord]
+    lease_left: float = 0.0
 
 
 class FlowRecordsKept(Record, frozen=True):
@@ -520,6 +524,42 @@
     number: int
 
 
+class Eviction(Record, frozen=True):
+    """Tells an agent that it is no member any more, and has to end its flows.
+
+    Parameters
+    ----------
+    agent, incarnation : str, int
+        Who tells it.
+    version : int
+        A version of the view without the agent.
+    target, target_incarnation : str, int
+        Who is meant.
+    reason : Reason
+        Why the flows end.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    target: str
+    target_incarnation: int
+    reason: Reason
+
+
+class EvictionDone(Record, frozen=True):
+    """An agent serves no flow that it took up to a version of the view.
+
+    An agent that leaves as planned says so too, before it is removed.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+
+
 # --------------------------------------------------------------------------
 # Streams: the records in front of the bytes between entry host and agent
 # --------------------------------------------------------------------------
@@ -1276,6 +1316,8 @@
     FlowRecordsRequest,
     ViewCheck,
     ViewConfirmed,
+    Eviction,
+    EvictionDone,
     Delta,
     DeltaRequest,
     ClaimBackup,
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -25,6 +25,8 @@
     DeltaRequest,
     Effect,
     Event,
+    Eviction,
+    EvictionDone,
     FlowCheck,
     FlowRecord,
     FlowRecords,
@@ -62,9 +64,10 @@
 )
 from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
-from fulmarshore.membership.view import make_delta
+from fulmarshore.membership.view import View, make_delta
 from fulmarshore.routing.arbitration import Arbiter, get_ballot
 from fulmarshore.routing.endings import EndingReport
+from fulmarshore.routing.eviction import Evictions, find_eviction, is_first
 from fulmarshore.routing.fence import Fence
 from fulmarshore.routing.flows import NEVER, Directory, Flow, IdleQueue, list_oldest
 from fulmarshore.routing.held import HeldPackets
@@ -105,6 +108,7 @@
         self.subscriber = subscriber
         self.member = subscriber.announcement
         self.table = Table(subscriber.view)
+        self._view = subscriber.view
         self.peers = KnownPeers(self.table)
         self.counters: Counter[str] = Counter()
         self.flows: dict[bytes, Flow] = {}
@@ -117,6 +121,8 @@
         self.held = HeldPackets()
         self.fence = Fence(LEASE_S)
         self.succession = Succession(subscriber.identity, self.member.service)
+        self.evictions = Evictions(subscriber.identity, self.member.service)
+        self._evicted_by = 0
         self._recovery_began = False
         self._has_recovered = False
         self._random = Random(self.member.incarnation)
@@ -179,6 +185,7 @@
         raise AssertionError(f"unexpected event {event!r}")
 
     def _handle_peer(self, event: PeerMessage, now: float) -> list[Effect]:
+        self.evictions.hear(event.source, now)
         match event.message:
             case Delta() as delta:
                 if not self.peers.may_tell(event.source, delta):
@@ -207,11 +214,21 @@
             case FlowRecords() | FlowRecordsKept() | FlowRecordsRequest() as message:
                 view = self.subscriber.view
                 effects = self.succession.handle(message, event.source, view, now)
+                if message.version > view.version:
+                    effects += self._compare_versions(
+                        message.version, event.source, now
+                    )
                 return effects + self._finish_recovery(now)
             case ViewCheck() as check:
                 return self._confirm_view(check, event.source, now)
             case ViewConfirmed() as word:
                 return self._take_word(word)
+            case Eviction() as eviction:
+                return self._follow_eviction(eviction, event.source, now)
+            case EvictionDone() as done:
+                if self.evictions.take_done(done, event.source):
+                    return self._resume_held(now)
+                return []
             case FlowCheck() as check:
                 return self._answer_check(check, event.source)
         return self._drop(Reason.MALFORMED)
@@ -323,12 +340,12 @@
             return self._hold(packet, source, now)
         bucket = find_bucket(packet.flow)
         if packet.assignment:
-            if get_ballot(packet.assignment) >= self.homes.get_ballot(bucket):
+            if self._is_current(get_ballot(packet.assignment), bucket):
                 return self._take_assigned(packet, source, now)
             self.counters["assignments_outdated"] += 1
             packet = msgspec.structs.replace(packet, assignment=0)
         if bucket in self.homes.settled:
-            return self._arbitrate(service, packet, now)
+            return self._arbitrate(service, packet, source, now)
         promise = self.homes.find_promise(bucket)
         if promise is not None:
             version = max(promise.version, packet.version)
@@ -344,8 +361,12 @@
             return self._hold(packet, source, now)
         return self._pass_to(home, packet)
 
+    def _is_current(self, ballot: int, bucket: int) -> bool:
+        """Return whether assignments made under a version are to be taken."""
+        return ballot >= self.homes.get_ballot(bucket) and ballot > self._evicted_by
+
     def _arbitrate(
-        self, service: ServiceTable, packet: Forward, now: float
+        self, service: ServiceTable, packet: Forward, source: Address, now: float
     ) -> list[Effect]:
         """Find or choose the owner of a flow in a bucket that is settled."""
         owner = self.arbiter.find_owner(service, packet.flow)
@@ -353,6 +374,9 @@
             return self._assign(owner, packet, False, now)
         if packet.phase in (Phase.MIDDLE, Phase.END):
             return self._refuse(packet, Reason.FLOW_UNKNOWN)
+        if self.evictions.is_waiting(now):
+            # The flow may be one of an evicted agent that still serves it.
+            return self._hold(packet, source, now)
         return self._open(service, packet, now)
 
     def _open(self, service: ServiceTable, packet: Forward, now: float) -> list[Effect]:
@@ -457,6 +481,11 @@
         if service is None or packet.service != self.member.service:
             return self._drop(Reason.WRONG_SERVICE)
         is_due = self.arbiter.decline(service, declined, now)
+        if self._is_overtaken(declined):
+            # The newest assignment decides; copies that all went on with new
+            # assignments would overtake each other for ever.
+            self.counters["declined_late"] += 1
+            return []
         packet = msgspec.structs.replace(packet, assignment=0, hops=1)
         flow = self.flows.get(packet.flow)
         if flow is not None:
@@ -465,6 +494,13 @@
             return self._route(packet, source, now)
         return self._open(service, packet, now)
 
+    def _is_overtaken(self, declined: Declined) -> bool:
+        """Return whether the same owner has a newer assignment of the flow."""
+        entry = self.directory.find(declined.packet.flow)
+        if entry is None or entry.owner != declined.agent:
+            return False
+        return entry.assignment > declined.packet.assignment
+
     def _admit(self, packet: Forward, now: float) -> list[Effect]:
         assert self.is_accepting, "no new flow in a drain"
         assert packet.service == self.member.service, "no foreign service"
@@ -472,6 +508,7 @@
         caller = Address(packet.caller_host, packet.caller_port)
         address = self._find_entry(packet.entry)
         flow = Flow(packet.flow, caller, packet.entry, address, packet.assignment, now)
+        flow.version = self.table.version
         self.flows[packet.flow] = flow
         self._idle.add(flow, now)
         self.gate.note_opened(now)
@@ -493,17 +530,19 @@
             flow = self.flows.get(packet.flow)
             if flow is not None:
                 effects.append(self._deliver(flow, packet, now))
-            elif self._must_wait(packet):
+            elif self._must_wait(packet, now):
                 waiting.append(entry)
             else:
                 effects += self._route(packet, source, now)
         self.held.restore(waiting)
         return effects
 
-    def _must_wait(self, packet: Forward) -> bool:
+    def _must_wait(self, packet: Forward, now: float) -> bool:
         if not self._has_recovered:
             return True
         bucket = find_bucket(packet.flow)
+        if bucket in self.homes.settled and self.evictions.is_waiting(now):
+            return self.arbiter.find_owner(self.service, packet.flow) is None
         if bucket in self.homes.settled or self.homes.find_promise(bucket):
             return False
         home = self.service.get_home(bucket) if self.service is not None else None
@@ -662,7 +701,8 @@
     def _give_buckets(self, ask: Takeover, source: Address, now: float) -> list[Effect]:
         if ask.version < self.table.version:
             return [SendPeer(source, make_delta(self.subscriber.view, ask.version))]
-        if not self._has_recovered or self.fence.is_bound(ask.version, now):
+        is_bound = self.fence.is_bound(ask.version, now)
+        if not self._has_recovered or is_bound or self.evictions.is_waiting(now):
             self.counters["takeovers_delayed"] += 1
             return []
         effects: list[Effect] = []
@@ -711,7 +751,8 @@
             )
             records.append(record)
         version = self.table.version
-        self.succession.begin_export(records, service, version, now)
+        lease_left = LEASE_S - (now - self.subscriber.lease_renewed)
+        self.succession.begin_export(records, service, version, lease_left, now)
         event = TimelineEvent("restart_began", detail=f"{len(records)} flows")
         return [event, *self.succession.tick(version, now)]
 
@@ -724,6 +765,8 @@
         if member is None or member.incarnation != self.member.incarnation:
             return []
         self._recovery_began = True
+        if is_first(self.subscriber.view, self.member):
+            self.evictions.begin(now)
         self.succession.begin_recovery(service, now)
         effects = self.succession.tick(self.table.version, now)
         return effects + self._finish_recovery(now)
@@ -740,6 +783,7 @@
             flow = Flow(
                 record.flow, caller, record.entry, address, record.assignment, now
             )
+            flow.version = self.table.version
             self.flows[record.flow] = flow
             self._idle.add(flow, now)
             effects.append(OpenUpstream(record.flow, record.local_port))
@@ -766,7 +810,8 @@
             check = ViewCheck(self.member.service, *_split(identity), version, number)
             effects += [SendPeer(Address(m.host, m.port), check) for m in peers]
         names = {member.name for member in peers}
-        is_backed = self._has_recovered and (
+        is_evicted = self._evicted_by > self.table.version
+        is_backed = (not is_evicted and self._has_recovered) and (
             self.fence.has_lease(renewed_at, now) or self.fence.is_confirmed(names, now)
         )
         if is_backed != self.homes.is_fenced:
@@ -781,9 +826,12 @@
     def _confirm_view(
         self, check: ViewCheck, source: Address, now: float
     ) -> list[Effect]:
-        if check.version < self.table.version:
-            return [SendPeer(source, make_delta(self.subscriber.view, check.version))]
-        if check.version > self.table.version:
+        version = self.table.version
+        if check.version < version:
+            self.evictions.take_check(check, source, self.service, version, now)
+            delta = SendPeer(source, make_delta(self.subscriber.view, check.version))
+            return [delta, *self._tell_evicted(now)]
+        if check.version > version:
             return self._compare_versions(check.version, source, now)
         if self.homes.promised_version > check.version:
             return []
@@ -802,6 +850,69 @@
             self.fence.take_word(word.agent, word.number)
         return []
 
+    # Eviction --------------------------------------------------------------
+
+    def _follow_eviction(
+        self, eviction: Eviction, source: Address, now: float
+    ) -> list[Effect]:
+        """End what was held as a member, on the word of a peer, and say so."""
+        identity = self.subscriber.identity
+        if (eviction.target, eviction.target_incarnation) != _split(identity):
+            return []
+        version = eviction.version
+        if not self.peers.is_known(source):
+            # Whoever joined under a newer view has to show that view first.
+            self.counters[f"dropped_{Reason.STRANGER}"] += 1
+            is_newer = version > self.table.version
+            return self._compare_versions(version, source, now) if is_newer else []
+        effects = self._end_former(version, eviction.reason, now)
+        if version > self.table.version:
+            effects += self._guard_lease(now)
+            effects += self._compare_versions(version, source, now)
+        done = EvictionDone(self.member.service, *_split(identity), version)
+        return [*effects, SendPeer(source, done)]
+
+    def _notice_eviction(self, previous: View, now: float) -> list[Effect]:
+        """End what was held before a removal that the view tells of."""
+        version = find_eviction(previous, self.subscriber.view, self.member)
+        if not version:
+            return []
+        self.homes.unsettle()
+        return self._end_former(version, Reason.EVICTED, now)
+
+    def _end_former(self, version: int, reason: Reason, now: float) -> list[Effect]:
+        """End the flows that were taken up to a version, and forget others'."""
+        if version <= self._evicted_by:
+            return []
+        self._evicted_by = version
+        self.directory.clear()
+        former = []
+        for flow in self.flows.values():
+            if max(flow.version, get_ballot(flow.assignment)) <= version:
+                former.append(flow)
+        return self._end_with_refusal(former, reason)
+
+    def _tell_evicted(self, now: float) -> list[Effect]:
+        """Tell evicted agents to end their flows; go on without the silent."""
+        effects: list[Effect] = []
+        for address, eviction in self.evictions.list_due(self.table.zones_out, now):
+            effects.append(SendPeer(address, eviction))
+        expired = self.evictions.expire(now)
+        self.counters["evictions_unanswered"] += len(expired)
+        if self.evictions.has_begun(now) or expired:
+            effects += self._resume_held(now)
+        return effects
+
+    def _say_farewell(self) -> list[Effect]:
+        """Tell the peers that this agent holds no flow and can be replaced."""
+        service = self.service
+        if service is None:
+            return []
+        identity = _split(self.subscriber.identity)
+        done = EvictionDone(self.member.service, *identity, self.table.version)
+        peers = [m for m in service.members if m.name != self.member.name]
+        return [SendPeer(Address(m.host, m.port), done) for m in peers]
+
     # Versions and time -----------------------------------------------------
 
     def _compare_versions(
@@ -828,8 +939,12 @@
             return []
         assert view.version > self.table.version, "versions only go up"
         previous = self.table
+        previous_service = self.service
+        effects = self._notice_eviction(self._view, now)
+        self._view = view
         self.table = Table(view, previous)
         self.peers.follow(self.table)
+        self.evictions.follow(previous_service, self.service, view.version, now)
         self._delta_asked_at = float("-inf")
         if self._newest_seen is not None and view.version >= self._newest_seen[0]:
             self._newest_seen = None
@@ -848,10 +963,11 @@
             self.directory.forget_bucket(bucket)
         self.arbiter.follow(self.service)
         if zone in self.table.zones_out:
-            return self._leave_zone(now)
+            return effects + self._leave_zone(now)
         if zone in previous.zones_out:
             self.gate.turn_cold(now)
-        effects = self._begin_recovery(now)
+        effects += self._tell_evicted(now)
+        effects += self._begin_recovery(now)
         return effects + self._ask_for_buckets(now) + self._resume_held(now)
 
     def _leave_zone(self, now: float) -> list[Effect]:
@@ -860,30 +976,35 @@
         self.directory.clear()
         for _, packet, _ in self.held.take_all():
             effects += self._refuse(packet, Reason.ZONE_OUT)
-        count = len(self.flows)
-        for flow in list(self.flows.values()):
+        flows = list(self.flows.values())
+        effects += self._end_with_refusal(flows, Reason.ZONE_OUT)
+        if flows:
+            detail = f"{len(flows)} flows, {Reason.ZONE_OUT}"
+            effects.append(TimelineEvent("flows_ended", detail=detail))
+        return effects
+
+    def _end_with_refusal(self, flows: list[Flow], reason: Reason) -> list[Effect]:
+        effects: list[Effect] = []
+        for flow in flows:
             address = flow.entry_address or self._any_entry()
-            effects += self._send_refusal(
-                flow.key, flow.caller, address, Reason.ZONE_OUT
-            )
+            effects += self._send_refusal(flow.key, flow.caller, address, reason)
             del self.flows[flow.key]
+            self.streams.discard(flow.key)
             effects.append(CloseUpstream(flow.key))
-        self.counters[f"flows_ended_{Reason.ZONE_OUT}"] += count
-        if count:
-            detail = f"{count} flows, {Reason.ZONE_OUT}"
-            effects.append(TimelineEvent("flows_ended", detail=detail))
+        self.counters[f"flows_ended_{reason}"] += len(flows)
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
         if self.succession.has_left(now):
             return [Stopped()]
         if self._is_done(now):
-            return [*self.subscriber.leave(), Stopped()]
+            return [*self._say_farewell(), *self.subscriber.leave(), Stopped()]
         effects = self.subscriber.tick(now)
         effects += self.succession.tick(self.table.version, now)
         effects += self._finish_recovery(now)
         effects += self._guard_lease(now)
         effects += self._ask_for_delta(now)
+        effects += self._tell_evicted(now)
         effects += self._ask_for_buckets(now)
         for packet in self.held.take_expired(now):
             effects += self._refuse(packet, Reason.NOT_SETTLED)
--- /dev/null
+++ b/fulmarshore/routing/eviction_test.py
@@ -0,0 +1,241 @@
+"""Agents that are evicted while they live: one owner all the same."""
+
+from unittest import TestCase
+
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Declined,
+    DeltaRequest,
+    Eviction,
+    EvictionDone,
+    Forward,
+    LinkMessage,
+    LoadReport,
+    Reason,
+    Refusal,
+    Removed,
+    Takeover,
+    TakeoverReply,
+    Tick,
+    ViewCheck,
+)
+from fulmarshore.membership.view import change_view, make_delta
+from fulmarshore.routing.agent_test import (
+    VERSION,
+    AgentCase,
+    get_address,
+    make_member,
+    make_view,
+)
+from fulmarshore.routing.arbitration import ASSIGNMENT_BITS
+from fulmarshore.routing.eviction import HEARD_MEMORY_S, WAIT_TIMEOUT_S
+from fulmarshore.standins.network import Faults
+from fulmarshore.standins.routing import RoutedRegion
+
+PORTS = range(40)
+EVICTED_S = 4.0
+"""Longer than a lease."""
+LOSSY = Faults(loss=0.3, max_delay=0.1)
+
+
+class EvictedRegionTest(TestCase):
+    def make_region(self, seed, faults=None):
+        region = RoutedRegion(seed, {"book": 4}, entries=3, max_hints=64)
+        region.send_all("book", PORTS, rounds=2)
+        region.network.faults = faults or Faults()
+        return region
+
+    def check(self, region, rounds=4):
+        held = set()
+        for _ in range(rounds):
+            for port in PORTS:
+                region.send("book", port)
+            region.network.run(0.25)
+            held.update(map(region.get_flow, ["book"] * len(PORTS), PORTS))
+        self.assertEqual(region.opened_twice, 0)
+        for flow in held:
+            self.assertLessEqual(len(region.count_held(flow)), 1)
+
+    def test_an_agent_that_returns_has_no_flow_that_others_opened(self):
+        # Trace of the soak, seed 4: evicted, told so, and back with its flows.
+        for seed in range(3):
+            for faults in (Faults(), LOSSY):
+                with self.subTest(seed=seed, faults=faults):
+                    region = self.make_region(seed, faults)
+                    region.network.cut("control", "entry0")
+                    region.network.part(["control"], ["book-0"])
+                    region.network.run(EVICTED_S)
+                    self.assertFalse(region.is_member("book-0"))
+                    self.check(region)
+                    region.network.heal()
+                    self.check(region)
+                    self.assertTrue(region.is_member("book-0"))
+
+    def test_a_successor_of_an_evicted_agent_recovers_nothing(self):
+        # Trace of the soak, seed 3: evicted, and restarted as planned.
+        region = self.make_region(3)
+        region.network.part(["control"], ["book-0"])
+        region.network.run(EVICTED_S)
+        self.check(region)
+        region.network.heal()
+        region.restart("book-0")
+        self.check(region)
+        self.assertEqual(region.get_agent("book-0").counters["flows_recovered"], 0)
+
+    def test_control_cut_off_from_all_and_back(self):
+        # Control evicts all; a new process comes first, and knows of nobody.
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                region = self.make_region(seed)
+                names = [name for name in region.network.nodes if name != "control"]
+                region.network.part(["control"], names)
+                region.network.run(EVICTED_S)
+                region.add_agent("book-0", "book", "a")
+                region.network.heal()
+                self.check(region, rounds=8)
+
+    def test_control_down_breaks_no_flow(self):
+        region = self.make_region(1)
+        before = dict(region.owners)
+        region.crash("control")
+        for _ in range(6):
+            region.send_all("book", PORTS)
+            region.network.run(1.0)
+        self.assertEqual(region.owners, before)
+        self.assertEqual((region.opened_twice, region.moved), (0, set()))
+
+
+class EvictedTest(AgentCase):
+    def evict(self, core, now):
+        eviction = Eviction("s", "b", 1, 9, "a", 1, Reason.EVICTED)
+        return self.send(core, eviction, get_address("b"), now)
+
+    def admit(self, core, version=VERSION):
+        flow = self.find_flow(core, "b")
+        assignment = (version << ASSIGNMENT_BITS) + 1
+        self.send(core, self.make_packet(flow, assignment), get_address("b"))
+        return flow
+
+    def test_flows_of_before_end_and_later_ones_stay(self):
+        table = [(VERSION, False), (9, False), (10, True)]
+        for version, stays in table:
+            with self.subTest(version=version):
+                core = self.start()
+                flow = self.admit(core, version)
+                self.assertIn(flow, core.flows)
+                effects = self.evict(core, 3.0)
+                self.assertEqual(flow in core.flows, stays)
+                self.assertEqual(bool(self.list_sent(effects, Refusal)), not stays)
+                done = self.list_sent(effects, EvictionDone)
+                self.assertEqual([d.version for d in done], [9])
+
+    def test_nothing_is_taken_under_an_older_view(self):
+        core = self.start()
+        self.evict(core, 3.0)
+        self.assertFalse(core.homes.settled)
+        self.assertFalse(self.admit(core) in core.flows)
+
+    def test_former_selves_are_not_meant_and_strangers_show_their_view(self):
+        table = [
+            ("former self", 0, get_address("b"), []),
+            ("stranger", 1, get_address("x"), [DeltaRequest]),
+        ]
+        for title, incarnation, source, expected in table:
+            with self.subTest(title):
+                core = self.start()
+                flow = self.admit(core)
+                eviction = Eviction("s", "b", 1, 9, "a", incarnation, Reason.EVICTED)
+                effects = self.send(core, eviction, source)
+                self.assertEqual([type(e.message) for e in effects], expected)
+                self.assertIn(flow, core.flows)
+
+    def test_removed_and_back_in_one_step(self):
+        core = self.start()
+        flow = self.admit(core)
+        view = change_view(make_view(), 8, [], [])
+        gone = change_view(view, 9, [make_member("a", incarnation=2)], [])
+        back = change_view(gone, 10, [make_member("a")], [])
+        core.handle(LinkMessage("x", make_delta(back, 0)), 3.0)
+        self.assertNotIn(flow, core.flows)
+        self.assertFalse(core.homes.settled)
+
+
+class HomeTest(AgentCase):
+    def remove(self, core, now):
+        view = change_view(make_view(), 9, [], [Removed(9, "Member", "c")])
+        core.handle(LinkMessage("x", make_delta(view, VERSION)), now)
+
+    def open(self, core, now):
+        flow = self.find_flow(core, "a")
+        return flow, self.send(core, self.make_packet(flow, version=9), now=now)
+
+    def test_openings_wait_for_an_evicted_agent_that_was_heard_of(self):
+        self.assertLess(WAIT_TIMEOUT_S, HEARD_MEMORY_S)
+        done = EvictionDone("s", "c", 1, 9)
+        other = get_address("b")
+        check = ViewCheck("s", "c", 1, VERSION, 1)
+        table = [
+            ("silent for long", 2.0, None, 5.0, True),
+            ("heard of", 4.5, None, 5.0, False),
+            ("done", 4.5, done, 5.0, True),
+            ("done under an older view", 4.5, EvictionDone("s", "c", 1, 8), 5.0, False),
+            ("a former self is done", 4.5, EvictionDone("s", "c", 0, 9), 5.0, False),
+            ("another says so", 4.5, (done, other), 5.0, False),
+            ("no answer", 4.5, None, 5.0 + WAIT_TIMEOUT_S, True),
+            ("silent and heard of since", 2.0, check, 5.0, False),
+        ]
+        for title, heard_at, message, now, is_open in table:
+            with self.subTest(title):
+                core = self.start()
+                self.send(core, check, get_address("c"), heard_at)
+                self.remove(core, 5.0)
+                source = get_address("c")
+                if isinstance(message, tuple):
+                    message, source = message
+                if message is not None:
+                    self.send(core, message, source, 5.0)
+                core.handle(Tick(), now)
+                flow, _ = self.open(core, now)
+                self.assertEqual(flow in core.flows, is_open)
+
+    def test_one_that_leaves_says_so_and_is_not_waited_for(self):
+        core = self.start()
+        self.send(core, ViewCheck("s", "c", 1, VERSION, 1), get_address("c"), 4.5)
+        self.send(core, EvictionDone("s", "c", 1, VERSION), get_address("c"), 4.9)
+        self.remove(core, 5.0)
+        flow, _ = self.open(core, 5.0)
+        self.assertIn(flow, core.flows)
+
+    def test_no_bucket_is_given_meanwhile(self):
+        core = self.start()
+        self.send(core, LoadReport("s", "c", 1, 3, 0, 50, 1, 0), get_address("c"), 4.5)
+        self.remove(core, 5.0)
+        ask = Takeover("s", "b", 1, 9, [find_bucket(self.find_flow(core, "a"))])
+        for now, count in ((5.0, 0), (5.0 + WAIT_TIMEOUT_S, 1)):
+            core.handle(Tick(), now)
+            effects = self.send(core, ask, get_address("b"), now)
+            self.assertEqual(len(self.list_sent(effects, TakeoverReply)), count)
+
+    def test_one_that_starts_before_all_others_waits(self):
+        core = self.start()
+        flow = self.find_flow(core, "a")
+        packet = self.make_packet(flow)
+        self.send(core, packet, now=0.5 * WAIT_TIMEOUT_S)
+        self.assertNotIn(flow, core.flows)
+        core.handle(Tick(), WAIT_TIMEOUT_S)
+        self.assertIn(flow, core.flows)
+
+
+class DeclinedTest(AgentCase):
+    def test_only_the_newest_assignment_goes_on(self):
+        core = self.start(connections=0)
+        flow = self.find_flow(core, "a")
+        owner = core.service.by_name["b"]
+        numbers = [core.arbiter.assign(flow, owner, VERSION, True, 2.0) for _ in "12"]
+        found = []
+        for number in numbers:
+            packet = self.make_packet(flow, number, target="b")
+            declined = Declined("b", 1, VERSION, 50, packet)
+            effects = self.send(core, declined, get_address("b"))
+            found.append([passed.target for passed in self.list_sent(effects, Forward)])
+        self.assertEqual(found, [[], ["c"]])
--- a/fulmarshore/routing/flows.py
+++ b/fulmarshore/routing/flows.py
@@ -21,6 +21,7 @@
         "last_active",
         "silent_at",
         "assignment",
+        "version",
         "head",
         "head_version",
     )
@@ -39,6 +40,8 @@
         self.entry = entry
         self.entry_address = address
         self.assignment = assignment
+        # Version of the view in force when the flow was taken.
+        self.version = 0
         self.last_active = now
         self.silent_at = NEVER
         # An encoded answer up to the payload, and the version it belongs to.
--- a/fulmarshore/routing/restart.py
+++ b/fulmarshore/routing/restart.py
@@ -17,6 +17,7 @@
     Member,
 )
 from fulmarshore.membership.view import View
+from fulmarshore.routing.fence import LEASE_MARGIN_S
 
 KEEPERS = 2
 MAX_RECORDS_PER_MESSAGE = 400
@@ -26,8 +27,6 @@
 RECOVERY_TIMEOUT_S = 1.0
 """A successor that has not heard from every peer by then goes on."""
 KEEP_TIMEOUT_S = 30.0
-CERTAIN_LEASE_S = 2.0
-"""An agent that has just left is still a member, as its lease runs on."""
 
 
 class Export:
@@ -84,13 +83,15 @@
 class Kept:
     """The records of one agent at a keeper."""
 
-    __slots__ = ("incarnation", "version", "parts", "kept_at")
+    __slots__ = ("incarnation", "version", "parts", "kept_at", "certain_until")
 
     def __init__(self, incarnation: int, version: int, now: float) -> None:
         self.incarnation = incarnation
         self.version = version
         self.parts: dict[int, FlowRecords] = {}
         self.kept_at = now
+        # An agent that has just left is still a member, as its lease runs on.
+        self.certain_until = now
 
 
 class Keeper:
@@ -104,13 +105,14 @@
     def __len__(self) -> int:
         return len(self._kept)
 
-    def keep(self, records: FlowRecords, version: int, now: float) -> bool:
+    def keep(self, records: FlowRecords, now: float) -> bool:
         """Keep a part; False for one of a former self of the agent."""
         held = self._kept.get(records.agent)
         if held is not None and held.incarnation > records.incarnation:
             return False
         if held is None or held.incarnation < records.incarnation:
-            held = Kept(records.incarnation, version, now)
+            held = Kept(records.incarnation, records.version, now)
+            held.certain_until = now + records.lease_left - LEASE_MARGIN_S
             self._kept[records.agent] = held
         held.parts[records.part] = records
         return True
@@ -122,8 +124,8 @@
         held = self._kept.get(agent)
         if held is None or held.incarnation >= incarnation:
             return []
-        is_recent = now - held.kept_at < CERTAIN_LEASE_S
-        if not is_recent and not _was_always_member(view, agent, held.version):
+        is_certain = now < held.certain_until
+        if not is_certain and not _was_always_member(view, agent, held.version):
             return []
         total = next(iter(held.parts.values())).parts
         if len(held.parts) < total:
@@ -197,6 +199,7 @@
     agent: str,
     incarnation: int,
     version: int,
+    lease_left: float,
     records: list[FlowRecord],
 ) -> list[FlowRecords]:
     """Return the records as messages that fit a datagram, at least one."""
@@ -205,9 +208,8 @@
     messages = []
     for part in range(parts):
         flows = records[part * size : (part + 1) * size]
-        messages.append(
-            FlowRecords(service, agent, incarnation, version, agent, part, parts, flows)
-        )
+        head = (service, agent, incarnation, version, agent)
+        messages.append(FlowRecords(*head, part, parts, flows, lease_left))
     return messages
 
 
--- /dev/null
+++ b/fulmarshore/routing/restart_test.py
@@ -0,0 +1,57 @@
+"""Records of a planned restart are good only for as long as the membership."""
+
+from unittest import TestCase
+
+from fulmarshore.core.records import (
+    Address,
+    FlowRecord,
+    FlowRecords,
+    FlowRecordsRequest,
+    Identity,
+    Member,
+    Removed,
+    SendPeer,
+)
+from fulmarshore.membership.view import View, change_view
+from fulmarshore.routing.restart import Keeper
+from fulmarshore.routing.succession import Succession
+
+MEMBER = Member("a", 1, "s", "z", "127.0.0.1", 7)
+ADDRESS = Address("127.0.0.1", 7)
+RECORD = FlowRecord(b"k" * 16, "10.0.0.1", 7, "entry", 4000, 1)
+VERSION = 5
+LEASE_LEFT_S = 2.5
+
+
+def make_records():
+    return FlowRecords("s", "a", 1, VERSION, "a", 0, 1, [RECORD], LEASE_LEFT_S)
+
+
+class KeeperTest(TestCase):
+    def test_records_are_good_while_the_agent_is_a_member(self):
+        view = change_view(View(), VERSION, [MEMBER], [])
+        evicted = change_view(view, 6, [], [Removed(6, "Member", "a")])
+        snapshot = View(6, view.items, (), 6)
+        table = [
+            ("always a member", view, 10.0, True),
+            ("not certain after a snapshot", snapshot, 10.0, False),
+            ("a lease that runs on", snapshot, 1.4, True),
+            ("a lease that may be over", snapshot, 1.6, False),
+            ("evicted after the records were made", evicted, 1.6, False),
+        ]
+        for title, held, now, is_good in table:
+            with self.subTest(title):
+                keeper = Keeper()
+                keeper.keep(make_records(), 0.0)
+                self.assertEqual(bool(keeper.find("a", 2, held, now)), is_good)
+
+    def test_a_keeper_that_is_behind_answers_later(self):
+        view = change_view(View(), VERSION, [MEMBER], [])
+        for version, parts in ((VERSION, [1]), (VERSION + 1, [])):
+            with self.subTest(version=version):
+                peer = Succession(Identity("b", 1), "s")
+                peer.handle(make_records(), ADDRESS, view, 0.0)
+                request = FlowRecordsRequest("s", "a", 2, version)
+                effects = peer.handle(request, ADDRESS, view, 0.5)
+                sent = [e.message.parts for e in effects if isinstance(e, SendPeer)]
+                self.assertEqual(sent, parts)
--- a/fulmarshore/routing/succession.py
+++ b/fulmarshore/routing/succession.py
@@ -51,13 +51,20 @@
         return self._export is not None
 
     def begin_export(
-        self, records: list[FlowRecord], table: ServiceTable, version: int, now: float
+        self,
+        records: list[FlowRecord],
+        table: ServiceTable,
+        version: int,
+        lease_left: float,
+        now: float,
     ) -> None:
         """Start to hand the records to peers, the ones that accept first."""
         peers = [m for m in table.members if m.name != self._identity.name]
         peers.sort(key=lambda member: member not in table.accepting)
         name, incarnation = self._identity.name, self._identity.incarnation
-        parts = split_records(self._service, name, incarnation, version, records)
+        parts = split_records(
+            self._service, name, incarnation, version, lease_left, records
+        )
         self._export = Export(parts, peers, now)
 
     def begin_recovery(self, table: ServiceTable, now: float) -> None:
@@ -120,7 +127,7 @@
     def _keep(
         self, records: FlowRecords, source: Address, version: int, now: float
     ) -> list[Effect]:
-        if self.is_leaving or not self._keeper.keep(records, version, now):
+        if self.is_leaving or not self._keeper.keep(records, now):
             return []
         name, incarnation = self._identity.name, self._identity.incarnation
         kept = FlowRecordsKept(self._service, name, incarnation, version, records.part)
@@ -129,6 +136,9 @@
     def _hand_back(
         self, request: FlowRecordsRequest, source: Address, view: View, now: float
     ) -> list[Effect]:
+        if request.version > view.version:
+            # The membership of the agent may have ended in between.
+            return []
         name = self._identity.name
         found = self._keeper.find(request.agent, request.incarnation, view, now)
         if not found:
