--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -123,6 +123,7 @@
         self.succession = Succession(subscriber.identity, self.member.service)
         self.evictions = Evictions(subscriber.identity, self.member.service)
         self._evicted_by = 0
+        self._was_backed = False
         self._recovery_began = False
         self._has_recovered = False
         self._random = Random(self.member.incarnation)
@@ -818,6 +819,10 @@
             return effects
         for bucket in self.homes.set_fenced(not is_backed):
             self.directory.forget_bucket(bucket)
+        if is_evicted or is_backed == self._was_backed:
+            # A view without this agent is on its way, and says it all.
+            return effects + self._resume_held(now)
+        self._was_backed = is_backed
         kind = "arbitration_resumed" if is_backed else "arbitration_suspended"
         self.counters[kind] += 1
         effects.append(TimelineEvent(kind, service=self.member.service))
@@ -977,11 +982,7 @@
         for _, packet, _ in self.held.take_all():
             effects += self._refuse(packet, Reason.ZONE_OUT)
         flows = list(self.flows.values())
-        effects += self._end_with_refusal(flows, Reason.ZONE_OUT)
-        if flows:
-            detail = f"{len(flows)} flows, {Reason.ZONE_OUT}"
-            effects.append(TimelineEvent("flows_ended", detail=detail))
-        return effects
+        return effects + self._end_with_refusal(flows, Reason.ZONE_OUT)
 
     def _end_with_refusal(self, flows: list[Flow], reason: Reason) -> list[Effect]:
         effects: list[Effect] = []
@@ -992,6 +993,9 @@
             self.streams.discard(flow.key)
             effects.append(CloseUpstream(flow.key))
         self.counters[f"flows_ended_{reason}"] += len(flows)
+        if flows:
+            detail = f"{len(flows)} flows, {reason}"
+            effects.append(TimelineEvent("flows_ended", detail=detail))
         return effects
 
     def _tick(self, now: float) -> list[Effect]:
--- a/fulmarshore/routing/succession.py
+++ b/fulmarshore/routing/succession.py
@@ -136,9 +136,6 @@
     def _hand_back(
         self, request: FlowRecordsRequest, source: Address, view: View, now: float
     ) -> list[Effect]:
-        if request.version > view.version:
-            # The membership of the agent may have ended in between.
-            return []
         name = self._identity.name
         found = self._keeper.find(request.agent, request.incarnation, view, now)
         if not found:
@@ -146,6 +143,9 @@
                 self._service, request.agent, 0, view.version, name, 0, 0, []
             )
             return [SendPeer(source, none)]
+        if request.version > view.version:
+            # The membership of the agent may have ended in between.
+            return []
         effects: list[Effect] = []
         for part in found:
             answer = FlowRecords(
