The time line tells when a home takes over from one that is gone

FlowsTakenOver in core/records.py says whose buckets, how many, and how many flows of other owners in them are known; one flows_taken_over event for each home that is gone once all its buckets have settled, at each agent that takes some. Homes that stay members are no event: a join would give one for each member.

--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1633,6 +1633,23 @@
     """Effect: the planned stop is complete, the process may exit."""
 
 
+class FlowsTakenOver(Record, frozen=True):
+    """A home arbitrates all buckets that it takes over from one that is gone.
+
+    Parameters
+    ----------
+    service, former : str
+        The service, and the home that is no member any more.
+    buckets, flows : int
+        What is taken over: buckets, and the flows in them that live on.
+    """
+
+    service: str
+    former: str
+    buckets: int
+    flows: int
+
+
 class TimelineEvent(Record, frozen=True):
     """Effect: a change of state worth a place on the time line.
 
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -76,7 +76,7 @@
 from fulmarshore.routing.reports import Reporter
 from fulmarshore.routing.succession import Succession
 from fulmarshore.routing.table import ServiceTable, Table
-from fulmarshore.routing.takeover import list_replies
+from fulmarshore.routing.takeover import FormerHomes, describe_takeover, list_replies
 
 MAX_HOPS = 12
 """Bounds what agents may pass one packet on, whatever their tables say."""
@@ -118,10 +118,12 @@
         self.requests = RequestCore(subscriber)
         self.arbiter = Arbiter(self.member.name, self.counters)
         self.homes = Homes(self.member.name, self.member.incarnation)
+        self.former_homes = FormerHomes()
         self.held = HeldPackets()
         self.fence = Fence(LEASE_S)
         self.succession = Succession(subscriber.identity, self.member.service)
         self.evictions = Evictions(subscriber.identity, self.member.service)
+        self._postponed: dict[tuple[Address, int], Takeover] = {}
         self._evicted_by = 0
         self._was_backed = False
         self._recovery_began = False
@@ -228,7 +230,7 @@
                 return self._follow_eviction(eviction, event.source, now)
             case EvictionDone() as done:
                 if self.evictions.take_done(done, event.source):
-                    return self._resume_held(now)
+                    return self._end_wait(now)
                 return []
             case FlowCheck() as check:
                 return self._answer_check(check, event.source)
@@ -702,10 +704,13 @@
     def _give_buckets(self, ask: Takeover, source: Address, now: float) -> list[Effect]:
         if ask.version < self.table.version:
             return [SendPeer(source, make_delta(self.subscriber.view, ask.version))]
-        is_bound = self.fence.is_bound(ask.version, now)
-        if not self._has_recovered or is_bound or self.evictions.is_waiting(now):
+        if not self._has_recovered or self.fence.is_bound(ask.version, now):
             self.counters["takeovers_delayed"] += 1
             return []
+        if self.evictions.is_waiting(now):
+            self.counters["takeovers_delayed"] += 1
+            self._postponed[source, ask.buckets[0]] = ask
+            return []
         effects: list[Effect] = []
         if ask.version > self.table.version:
             self.peers.ask(source)
@@ -733,7 +738,11 @@
         if not settled:
             return []
         self.counters["buckets_taken"] += len(settled)
-        return self._resume_held(now)
+        return self._tell_takeover(settled) + self._resume_held(now)
+
+    def _tell_takeover(self, settled: list[int]) -> list[Effect]:
+        taken = self.former_homes.take(self.member.service, settled, self.directory)
+        return [describe_takeover(part) for part in taken]
 
     # Planned restart -------------------------------------------------------
 
@@ -905,9 +914,19 @@
         expired = self.evictions.expire(now)
         self.counters["evictions_unanswered"] += len(expired)
         if self.evictions.has_begun(now) or expired:
-            effects += self._resume_held(now)
+            effects += self._end_wait(now)
         return effects
 
+    def _end_wait(self, now: float) -> list[Effect]:
+        """Go on with what an evicted agent has kept waiting, if it was the last."""
+        if self.evictions.is_waiting(now):
+            return []
+        effects: list[Effect] = []
+        postponed, self._postponed = self._postponed, {}
+        for (source, _), ask in postponed.items():
+            effects += self._give_buckets(ask, source, now)
+        return effects + self._resume_held(now)
+
     def _say_farewell(self) -> list[Effect]:
         """Tell the peers that this agent holds no flow and can be replaced."""
         service = self.service
@@ -963,9 +982,15 @@
         if self.table.zone_versions.get(zone) != previous.zone_versions.get(zone):
             # The zone may have been out in a version that was never seen here.
             self.homes.unsettle()
-        for bucket in self.homes.follow(self.service, view.version):
+        settled = set(self.homes.settled)
+        awaited = self.homes.follow(self.service, view.version)
+        for bucket in awaited:
             # What is left of an earlier time as home may be outdated.
             self.directory.forget_bucket(bucket)
+        alone = [bucket for bucket in self.homes.settled if bucket not in settled]
+        taken = [*self.homes.awaited, *alone]
+        self.former_homes.follow(previous_service, self.service, taken)
+        effects += self._tell_takeover(alone)
         self.arbiter.follow(self.service)
         if zone in self.table.zones_out:
             return effects + self._leave_zone(now)
--- a/fulmarshore/routing/takeover.py
+++ b/fulmarshore/routing/takeover.py
@@ -1,12 +1,20 @@
-"""What an agent answers to a peer that takes buckets over."""
+"""Take-over of buckets: what a peer answers, and what the time line tells."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
 from fulmarshore.core.hashing import find_bucket
-from fulmarshore.core.records import Identity, OwnedFlow, Takeover, TakeoverReply
+from fulmarshore.core.records import (
+    FlowsTakenOver,
+    Identity,
+    OwnedFlow,
+    Takeover,
+    TakeoverReply,
+    TimelineEvent,
+)
 from fulmarshore.routing.flows import Directory, Flow
+from fulmarshore.routing.table import ServiceTable
 
 MAX_FLOWS_PER_REPLY = 800
 """Keeps a `TakeoverReply` far below the size of a datagram."""
@@ -89,3 +97,56 @@
         )
         found.setdefault(bucket, []).append(owned)
     return found
+
+
+class FormerHomes:
+    """The homes that are gone, while their buckets are being taken over."""
+
+    __slots__ = ("_open", "_taken")
+
+    def __init__(self) -> None:
+        self._open: dict[int, str] = {}
+        self._taken: dict[str, list[int]] = {}
+
+    def follow(
+        self,
+        previous: ServiceTable | None,
+        service: ServiceTable | None,
+        buckets: Iterable[int],
+    ) -> None:
+        """Note whose buckets are to be taken over under a newer table."""
+        held, self._open = self._open, {}
+        members = service.by_name if service is not None else {}
+        for bucket in buckets:
+            home = previous.get_home(bucket) if previous is not None else None
+            former = held.get(bucket, home.name if home is not None else "")
+            if former and former not in members:
+                self._open[bucket] = former
+        open_homes = set(self._open.values())
+        for former in list(self._taken):
+            if former not in open_homes:
+                del self._taken[former]
+
+    def take(
+        self, service: str, settled: Iterable[int], directory: Directory
+    ) -> list[FlowsTakenOver]:
+        """Note that buckets have settled; return the take-overs that are whole."""
+        found = set()
+        for bucket in settled:
+            former = self._open.pop(bucket, None)
+            if former is None:
+                continue
+            found.add(former)
+            self._taken.setdefault(former, []).append(bucket)
+        whole = []
+        for former in sorted(found.difference(self._open.values())):
+            buckets = self._taken.pop(former)
+            flows = sum(len(directory.list_flows(bucket)) for bucket in buckets)
+            whole.append(FlowsTakenOver(service, former, len(buckets), flows))
+        return whole
+
+
+def describe_takeover(taken: FlowsTakenOver) -> TimelineEvent:
+    """Return the event on the time line for a take-over."""
+    detail = f"{taken.flows} flows of others in {taken.buckets} buckets"
+    return TimelineEvent("flows_taken_over", taken.service, "", taken.former, detail)
--- /dev/null
+++ b/fulmarshore/routing/takeover_test.py
@@ -0,0 +1,74 @@
+"""What the time line tells about take-overs."""
+
+from unittest import TestCase
+
+from fulmarshore.core.hashing import hash_flow
+from fulmarshore.core.records import FlowsTakenOver, TimelineEvent
+from fulmarshore.routing.flows import Directory, Entry
+from fulmarshore.routing.homes_test import make_service
+from fulmarshore.routing.takeover import FormerHomes, describe_takeover
+from fulmarshore.standins.routing import RoutedRegion
+
+BUCKETS = range(100)
+LEASE_OVER_S = 5.0
+
+
+class FormerHomesTest(TestCase):
+    def setUp(self):
+        self.previous = make_service("a", "b", "c")
+        self.of_c = [b for b in BUCKETS if self.previous.get_home(b).name == "c"]
+
+    def test_one_event_for_a_home_that_is_gone_once_all_is_settled(self):
+        homes = FormerHomes()
+        homes.follow(self.previous, make_service("a", "b"), BUCKETS)
+        self.assertEqual(homes.take("s", self.of_c[1:], Directory()), [])
+        # A newer view asks anew, and its predecessor lacks the home already.
+        homes.follow(make_service("a", "b"), make_service("a"), self.of_c[:1])
+        taken = homes.take("s", self.of_c[:1], Directory())
+        self.assertEqual(taken, [FlowsTakenOver("s", "c", len(self.of_c), 0)])
+        self.assertEqual(homes.take("s", self.of_c, Directory()), [])
+
+    def test_homes_that_stay_are_no_take_over_from_the_dead(self):
+        homes = FormerHomes()
+        homes.follow(self.previous, make_service("a", "b", "c", "d"), BUCKETS)
+        self.assertEqual(homes.take("s", BUCKETS, Directory()), [])
+
+    def test_flows_that_live_on_are_counted(self):
+        homes, directory = FormerHomes(), Directory()
+        directory.remember(hash_flow("s", "10.0.0.1", 1), Entry("b", 1, 1, 0.0))
+        bucket = directory.list_buckets()[0]
+        former = self.previous.get_home(bucket).name
+        others = {"a", "b", "c"} - {former}
+        homes.follow(self.previous, make_service(*others), [bucket])
+        taken = homes.take("s", [bucket], directory)
+        self.assertEqual(taken, [FlowsTakenOver("s", former, 1, 1)])
+        event = describe_takeover(taken[0])
+        detail = "1 flows of others in 1 buckets"
+        expected = TimelineEvent("flows_taken_over", "s", "", former, detail)
+        self.assertEqual(event, expected)
+
+
+class RegionTest(TestCase):
+    def test_survivors_tell_of_a_crash(self):
+        for count in (2, 4):
+            with self.subTest(count=count):
+                region = RoutedRegion(1, {"book": count})
+                region.send_all("book", range(40))
+                told = []
+                for node in region.network.nodes.values():
+                    node.observe = _record(node.observe, told)
+                region.crash("book-0")
+                region.network.run(LEASE_OVER_S)
+                survivors = {f"book-{number}" for number in range(1, count)}
+                self.assertEqual({(name, "book-0") for name in survivors}, set(told))
+                self.assertEqual(len(told), len(survivors))
+
+
+def _record(observe, told):
+    def record(node, effect, now):
+        if isinstance(effect, TimelineEvent) and effect.kind == "flows_taken_over":
+            told.append((node.name, effect.peer))
+        if observe is not None:
+            observe(node, effect, now)
+
+    return record
