Split the agent's core by concern; bound what strangers make it wait for

agent.py, 1,132 lines, did everything. What all parts share is state.py; the parts are versions, delivery, lifetimes, forwarding, openings, router, handover, departures, lease, evicted, successor and upkeep, each a class on that state that knows only those before it. agent.py keeps the dispatch of events, the change of tables and the tick: 319 lines.

Three faults of the evictions, found while reading: an agent that never answers, but asks under an old view, was waited for again and again (now once until it is a member again); views asked about under made-up names were remembered without bound (256 now); a take-over of no bucket, kept for later, was an error. Each has a test.

--- /dev/null
+++ b/fulmarshore/routing/delivery.py
@@ -0,0 +1,129 @@
+"""Packets and answers of the flows that an agent holds."""
+
+from __future__ import annotations
+
+from fulmarshore.core.codec import encode_head
+from fulmarshore.core.records import (
+    Answer,
+    CloseUpstream,
+    Effect,
+    Forward,
+    Reason,
+    SendPeer,
+    SendUpstream,
+    UpstreamDatagram,
+)
+from fulmarshore.routing.flows import NEVER, Flow
+from fulmarshore.routing.state import AgentState
+
+SILENT_TIMEOUT_S = 3.0
+"""A QUIC flow that is not answered for this long gets a new socket."""
+
+
+class Delivery:
+    """Hands packets to the upstream and its answers to the entry hosts.
+
+    Parameters
+    ----------
+    state : AgentState
+        What all parts of the agent share.
+    """
+
+    def __init__(self, state: AgentState) -> None:
+        self.state = state
+        self.flows = state.flows
+        self.counters = state.counters
+        self.silent_timeout = NEVER
+        self._answered_at = float("-inf")
+
+    def take_known(self, packet: Forward, now: float) -> bool:
+        """Take a packet of a flow held here that needs nothing but delivery.
+
+        Its payload goes to the upstream on the socket of the flow. False: it
+        is to be handled as an event.
+        """
+        flow = self.flows.get(packet.flow)
+        member = self.state.member
+        if flow is None or packet.version != self.state.table.version:
+            return False
+        if packet.service != member.service or packet.target != member.name:
+            return False
+        if packet.incarnation != member.incarnation or now >= flow.silent_at:
+            return False
+        self._touch(flow, packet, now)
+        return True
+
+    def answer_known(self, key: bytes, now: float) -> Flow | None:
+        """Return the flow that an upstream's datagram goes back on, if simple.
+
+        Its head and the payload, joined, go to its entry host. None: the
+        datagram is to be handled as an event.
+        """
+        flow = self.flows.get(key)
+        if flow is None or flow.entry_address is None:
+            return None
+        flow.last_active = now
+        flow.silent_at = NEVER
+        self._answered_at = now
+        if flow.head_version != self.state.table.version:
+            flow.head = encode_head(self._make_answer(flow, b""))
+            flow.head_version = self.state.table.version
+        self.counters["answered"] += 1
+        return flow
+
+    def deliver(self, flow: Flow, packet: Forward, now: float) -> SendUpstream:
+        """Hand a packet of a flow that is held here to the upstream."""
+        self._touch(flow, packet, now)
+        return SendUpstream(packet.flow, packet.payload)
+
+    def replace_path(self, flow: Flow, now: float) -> list[Effect]:
+        """Move a flow that gets no answers to a new socket, if others do.
+
+        Something between agent and upstream may have lost track of it. Only
+        QUIC, whose connections outlive a change of address, can be moved
+        without harm; an opaque flow without answers may be in order.
+        """
+        flow.silent_at = now + 2 * SILENT_TIMEOUT_S
+        if now - self._answered_at > SILENT_TIMEOUT_S / 2:
+            return []
+        self.counters["paths_replaced"] += 1
+        return [CloseUpstream(flow.key)]
+
+    def answer(self, event: UpstreamDatagram, now: float) -> list[Effect]:
+        """Send an upstream's datagram to the entry host of its flow."""
+        flow = self.flows.get(event.flow)
+        if flow is None:
+            return self.state.drop(Reason.FLOW_UNKNOWN)
+        flow.last_active = now
+        flow.silent_at = NEVER
+        self._answered_at = now
+        if flow.entry_address is None:
+            flow.entry_address = self.state.find_entry(flow.entry)
+        if flow.entry_address is None:
+            return self.state.drop(Reason.NO_UPSTREAM)
+        self.counters["answered"] += 1
+        answer = self._make_answer(flow, event.payload)
+        return [SendPeer(flow.entry_address, answer)]
+
+    def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
+        flow.last_active = now
+        if flow.silent_at == NEVER:
+            flow.silent_at = now + self.silent_timeout
+        if packet.assignment > flow.assignment:
+            flow.assignment = packet.assignment
+        if flow.entry != packet.entry:
+            flow.entry = packet.entry
+            flow.entry_address = self.state.find_entry(packet.entry)
+        self.counters["delivered"] += 1
+
+    def _make_answer(self, flow: Flow, payload: bytes) -> Answer:
+        return Answer(
+            self.state.member.service,
+            self.state.member.name,
+            self.state.member.incarnation,
+            self.state.table.version,
+            flow.key,
+            flow.caller.host,
+            flow.caller.port,
+            payload,
+        )
--- /dev/null
+++ b/fulmarshore/routing/departures.py
@@ -0,0 +1,58 @@
+"""Agents that left the view, as a peer sees them."""
+
+from __future__ import annotations
+
+from fulmarshore.core.records import Address, Effect, EvictionDone, SendPeer
+from fulmarshore.routing.handover import Handover
+from fulmarshore.routing.router import Router
+from fulmarshore.routing.state import AgentState, split_identity
+
+
+class Departures:
+    """Tells evicted agents, and goes on when they serve no flow.
+
+    Parameters
+    ----------
+    state : AgentState
+        What all parts of the agent share.
+    router : Router
+        Finds who takes a packet.
+    handover : Handover
+        Gives and takes buckets.
+    """
+
+    def __init__(self, state: AgentState, router: Router, handover: Handover) -> None:
+        self.state = state
+        self.router = router
+        self.handover = handover
+
+    def tell(self, now: float) -> list[Effect]:
+        """Tell evicted agents to end their flows; go on without the silent."""
+        effects: list[Effect] = []
+        for address, eviction in self.state.evictions.list_due(
+            self.state.table.zones_out, now
+        ):
+            effects.append(SendPeer(address, eviction))
+        expired = self.state.evictions.expire(now)
+        self.state.counters["evictions_unanswered"] += len(expired)
+        if self.state.evictions.has_begun(now) or expired:
+            effects += self.end_wait(now)
+        return effects
+
+    def end_wait(self, now: float) -> list[Effect]:
+        """Go on with what an evicted agent has kept waiting, if it was the last."""
+        if self.state.evictions.is_waiting(now):
+            return []
+        return self.handover.give_postponed(now) + self.router.resume_held(now)
+
+    def say_farewell(self) -> list[Effect]:
+        """Tell the peers that this agent holds no flow and can be replaced."""
+        service = self.state.service
+        if service is None:
+            return []
+        identity = split_identity(self.state.subscriber.identity)
+        done = EvictionDone(
+            self.state.member.service, *identity, self.state.table.version
+        )
+        peers = [m for m in service.members if m.name != self.state.member.name]
+        return [SendPeer(Address(m.host, m.port), done) for m in peers]
--- /dev/null
+++ b/fulmarshore/routing/evicted.py
@@ -0,0 +1,87 @@
+"""The own eviction: what was held as a member ends."""
+
+from __future__ import annotations
+
+from fulmarshore.core.records import (
+    Address,
+    Effect,
+    Eviction,
+    EvictionDone,
+    Reason,
+    SendPeer,
+)
+from fulmarshore.membership.view import View
+from fulmarshore.routing.arbitration import get_ballot
+from fulmarshore.routing.eviction import find_eviction
+from fulmarshore.routing.lease import LeaseGuard
+from fulmarshore.routing.lifetimes import Lifetimes
+from fulmarshore.routing.state import AgentState, split_identity
+from fulmarshore.routing.versions import Versions
+
+
+class EvictionFollower:
+    """Ends what was held before this agent was evicted.
+
+    Parameters
+    ----------
+    state : AgentState
+        What all parts of the agent share.
+    versions : Versions
+        Compares versions with others.
+    lifetimes : Lifetimes
+        Ends flows.
+    lease : LeaseGuard
+        Stops arbitration without a lease.
+    """
+
+    def __init__(
+        self,
+        state: AgentState,
+        versions: Versions,
+        lifetimes: Lifetimes,
+        lease: LeaseGuard,
+    ) -> None:
+        self.state = state
+        self.versions = versions
+        self.lifetimes = lifetimes
+        self.lease = lease
+
+    def follow(self, eviction: Eviction, source: Address, now: float) -> list[Effect]:
+        """End what was held as a member, on the word of a peer, and say so."""
+        identity = self.state.subscriber.identity
+        if (eviction.target, eviction.target_incarnation) != split_identity(identity):
+            return []
+        version = eviction.version
+        if not self.state.peers.is_known(source):
+            # Whoever joined under a newer view has to show that view first.
+            self.state.counters[f"dropped_{Reason.STRANGER}"] += 1
+            is_newer = version > self.state.table.version
+            return self.versions.compare(version, source, now) if is_newer else []
+        effects = self._end_former(version, eviction.reason, now)
+        if version > self.state.table.version:
+            effects += self.lease.guard(now)
+            effects += self.versions.compare(version, source, now)
+        done = EvictionDone(
+            self.state.member.service, *split_identity(identity), version
+        )
+        return [*effects, SendPeer(source, done)]
+
+    def notice(self, previous: View, now: float) -> list[Effect]:
+        """End what was held before a removal that the view tells of."""
+        version = find_eviction(previous, self.state.subscriber.view, self.state.member)
+        if not version:
+            return []
+        self.state.homes.unsettle()
+        return self._end_former(version, Reason.EVICTED, now)
+
+    def _end_former(self, version: int, reason: Reason, now: float) -> list[Effect]:
+        """End the flows that were taken up to a version, and forget others'."""
+        if version <= self.state.evicted_by:
+            return []
+        self.state.evicted_by = version
+        self.state.directory.clear()
+        former = []
+        for flow in self.state.flows.values():
+            if max(flow.version, get_ballot(flow.assignment)) <= version:
+                former.append(flow)
+        return self.lifetimes.end_with_refusal(former, reason)
--- a/fulmarshore/routing/eviction.py
+++ b/fulmarshore/routing/eviction.py
@@ -32,6 +32,8 @@
 WAIT_TIMEOUT_S = CONFIRM_S
 """An evicted agent that does not answer is waited for no longer."""
 RETRY_INTERVAL_S = 0.05
+MAX_WAITING = 256
+"""Bounds how many agents unknown to the view are waited for."""
 
 
 class Waiting:
@@ -72,6 +74,7 @@
         "_waiting",
         "_asked_at",
         "_started_until",
+        "_silent",
     )
 
     def __init__(self, identity: Identity, service: str) -> None:
@@ -81,6 +84,7 @@
         self._waiting: dict[str, Waiting] = {}
         self._asked_at = float("-inf")
         self._started_until = float("-inf")
+        self._silent: set[Identity] = set()
 
     def is_waiting(self, now: float) -> bool:
         """Return whether an agent that was evicted may still serve flows."""
@@ -112,6 +116,7 @@
                 self._wait(member, version, now)
         heard: dict[Address, float] = {}
         for member in kept.values():
+            self._silent.discard(Identity(member.name, member.incarnation))
             address = Address(member.host, member.port)
             heard[address] = self._heard.get(address, now)
         self._heard = heard
@@ -141,9 +146,11 @@
         member = service.by_name.get(check.agent)
         if member is not None and member.incarnation <= check.incarnation:
             return
-        if check.agent in self._waiting:
-            return
         identity = Identity(check.agent, check.incarnation)
+        if check.agent in self._waiting or identity in self._silent:
+            return
+        if len(self._waiting) >= MAX_WAITING:
+            return
         self._add(identity, source, "", version, now)
 
     def _add(
@@ -197,6 +204,8 @@
         for name, waiting in list(self._waiting.items()):
             if now >= waiting.until:
                 expired.append(name)
+                if len(self._silent) < MAX_WAITING:
+                    self._silent.add(waiting.identity)
                 del self._waiting[name]
         return expired
 
--- a/fulmarshore/routing/eviction_test.py
+++ b/fulmarshore/routing/eviction_test.py
@@ -28,7 +28,11 @@
     make_view,
 )
 from fulmarshore.routing.arbitration import ASSIGNMENT_BITS
-from fulmarshore.routing.eviction import HEARD_MEMORY_S, WAIT_TIMEOUT_S
+from fulmarshore.routing.eviction import (
+    HEARD_MEMORY_S,
+    MAX_WAITING,
+    WAIT_TIMEOUT_S,
+)
 from fulmarshore.standins.network import Faults
 from fulmarshore.standins.routing import RoutedRegion
 
@@ -198,6 +202,24 @@
                 flow, _ = self.open(core, now)
                 self.assertEqual(flow in core.flows, is_open)
 
+    def test_one_that_does_not_answer_is_waited_for_once(self):
+        core = self.start()
+        check = ViewCheck("s", "c", 1, VERSION, 1)
+        self.remove(core, 5.0)
+        for now, is_waiting in ((5.0, True), (6.0, False), (6.1, False)):
+            self.send(core, check, get_address("c"), now)
+            core.handle(Tick(), now)
+            self.assertEqual(core.evictions.is_waiting(now), is_waiting)
+
+    def test_strangers_do_not_fill_the_memory(self):
+        core = self.start()
+        for number in range(2 * MAX_WAITING):
+            check = ViewCheck("s", f"x{number}", 1, VERSION - 1, 1)
+            self.send(core, check, get_address("x"), 5.0)
+        self.assertEqual(len(core.evictions.list_due(set(), 6.0)), MAX_WAITING)
+        empty = Takeover("s", "b", 1, VERSION, [])
+        self.assertEqual(self.send(core, empty, get_address("b"), 5.0), [])
+
     def test_one_that_leaves_says_so_and_is_not_waited_for(self):
         core = self.start()
         self.send(core, ViewCheck("s", "c", 1, VERSION, 1), get_address("c"), 4.5)
--- /dev/null
+++ b/fulmarshore/routing/openings.py
@@ -0,0 +1,157 @@
+"""Who gets a flow that nobody owns yet, and whether it is admitted."""
+
+from __future__ import annotations
+
+import msgspec
+
+from fulmarshore.core.records import (
+    Address,
+    Declined,
+    Effect,
+    Forward,
+    Member,
+    Phase,
+    Reason,
+    SendPeer,
+    SendUpstream,
+)
+from fulmarshore.routing.flows import Flow
+from fulmarshore.routing.forwarding import Forwarding
+from fulmarshore.routing.lifetimes import Lifetimes
+from fulmarshore.routing.state import AgentState
+from fulmarshore.routing.table import ServiceTable
+
+MAX_DECLINED = 4096
+"""Assignments that an agent remembers to have declined."""
+
+
+class Openings:
+    """Finds or chooses the owners of flows, and admits flows.
+
+    Parameters
+    ----------
+    state : AgentState
+        What all parts of the agent share.
+    lifetimes : Lifetimes
+        Ends flows.
+    forwarding : Forwarding
+        Passes packets on or holds them.
+    """
+
+    def __init__(
+        self, state: AgentState, lifetimes: Lifetimes, forwarding: Forwarding
+    ) -> None:
+        self.state = state
+        self.lifetimes = lifetimes
+        self.forwarding = forwarding
+        self._declined: dict[bytes, int] = {}
+
+    def arbitrate(
+        self, service: ServiceTable, packet: Forward, source: Address, now: float
+    ) -> list[Effect]:
+        """Find or choose the owner of a flow in a bucket that is settled."""
+        owner = self.state.arbiter.find_owner(service, packet.flow)
+        if owner is not None:
+            return self._assign(owner, packet, False, now)
+        if packet.phase in (Phase.MIDDLE, Phase.END):
+            return self.state.refuse(packet, Reason.FLOW_UNKNOWN)
+        if self.state.evictions.is_waiting(now):
+            # The flow may be one of an evicted agent that still serves it.
+            return self.forwarding.hold(packet, source, now)
+        return self.open(service, packet, now)
+
+    def open(self, service: ServiceTable, packet: Forward, now: float) -> list[Effect]:
+        """Choose the owner of a new flow."""
+        effects = self.lifetimes.make_room(now)
+        if effects:
+            return effects + self.open(service, packet, now)
+        entry = self.state.directory.find(packet.flow)
+        tried = entry.tried if entry is not None else ()
+        limit = self.state.gate.get_limit(now)
+        is_open = self.state.is_accepting and len(self.state.flows) < limit
+        own = self.state.reporter.get_room(is_open, limit)
+        owner = self.state.arbiter.choose_owner(service, tried, own, now)
+        if owner is not None and owner.name == self.state.member.name:
+            # The gate is asked only now: asking takes from its rate.
+            if not self._has_room(now):
+                tried = (*tried, self.state.member.name)
+                owner = self.state.arbiter.choose_owner(service, tried, own, now)
+        if owner is None:
+            self.state.directory.forget(packet.flow)
+            has_accepting = bool(service.accepting)
+            return self.state.refuse(
+                packet, Reason.FULL if has_accepting else Reason.NO_UPSTREAM
+            )
+        if owner.name == self.state.member.name:
+            self.state.directory.forget(packet.flow)
+            self.state.reporter.note_opening(True)
+            return self._admit(packet, now)
+        self.state.reporter.note_opening(False)
+        self.state.counters["handed_over"] += 1
+        return self._assign(owner, packet, True, now)
+
+    def take_assigned(
+        self, packet: Forward, source: Address, now: float
+    ) -> list[Effect]:
+        """Admit a flow that its home gave to this agent, or give it back."""
+        effects = self.lifetimes.make_room(now)
+        if effects:
+            return effects + self.take_assigned(packet, source, now)
+        self.state.reporter.note_assignment(source, packet.assignment)
+        if packet.phase in (Phase.MIDDLE, Phase.END):
+            refusal = self.state.refuse(packet, Reason.FLOW_UNKNOWN)
+            return [
+                *refusal,
+                SendPeer(source, self.state.release(packet.flow, packet.assignment)),
+            ]
+        declined = self._declined.get(packet.flow, 0) >= packet.assignment
+        if not declined and self._has_room(now):
+            return self._admit(packet, now)
+        return self._decline(packet, source)
+
+    def _has_room(self, now: float) -> bool:
+        return self.state.is_accepting and self.state.gate.has_room(
+            len(self.state.flows), now
+        )
+
+    def _assign(
+        self, owner: Member, packet: Forward, is_new: bool, now: float
+    ) -> list[Effect]:
+        number = self.state.arbiter.assign(
+            packet.flow, owner, self.state.table.version, is_new, now
+        )
+        packet = msgspec.structs.replace(packet, assignment=number)
+        return self.forwarding.pass_to(owner, packet)
+
+    def _decline(self, packet: Forward, source: Address) -> list[Effect]:
+        # A later copy of the same assignment must not be admitted: the home
+        # is going to choose another owner.
+        held = self._declined.pop(packet.flow, 0)
+        self._declined[packet.flow] = max(held, packet.assignment)
+        if len(self._declined) > MAX_DECLINED:
+            del self._declined[next(iter(self._declined))]
+        declined = Declined(
+            self.state.member.name,
+            self.state.member.incarnation,
+            self.state.table.version,
+            len(self.state.flows),
+            packet,
+        )
+        self.state.counters["declined"] += 1
+        return [SendPeer(source, declined)]
+
+    def _admit(self, packet: Forward, now: float) -> list[Effect]:
+        assert self.state.is_accepting, "no new flow in a drain"
+        assert packet.service == self.state.member.service, "no foreign service"
+        assert self.state.member.zone not in self.state.table.zones_out, (
+            "nothing to a zone out"
+        )
+        caller = Address(packet.caller_host, packet.caller_port)
+        address = self.state.find_entry(packet.entry)
+        flow = Flow(packet.flow, caller, packet.entry, address, packet.assignment, now)
+        flow.version = self.state.table.version
+        self.state.flows[packet.flow] = flow
+        self.state.idle.add(flow, now)
+        self.state.gate.note_opened(now)
+        self.state.counters["flows_opened"] += 1
+        return [SendUpstream(packet.flow, packet.payload)]
