--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -28,7 +28,6 @@
     LoadReport,
     MemberState,
     PeerMessage,
-    Protocol,
     Reason,
     Released,
     Restart,
@@ -51,7 +50,6 @@
 from fulmarshore.routing.departures import Departures
 from fulmarshore.routing.endings import EndingReport
 from fulmarshore.routing.evicted import EvictionFollower
-from fulmarshore.routing.flows import NEVER
 from fulmarshore.routing.forwarding import Forwarding
 from fulmarshore.routing.handover import Handover
 from fulmarshore.routing.lease import LeaseGuard
@@ -64,9 +62,6 @@
 from fulmarshore.routing.upkeep import Upkeep
 from fulmarshore.routing.versions import Versions
 
-SILENT_TIMEOUT_S = 3.0
-"""A QUIC flow that is not answered for this long gets a new socket."""
-
 
 class AgentCore(AgentState):
     """Owns the flows of one upstream and arbitrates those it is home of.
@@ -224,8 +219,7 @@
         self.versions.note_applied(view.version)
         if self.service is not None:
             self.gate.follow(self.service.profile)
-            is_quic = self.service.service.protocol == Protocol.QUIC
-            self.delivery.silent_timeout = SILENT_TIMEOUT_S if is_quic else NEVER
+            self.delivery.follow(self.service.service)
         for flow in self.flows.values():
             flow.entry_address = self.find_entry(flow.entry)
         zone = self.member.zone
--- a/fulmarshore/routing/delivery.py
+++ b/fulmarshore/routing/delivery.py
@@ -8,9 +8,11 @@
     CloseUpstream,
     Effect,
     Forward,
+    Protocol,
     Reason,
     SendPeer,
     SendUpstream,
+    Service,
     UpstreamDatagram,
 )
 from fulmarshore.routing.flows import NEVER, Flow
@@ -33,9 +35,14 @@
         self.state = state
         self.flows = state.flows
         self.counters = state.counters
-        self.silent_timeout = NEVER
+        self._silent_timeout = NEVER
         self._answered_at = float("-inf")
 
+    def follow(self, service: Service) -> None:
+        """Take in the declaration of the service."""
+        is_quic = service.protocol == Protocol.QUIC
+        self._silent_timeout = SILENT_TIMEOUT_S if is_quic else NEVER
+
     def take_known(self, packet: Forward, now: float) -> bool:
         """Take a packet of a flow held here that needs nothing but delivery.
 
@@ -108,7 +115,7 @@
     def _touch(self, flow: Flow, packet: Forward, now: float) -> None:
         flow.last_active = now
         if flow.silent_at == NEVER:
-            flow.silent_at = now + self.silent_timeout
+            flow.silent_at = now + self._silent_timeout
         if packet.assignment > flow.assignment:
             flow.assignment = packet.assignment
         if flow.entry != packet.entry:
