Agents tell the view to peers of the table only

Cause: an agent answered a DeltaRequest of any source with the whole view.

Ruled out: refusing the pushed delta to an unknown source too. An entry host that was cut off from control and left the table learns of a zone taken out by just that push (zone_test).

The test fails without the check (2 of 4 sources) and passes with it; routing changes_test, path_test, random_test and membership zone_test pass.

--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -186,6 +186,8 @@
                 effects = self.subscriber.apply(delta, event.source[0])
                 return effects + self._update_table(now)
             case DeltaRequest() as request:
+                if not self.peers.is_known(event.source):
+                    return self._drop(Reason.STRANGER)
                 delta = make_delta(self.subscriber.view, request.version)
                 return [SendPeer(event.source, delta)]
             case message if self.service is None:
--- a/fulmarshore/routing/agent_test.py
+++ b/fulmarshore/routing/agent_test.py
@@ -10,6 +10,8 @@
     Address,
     CloseUpstream,
     Declined,
+    Delta,
+    DeltaRequest,
     EntryHost,
     FlowCheck,
     FlowRecord,
@@ -361,3 +363,18 @@
                 self.send(core, message, get_address("b"))
         self.assertEqual(core.counters["dropped_wrong_service"], len(table))
         self.assertIn(bucket, core.homes.settled)
+
+    def test_only_peers_of_the_table_are_told_the_view(self):
+        table = [
+            ("agent", get_address("b"), True),
+            ("entry host", ENTRY, True),
+            ("other port of an agent's host", Address("127.0.0.1", 9), False),
+            ("stranger", Address("10.9.9.9", 5), False),
+        ]
+        for title, source, is_told in table:
+            with self.subTest(title):
+                core = self.start()
+                request = DeltaRequest(Identity("b", 1), 0)
+                effects = self.send(core, request, source)
+                self.assertEqual(len(self.list_sent(effects, Delta)), is_told)
+                self.assertEqual(core.counters["dropped_stranger"], not is_told)
