Count datagrams that the kernel does not take, by reason

Cause: DatagramSocket.dropped was an integer of each socket that no metric showed and that went with the socket of a flow. The counters of the process now say: no room in the send buffer, connection refused, any other failure, failed reads, former local port taken.

Cost: none on the way that succeeds.

--- a/fulmarshore/adapters/datagrams.py
+++ b/fulmarshore/adapters/datagrams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections import Counter
 from collections.abc import Callable
 
 from fulmarshore.core.records import Address
@@ -33,6 +34,8 @@
         Called in place of ``receive`` when datagrams wait, with the bound
         ``recvfrom`` of the socket. It takes at most ``RECEIVE_BATCH`` of
         them and lets the error of an empty socket through.
+    counters : Counter, optional
+        Counts what is dropped, and why.
     """
 
     __slots__ = (
@@ -42,7 +45,7 @@
         "_drain",
         "_socket",
         "_connected",
-        "dropped",
+        "_counters",
     )
 
     def __init__(
@@ -51,13 +54,14 @@
         receive: Receive | None = None,
         fail: Callable[[], None] | None = None,
         drain: Drain | None = None,
+        counters: Counter[str] | None = None,
     ) -> None:
         self._loop = loop
         self._receive = receive
         self._drain = drain or self._hand_over
         self._fail = fail
         self._connected = False
-        self.dropped = 0
+        self._counters = Counter[str]() if counters is None else counters
         self._socket: socket.socket | None = None
 
     def bind(
@@ -103,11 +107,13 @@
             else:
                 self._socket.sendto(payload, destination)
         except ConnectionRefusedError:
-            self.dropped += 1
+            self._counters["dropped_connection_refused"] += 1
             if self._fail is not None:
                 self._fail()
+        except BlockingIOError:
+            self._counters["dropped_no_send_buffer"] += 1
         except (OSError, OverflowError):
-            self.dropped += 1
+            self._counters["dropped_send_failed"] += 1
 
     def close(self) -> None:
         """Close the socket; further sends are ignored."""
@@ -130,7 +136,7 @@
         try:
             self._socket.bind(("", port))
         except OSError:
-            self.dropped += 1
+            self._counters["local_ports_taken"] += 1
 
     def _watch(self) -> None:
         self._loop.add_reader(self._socket.fileno(), self._read)
@@ -144,7 +150,7 @@
             if self._connected and self._fail is not None:
                 self._fail()
         except OSError:
-            self.dropped += 1
+            self._counters["receives_failed"] += 1
 
     def _hand_over(self, receive_from: ReceiveFrom) -> None:
         for _ in range(RECEIVE_BATCH):
--- a/fulmarshore/adapters/metrics.py
+++ b/fulmarshore/adapters/metrics.py
@@ -72,6 +72,8 @@
     "slots_closed": "Slots freed by closing the connection to a silent upstream.",
     "deltas_applied": "Newer views taken into force.",
     "control_moves": "Moves to another control host.",
+    "local_ports_taken": "Flows whose former local port another socket has.",
+    "receives_failed": "Failed reads of a socket of datagrams.",
     "service_bind_failed": "Service addresses that could not be bound.",
     "key_ring_unreadable": "Failed reads of the key ring.",
     "log_damaged": "Starts with a damaged log file.",
--- a/fulmarshore/adapters/peers.py
+++ b/fulmarshore/adapters/peers.py
@@ -48,7 +48,7 @@
         self._sealer = sealer
         self._receive = receive
         self._counters = counters
-        self._socket = DatagramSocket(loop, drain=self._drain)
+        self._socket = DatagramSocket(loop, drain=self._drain, counters=counters)
 
     def bind(self, address: Address) -> Address:
         """Bind to an address and return the one in use."""
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -222,7 +222,7 @@
             loop.call_soon(self.dispatch, UpstreamGone(flow))
 
         loop = asyncio.get_running_loop()
-        sock = DatagramSocket(loop, fail=fail, drain=drain)
+        sock = DatagramSocket(loop, None, fail, drain, self.counters)
         sock.connect(self.settings.upstream, port)
         self._upstreams[flow] = sock
         return sock
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -206,7 +206,8 @@
         def drain(receive_from: ReceiveFrom) -> None:
             self._drain_callers(held, receive_from)
 
-        sock = DatagramSocket(asyncio.get_running_loop(), drain=drain)
+        loop = asyncio.get_running_loop()
+        sock = DatagramSocket(loop, drain=drain, counters=self.counters)
         held = ServiceSocket(service, sock)
         host = self.settings.service_host or service.host
         try:
