--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -75,12 +75,12 @@
         """
         metrics = self._add(name)
         more += self._list_key_flags(name)
+        control = () if "--control" in more else self._list_control_flags()
         place = ("--service-host", service_host) if service_host else ()
         await self.processes.start(
             name,
             *("entry", "--name", name, "--zone", ZONE, "--metrics", metrics),
-            *("--control", format_address(self.controls[0])),
-            *("--data", "127.0.0.1:0", *place, *more),
+            *("--data", "127.0.0.1:0", *control, *place, *more),
         )
 
     async def start_agent(
@@ -89,11 +89,12 @@
         """Start the agent of an upstream."""
         metrics = self._add(name)
         more += self._list_key_flags(name)
+        control = () if "--control" in more else self._list_control_flags()
         data = () if "--data" in more else ("--data", "127.0.0.1:0")
         await self.processes.start(
             name,
             *("agent", "--name", name, "--zone", ZONE, "--metrics", metrics),
-            *("--control", format_address(self.controls[0]), *data),
+            *(*control, *data),
             *("--service", service, "--upstream", format_address(upstream), *more),
         )
 
@@ -116,6 +117,17 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         raise TimeoutError(f"not settled: {sorted(self._names)}")
 
+    async def wait_gone(self, name: str) -> None:
+        """Wait until control has taken a process for dead."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAIT_TIMEOUT_S
+        while loop.time() < until:
+            status = await asyncio.to_thread(fetch_status, self._reach())
+            if isinstance(status, StatusReply) and not _is_member(status, name):
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+        raise TimeoutError(f"{name} is still a member")
+
     async def end(self, name: str, number: int) -> int:
         """Signal a process, wait for its end and return its exit code."""
         self._names.discard(name)
@@ -160,6 +172,9 @@
             self.keys.add_pair(KeyRole.PROCESS, name)
         return ("--keys", str(self.keys.path))
 
+    def _list_control_flags(self) -> tuple[str, ...]:
+        return ("--control", format_address(self.controls[0]))
+
     def _reach(self) -> Controls:
         security = None
         if self.keys is not None:
@@ -190,6 +205,11 @@
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
+def _is_member(status: StatusReply, name: str) -> bool:
+    items = (stamped.item for stamped in status.view.items)
+    return any(isinstance(i, Member | EntryHost) and i.name == name for i in items)
+
+
 def find_member(status: StatusReply, name: str) -> Member | EntryHost:
     """Return the announcement of a process."""
     for stamped in status.view.items:
