Answers through an entry host without a counter and a call each

Cause: the profile of an answer's short way shows 0.70 us for the decoding, 1.45 us for check_answer, of which 0.44 us is one += on a Counter, beside 5.5 us for the two system calls. The daemon now counts answers in an integer that the counters take up when asked, and sends on the service's socket without a further call.

Ruled out: finding the flow by a slice of the frame in place of decoding it. It needs a second index of 300,000 flows, about 60 MB more.

--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -98,6 +98,7 @@
         self._sockets: dict[str, ServiceSocket] = {}
         self._streams: CallerStreams | None = None
         self._version = -1
+        self._answered = 0
         self._is_direct = settings.fabric == Fabric.DIRECT
 
     def open(self) -> None:
@@ -159,12 +160,20 @@
 
     def list_counters(self) -> list[Counter[str]]:
         """Return the counters for the metrics."""
+        self.core.counters["answered"] += self._answered
+        self._answered = 0
         return [self.counters, self.core.counters, self.core.subscriber.counters]
 
     def _take_peer(self, message: DataMessage, source: Address, now: float) -> None:
         if type(message) is Answer:
             caller = self.core.check_answer(message, source)
             if caller is not None:
+                # A counter costs as much as the whole check of an answer.
+                self._answered += 1
+                held = self._sockets.get(message.service)
+                if self._is_direct and held is not None:
+                    held.socket.send(message.payload, caller)
+                    return
                 self._send_caller(message.service, caller, message.payload)
                 return
         self.execute(self.handle(PeerMessage(source, message), now))
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -185,6 +185,7 @@
 
         Every field that is checked otherwise is compared with the hint. An
         answer that does not fit is not wrong yet: it is to be handled whole.
+        One that fits is counted by who sends it on.
         """
         routes = self.routes.get(answer.service)
         if routes is None or answer.version != routes.version:
@@ -196,7 +197,6 @@
         member = hint.member
         if member.name != answer.owner or member.incarnation != answer.incarnation:
             return None
-        self.counters["answered"] += 1
         return caller
 
     def _handle_peer(self, event: PeerMessage) -> list[Effect]:
