--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -9,18 +9,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import socket
 import statistics
 import time
 from collections.abc import Callable, Iterable
-from multiprocessing.connection import Connection
 
 from msgspec import Struct
 
 from fulmarshore.adapters.keys import RING_SECRET_BYTES, Ring, add_ring_key
-from fulmarshore.adapters.sealing import Sealer
+from fulmarshore.bench.subjects import NOWHERE, VERSION, run_agent, run_entry
 from fulmarshore.bench.traffic import (
     LOOPBACK,
     Child,
@@ -36,35 +34,28 @@
 from fulmarshore.core.records import (
     Address,
     Answer,
-    Delta,
     EntryHost,
     Forward,
     Item,
     Kind,
-    LinkMessage,
     Member,
     Profile,
     Service,
-    Versioned,
 )
-from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
-from fulmarshore.daemons.entry import EntryDaemon, EntrySettings
-from fulmarshore.standins.control import list_renewals
 
 PAYLOAD = bytes(200)
-NOWHERE = Address(LOOPBACK, 1)
 FLOWS = (1, 1_000, 300_000)
 AGENT_FLOWS = 2_000
 ANSWERED_FLOWS = 100
 BURST = 2_500
 """Datagrams that fit into the buffer of one socket."""
-VERSION = 1
 IDLE_TIMEOUT_S = 3600.0
 PRIME_ROUNDS = 20
 PRIME_BURST = 100
 PRIME_PAUSE_S = 0.001
 MEGABYTE = 1 << 20
 SEALED = "entry_sealed"
+SEALED_HOST = 8
 
 
 class Rate(Struct, frozen=True):
@@ -118,91 +109,6 @@
     sealing_cost: float
 
 
-def put_in_force(daemon: EntryDaemon | AgentDaemon, items: list[Item]) -> None:
-    """Give a daemon its view, as a control host would."""
-    for event in list_renewals("bench"):
-        daemon.dispatch(event)
-    daemon.dispatch(LinkMessage("bench", make_snapshot(items)))
-
-
-class BenchEntry(EntryDaemon):
-    """An entry daemon that gets its view from the bench."""
-
-    def __init__(
-        self, settings: EntrySettings, pipe: Connection, items: list[Item]
-    ) -> None:
-        super().__init__(settings)
-        self._pipe = pipe
-        self._items = items
-
-    def open(self) -> None:
-        """Open the sockets, put the view in force and say where they are."""
-        super().open()
-        put_in_force(self, self._items)
-        self._pipe.send(self.core.subscriber.announcement)
-        self._loop_answers()
-
-    def _loop_answers(self) -> None:
-        def answer() -> None:
-            self._pipe.recv()
-            self._pipe.send(int(self.read_gauges()["hints"]))
-
-        asyncio.get_running_loop().add_reader(self._pipe.fileno(), answer)
-
-
-class BenchAgent(AgentDaemon):
-    """An agent daemon that gets its view from the bench."""
-
-    def __init__(
-        self, settings: AgentSettings, pipe: Connection, items: list[Item]
-    ) -> None:
-        super().__init__(settings)
-        self._pipe = pipe
-        self._items = items
-
-    def open(self) -> None:
-        """Open the sockets, put the view in force and say where they are."""
-        super().open()
-        put_in_force(self, [*self._items, self.core.member])
-        self._pipe.send(self.core.member)
-
-
-def run_entry(
-    pipe: Connection, service_host: str, items: list[Item], ring: Ring | None = None
-) -> None:
-    """Run an entry host until terminated; with a ring it seals what it sends."""
-    settings = EntrySettings(
-        name="entry",
-        zone="a",
-        controls=(NOWHERE,),
-        data=Address(LOOPBACK, 0),
-        service_host=service_host,
-    )
-    daemon = BenchEntry(settings, pipe, items)
-    if ring is not None:
-        daemon.sealer = Sealer(ring)
-    daemon.run()
-
-
-def run_agent(pipe: Connection, upstream: Address, items: list[Item]) -> None:
-    """Run an agent until terminated."""
-    settings = AgentSettings(
-        name="agent",
-        zone="a",
-        controls=(NOWHERE,),
-        data=Address(LOOPBACK, 0),
-        service="s",
-        upstream=upstream,
-        connections=1_000_000,
-    )
-    BenchAgent(settings, pipe, items).run()
-
-
-def make_snapshot(items: list[Item]) -> Delta:
-    """Return a snapshot of the items at the bench's version."""
-    return Delta(0, VERSION, [Versioned(VERSION, item) for item in items], [])
-
-
 class Subject(Struct, frozen=True):
     """A process under measurement and how to send its n-th packet."""
 
@@ -312,24 +218,24 @@
         return send
 
     def _add_entry(self, number: int, count: int) -> None:
-        host = f"127.0.3.{number + 1}"
-        service = Address(host, _find_port(host))
-        items = _declare(service)
-        items.append(_make_member("m0", "s", self.sink.hello))
-        child = self._start(run_entry, host, items)
-        self.services.append(service)
-        self._add(f"entry_{count}", child, service, count)
-        self._prime(self.subjects[-1])
+        """Add an entry host that is to hold so many flows."""
+        self._start_entry(f"entry_{count}", number + 1, count, None)
 
     def _add_entry_sealed(self) -> None:
         """Add the entry host with 1,000 flows once more, with keys."""
-        host = "127.0.3.8"
+        ring = add_ring_key(Ring(()), os.urandom(RING_SECRET_BYTES).hex(), 0.0)
+        self._start_entry(SEALED, SEALED_HOST, self.flows[-2], ring)
+
+    def _start_entry(
+        self, name: str, host_number: int, count: int, ring: Ring | None
+    ) -> None:
+        host = f"127.0.3.{host_number}"
         service = Address(host, _find_port(host))
         items = _declare(service)
         items.append(_make_member("m0", "s", self.sink.hello))
-        ring = add_ring_key(Ring(()), os.urandom(RING_SECRET_BYTES).hex(), 0.0)
         child = self._start(run_entry, host, items, ring)
-        self._add(SEALED, child, service, self.flows[-2])
+        self.services.append(service)
+        self._add(name, child, service, count)
         self._prime(self.subjects[-1])
 
     def _prime(self, subject: Subject) -> None:
@@ -345,7 +251,7 @@
 
     def _count_hints(self, subject: Subject) -> int:
         subject.child.pipe.send(None)
-        return subject.child.receive()
+        return int(subject.child.receive()["hints"])
 
     def _add_entry_answers(self) -> None:
         agent = open_socket(LOOPBACK)
