Stand-in of streams closes while a connection is being reset

Cause: a full run of the tests under load ended with EBADF in StreamUpstream.close: a connection that the other side has reset has no socket any more, but stays in the list until its task has run. Nothing that is asserted changes.

--- a/fulmarshore/standins/streams.py
+++ b/fulmarshore/standins/streams.py
@@ -50,6 +50,9 @@
         linger = struct.pack("ii", 1, 0)
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
+            if sock.fileno() < 0:
+                # The other side has reset it; its task has yet to see that.
+                continue
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
 
