An address in use is a wrong flag; links over IPv6 work

Each is now an outcome with flag, address and reason: one line and exit code 2. The links open before the disk, so that nothing has to be undone.

And no link ever worked over IPv6, which zmq refuses unless asked.

--- a/fulmarshore/adapters/datagrams.py
+++ b/fulmarshore/adapters/datagrams.py
@@ -65,7 +65,6 @@
     ) -> Address:
         """Bind to an address and return the one in use."""
         self._open(address.host, buffer_bytes)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind(address)
         self._watch()
         return Address(*self._socket.getsockname()[:2])
--- a/fulmarshore/adapters/links.py
+++ b/fulmarshore/adapters/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections import Counter
 from collections.abc import Callable
 
@@ -10,6 +11,7 @@
 import zmq.asyncio
 
 from fulmarshore.adapters.security import LinkSecurity
+from fulmarshore.core.addresses import format_address
 from fulmarshore.core.codec import decode_control, encode
 from fulmarshore.core.records import (
     Address,
@@ -41,6 +43,11 @@
         Without it links are neither authenticated nor encrypted.
     counters : Counter, optional
         Counts what is dropped.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on.
     """
 
     def __init__(
@@ -58,11 +65,17 @@
         self._socket.setsockopt(zmq.LINGER, 200)
         self._socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
         self._socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        enable_family(self._socket, address)
         self._authenticator = None
         if security is not None:
             self._authenticator = security.start_authenticator(context)
             security.secure_server(self._socket)
-        self._socket.bind(format_endpoint(address))
+        try:
+            self._socket.bind(format_endpoint(address))
+        except zmq.ZMQError as error:
+            self._socket.close(linger=0)
+            self._stop_authenticator()
+            raise OSError(error.errno, os.strerror(error.errno)) from error
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def send(self, peer: str, message: ControlMessage) -> None:
@@ -74,6 +87,9 @@
         """Close all links."""
         self._task.cancel()
         self._socket.close()
+        self._stop_authenticator()
+
+    def _stop_authenticator(self) -> None:
         if self._authenticator is not None:
             self._authenticator.stop()
 
@@ -169,6 +185,7 @@
             if problem is not None:
                 sock.close(linger=0)
                 return False
+        enable_family(sock, self._controls[name])
         sock.connect(format_endpoint(self._controls[name]))
         task = asyncio.get_running_loop().create_task(self._run(name, sock))
         self._links[name] = (sock, task)
@@ -184,10 +201,14 @@
             self._receive(name, message)
 
 
+def enable_family(sock: zmq.Socket, address: Address) -> None:
+    """Make a socket take addresses of IPv6, which zmq refuses unasked."""
+    sock.setsockopt(zmq.IPV6, int(":" in address.host))
+
+
 def format_endpoint(address: Address) -> str:
     """Return the endpoint of an address as zmq takes it."""
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    return f"tcp://{host}:{address.port}"
+    return f"tcp://{format_address(address)}"
 
 
 def _send_frames(sock: zmq.asyncio.Socket, frames: list[bytes]) -> None:
--- /dev/null
+++ b/fulmarshore/adapters/links_test.py
@@ -0,0 +1,41 @@
+"""Links over both families of addresses."""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+import zmq.asyncio
+
+from fulmarshore.adapters.links import LinkClient, LinkServer
+from fulmarshore.commands.operator import ask
+from fulmarshore.core.records import HeardReply, StatusRequest
+from fulmarshore.standins.cluster import find_address
+
+WAIT_S = 10.0
+
+
+class LinksTest(IsolatedAsyncioTestCase):
+    async def test_processes_and_operators_reach_both_families(self):
+        for host in ("127.0.0.1", "::1"):
+            with self.subTest(host=host):
+                await self.check_round_trip(find_address(host))
+
+    async def check_round_trip(self, address):
+        def answer(peer, message):
+            server.send(peer, HeardReply("c"))
+
+        def take(peer, message):
+            replies.put_nowait(message)
+
+        replies = asyncio.Queue()
+        with zmq.asyncio.Context() as context:
+            server = LinkServer(context, address, answer)
+            client = LinkClient(context, {"c": address}, take)
+            try:
+                client.send("c", StatusRequest())
+                reply = await asyncio.wait_for(replies.get(), WAIT_S)
+                self.assertEqual(reply, HeardReply("c"))
+                told = await asyncio.to_thread(ask, [address], StatusRequest())
+                self.assertEqual(told, HeardReply("c"))
+            finally:
+                client.close()
+                server.close()
--- a/fulmarshore/agreement/transfer.py
+++ b/fulmarshore/agreement/transfer.py
@@ -47,6 +47,8 @@
     """Begin to hand over the lead; one that is under way goes on."""
     if not replica.is_leader or replica.transfer is not None:
         return
+    if replica.current_voters == [replica.identity]:
+        return
     _try_next(replica, set(), now)
 
 
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -11,6 +11,7 @@
 
 from fulmarshore.adapters.parameters import ADDRESS, HOST, NAME, PEER, Peer
 from fulmarshore.commands.options import refuse_exposed
+from fulmarshore.core.addresses import format_address
 from fulmarshore.core.records import Address
 from fulmarshore.daemons.agent import AgentDaemon, AgentSettings
 from fulmarshore.daemons.control import ControlDaemon, ControlSettings
@@ -55,7 +56,16 @@
 
 def _run(daemon: Daemon) -> None:
     _secure(daemon)
-    daemon.run()
+    _serve(daemon)
+
+
+def _serve(daemon: Daemon) -> None:
+    """Run a daemon; an address that it cannot listen on is a wrong flag."""
+    refused = daemon.run()
+    if refused is None:
+        return
+    value = f"'{format_address(refused.address)}': {refused.detail}"
+    raise click.BadParameter(value, param_hint=refused.flag)
 
 
 def _add_controls(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -147,5 +157,5 @@
     if refused is not None:
         value = f"{refused.folder!r}: {refused.detail}"
         raise click.BadParameter(value, param_hint="--data-folder")
-    daemon.run()
+    _serve(daemon)
     sys.exit(daemon.exit_code)
--- a/fulmarshore/core/addresses.py
+++ b/fulmarshore/core/addresses.py
@@ -9,6 +9,8 @@
 import ipaddress
 from functools import lru_cache
 
+from fulmarshore.core.records import Address
+
 MAX_PORT = 65_535
 _CACHED_HOSTS = 65_536
 
@@ -26,3 +28,9 @@
 def is_address(host: str, port: int) -> bool:
     """Return whether a host and a port are an address as sockets take it."""
     return 0 <= port <= MAX_PORT and is_numeric(host)
+
+
+def format_address(address: Address) -> str:
+    """Return an address as flags take it."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1734,6 +1734,17 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class BindRefused:
+    """An address that a process cannot listen on, with the flag that gave it."""
+
+    step: str
+    peer: str
+    flag: str
+    address: Address
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class OutOfOrder:
     """A delta that does not fit the version in force."""
--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -99,6 +99,9 @@
     def open(self) -> None:
         """Open the links and start the disk."""
         loop = asyncio.get_running_loop()
+        shared = (self._take_link, self.security, self.counters)
+        self._clients = LinkClient(self.context, self.settings.peers, *shared)
+        self._server = LinkServer(self.context, self.settings.listen, *shared)
         for notice in self._notices:
             self.note(notice)
         if self._folder is not None:
@@ -110,9 +113,10 @@
                 loop.call_soon_threadsafe(self._fail_disk, error)
 
             self._disk = FileDisk(self._folder.path, self._recovered, done, fail)
-        shared = (self._take_link, self.security, self.counters)
-        self._clients = LinkClient(self.context, self.settings.peers, *shared)
-        self._server = LinkServer(self.context, self.settings.listen, *shared)
+
+    def get_bound(self) -> tuple[str, Address]:
+        """Return the flag and the address that this host listens on."""
+        return "--listen", self.settings.listen
 
     def list_addresses(self) -> list[Address]:
         """Return the addresses of links."""
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -27,6 +27,7 @@
 from fulmarshore.adapters.timeline import Timeline
 from fulmarshore.core.records import (
     Address,
+    BindRefused,
     ControlMessage,
     Effect,
     Event,
@@ -181,6 +182,10 @@
         """Return under which role and name this process's key is kept."""
         return KeyRole.PROCESS, self.settings.name
 
+    def get_bound(self) -> tuple[str, Address]:
+        """Return the flag and the address that this process listens on."""
+        return "--data", self.settings.data
+
     def load_keys(self) -> KeyProblem | None:
         """Read the keys, before anything is opened."""
         if self.settings.keys is None:
@@ -202,13 +207,13 @@
         self.sealer = Sealer(ring)
         return None
 
-    def run(self) -> None:
-        """Run until the core has stopped."""
+    def run(self) -> BindRefused | None:
+        """Run until the core has stopped, or tell what cannot be listened on."""
         handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
         with handler.applicationbound():
-            uvloop.run(self._run())
+            return uvloop.run(self._run())
 
-    async def _run(self) -> None:
+    async def _run(self) -> BindRefused | None:
         loop = asyncio.get_running_loop()
         self._done = asyncio.Event()
         self.context = zmq.asyncio.Context()
@@ -221,11 +226,20 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
         loop.add_signal_handler(signal.SIGUSR1, self._show_timeline)
-        self.open()
+        try:
+            self.open()
+        except OSError as error:
+            self.context.destroy(linger=0)
+            return self._refuse_bind(*self.get_bound(), error)
         server = None
         if self.settings.metrics is not None:
             collector = CoreCollector(self.role, self._count_all, self.read_gauges)
-            server, _ = serve_metrics(self.settings.metrics, collector)
+            try:
+                server, _ = serve_metrics(self.settings.metrics, collector)
+            except OSError as error:
+                self.close()
+                self.context.destroy(linger=0)
+                return self._refuse_bind("--metrics", self.settings.metrics, error)
         self.note(TimelineEvent("started", detail=f"pid {os.getpid()}"))
         if self.security is None:
             log.warn("no --keys: nothing is authenticated, nothing is encrypted")
@@ -244,6 +258,11 @@
         self.context.destroy(linger=200)
         self.note(TimelineEvent("stopped"))
         self.timeline.flush()
+        return None
+
+    def _refuse_bind(self, flag: str, address: Address, error: OSError) -> BindRefused:
+        detail = error.strerror or str(error)
+        return BindRefused("bind", self.settings.name, flag, address, detail)
 
     async def _wait_tick(self) -> None:
         try:
--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -12,6 +12,7 @@
 
 from fulmarshore.adapters.metrics import FAMILIES, PREFIX
 from fulmarshore.commands.operator import fetch_status, submit_change
+from fulmarshore.core.addresses import format_address
 from fulmarshore.core.records import (
     Address,
     ChangeReply,
@@ -189,12 +190,6 @@
             return address
 
 
-def format_address(address: Address) -> str:
-    """Return an address as flags take it."""
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    return f"{host}:{address.port}"
-
-
 def _fetch_metrics(address: Address) -> str:
     with urlopen(f"http://{format_address(address)}/metrics", timeout=5) as reply:
         return reply.read().decode()
