--- a/fulmarshore/adapters/keys.py
+++ b/fulmarshore/adapters/keys.py
@@ -26,6 +26,8 @@
 MAX_RING_ID = 255
 FORBIDDEN_MODE = 0o077
 REFRESH_INTERVAL_S = 1.0
+SCAN_INTERVAL_S = 10.0
+"""How often files are looked for that were overwritten in place."""
 
 
 class Pair(Struct, frozen=True):
@@ -80,7 +82,9 @@
         self.path = path
         self._owners: dict[bytes, KeyOwner] = {}
         self._stamps: tuple[int, ...] = ()
+        self._file_stamps: tuple[int, ...] = ()
         self._read_at = float("-inf")
+        self._scanned_at = float("-inf")
 
     def find_file(self, role: KeyRole, name: str, secret: bool) -> Path:
         """Return where a key is kept."""
@@ -114,13 +118,14 @@
 
         The files are read again when a folder has changed, so that a key
         that is added counts at once and one that is taken away counts no
-        more after ``REFRESH_INTERVAL_S``.
+        more after ``REFRESH_INTERVAL_S``. A file that is overwritten in
+        place leaves its folder as it was; it counts after ``SCAN_INTERVAL_S``.
         """
         now = time.monotonic()
         known = public in self._owners
         if not known or now - self._read_at >= REFRESH_INTERVAL_S:
             self._read_at = now
-            stamps = tuple(_read_stamp(self.path / role) for role in KeyRole)
+            stamps = self._list_stamps(now)
             if stamps != self._stamps:
                 self._stamps = stamps
                 self._owners = self._list_owners()
@@ -151,6 +156,14 @@
             os.fsync(target.fileno())
         os.replace(fresh, file)
 
+    def _list_stamps(self, now: float) -> tuple[int, ...]:
+        folders = [self.path / role for role in KeyRole]
+        if now - self._scanned_at >= SCAN_INTERVAL_S:
+            self._scanned_at = now
+            files = [file for folder in folders for file in folder.glob("*.key")]
+            self._file_stamps = tuple(_read_stamp(file) for file in sorted(files))
+        return (*(_read_stamp(folder) for folder in folders), *self._file_stamps)
+
     def _list_owners(self) -> dict[bytes, KeyOwner]:
         owners: dict[bytes, KeyOwner] = {}
         for role in KeyRole:
@@ -221,8 +234,8 @@
     return ring
 
 
-def _read_stamp(folder: Path) -> int:
+def _read_stamp(path: Path) -> int:
     try:
-        return folder.stat().st_mtime_ns
+        return path.stat().st_mtime_ns
     except OSError:
         return 0
--- a/fulmarshore/adapters/security_test.py
+++ b/fulmarshore/adapters/security_test.py
@@ -136,6 +136,20 @@
         beat = Heartbeat(Identity("m1", 1), 0)
         self.assertFalse(await self.is_taken(client, beat, QUIET_S))
 
+    async def test_a_key_that_is_overwritten_is_heard_no_more(self):
+        for name in ("REFRESH_INTERVAL_S", "SCAN_INTERVAL_S"):
+            self.addCleanup(setattr, keys, name, getattr(keys, name))
+            setattr(keys, name, 0.0)
+        client = self.connect(self.add(KeyRole.PROCESS, "m1"))
+        beat = Heartbeat(Identity("m1", 1), 0)
+        self.assertTrue(await self.is_taken(client, beat))
+        with TemporaryDirectory() as name:
+            other = KeyFolder(Path(name))
+            other.add_pair(KeyRole.PROCESS, "m1")
+            fresh = other.find_file(KeyRole.PROCESS, "m1", False).read_bytes()
+        self.folder.find_file(KeyRole.PROCESS, "m1", False).write_bytes(fresh)
+        self.assertFalse(await self.is_taken(client, beat, QUIET_S))
+
 
 class KeyFolderTest(TestCase):
     def setUp(self):
--- a/fulmarshore/commands/keys.py
+++ b/fulmarshore/commands/keys.py
@@ -178,7 +178,9 @@
     for file in dict.fromkeys(files):
         copy = target / file.relative_to(folder)
         copy.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
-        shutil.copy(file, copy)
+        fresh = copy.with_name(f"{copy.name}.new")
+        shutil.copy(file, fresh)
+        os.replace(fresh, copy)
     click.echo(f"{len(set(files))} files in {target}")
 
 
--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -11,7 +11,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from fulmarshore.adapters.metrics import FAMILIES, PREFIX
-from fulmarshore.commands.operator import fetch_status, submit_change
+from fulmarshore.commands.operator import Controls, fetch_status, submit_change
 from fulmarshore.core.addresses import format_address
 from fulmarshore.core.records import (
     Address,
@@ -48,6 +48,11 @@
         self.metrics: dict[str, Address] = {}
         self._names: set[str] = set()
 
+    @property
+    def reached(self) -> Controls:
+        """The control hosts as an operator reaches them."""
+        return Controls(self.controls)
+
     async def start_control(self) -> None:
         """Start the control host."""
         await self.processes.start(
@@ -68,7 +73,7 @@
         await self.processes.start(
             name,
             *("entry", "--name", name, "--zone", ZONE, "--metrics", metrics),
-            *("--control", format_address(self.controls[0])),
+            *self._list_controls(),
             *("--data", "127.0.0.1:0", *place, *more),
         )
 
@@ -81,13 +86,13 @@
         await self.processes.start(
             name,
             *("agent", "--name", name, "--zone", ZONE, "--metrics", metrics),
-            *("--control", format_address(self.controls[0]), *data),
+            *(*self._list_controls(), *data),
             *("--service", service, "--upstream", format_address(upstream), *more),
         )
 
     async def apply(self, items: list[Declaration]) -> None:
         """Put declarations in force at the control host."""
-        reply = await asyncio.to_thread(submit_change, self.controls, "test", items, [])
+        reply = await asyncio.to_thread(submit_change, self.reached, "test", items, [])
         if isinstance(reply, ChangeReply) and reply.status == ChangeStatus.ACCEPTED:
             return
         raise RuntimeError(f"change not accepted: {reply!r}")
@@ -97,7 +102,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + WAIT_TIMEOUT_S
         while loop.time() < until:
-            status = await asyncio.to_thread(fetch_status, self.controls)
+            status = await asyncio.to_thread(fetch_status, self.reached)
             if isinstance(status, StatusReply) and self._is_settled(status):
                 return status
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -144,6 +149,12 @@
         self.metrics[name] = find_address()
         return format_address(self.metrics[name])
 
+    def _list_controls(self) -> list[str]:
+        arguments = []
+        for address in self.controls:
+            arguments += ["--control", format_address(address)]
+        return arguments
+
     def _is_settled(self, status: StatusReply) -> bool:
         current = {
             process.identity.name
