Model checking of the replica cores; the guard at the answer seen failing

The network can now pause a process and hand it what came meanwhile in any order, and the randomised run does.

--- /dev/null
+++ b/fulmarshore/agreement/explorer_test.py
@@ -0,0 +1,24 @@
+"""Every order of few steps: what the cores promise holds in all states seen."""
+
+from unittest import TestCase
+
+from fulmarshore.agreement.explorer import explore
+from fulmarshore.agreement.world import Limits, make_led, make_new, make_split
+
+CASES = [
+    ("first election", make_new, Limits(stands=2, states=5_000)),
+    ("with a restart", make_new, Limits(stands=2, restarts=1, states=5_500)),
+    ("change and rival", make_led, Limits(stands=1, proposals=1, states=5_000)),
+    ("lead handed over", make_led, Limits(1, 1, transfers=1, states=4_000)),
+    ("leader restarts", make_led, Limits(1, 1, restarts=1, states=4_000)),
+    ("entries of two leaders", make_split, Limits(stands=1, states=4_000)),
+]
+
+
+class ExplorerTest(TestCase):
+    def test_no_order_of_few_steps_breaks_a_promise(self):
+        for label, make_first, limits in CASES:
+            with self.subTest(label):
+                found = explore(make_first(), limits)
+                self.assertEqual((found.problem, found.way), ("", ()))
+                self.assertTrue(found.is_whole or found.states >= limits.states)
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
+from copy import copy
 from random import Random
 
 from fulmarshore.agreement import election, joining, replication, snapshots, transfer
@@ -169,6 +170,35 @@
         snapshots.compact(self, state, kept)
         return self.drain(now)
 
+    def copy(self) -> Replica:
+        """Return a replica in the same state that goes its own way."""
+        twin = copy(self)
+        twin.log = Log(self.log.base, list(self.log.entries))
+        twin.voters = list(self.voters)
+        twin.progress = {name: copy(held) for name, held in self.progress.items()}
+        twin.votes = set(self.votes)
+        twin.counters = Counter(self.counters)
+        twin._effects = list(self._effects)
+        twin._records = list(self._records)
+        twin._waiting = deque(self._waiting)
+        twin._held = list(self._held)
+        return twin
+
+    def describe(self) -> tuple:
+        """Return what decides on the replica's next steps, but for time."""
+        progress = frozenset(
+            (name, held.next_index, held.match, held.waiting, held.is_known)
+            for name, held in self.progress.items()
+        )
+        return (
+            (self.term, self.vote, self.role, self.leader, self.commit, self.beat),
+            tuple((entry.term, entry.command) for entry in self.log.entries),
+            progress,
+            frozenset(self.votes),
+            None if self.transfer is None else self.transfer.target,
+            self.is_ordered,
+        )
+
     def drain(self, now: float) -> list[Effect]:
         """Return the effects gathered, with the disk's part in one ``Store``."""
         while True:
--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -43,7 +43,7 @@
         progress = Progress(replica.log.last_index + 1, now)
         replica.progress[voter] = progress
     append_command(replica, Noop())
-    _broadcast(replica, now)
+    broadcast(replica, now)
 
 
 def append_command(replica: Replica, command: Command) -> LogEntry:
@@ -64,7 +64,7 @@
     if replica.transfer is None:
         joining.tick_leader(replica, now)
     if now - replica.beat_at >= BEAT_INTERVAL_S:
-        _broadcast(replica, now)
+        broadcast(replica, now)
 
 
 def send_news(replica: Replica, now: float) -> None:
@@ -177,7 +177,8 @@
     _advance(replica, now)
 
 
-def _broadcast(replica: Replica, now: float) -> None:
+def broadcast(replica: Replica, now: float) -> None:
+    """Send a heartbeat to everybody, with the entries that are due."""
     replica.beat += 1
     replica.beat_at = now
     if replica.current_voters == [replica.identity]:
--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -97,6 +97,39 @@
             region.network.nodes[name].core.subscriber.view.version for name in names
         ]
 
+    def test_answer_is_that_of_the_own_change_only(self):
+        """A leader that stood still hears first that another one has led on.
+
+        Its entry was replaced and the new one committed before it noticed
+        that it lost the lead, so both come within one step.
+        """
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                region = Region(seed)
+                region.network.add("op", Listener())
+                region.network.add("rival", Listener())
+                former = region.find_leader()
+                number = former.state.next_number
+                region.isolate(former.name)
+                for operator in ("other", "op"):
+                    change = Change(number, operator, [Zone("a")], [])
+                    region.network.inject(former.name, LinkMessage("op", change))
+                region.network.pause(former.name)
+                region.network.run(3.0)
+                leader = region.find_leader().name
+                change = Change(number, "rival", [Zone("a", True)], [])
+                region.network.inject(leader, LinkMessage("rival", change))
+                region.network.run(0.5)
+                region.network.heal()
+                region.network.run(0.5)
+                region.network.resume()
+                region.network.run(0.5)
+                answers = region.network.nodes["op"].core.answers
+                statuses = {answer.status for answer in answers}
+                self.assertEqual(statuses, {ChangeStatus.UNAVAILABLE})
+                rival = region.network.nodes["rival"].core.answers[0]
+                self.assertEqual(rival.status, ChangeStatus.ACCEPTED)
+
     def test_subscribers_of_a_control_host_that_is_cut_off_move(self):
         for role in ("leader", "follower"):
             with self.subTest(role):
--- a/fulmarshore/membership/region_test.py
+++ b/fulmarshore/membership/region_test.py
@@ -27,6 +27,8 @@
     "leader",
     "power",
     "stop",
+    "pause",
+    "resume",
 )
 STEP = st.tuples(
     st.sampled_from(KINDS),
@@ -52,6 +54,10 @@
                 region.crash(host)
             for host in region.names:
                 region.start(host)
+        case "pause" if region.is_running(name):
+            region.network.pause(name)
+        case "resume":
+            region.network.resume()
         case "stop":
             leader = region.find_leader()
             if leader is not None:
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -148,6 +148,7 @@
         self._muted: set[tuple[str, str]] = set()
         self._queue: list[tuple[float, int, Node | Addressed, Event | SyncDue]] = []
         self._sequence = 0
+        self._paused: dict[Node, list[Event | SyncDue]] = {}
 
     def add(
         self,
@@ -173,6 +174,18 @@
         """Crash a core: it takes no events from now on."""
         self.nodes[name].running = False
 
+    def pause(self, name: str) -> None:
+        """Stop a process without ending it: what reaches it waits."""
+        self._paused.setdefault(self.nodes[name], [])
+
+    def resume(self) -> None:
+        """Let paused processes go on; what waited comes in any order."""
+        for node, waiting in self._paused.items():
+            self.random.shuffle(waiting)
+            for event in waiting:
+                self._push(self.now, node, event)
+        self._paused.clear()
+
     def cut(self, source: str, destination: str) -> None:
         """Lose everything from one core to another, silently."""
         self._cut.add((source, destination))
@@ -229,6 +242,9 @@
                 node = self.nodes[self._by_address[node.address]]
             if not node.running or self.nodes.get(node.name) is not node:
                 continue
+            if node in self._paused:
+                self._paused[node].append(event)
+                continue
             if isinstance(event, SyncDue):
                 sequence = node.disk.sync()
                 event = Stored(sequence)
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -255,6 +255,7 @@
     def settle(self) -> bool:
         """End all faults, start every host, and run until all is settled."""
         self.network.heal()
+        self.network.resume()
         self.network.faults = Faults()
         assert self.run_until(lambda: not self.stopping), "a planned stop ends"
         for name in self.names:
