Time line follows one flow over entry host, home and owner

Each process tells the steps of single flows on a time line beside its own (NAME.flows.jsonl, ring of 4096, same bounds of files), read off the events and effects of its core, each step once. Golden text of one flow: opening, assignment by its home, loss of the owner, hand-over, zone out, opening anew.

Seen failing first: the real daemons' test, as entry hosts sent first packets by a prepared head that no core saw; these go through the core now, known flows do not. Ruled out: events by the cores themselves, which costs each of them, and the same ring, from which openings would push what operators look for.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 golden: install
 	$(PYTHON) -m fulmarshore.standins.sessions fulmarshore/golden
+	$(PYTHON) -m fulmarshore.standins.flowlines fulmarshore/golden
 
 SEED ?= $(shell date +%s)
 EXAMPLES ?= 1000
--- a/fulmarshore/adapters/timeline.py
+++ b/fulmarshore/adapters/timeline.py
@@ -57,6 +57,20 @@
         self._max_files = max_files
         self._unwritten = 0
 
+    def make_branch(self, name: str) -> Timeline:
+        """Return a time line beside this one, of the same process and clock.
+
+        Events that come by the thousand get one, so that they do not push
+        the others out of ring and files.
+        """
+        path = self._path
+        if path is not None:
+            path = path.with_name(f"{path.stem}.{name}{path.suffix}")
+        branch = Timeline(self._host, self._role, path)
+        self.clock.value = max(self.clock.value, branch.clock.value)
+        branch.clock = self.clock
+        return branch
+
     def record(self, event: TimelineEvent) -> TimelineEntry:
         """Put an event on the time line."""
         entry = TimelineEntry(
--- a/fulmarshore/commands/timelines.py
+++ b/fulmarshore/commands/timelines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import sys
 from collections import Counter
 from collections.abc import Iterable
@@ -11,12 +12,15 @@
 import click
 import msgspec
 
+from fulmarshore.adapters.parameters import parse_address
 from fulmarshore.commands.options import EXIT_INVALID
 from fulmarshore.core.clock import LOGICAL_BITS, make_value
-from fulmarshore.core.records import TimelineEntry
+from fulmarshore.core.records import Address, TimelineEntry
 from fulmarshore.timeline.merging import Filter, list_files, merge_files
 from fulmarshore.timeline.pictures import draw_picture
 
+FLOW_HELP = "Only flows of this caller, IP:PORT, or one by its key in hexadecimal."
+FLOW_PATTERN = re.compile("[0-9a-f]{1,32}")
 _MICROSECONDS = 1_000_000
 _LOGICAL_MASK = (1 << LOGICAL_BITS) - 1
 
@@ -37,6 +41,29 @@
             self.fail(f"{value!r}: allowed is {allowed}", param, ctx)
 
 
+class FlowType(click.ParamType):
+    """A flow: the address of its caller, or its key in hexadecimal."""
+
+    name = "ip:port"
+
+    def convert(
+        self,
+        value: str | Address,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> str | Address:
+        """Return the address or the key, or fail with what is allowed."""
+        if isinstance(value, Address):
+            return value
+        address = parse_address(value)
+        if address is not None:
+            return address
+        if not FLOW_PATTERN.fullmatch(value):
+            allowed = "IP:PORT of the caller, or a key in hexadecimal"
+            self.fail(f"{value!r}: allowed is {allowed}", param, ctx)
+        return value
+
+
 def _parse_time(text: str) -> float:
     try:
         return float(text)
@@ -53,7 +80,7 @@
 )
 @click.option("--host", "hosts", multiple=True, help="Only this host, also as peer.")
 @click.option("--service", "services", multiple=True, help="Only this service.")
-@click.option("--flow", "flows", multiple=True, help="Only this flow, in hex.")
+@click.option("--flow", "flows", multiple=True, type=FlowType(), help=FLOW_HELP)
 @click.option("--kind", "kinds", multiple=True, help="Only this kind of event.")
 @click.option("--since", type=TimeType(), help="Not before this time.")
 @click.option("--until", type=TimeType(), help="Before this time.")
@@ -67,7 +94,7 @@
     files: tuple[Path, ...],
     hosts: tuple[str, ...],
     services: tuple[str, ...],
-    flows: tuple[str, ...],
+    flows: tuple[str | Address, ...],
     kinds: tuple[str, ...],
     since: int | None,
     until: int | None,
@@ -78,7 +105,8 @@
     wanted = Filter(
         hosts=frozenset(hosts),
         services=frozenset(services),
-        flows=frozenset(flows),
+        flows=frozenset(flow for flow in flows if isinstance(flow, str)),
+        callers=frozenset(flow for flow in flows if isinstance(flow, Address)),
         kinds=frozenset(kinds),
         since=since or 0,
         until=until if until is not None else 2**63,
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -132,6 +132,7 @@
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Hand an event to the core and follow the service's protocol."""
         effects = self.core.handle(event, now)
+        self.watch_flows(event, effects)
         if self.core.table is not self._table:
             self._table = self.core.table
             service = self.core.service
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -130,6 +130,7 @@
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Hand an event to the core and follow the services declared."""
         effects = self.core.handle(event, now)
+        self.watch_flows(event, effects)
         if self.core.table.version != self._version:
             self._version = self.core.table.version
             self._follow_services()
@@ -232,7 +233,7 @@
         forwarded = 0
         is_direct = self._is_direct
         is_opaque = held.service.protocol == Protocol.OPAQUE
-        find = routes.find
+        find = routes.peek
         send = self._data.sender
         try:
             for _ in range(RECEIVE_BATCH):
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -9,6 +9,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections import Counter
+from operator import attrgetter
 from pathlib import Path
 from random import Random
 
@@ -42,6 +43,7 @@
     Tick,
     TimelineEvent,
 )
+from fulmarshore.timeline.flows import FlowWatch
 
 TICK_INTERVAL_S = 0.05
 RING_INTERVAL_S = 2.0
@@ -94,6 +96,8 @@
         self.random = Random(settings.seed)
         self.counters: Counter[str] = Counter()
         self.timeline = Timeline(settings.name, role, settings.timeline)
+        self.flow_timeline = self.timeline.make_branch("flows")
+        self._watch = FlowWatch()
         self.context: zmq.asyncio.Context | None = None
         self.links: LinkClient | None = None
         self.security: LinkSecurity | None = None
@@ -174,6 +178,11 @@
             event.detail,
         )
 
+    def watch_flows(self, event: Event, effects: list[Effect]) -> None:
+        """Put what happens to single flows on a time line of their own."""
+        for told in self._watch.observe(event, effects):
+            self.flow_timeline.record(told)
+
     def list_addresses(self) -> list[Address]:
         """Return the addresses of links and of the data path."""
         return list(self.settings.controls)
@@ -246,6 +255,7 @@
         while not self._done.is_set():
             self.dispatch(Tick())
             self.timeline.flush()
+            self.flow_timeline.flush()
             self._refresh_ring()
             await self._wait_tick()
         await asyncio.sleep(TICK_INTERVAL_S)
@@ -258,6 +268,7 @@
         self.context.destroy(linger=200)
         self.note(TimelineEvent("stopped"))
         self.timeline.flush()
+        self.flow_timeline.flush()
         return None
 
     def _refuse_bind(self, flag: str, address: Address, error: OSError) -> BindRefused:
@@ -312,7 +323,8 @@
         self.dispatch(Stop())
 
     def _show_timeline(self) -> None:
-        for entry in self.timeline.ring:
+        held = [*self.timeline.ring, *self.flow_timeline.ring]
+        for entry in sorted(held, key=attrgetter("clock")):
             sys.stderr.buffer.write(msgspec.json.encode(entry) + b"\n")
         sys.stderr.flush()
 
--- /dev/null
+++ b/fulmarshore/timeline/flows_test.py
@@ -0,0 +1,60 @@
+from pathlib import Path
+from unittest import TestCase
+
+from fulmarshore.core.records import (
+    Address,
+    CloseUpstream,
+    Datagram,
+    Forward,
+    PeerMessage,
+    Refusal,
+    SendPeer,
+    SendUpstream,
+    Tick,
+)
+from fulmarshore.standins.flowlines import show_flow
+from fulmarshore.timeline.flows import FlowWatch
+
+GOLDEN = Path(__file__).resolve().parents[1] / "golden" / "one-flow.txt"
+AT = Address("127.0.0.1", 1)
+KEY = b"k" * 16
+
+
+def make_packet(target="m0", assignment=0, flow=KEY):
+    return Forward("s", target, 1, 1, flow, 0, "10.0.0.1", 9, "e0", 0, assignment, b"x")
+
+
+class FlowWatchTest(TestCase):
+    maxDiff = None
+
+    def test_one_flow_over_all_processes_is_as_recorded(self):
+        hint = "run `make golden` if the change is meant, and read the diff"
+        self.assertEqual(show_flow(), GOLDEN.read_text(), hint)
+
+    def test_each_step_is_told_by_its_message(self):
+        packet = PeerMessage(AT, make_packet())
+        assigned = SendPeer(AT, make_packet("m1", 4))
+        table = [
+            (Datagram("s", AT, b"x"), SendPeer(AT, make_packet()), "flow_forwarded"),
+            (packet, SendPeer(AT, make_packet("m1")), "flow_passed_on"),
+            (packet, assigned, "flow_assigned"),
+            (Tick(), assigned, "flow_assigned"),
+            (packet, SendUpstream(KEY, b"x"), "flow_opened"),
+            (Tick(), CloseUpstream(KEY), "flow_ended"),
+        ]
+        for event, effect, kind in table:
+            with self.subTest(kind=kind, event=type(event).__name__):
+                told = FlowWatch().observe(event, [effect])
+                self.assertEqual([(t.kind, t.flow) for t in told], [(kind, KEY.hex())])
+
+    def test_a_step_is_told_once_and_memory_is_bounded(self):
+        watch = FlowWatch(max_flows=4)
+        event = PeerMessage(AT, make_packet())
+        effects = [SendUpstream(KEY, b"x")]
+        self.assertEqual(len(watch.observe(event, effects)), 1)
+        self.assertEqual(watch.observe(event, effects), [])
+        for number in range(100):
+            flow = number.to_bytes(16, "big")
+            refusal = Refusal("s", "m0", 1, 1, flow, "10.0.0.1", 9, "full")
+            watch.observe(PeerMessage(AT, refusal), [])
+        self.assertEqual(len(watch._last), 4)
--- a/fulmarshore/timeline/merging.py
+++ b/fulmarshore/timeline/merging.py
@@ -5,6 +5,7 @@
 import heapq
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from functools import lru_cache
 from operator import attrgetter
 from pathlib import Path
 
@@ -12,7 +13,8 @@
 from msgspec import Struct
 
 from fulmarshore.adapters.timeline import name_generation
-from fulmarshore.core.records import TimelineEntry
+from fulmarshore.core.hashing import hash_flow
+from fulmarshore.core.records import Address, TimelineEntry
 
 MAX_LINE_BYTES = 64 * 1024
 
@@ -26,6 +28,8 @@
     ----------
     hosts, services, flows, kinds : frozenset of str
         Allowed values. A peer counts as a host of the event.
+    callers : frozenset of Address
+        Addresses whose flows to any service are allowed beside ``flows``.
     since, until : int
         Bounds of the clock value, the upper one excluded.
     """
@@ -34,6 +38,7 @@
     services: frozenset[str] = frozenset()
     flows: frozenset[str] = frozenset()
     kinds: frozenset[str] = frozenset()
+    callers: frozenset[Address] = frozenset()
     since: int = 0
     until: int = 2**63
 
@@ -49,10 +54,24 @@
             return False
         if self.services and entry.service not in self.services:
             return False
-        if self.flows and entry.flow not in self.flows:
+        if (self.flows or self.callers) and not self._has_flow(entry):
             return False
         return not self.kinds or entry.kind in self.kinds
 
+    def _has_flow(self, entry: TimelineEntry) -> bool:
+        if entry.flow in self.flows:
+            return True
+        for caller in self.callers:
+            if entry.flow and entry.flow == find_flow(entry.service, *caller):
+                return True
+        return False
+
+
+@lru_cache(maxsize=1024)
+def find_flow(service: str, host: str, port: int) -> str:
+    """Return the flow of a caller's address to a service, as events name it."""
+    return hash_flow(service, host, port).hex()
+
 
 def list_files(paths: Iterable[Path]) -> list[Path]:
     """Return the files of paths: folders' files and older generations too."""
