One table of settings, one way to edit one named thing

commands/settings.py wrote the tables of entry and agent into docs/operating/datapath.md in a second form beside docs/operating/settings.md, which reference.py writes for all three daemons. Its test now finds each flag with its variable in the section of its command, for control too, and the test that every variable is read and checked covers control as well; that the page is the commands' own, letter by letter, is in reference_test as before.

zone out, zone in, drain and undrain asked, checked and submitted in three copies.

--- a/fulmarshore/commands/operators.py
+++ b/fulmarshore/commands/operators.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -45,12 +47,15 @@
 from fulmarshore.core.records import (
     ChangeReply,
     ChangeStatus,
+    Declaration,
     Drain,
     HistoryEntry,
+    Item,
     Member,
     Removed,
     Zone,
 )
+from fulmarshore.membership.view import View
 
 WAIT_INTERVAL_S = 0.2
 HISTORY_HEADERS = ("number", "operator", "version", "what")
@@ -124,22 +129,35 @@
     """Take an availability zone out of service or bring it back."""
 
 
-def _set_zone(
+def _edit(
+    kind: str,
     name: str,
-    out: bool,
+    find_known: Callable[[View], set[str]],
+    items: list[Declaration],
+    removed: list[Removed],
     wait: bool,
     timeout: float,
     controls: Controls,
     as_json: bool,
 ) -> None:
+    """Submit a change of one named thing, if there is one of that name."""
     overview = _fetch_overview(controls, as_json)
-    known = {key[1] for key in overview.view.items if key[0] == Zone.__name__}
-    for held in overview.view.items.values():
+    _require_known(kind, name, find_known(overview.view), as_json)
+    answer = submit_with_retries(controls, controls.operator, items, removed)
+    _finish(answer, "", wait, timeout, controls, as_json)
+
+
+def _find_zones(view: View) -> set[str]:
+    """Return the zones that are declared or that an upstream is in."""
+    known = _find_names(view, Zone)
+    for held in view.items.values():
         if isinstance(held.item, Member):
             known.add(held.item.zone)
-    _require_known("zone", name, known, as_json)
-    answer = submit_with_retries(controls, controls.operator, [Zone(name, out)], [])
-    _finish(answer, "", wait, timeout, controls, as_json)
+    return known
+
+
+def _find_names(view: View, kind: type[Item]) -> set[str]:
+    return {name for type_name, name in view.items if type_name == kind.__name__}
 
 
 @zone.command("out")
@@ -148,7 +166,7 @@
 @add_control
 def zone_out(name: str, **options: Any) -> None:
     """Take an availability zone out of service; flows there are given up."""
-    _set_zone(name, True, **options)
+    _edit("zone", name, _find_zones, [Zone(name, True)], [], **options)
 
 
 @zone.command("in")
@@ -157,46 +175,28 @@
 @add_control
 def zone_in(name: str, **options: Any) -> None:
     """Bring an availability zone back."""
-    _set_zone(name, False, **options)
+    _edit("zone", name, _find_zones, [Zone(name, False)], [], **options)
 
 
 @click.command()
 @click.argument("name", type=NAME)
 @add_wait
 @add_control
-def drain(
-    name: str,
-    wait: bool,
-    timeout: float,
-    controls: Controls,
-    as_json: bool,
-) -> None:
+def drain(name: str, **options: Any) -> None:
     """Give an upstream no new flows; those it has stay."""
-    overview = _fetch_overview(controls, as_json)
-    known = {key[1] for key in overview.view.items if key[0] == Member.__name__}
-    _require_known("upstream", name, known, as_json)
-    answer = submit_with_retries(controls, controls.operator, [Drain(name)], [])
-    _finish(answer, "", wait, timeout, controls, as_json)
+    known = functools.partial(_find_names, kind=Member)
+    _edit("upstream", name, known, [Drain(name)], [], **options)
 
 
 @click.command()
 @click.argument("name", type=NAME)
 @add_wait
 @add_control
-def undrain(
-    name: str,
-    wait: bool,
-    timeout: float,
-    controls: Controls,
-    as_json: bool,
-) -> None:
+def undrain(name: str, **options: Any) -> None:
     """Give a drained upstream new flows again."""
-    overview = _fetch_overview(controls, as_json)
-    known = {key[1] for key in overview.view.items if key[0] == Drain.__name__}
-    _require_known("drained upstream", name, known, as_json)
+    known = functools.partial(_find_names, kind=Drain)
     gone = [Removed(0, Drain.__name__, name)]
-    answer = submit_with_retries(controls, controls.operator, [], gone)
-    _finish(answer, "", wait, timeout, controls, as_json)
+    _edit("drained upstream", name, known, [], gone, **options)
 
 
 @click.command()
--- a/fulmarshore/commands/reference.py
+++ b/fulmarshore/commands/reference.py
@@ -37,10 +37,7 @@
 def list_cells(command: str, option: click.Parameter) -> tuple[str, ...]:
     """Return the row of one flag."""
     assert isinstance(option, click.Option)
-    variable = option.envvar
-    if not isinstance(variable, str):
-        prefix = f"{cli.context_settings['auto_envvar_prefix']}_{command}"
-        variable = f"{prefix}_{option.name}".upper().replace("-", "_")
+    variable = find_variable(command, option)
     value = "" if option.is_flag else option.type.name.lower()
     if isinstance(option.type, click.Choice):
         value = " or ".join(option.type.choices)
@@ -56,5 +53,13 @@
     return option.opts[0], variable, value, default, option.help or ""
 
 
+def find_variable(command: str, option: click.Parameter) -> str:
+    """Return the environment variable of a flag."""
+    if isinstance(option.envvar, str):
+        return option.envvar
+    prefix = f"{cli.context_settings['auto_envvar_prefix']}_{command}"
+    return f"{prefix}_{option.name}".upper().replace("-", "_")
+
+
 if __name__ == "__main__":
     Path(sys.argv[1]).write_text(make_settings_page())
--- a/fulmarshore/commands/settings_test.py
+++ b/fulmarshore/commands/settings_test.py
@@ -1,14 +1,16 @@
+import re
 from pathlib import Path
 from unittest import TestCase
 
 import click
 from click.testing import CliRunner
 
-from fulmarshore.commands.daemons import agent, entry
+from fulmarshore.commands.daemons import agent, control, entry
 from fulmarshore.commands.main import cli
-from fulmarshore.commands.settings import list_settings
+from fulmarshore.commands.reference import find_variable
 
-PAGE = Path(__file__).parents[2] / "docs" / "operating" / "datapath.md"
+PAGE = Path(__file__).parents[2] / "docs" / "operating" / "settings.md"
+COMMANDS = (entry, agent, control)
 GOOD = {
     "--name": "e",
     "--zone": "z",
@@ -16,20 +18,27 @@
     "--data": "127.0.0.1:0",
     "--service": "s",
     "--upstream": "127.0.0.1:1",
+    "--listen": "127.0.0.1:0",
 }
 
 
 class SettingsTest(TestCase):
     def test_page_lists_every_setting(self):
+        """The page itself is compared with the commands in reference_test."""
         text = PAGE.read_text()
-        for command in (entry, agent):
-            with self.subTest(command=command.name):
-                self.assertIn(list_settings(command), text)
+        for command in COMMANDS:
+            section = text.split(f"## fulmarshore {command.name}\n")[1]
+            section = section.split("\n## ")[0]
+            for option in command.params:
+                with self.subTest(command=command.name, flag=option.opts[0]):
+                    variable = find_variable(command.name, option)
+                    row = rf"^\| {option.opts[0]} +\| {variable} +\|"
+                    self.assertRegex(section, re.compile(row, re.MULTILINE))
 
     def test_each_variable_is_read_and_checked(self):
         bad = "Not Allowed!"
         unchecked = (click.Path, type(click.STRING), type(click.BOOL))
-        for command in (entry, agent):
+        for command in COMMANDS:
             required = [option for option in command.params if option.required]
             for option in command.params:
                 if isinstance(option.type, unchecked):
@@ -38,8 +47,7 @@
                 for other in required:
                     if other is not option:
                         flags += [other.opts[0], GOOD[other.opts[0]]]
-                name = f"FULMARSHORE_{command.name}_{option.name}".upper()
-                variable = option.envvar or name
+                variable = find_variable(command.name, option)
                 with self.subTest(variable=variable):
                     arguments = [command.name, *flags]
                     found = CliRunner().invoke(cli, arguments, env={variable: bad})
