--- a/fulmarshore/agreement/explorer_test.py
+++ b/fulmarshore/agreement/explorer_test.py
@@ -2,9 +2,15 @@
 
 from unittest import TestCase
 
+from hypothesis import settings
+from msgspec.structs import replace
+
 from fulmarshore.agreement.explorer import explore
 from fulmarshore.agreement.world import Limits, make_led, make_new, make_split
+from fulmarshore.standins.profiles import CI_EXAMPLES
 
+SCALE = max(1, settings().max_examples // CI_EXAMPLES)
+"""How much further than in CI; above 1 in a soak."""
 CASES = [
     ("first election", make_new, Limits(stands=2, states=5_000)),
     ("with a restart", make_new, Limits(stands=2, restarts=1, states=5_500)),
@@ -19,6 +25,7 @@
     def test_no_order_of_few_steps_breaks_a_promise(self):
         for label, make_first, limits in CASES:
             with self.subTest(label):
+                limits = replace(limits, states=limits.states * SCALE)
                 found = explore(make_first(), limits)
                 self.assertEqual((found.problem, found.way), ("", ()))
                 self.assertTrue(found.is_whole or found.states >= limits.states)
