--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -233,7 +233,7 @@
         forwarded = 0
         is_direct = self._is_direct
         is_opaque = held.service.protocol == Protocol.OPAQUE
-        find = routes.peek
+        find = routes.find
         send = self._data.sender
         try:
             for _ in range(RECEIVE_BATCH):
@@ -253,6 +253,10 @@
                 send(frame, hint.address)
         finally:
             self.core.counters["forwarded"] += forwarded
+            while routes.renewed:
+                renewed = routes.renewed.popleft()
+                peer = renewed.member.name
+                self.watch_forwarded(held.service.name, renewed.flow, peer)
 
     def _take_caller(self, held: ServiceSocket, frame: bytes, source: Address) -> None:
         if self._is_direct:
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -183,6 +183,11 @@
         for told in self._watch.observe(event, effects):
             self.flow_timeline.record(told)
 
+    def watch_forwarded(self, service: str, flow: bytes, peer: str) -> None:
+        """Put a flow that went out without the core on its time line."""
+        for told in self._watch.note_forwarded(service, flow, peer):
+            self.flow_timeline.record(told)
+
     def list_addresses(self) -> list[Address]:
         """Return the addresses of links and of the data path."""
         return list(self.settings.controls)
--- a/fulmarshore/routing/hints.py
+++ b/fulmarshore/routing/hints.py
@@ -8,12 +8,16 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from fulmarshore.core.codec import encode_head
 from fulmarshore.core.hashing import find_bucket, hash_flow
 from fulmarshore.core.phases import find_phase, get_usual_phase
 from fulmarshore.core.records import Address, Forward, Member, Phase
 from fulmarshore.routing.table import ServiceTable
 
+MAX_RENEWED = 16
+"""Newest flows that are kept for the time line until somebody takes them."""
 MAX_HINTS = 330_000
 """Flows of one generation of a service; a second one may be as large."""
 
@@ -70,6 +74,7 @@
         "service",
         "version",
         "evictions",
+        "renewed",
         "_young",
         "_old",
         "_max_young",
@@ -86,6 +91,7 @@
     ) -> None:
         self.entry = entry
         self.evictions = 0
+        self.renewed: deque[Hint] = deque(maxlen=MAX_RENEWED)
         self._young: dict[Source, Hint] = {}
         self._old: dict[Source, Hint] = {}
         self._max_young = max_young
@@ -196,7 +202,9 @@
         home = self.service.get_home(find_bucket(flow))
         if home is None:
             return None
-        return self.point(flow, source, home)
+        renewed = self.point(flow, source, home)
+        self.renewed.append(renewed)
+        return renewed
 
     def _keep(self, source: Source, hint: Hint) -> None:
         self._young[source] = hint
--- a/fulmarshore/timeline/flows.py
+++ b/fulmarshore/timeline/flows.py
@@ -66,6 +66,15 @@
                     self._end(told, flow, _explain_end(event))
         return told
 
+    def note_forwarded(
+        self, service: str, flow: bytes, peer: str
+    ) -> list[TimelineEvent]:
+        """Return what a packet tells that went out by a new prepared head."""
+        told: list[TimelineEvent] = []
+        event = TimelineEvent("flow_forwarded", service, flow.hex(), peer)
+        self._keep(told, flow, event)
+        return told
+
     def _watch_message(
         self, told: list[TimelineEvent], event: Event, message: object
     ) -> None:
@@ -103,6 +112,11 @@
     ) -> None:
         key = message.flow
         event = TimelineEvent(kind, message.service, key.hex(), peer, str(detail))
+        self._keep(told, key, event)
+
+    def _keep(
+        self, told: list[TimelineEvent], key: bytes, event: TimelineEvent
+    ) -> None:
         if self._last.pop(key, None) != event:
             told.append(event)
         self._last[key] = event
