--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -140,6 +140,7 @@
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Hand an event to the core and follow the services declared."""
         effects = self.core.handle(event, now)
+        self.watch_flows(event, effects)
         if self.core.table.version != self._version:
             self._version = self.core.table.version
             self._follow_services()
@@ -274,6 +275,10 @@
                 send(frame, hint.address)
         finally:
             self.core.counters["forwarded"] += forwarded
+            while routes.renewed:
+                renewed = routes.renewed.popleft()
+                peer = renewed.member.name
+                self.watch_forwarded(held.service.name, renewed.flow, peer)
 
     def _take_caller(self, held: ServiceSocket, frame: bytes, source: Address) -> None:
         if self._is_direct:
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -9,6 +9,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections import Counter
+from operator import attrgetter
 from pathlib import Path
 from random import Random
 
@@ -27,6 +28,7 @@
 from fulmarshore.adapters.timeline import Timeline
 from fulmarshore.core.records import (
     Address,
+    BindRefused,
     ControlMessage,
     Effect,
     Event,
@@ -41,6 +43,7 @@
     Tick,
     TimelineEvent,
 )
+from fulmarshore.timeline.flows import FlowWatch
 
 TICK_INTERVAL_S = 0.05
 RING_INTERVAL_S = 2.0
@@ -93,6 +96,8 @@
         self.random = Random(settings.seed)
         self.counters: Counter[str] = Counter()
         self.timeline = Timeline(settings.name, role, settings.timeline)
+        self.flow_timeline = self.timeline.make_branch("flows")
+        self._watch = FlowWatch()
         self.context: zmq.asyncio.Context | None = None
         self.links: LinkClient | None = None
         self.security: LinkSecurity | None = None
@@ -179,6 +184,16 @@
         detail = f"the clock is behind: raised above {newest}"
         self.note(TimelineEvent("incarnation_raised", detail=detail))
 
+    def watch_flows(self, event: Event, effects: list[Effect]) -> None:
+        """Put what happens to single flows on a time line of their own."""
+        for told in self._watch.observe(event, effects):
+            self.flow_timeline.record(told)
+
+    def watch_forwarded(self, service: str, flow: bytes, peer: str) -> None:
+        """Put a flow that went out without the core on its time line."""
+        for told in self._watch.note_forwarded(service, flow, peer):
+            self.flow_timeline.record(told)
+
     def list_addresses(self) -> list[Address]:
         """Return the addresses of links and of the data path."""
         return list(self.settings.controls)
@@ -187,6 +202,10 @@
         """Return under which role and name this process's key is kept."""
         return KeyRole.PROCESS, self.settings.name
 
+    def get_bound(self) -> tuple[str, Address]:
+        """Return the flag and the address that this process listens on."""
+        return "--data", self.settings.data
+
     def load_keys(self) -> KeyProblem | None:
         """Read the keys, before anything is opened."""
         if self.settings.keys is None:
@@ -208,13 +227,13 @@
         self.sealer = Sealer(ring)
         return None
 
-    def run(self) -> None:
-        """Run until the core has stopped."""
+    def run(self) -> BindRefused | None:
+        """Run until the core has stopped, or tell what cannot be listened on."""
         handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
         with handler.applicationbound():
-            uvloop.run(self._run())
+            return uvloop.run(self._run())
 
-    async def _run(self) -> None:
+    async def _run(self) -> BindRefused | None:
         loop = asyncio.get_running_loop()
         self._done = asyncio.Event()
         self.context = zmq.asyncio.Context()
@@ -227,17 +246,27 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
         loop.add_signal_handler(signal.SIGUSR1, self._show_timeline)
-        self.open()
+        try:
+            self.open()
+        except OSError as error:
+            self.context.destroy(linger=0)
+            return self._refuse_bind(*self.get_bound(), error)
         server = None
         if self.settings.metrics is not None:
             collector = CoreCollector(self.role, self._count_all, self.read_gauges)
-            server, _ = serve_metrics(self.settings.metrics, collector)
+            try:
+                server, _ = serve_metrics(self.settings.metrics, collector)
+            except OSError as error:
+                self.close()
+                self.context.destroy(linger=0)
+                return self._refuse_bind("--metrics", self.settings.metrics, error)
         self.note(TimelineEvent("started", detail=f"pid {os.getpid()}"))
         if self.security is None:
             log.warn("no --keys: nothing is authenticated, nothing is encrypted")
         while not self._done.is_set():
             self.dispatch(Tick())
             self.timeline.flush()
+            self.flow_timeline.flush()
             self._refresh_ring()
             await self._wait_tick()
         await asyncio.sleep(TICK_INTERVAL_S)
@@ -250,6 +279,12 @@
         self.context.destroy(linger=200)
         self.note(TimelineEvent("stopped"))
         self.timeline.flush()
+        self.flow_timeline.flush()
+        return None
+
+    def _refuse_bind(self, flag: str, address: Address, error: OSError) -> BindRefused:
+        detail = error.strerror or str(error)
+        return BindRefused("bind", self.settings.name, flag, address, detail)
 
     async def _wait_tick(self) -> None:
         try:
@@ -299,7 +334,8 @@
         self.dispatch(Stop())
 
     def _show_timeline(self) -> None:
-        for entry in self.timeline.ring:
+        held = [*self.timeline.ring, *self.flow_timeline.ring]
+        for entry in sorted(held, key=attrgetter("clock")):
             sys.stderr.buffer.write(msgspec.json.encode(entry) + b"\n")
         sys.stderr.flush()
 
--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -14,6 +14,7 @@
 from fulmarshore.adapters.metrics import FAMILIES, PREFIX
 from fulmarshore.adapters.security import load_security
 from fulmarshore.commands.operator import Controls, fetch_status, submit_change
+from fulmarshore.core.addresses import format_address
 from fulmarshore.core.records import (
     Address,
     ChangeReply,
@@ -57,6 +58,14 @@
         self.metrics: dict[str, Address] = {}
         self._names: set[str] = set()
 
+    @property
+    def reached(self) -> Controls:
+        """The control hosts as an operator reaches them."""
+        security = None
+        if self.keys is not None:
+            security = load_security(self.keys, KeyRole.OPERATOR, OPERATOR)
+        return Controls(self.controls, OPERATOR, security)
+
     async def start_control(self) -> None:
         """Start the control host."""
         await self.processes.start(
@@ -101,7 +110,7 @@
     async def apply(self, items: list[Declaration]) -> None:
         """Put declarations in force at the control host."""
         change = (OPERATOR, items, [])
-        reply = await asyncio.to_thread(submit_change, self._reach(), *change)
+        reply = await asyncio.to_thread(submit_change, self.reached, *change)
         if isinstance(reply, ChangeReply) and reply.status == ChangeStatus.ACCEPTED:
             return
         raise RuntimeError(f"change not accepted: {reply!r}")
@@ -111,7 +120,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + WAIT_TIMEOUT_S
         while loop.time() < until:
-            status = await asyncio.to_thread(fetch_status, self._reach())
+            status = await asyncio.to_thread(fetch_status, self.reached)
             if isinstance(status, StatusReply) and self._is_settled(status):
                 return status
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -122,7 +131,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + WAIT_TIMEOUT_S
         while loop.time() < until:
-            status = await asyncio.to_thread(fetch_status, self._reach())
+            status = await asyncio.to_thread(fetch_status, self.reached)
             if isinstance(status, StatusReply) and not _is_member(status, name):
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -173,13 +182,10 @@
         return ("--keys", str(self.keys.path))
 
     def _list_control_flags(self) -> tuple[str, ...]:
-        return ("--control", format_address(self.controls[0]))
-
-    def _reach(self) -> Controls:
-        security = None
-        if self.keys is not None:
-            security = load_security(self.keys, KeyRole.OPERATOR, OPERATOR)
-        return Controls(self.controls, OPERATOR, security)
+        arguments: list[str] = []
+        for address in self.controls:
+            arguments += ["--control", format_address(address)]
+        return tuple(arguments)
 
     def _add(self, name: str) -> str:
         self._names.add(name)
@@ -237,12 +243,6 @@
             return address
 
 
-def format_address(address: Address) -> str:
-    """Return an address as flags take it."""
-    host = f"[{address.host}]" if ":" in address.host else address.host
-    return f"{host}:{address.port}"
-
-
 def _fetch_metrics(address: Address) -> str:
     with urlopen(f"http://{format_address(address)}/metrics", timeout=5) as reply:
         return reply.read().decode()
