Spread new flows by load with openings and endings counted

A home gives a new flow to the emptiest member, itself where none is emptier. Cause of the miss after a return: openings since a report were counted and endings were not, and a load that churns without a net change was reported after 0.25 s only, so everybody but the returned upstream seemed too full. Now both count until a report reflects them, and openings and endings of 0.5% are reported at the next tick.

What a home has given to each peer it counts exactly, without reports, and passes over a peer that holds more than 1.25 times plus 2 of what the peer with fewest holds: wrong reports cannot herd.

--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -378,9 +378,8 @@
             )
         if owner.name == self.member.name:
             self.directory.forget(packet.flow)
-            self._reporter.note_opening(True)
+            self._reporter.note_kept()
             return self._admit(packet, now)
-        self._reporter.note_opening(False)
         self.counters["handed_over"] += 1
         return self._assign(owner, packet, True, now)
 
@@ -586,7 +585,10 @@
             return []
         self.counters[f"flows_ended_{reason}"] += 1
         effects: list[Effect] = [CloseUpstream(key)]
-        address = self._find_home(find_bucket(key))
+        bucket = find_bucket(key)
+        if bucket in self.homes.settled:
+            self._reporter.note_ended()
+        address = self._find_home(bucket)
         if address is None:
             return effects
         released = self._release(key, flow.assignment)
@@ -671,6 +673,7 @@
             request = DeltaRequest(self.subscriber.identity, self.table.version)
             effects.append(SendPeer(source, request))
         given, complete = self.homes.give(ask, source, now)
+        self.directory.give(given)
         replies = list_replies(
             ask,
             self.subscriber.identity,
@@ -902,6 +905,7 @@
             self.table.version,
             len(self.flows),
             self.gate.get_limit(now),
+            self.counters["flows_opened"],
             now,
         )
         return [SendPeer(address, report) for address, report in reports]
--- a/fulmarshore/routing/arbitration.py
+++ b/fulmarshore/routing/arbitration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 
 from msgspec import Struct
@@ -15,13 +14,14 @@
     Released,
 )
 from fulmarshore.routing.flows import Directory, Entry
-from fulmarshore.routing.loads import FULL_MEMORY_S, Loads
+from fulmarshore.routing.loads import FULL_MEMORY_S, Loads, expect_share
 from fulmarshore.routing.table import ServiceTable
 
 ASSIGNMENT_BITS = 24
 """Low bits of an assignment count; the bits above are the home's version."""
-KEEP_MARGIN = 0.01
-"""A home keeps a flow while it holds more than its part by no more than this."""
+UNEVEN_SHARE = 0.25
+UNEVEN_FLOWS = 2
+"""A home gives a peer no more than this beyond what it gives to any other."""
 CHECK_INTERVAL_S = 2.0
 CHECK_BATCH = 64
 """Flows asked about at a time; bounds the cost of a check."""
@@ -40,21 +40,65 @@
     Parameters
     ----------
     flows, limit : int
-        Flows held and flows that may be held.
-    reported : int
-        Flows held at the last report, when the peers' loads were reported.
-    openings : int
-        Openings that this agent has arbitrated since.
+        Flows held at the last report and flows that may be held.
+    change : int
+        Flows that this agent has kept as home since, less those that ended.
     is_open : bool
         Whether a flow may be admitted right now.
     """
 
     flows: int
     limit: int
-    reported: int
-    openings: int
+    change: int
     is_open: bool
 
+    def find_share(self, homes: int) -> float:
+        """Return the share of the limit that is taken, as peers reckon it."""
+        return expect_share(self.flows, self.change, homes, self.limit)
+
+
+class Candidate(Struct, frozen=True):
+    """A peer that may get a flow.
+
+    Parameters
+    ----------
+    member : Member
+        The peer.
+    share : float
+        Share of its limit that is taken, by its reports.
+    held : float
+        The same of the flows alone that this home has given to it.
+    limit : int
+        Flows that it may hold.
+    """
+
+    member: Member
+    share: float
+    held: float
+    limit: int
+
+
+def find_emptiest(candidates: list[Candidate]) -> Candidate | None:
+    """Return the peer with the lowest load, among equal ones the first.
+
+    Reports may be late or wrong, but what a home has given to each peer it
+    knows exactly. So a peer is passed over that holds too many of the home's
+    flows beside the peer that holds fewest, whatever the reports say.
+    """
+    best: Candidate | None = None
+    lowest = min((candidate.held for candidate in candidates), default=0.0)
+    for candidate in candidates:
+        slack = UNEVEN_FLOWS / max(candidate.limit, 1)
+        if candidate.held > lowest * (1.0 + UNEVEN_SHARE) + slack:
+            continue
+        if best is None or _rank(candidate) < _rank(best):
+            best = candidate
+    return best
+
+
+def _rank(candidate: Candidate) -> tuple[float, float]:
+    return candidate.share, candidate.held
+
 
 class Arbiter:
     """Remembers the owners of the flows an agent is home of, and chooses new ones.
@@ -103,11 +147,11 @@
     def choose_owner(
         self, service: ServiceTable, tried: tuple[str, ...], own: Room, now: float
     ) -> Member | None:
-        """Return the member that gets a new flow: itself, or the emptiest.
+        """Return the member that gets a new flow: the emptiest, or itself.
 
-        The home keeps the flow unless it would hold more than its part by a
-        margin: a flow that is handed over costs a hop on every packet that
-        reaches the home first.
+        Where a peer is no emptier than the home, the home keeps the flow: one
+        that is handed over costs a hop on every packet that reaches the home
+        first.
 
         Parameters
         ----------
@@ -126,32 +170,29 @@
             None only where every member has declined, or has had no room
             within the last few milliseconds.
         """
-        best: Member | None = None
-        best_share = float("inf")
-        itself: Member | None = None
-        flows = own.reported + 1
-        limits = own.limit
         homes = len(service.accepting)
+        itself: Member | None = None
+        before: list[Candidate] = []
+        after: list[Candidate] = []
         for member in service.accepting:
+            if member.name in tried:
+                continue
             if member.name == self.name:
-                itself = member
+                itself = member if own.is_open else None
                 continue
             load = self.loads.find(member)
-            flows += load.flows
-            limits += load.limit
-            if member.name in tried or now - load.full_at < FULL_MEMORY_S:
+            if now - load.full_at < FULL_MEMORY_S:
                 continue
-            share = load.find_share(homes)
-            if share < best_share:
-                best, best_share = member, share
-        if itself is None or not own.is_open or self.name in tried:
-            return best
-        # The reports lack what came since: most likely as much to each home.
-        part = flows * own.limit / max(limits, 1) + own.openings
-        if own.flows + 1 <= max(math.ceil(part), part * (1.0 + KEEP_MARGIN)):
+            held = self.directory.owned[member.name] / max(load.limit, 1)
+            candidate = Candidate(member, load.find_share(homes), held, load.limit)
+            (before if member.name < self.name else after).append(candidate)
+        # Homes that see the same loads begin with different members.
+        best = find_emptiest(after + before)
+        if itself is None:
+            return best.member if best is not None else None
+        if best is None or own.find_share(homes) <= best.share:
             return itself
-        own_share = own.flows / max(own.limit, 1)
-        return itself if best is None or own_share <= best_share else best
+        return best.member
 
     def assign(
         self, flow: bytes, owner: Member, version: int, is_new: bool, now: float
@@ -163,7 +204,7 @@
         if entry is None:
             entry = Entry(owner.name, owner.incarnation, assignment, now)
             self.directory.remember(flow, entry)
-        entry.owner = owner.name
+        self.directory.change_owner(flow, entry, owner.name)
         entry.incarnation = owner.incarnation
         entry.assignment = assignment
         entry.touched_at = now
@@ -198,6 +239,7 @@
             self.counters["released_late"] += 1
             return
         self.directory.forget(released.flow)
+        self.loads.note_ended(released.agent, released.incarnation)
 
     def import_flows(self, sender: str, flows: list[OwnedFlow], now: float) -> None:
         """Take in what a peer owns or remembers in buckets taken over."""
--- a/fulmarshore/routing/flows.py
+++ b/fulmarshore/routing/flows.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import Address, OwnedFlow
@@ -113,13 +113,20 @@
     """Owners of the flows in the buckets that an agent is home of.
 
     Flows that the home owns itself are not in it.
+
+    Attributes
+    ----------
+    owned : Counter of str
+        Flows of each owner, but for those in buckets that were given away.
     """
 
-    __slots__ = ("_buckets", "_size")
+    __slots__ = ("_buckets", "_size", "_given", "owned")
 
     def __init__(self) -> None:
         self._buckets: dict[int, dict[bytes, Entry]] = {}
         self._size = 0
+        self._given: set[int] = set()
+        self.owned: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return self._size
@@ -131,17 +138,49 @@
 
     def remember(self, flow: bytes, entry: Entry) -> None:
         """Remember the owner of a flow."""
-        held = self._buckets.setdefault(find_bucket(flow), {})
-        self._size += flow not in held
+        bucket = find_bucket(flow)
+        held = self._buckets.setdefault(bucket, {})
+        former = held.get(flow)
+        self._size += former is None
         held[flow] = entry
+        if bucket in self._given:
+            return
+        if former is not None:
+            self.owned[former.owner] -= 1
+        self.owned[entry.owner] += 1
+
+    def change_owner(self, flow: bytes, entry: Entry, owner: str) -> None:
+        """Note that a remembered flow goes to another owner."""
+        if find_bucket(flow) not in self._given:
+            self.owned[entry.owner] -= 1
+            self.owned[owner] += 1
+        entry.owner = owner
+
+    def give(self, buckets: list[int]) -> None:
+        """Leave buckets out of the count, as another home has them now.
+
+        Their flows are remembered until the buckets are forgotten.
+        """
+        for bucket in buckets:
+            if bucket in self._given:
+                continue
+            self._given.add(bucket)
+            self._discount(self._buckets.get(bucket, {}))
+
+    def _discount(self, held: dict[bytes, Entry]) -> None:
+        for entry in held.values():
+            self.owned[entry.owner] -= 1
 
     def forget(self, flow: bytes) -> None:
         """Forget a flow, if it is known."""
         bucket = find_bucket(flow)
         held = self._buckets.get(bucket)
-        if not held or held.pop(flow, None) is None:
+        entry = held.pop(flow, None) if held else None
+        if entry is None:
             return
         self._size -= 1
+        if bucket not in self._given:
+            self.owned[entry.owner] -= 1
         if not held:
             del self._buckets[bucket]
 
@@ -150,11 +189,16 @@
         held = self._buckets.pop(bucket, None)
         if held:
             self._size -= len(held)
+            if bucket not in self._given:
+                self._discount(held)
+        self._given.discard(bucket)
 
     def clear(self) -> None:
         """Forget everything."""
         self._buckets.clear()
         self._size = 0
+        self._given.clear()
+        self.owned.clear()
 
     def list_buckets(self) -> list[int]:
         """Return the buckets in which flows are remembered."""
--- a/fulmarshore/routing/loads.py
+++ b/fulmarshore/routing/loads.py
@@ -1,7 +1,8 @@
 """How much room the members of a service have, as one home sees it.
 
 A report is late by nature. So a home counts in every flow that it has
-assigned since, until a report says that it reflects the assignment.
+assigned since, until a report says that it reflects the assignment, and every
+flow of which it has heard since that it ended.
 """
 
 from __future__ import annotations
@@ -16,10 +17,36 @@
 """A member that had no room is not asked again within this time."""
 
 
+def expect_share(flows: int, change: int, homes: int, limit: int) -> float:
+    """Return the share of a member's limit that is taken now.
+
+    Parameters
+    ----------
+    flows : int
+        Flows of the member at its last report.
+    change : int
+        Flows that the home has given it since, less those that ended.
+    homes : int
+        Homes of the service. None knows what the others assign, so each takes
+        it that as many flows of every other open and end as of its own.
+    limit : int
+        Flows that the member may hold.
+    """
+    return (flows + change * homes) / max(limit, 1)
+
+
 class Load:
     """What a home knows about the load of one member."""
 
-    __slots__ = ("incarnation", "flows", "limit", "number", "full_at", "expected")
+    __slots__ = (
+        "incarnation",
+        "flows",
+        "limit",
+        "number",
+        "full_at",
+        "expected",
+        "ended",
+    )
 
     def __init__(self, incarnation: int, limit: int) -> None:
         self.incarnation = incarnation
@@ -28,17 +55,12 @@
         self.number = 0
         self.full_at = float("-inf")
         self.expected: deque[int] = deque(maxlen=MAX_EXPECTED)
+        self.ended = 0
 
     def find_share(self, homes: int) -> float:
-        """Return the share of the limit that is taken, as is to be expected.
-
-        Parameters
-        ----------
-        homes : int
-            Homes of the service. None knows what the others assign, so each
-            takes it that they assign as much to the member as itself.
-        """
-        return (self.flows + len(self.expected) * homes) / max(self.limit, 1)
+        """Return the share of the limit that is taken, as is to be expected."""
+        change = len(self.expected) - self.ended
+        return expect_share(self.flows, change, homes, self.limit)
 
 
 class Loads:
@@ -63,6 +85,7 @@
         if report.number <= load.number:
             return False
         load.number = report.number
+        load.ended = 0
         load.flows = report.flows
         load.limit = report.limit
         while load.expected and load.expected[0] <= report.assignment:
@@ -73,6 +96,12 @@
         """Count in a flow that was just assigned to a member."""
         self.find(member).expected.append(assignment)
 
+    def note_ended(self, name: str, incarnation: int) -> None:
+        """Note that a flow of a member has ended."""
+        load = self._loads.get(name)
+        if load is not None and load.incarnation == incarnation:
+            load.ended += 1
+
     def decline(self, member: Member, flows: int, assignment: int, now: float) -> None:
         """Note that a member had no room for an assignment."""
         load = self.find(member)
--- a/fulmarshore/routing/reports.py
+++ b/fulmarshore/routing/reports.py
@@ -10,8 +10,8 @@
 """Longest time that a change of the load stays unreported."""
 KEEPALIVE_INTERVAL_S = 2.0
 """A report is repeated after this time, in case one was lost."""
-SIGNIFICANT_SHARE = 0.02
-"""A change by this share of the flows is reported at once."""
+SIGNIFICANT_SHARE = 0.005
+"""Openings and endings of this share of the flows are reported at once."""
 MIN_INTERVAL_S = 0.02
 
 
@@ -31,8 +31,8 @@
         "_flows",
         "_limit",
         "_reported_at",
-        "_kept",
-        "_openings",
+        "_change",
+        "_opened",
         "_seen",
     )
 
@@ -42,28 +42,29 @@
         self._number = 0
         self._flows = -1
         self._limit = -1
-        self._kept = 0
-        self._openings = 0
+        self._change = 0
+        self._opened = 0
         self._reported_at = float("-inf")
         self._seen: dict[Address, int] = {}
 
-    def note_opening(self, is_kept: bool) -> None:
-        """Note that this agent, as home, has arbitrated an opening."""
-        self._openings += 1
-        self._kept += is_kept
+    def note_kept(self) -> None:
+        """Note that this agent, as home, has admitted a flow itself."""
+        self._change += 1
+
+    def note_ended(self) -> None:
+        """Note that a flow has ended of which this agent is home and owner."""
+        self._change -= 1
 
     def get_room(self, is_open: bool, limit: int) -> Room:
         """Return this agent's room, known as late as that of its peers.
 
-        The loads of peers lack what other homes have assigned since the last
-        reports. A home that counted itself exactly would seem fuller than
-        the rest whenever flows grow, and hand over what it should keep.
+        What other homes do is estimated for peers since their last reports. A
+        home that counted itself exactly would seem fuller than the rest
+        whenever flows grow, and hand over what it should keep.
         """
         if self._limit >= 0:
             limit = self._limit
-        reported = max(self._flows, 0)
-        flows = reported + self._kept
-        return Room(flows, limit, reported, self._openings, is_open)
+        return Room(max(self._flows, 0), limit, self._change, is_open)
 
     def note_assignment(self, home: Address, assignment: int) -> None:
         """Note that the load reflects an assignment of a home from now on."""
@@ -71,19 +72,36 @@
             self._seen[home] = assignment
 
     def list_reports(
-        self, service: ServiceTable, version: int, flows: int, limit: int, now: float
+        self,
+        service: ServiceTable,
+        version: int,
+        flows: int,
+        limit: int,
+        opened: int,
+        now: float,
     ) -> list[tuple[Address, LoadReport]]:
-        """Return the reports that are due, one for each peer."""
-        if flows == self._flows and limit == self._limit:
-            self._openings = 0
-            self._kept = 0
-        if not self._is_due(flows, limit, now):
+        """Return the reports that are due, one for each peer.
+
+        Parameters
+        ----------
+        service : ServiceTable
+            The members.
+        version : int
+            Version of the table.
+        flows, limit : int
+            Flows held and flows that may be held.
+        opened : int
+            Flows ever opened here.
+        now : float
+            The time, in seconds.
+        """
+        if not self._is_due(flows, limit, opened, now):
             return []
         self._reported_at = now
+        self._opened = opened
         self._flows = flows
         self._limit = limit
-        self._kept = 0
-        self._openings = 0
+        self._change = 0
         self._number += 1
         reports = []
         seen: dict[Address, int] = {}
@@ -108,16 +126,19 @@
         self._seen = seen
         return reports
 
-    def _is_due(self, flows: int, limit: int, now: float) -> bool:
+    def _is_due(self, flows: int, limit: int, opened: int, now: float) -> bool:
         waited = now - self._reported_at
         if waited >= KEEPALIVE_INTERVAL_S:
             return True
-        if flows == self._flows and limit == self._limit:
+        # As many endings as openings leave the load as it was, but peers count
+        # what they have assigned until a report says that it is reflected.
+        fresh = opened - self._opened
+        if flows == self._flows and limit == self._limit and not fresh:
             return False
         if waited >= REPORT_INTERVAL_S:
             return True
         if waited < MIN_INTERVAL_S:
             return False
         has_room_again = self._flows >= self._limit and flows < limit
-        changed = abs(flows - self._flows)
-        return has_room_again or changed >= SIGNIFICANT_SHARE * max(flows, 1)
+        ended = abs(self._flows + fresh - flows)
+        return has_room_again or fresh + ended >= SIGNIFICANT_SHARE * max(flows, 1)
