Wrong reports herd nothing: a table over the cores

One peer that reports too little, too much, old or no figures, and all of them at once. Seen failing without the own counts: one that reports 0 got 515 of 700 flows on 7 upstreams (5.15 of the mean, bound 1.39). The test of a load that churns was seen failing with the former rule of net changes.

--- /dev/null
+++ b/fulmarshore/routing/arbitration_test.py
@@ -0,0 +1,167 @@
+"""Who gets a new flow, whatever the reports say."""
+
+from collections import deque
+from unittest import TestCase
+
+from msgspec.structs import replace
+
+from fulmarshore.core.hashing import hash_flow
+from fulmarshore.core.records import (
+    Kind,
+    LoadReport,
+    Member,
+    Profile,
+    SendPeer,
+    Service,
+    Zone,
+)
+from fulmarshore.membership.view import View, change_view
+from fulmarshore.routing.arbitration import (
+    UNEVEN_FLOWS,
+    UNEVEN_SHARE,
+    Candidate,
+    find_emptiest,
+)
+from fulmarshore.routing.flows import Directory, Entry
+from fulmarshore.routing.reports import KEEPALIVE_INTERVAL_S, Reporter
+from fulmarshore.routing.table import Table
+from fulmarshore.standins.routing import RoutedRegion
+
+UPSTREAMS = 7
+FLOWS = 700
+LATE_REPORTS = 20
+LIMIT = 1000
+
+
+def make_candidate(name, share, held):
+    member = Member(name, 1, "s", "z", "127.0.0.1", 9)
+    return Candidate(member, share / LIMIT, held / LIMIT, LIMIT)
+
+
+def make_service():
+    items = [Profile("p", Kind.FEED), Service("s", "p", "127.0.0.9", 80), Zone("z")]
+    for number, name in enumerate("ab"):
+        items.append(Member(name, 1, "s", "z", "127.0.0.1", 9 + number))
+    return Table(change_view(View(), 1, items, [])).services["s"]
+
+
+class LateReports:
+    """Sends an older report in place of each, under the newer number."""
+
+    def __init__(self):
+        self._held = deque()
+
+    def __call__(self, report):
+        self._held.append(report)
+        if len(self._held) <= LATE_REPORTS:
+            return None
+        held = self._held.popleft()
+        return replace(report, flows=held.flows, assignment=held.assignment)
+
+
+def falsify(core, change):
+    """Let an agent send other reports than it should."""
+    handle = core.handle
+    changes = {}
+
+    def handle_falsely(event, now):
+        effects = []
+        for effect in handle(event, now):
+            if not isinstance(effect, SendPeer):
+                effects.append(effect)
+                continue
+            if not isinstance(effect.message, LoadReport):
+                effects.append(effect)
+                continue
+            changed = changes.setdefault(effect.destination, change())(effect.message)
+            if changed is not None:
+                effects.append(SendPeer(effect.destination, changed))
+        return effects
+
+    core.handle = handle_falsely
+
+
+class HerdTest(TestCase):
+    def test_wrong_reports_herd_nothing(self):
+        mean = FLOWS / UPSTREAMS
+        bound = 1.0 + UNEVEN_SHARE + UNEVEN_FLOWS * UPSTREAMS / mean
+        table = [
+            ("one too low", 1, lambda: lambda report: replace(report, flows=0)),
+            ("one too high", 1, lambda: lambda report: replace(report, flows=1999)),
+            ("one stale", 1, lambda: lambda report: None),
+            ("one late", 1, LateReports),
+            ("all lost", UPSTREAMS, lambda: lambda report: None),
+            ("all late", UPSTREAMS, LateReports),
+            ("all too low", UPSTREAMS, lambda: lambda report: replace(report, flows=0)),
+        ]
+        for title, count, change in table:
+            with self.subTest(title):
+                region = RoutedRegion(5, {"s": UPSTREAMS}, 2)
+                for core in region.list_agents("s")[:count]:
+                    falsify(core, change)
+                region.send_all("s", range(1, FLOWS + 1), gap=0.004)
+                held = [len(core.flows) for core in region.list_agents("s")]
+                self.assertEqual(sum(held), FLOWS)
+                self.assertLessEqual(max(held) / mean, bound, held)
+
+    def test_the_peer_that_gets_a_flow(self):
+        table = [
+            ("none", [], None),
+            ("the emptiest", [("b", 5, 4), ("c", 4, 4)], "c"),
+            ("the first of equal ones", [("c", 4, 4), ("b", 4, 4)], "c"),
+            ("fewest from this home", [("b", 4, 4), ("c", 4, 3)], "c"),
+            ("reports go first", [("b", 3, 4), ("c", 4, 3)], "b"),
+            ("no more than is known to be even", [("b", 0, 9), ("c", 90, 5)], "c"),
+            ("up to there", [("b", 0, 8), ("c", 90, 5)], "b"),
+        ]
+        for title, peers, expected in table:
+            with self.subTest(title):
+                best = find_emptiest([make_candidate(*peer) for peer in peers])
+                self.assertEqual(best and best.member.name, expected)
+
+
+class CountTest(TestCase):
+    def test_flows_of_each_owner_are_counted(self):
+        directory = Directory()
+        flows = [hash_flow("s", "10.0.0.1", port) for port in range(60)]
+        for flow in flows:
+            directory.remember(flow, Entry("b", 1, 1, 0.0))
+        first = flows[0]
+        buckets = directory.list_buckets()
+        part = len(directory.list_flows(buckets[-1]))
+        steps = [
+            ("remembered", lambda: None, 60, 0),
+            ("twice", lambda: directory.remember(first, Entry("c", 1, 2, 0.0)), 59, 1),
+            (
+                "another owner",
+                lambda: directory.change_owner(first, directory.find(first), "b"),
+                60,
+                0,
+            ),
+            ("given away", lambda: directory.give([buckets[-1]]), 60 - part, 0),
+            ("given twice", lambda: directory.give([buckets[-1]]), 60 - part, 0),
+            ("lapsed", lambda: directory.forget_bucket(buckets[-1]), 60 - part, 0),
+            ("taken out", lambda: directory.clear(), 0, 0),
+        ]
+        for title, step, expected, other in steps:
+            with self.subTest(title):
+                step()
+                self.assertEqual(directory.owned["b"], expected)
+                self.assertEqual(directory.owned["c"], other)
+
+    def test_a_load_that_churns_is_reported_at_once(self):
+        service = make_service()
+        table = [
+            ("nothing happened", 100, 100, 0),
+            ("as many ended as opened", 100, 101, 1),
+            ("more ended", 98, 100, 1),
+        ]
+        for title, flows, opened, expected in table:
+            with self.subTest(title):
+                reporter = Reporter("a", 1)
+                reporter.list_reports(service, 1, 100, 2000, 100, 0.0)
+                reports = reporter.list_reports(service, 1, flows, 2000, opened, 0.05)
+                self.assertEqual(len(reports), expected)
+                later = 1.0 + KEEPALIVE_INTERVAL_S
+                reports = reporter.list_reports(service, 1, flows, 2000, opened, later)
+                self.assertEqual(len(reports), 1)
