Keep flows at home within 0.8%, with openings and endings counted

At the long-run size an entry host's hints hold a fifth of the flows (docs/CAPACITY.md), so a flow owned elsewhere costs a hop on most packets for good. What is moved is bound by what the home has given to each peer.

Bound of what a peer gets: 0.5 of an even part and 2 flows over the peer with fewest.

--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -363,7 +363,7 @@
         tried = entry.tried if entry is not None else ()
         limit = self.gate.get_limit(now)
         is_open = self.is_accepting and len(self.flows) < limit
-        own = self._reporter.get_room(is_open, limit)
+        own = self._reporter.get_room(is_open, len(self.flows), limit)
         owner = self.arbiter.choose_owner(service, tried, own, now)
         if owner is not None and owner.name == self.member.name:
             # The gate is asked only now: asking takes from its rate.
--- a/fulmarshore/routing/arbitration.py
+++ b/fulmarshore/routing/arbitration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 from msgspec import Struct
@@ -14,14 +15,17 @@
     Released,
 )
 from fulmarshore.routing.flows import Directory, Entry
-from fulmarshore.routing.loads import FULL_MEMORY_S, Loads, expect_share
+from fulmarshore.routing.loads import FULL_MEMORY_S, Loads
 from fulmarshore.routing.table import ServiceTable
 
 ASSIGNMENT_BITS = 24
 """Low bits of an assignment count; the bits above are the home's version."""
-UNEVEN_SHARE = 0.25
+KEEP_MARGIN = 0.008
+"""A home keeps a flow while it holds more than its part by no more than this."""
+UNEVEN_SHARE = 0.5
 UNEVEN_FLOWS = 2
-"""A home gives a peer no more than this beyond what it gives to any other."""
+"""What a home gives a peer beyond what it gives to any other: a share of an
+even part of its flows, and some flows."""
 CHECK_INTERVAL_S = 2.0
 CHECK_BATCH = 64
 """Flows asked about at a time; bounds the cost of a check."""
@@ -39,6 +43,8 @@
 
     Parameters
     ----------
+    held : int
+        Flows held now.
     flows, limit : int
         Flows held at the last report and flows that may be held.
     change : int
@@ -47,15 +53,12 @@
         Whether a flow may be admitted right now.
     """
 
+    held: int
     flows: int
     limit: int
     change: int
     is_open: bool
 
-    def find_share(self, homes: int) -> float:
-        """Return the share of the limit that is taken, as peers reckon it."""
-        return expect_share(self.flows, self.change, homes, self.limit)
-
 
 class Candidate(Struct, frozen=True):
     """A peer that may get a flow.
@@ -78,18 +81,26 @@
     limit: int
 
 
-def find_emptiest(candidates: list[Candidate]) -> Candidate | None:
+def find_emptiest(candidates: list[Candidate], even: float) -> Candidate | None:
     """Return the peer with the lowest load, among equal ones the first.
 
     Reports may be late or wrong, but what a home has given to each peer it
     knows exactly. So a peer is passed over that holds too many of the home's
     flows beside the peer that holds fewest, whatever the reports say.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        Peers that may have room.
+    even : float
+        Share of its limit that a member would hold of one home's flows, were
+        all spread evenly.
     """
     best: Candidate | None = None
     lowest = min((candidate.held for candidate in candidates), default=0.0)
     for candidate in candidates:
-        slack = UNEVEN_FLOWS / max(candidate.limit, 1)
-        if candidate.held > lowest * (1.0 + UNEVEN_SHARE) + slack:
+        slack = even * UNEVEN_SHARE + UNEVEN_FLOWS / max(candidate.limit, 1)
+        if candidate.held > lowest + slack:
             continue
         if best is None or _rank(candidate) < _rank(best):
             best = candidate
@@ -147,11 +158,11 @@
     def choose_owner(
         self, service: ServiceTable, tried: tuple[str, ...], own: Room, now: float
     ) -> Member | None:
-        """Return the member that gets a new flow: the emptiest, or itself.
+        """Return the member that gets a new flow: itself, or the emptiest.
 
-        Where a peer is no emptier than the home, the home keeps the flow: one
-        that is handed over costs a hop on every packet that reaches the home
-        first.
+        The home keeps the flow unless it would hold more than its part by a
+        margin: a flow that is handed over costs a hop on every packet that
+        reaches the home first.
 
         Parameters
         ----------
@@ -174,23 +185,32 @@
         itself: Member | None = None
         before: list[Candidate] = []
         after: list[Candidate] = []
+        own_flows = own.flows + own.change * homes
+        flows = own_flows
+        limits = own.limit
         for member in service.accepting:
-            if member.name in tried:
-                continue
             if member.name == self.name:
-                itself = member if own.is_open else None
+                can_keep = own.is_open and member.name not in tried
+                itself = member if can_keep else None
                 continue
             load = self.loads.find(member)
-            if now - load.full_at < FULL_MEMORY_S:
+            flows += load.expect_flows(homes)
+            limits += load.limit
+            if member.name in tried or now - load.full_at < FULL_MEMORY_S:
                 continue
             held = self.directory.owned[member.name] / max(load.limit, 1)
             candidate = Candidate(member, load.find_share(homes), held, load.limit)
             (before if member.name < self.name else after).append(candidate)
+        mean = max(flows + 1, 1) / max(limits, 1)
+        part = mean * own.limit
+        is_within = own.held + 1 <= max(math.ceil(part), part * (1.0 + KEEP_MARGIN))
+        if itself is not None and is_within:
+            return itself
         # Homes that see the same loads begin with different members.
-        best = find_emptiest(after + before)
+        best = find_emptiest(after + before, mean / max(homes, 1))
         if itself is None:
             return best.member if best is not None else None
-        if best is None or own.find_share(homes) <= best.share:
+        if best is None or own_flows / max(own.limit, 1) <= best.share:
             return itself
         return best.member
 
--- a/fulmarshore/routing/loads.py
+++ b/fulmarshore/routing/loads.py
@@ -17,24 +17,6 @@
 """A member that had no room is not asked again within this time."""
 
 
-def expect_share(flows: int, change: int, homes: int, limit: int) -> float:
-    """Return the share of a member's limit that is taken now.
-
-    Parameters
-    ----------
-    flows : int
-        Flows of the member at its last report.
-    change : int
-        Flows that the home has given it since, less those that ended.
-    homes : int
-        Homes of the service. None knows what the others assign, so each takes
-        it that as many flows of every other open and end as of its own.
-    limit : int
-        Flows that the member may hold.
-    """
-    return (flows + change * homes) / max(limit, 1)
-
-
 class Load:
     """What a home knows about the load of one member."""
 
@@ -57,10 +39,20 @@
         self.expected: deque[int] = deque(maxlen=MAX_EXPECTED)
         self.ended = 0
 
+    def expect_flows(self, homes: int) -> int:
+        """Return how many flows the member holds now.
+
+        Parameters
+        ----------
+        homes : int
+            Homes of the service. None knows what the others do, so each takes
+            it that as many flows of every other open and end as of its own.
+        """
+        return self.flows + (len(self.expected) - self.ended) * homes
+
     def find_share(self, homes: int) -> float:
         """Return the share of the limit that is taken, as is to be expected."""
-        change = len(self.expected) - self.ended
-        return expect_share(self.flows, change, homes, self.limit)
+        return self.expect_flows(homes) / max(self.limit, 1)
 
 
 class Loads:
--- a/fulmarshore/routing/reports.py
+++ b/fulmarshore/routing/reports.py
@@ -55,7 +55,7 @@
         """Note that a flow has ended of which this agent is home and owner."""
         self._change -= 1
 
-    def get_room(self, is_open: bool, limit: int) -> Room:
+    def get_room(self, is_open: bool, held: int, limit: int) -> Room:
         """Return this agent's room, known as late as that of its peers.
 
         What other homes do is estimated for peers since their last reports. A
@@ -64,7 +64,7 @@
         """
         if self._limit >= 0:
             limit = self._limit
-        return Room(max(self._flows, 0), limit, self._change, is_open)
+        return Room(held, max(self._flows, 0), limit, self._change, is_open)
 
     def note_assignment(self, home: Address, assignment: int) -> None:
         """Note that the load reflects an assignment of a home from now on."""
