--- a/fulmarshore/routing/arbitration.py
+++ b/fulmarshore/routing/arbitration.py
@@ -20,8 +20,12 @@
 
 ASSIGNMENT_BITS = 24
 """Low bits of an assignment count; the bits above are the home's version."""
-KEEP_MARGIN = 0.01
+KEEP_MARGIN = 0.008
 """A home keeps a flow while it holds more than its part by no more than this."""
+UNEVEN_SHARE = 0.5
+UNEVEN_FLOWS = 2
+"""What a home gives a peer beyond what it gives to any other: a share of an
+even part of its flows, and some flows."""
 CHECK_INTERVAL_S = 2.0
 CHECK_BATCH = 64
 """Flows asked about at a time; bounds the cost of a check."""
@@ -39,23 +43,74 @@
 
     Parameters
     ----------
+    held : int
+        Flows held now.
     flows, limit : int
-        Flows held and flows that may be held.
-    reported : int
-        Flows held at the last report, when the peers' loads were reported.
-    openings : int
-        Openings that this agent has arbitrated since.
+        Flows held at the last report and flows that may be held.
+    change : int
+        Flows that this agent has kept as home since, less those that ended.
     is_open : bool
         Whether a flow may be admitted right now.
     """
 
+    held: int
     flows: int
     limit: int
-    reported: int
-    openings: int
+    change: int
     is_open: bool
 
 
+class Candidate(Struct, frozen=True):
+    """A peer that may get a flow.
+
+    Parameters
+    ----------
+    member : Member
+        The peer.
+    share : float
+        Share of its limit that is taken, by its reports.
+    held : float
+        The same of the flows alone that this home has given to it.
+    limit : int
+        Flows that it may hold.
+    """
+
+    member: Member
+    share: float
+    held: float
+    limit: int
+
+
+def find_emptiest(candidates: list[Candidate], even: float) -> Candidate | None:
+    """Return the peer with the lowest load, among equal ones the first.
+
+    Reports may be late or wrong, but what a home has given to each peer it
+    knows exactly. So a peer is passed over that holds too many of the home's
+    flows beside the peer that holds fewest, whatever the reports say.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        Peers that may have room.
+    even : float
+        Share of its limit that a member would hold of one home's flows, were
+        all spread evenly.
+    """
+    best: Candidate | None = None
+    lowest = min((candidate.held for candidate in candidates), default=0.0)
+    for candidate in candidates:
+        slack = even * UNEVEN_SHARE + UNEVEN_FLOWS / max(candidate.limit, 1)
+        if candidate.held > lowest + slack:
+            continue
+        if best is None or _rank(candidate) < _rank(best):
+            best = candidate
+    return best
+
+
+def _rank(candidate: Candidate) -> tuple[float, float]:
+    return candidate.share, candidate.held
+
+
 class Arbiter:
     """Remembers the owners of the flows an agent is home of, and chooses new ones.
 
@@ -126,32 +181,38 @@
             None only where every member has declined, or has had no room
             within the last few milliseconds.
         """
-        best: Member | None = None
-        best_share = float("inf")
+        homes = len(service.accepting)
         itself: Member | None = None
-        flows = own.reported + 1
+        before: list[Candidate] = []
+        after: list[Candidate] = []
+        own_flows = own.flows + own.change * homes
+        flows = own_flows
         limits = own.limit
-        homes = len(service.accepting)
         for member in service.accepting:
             if member.name == self.name:
-                itself = member
+                can_keep = own.is_open and member.name not in tried
+                itself = member if can_keep else None
                 continue
             load = self.loads.find(member)
-            flows += load.flows
+            flows += load.expect_flows(homes)
             limits += load.limit
             if member.name in tried or now - load.full_at < FULL_MEMORY_S:
                 continue
-            share = load.find_share(homes)
-            if share < best_share:
-                best, best_share = member, share
-        if itself is None or not own.is_open or self.name in tried:
-            return best
-        # The reports lack what came since: most likely as much to each home.
-        part = flows * own.limit / max(limits, 1) + own.openings
-        if own.flows + 1 <= max(math.ceil(part), part * (1.0 + KEEP_MARGIN)):
+            held = self.directory.owned[member.name] / max(load.limit, 1)
+            candidate = Candidate(member, load.find_share(homes), held, load.limit)
+            (before if member.name < self.name else after).append(candidate)
+        mean = max(flows + 1, 1) / max(limits, 1)
+        part = mean * own.limit
+        is_within = own.held + 1 <= max(math.ceil(part), part * (1.0 + KEEP_MARGIN))
+        if itself is not None and is_within:
+            return itself
+        # Homes that see the same loads begin with different members.
+        best = find_emptiest(after + before, mean / max(homes, 1))
+        if itself is None:
+            return best.member if best is not None else None
+        if best is None or own_flows / max(own.limit, 1) <= best.share:
             return itself
-        own_share = own.flows / max(own.limit, 1)
-        return itself if best is None or own_share <= best_share else best
+        return best.member
 
     def assign(
         self, flow: bytes, owner: Member, version: int, is_new: bool, now: float
@@ -163,7 +224,7 @@
         if entry is None:
             entry = Entry(owner.name, owner.incarnation, assignment, now)
             self.directory.remember(flow, entry)
-        entry.owner = owner.name
+        self.directory.change_owner(flow, entry, owner.name)
         entry.incarnation = owner.incarnation
         entry.assignment = assignment
         entry.touched_at = now
@@ -198,6 +259,7 @@
             self.counters["released_late"] += 1
             return
         self.directory.forget(released.flow)
+        self.loads.note_ended(released.agent, released.incarnation)
 
     def import_flows(self, sender: str, flows: list[OwnedFlow], now: float) -> None:
         """Take in what a peer owns or remembers in buckets taken over."""
--- a/fulmarshore/routing/handover.py
+++ b/fulmarshore/routing/handover.py
@@ -70,6 +70,7 @@
             )
             effects.append(SendPeer(source, request))
         given, complete = self.state.homes.give(ask, source, now)
+        self.state.directory.give(given)
         replies = list_replies(
             ask,
             self.state.subscriber.identity,
--- a/fulmarshore/routing/lifetimes.py
+++ b/fulmarshore/routing/lifetimes.py
@@ -43,7 +43,10 @@
             return []
         self.state.counters[f"flows_ended_{reason}"] += 1
         effects: list[Effect] = [CloseUpstream(key)]
-        address = self._find_home(find_bucket(key))
+        bucket = find_bucket(key)
+        if bucket in self.state.homes.settled:
+            self.state.reporter.note_ended()
+        address = self._find_home(bucket)
         if address is None:
             return effects
         released = self.state.release(key, flow.assignment)
--- a/fulmarshore/routing/loads.py
+++ b/fulmarshore/routing/loads.py
@@ -1,7 +1,8 @@
 """How much room the members of a service have, as one home sees it.
 
 A report is late by nature. So a home counts in every flow that it has
-assigned since, until a report says that it reflects the assignment.
+assigned since, until a report says that it reflects the assignment, and every
+flow of which it has heard since that it ended.
 """
 
 from __future__ import annotations
@@ -19,7 +20,15 @@
 class Load:
     """What a home knows about the load of one member."""
 
-    __slots__ = ("incarnation", "flows", "limit", "number", "full_at", "expected")
+    __slots__ = (
+        "incarnation",
+        "flows",
+        "limit",
+        "number",
+        "full_at",
+        "expected",
+        "ended",
+    )
 
     def __init__(self, incarnation: int, limit: int) -> None:
         self.incarnation = incarnation
@@ -28,17 +37,22 @@
         self.number = 0
         self.full_at = float("-inf")
         self.expected: deque[int] = deque(maxlen=MAX_EXPECTED)
+        self.ended = 0
 
-    def find_share(self, homes: int) -> float:
-        """Return the share of the limit that is taken, as is to be expected.
+    def expect_flows(self, homes: int) -> int:
+        """Return how many flows the member holds now.
 
         Parameters
         ----------
         homes : int
-            Homes of the service. None knows what the others assign, so each
-            takes it that they assign as much to the member as itself.
+            Homes of the service. None knows what the others do, so each takes
+            it that as many flows of every other open and end as of its own.
         """
-        return (self.flows + len(self.expected) * homes) / max(self.limit, 1)
+        return self.flows + (len(self.expected) - self.ended) * homes
+
+    def find_share(self, homes: int) -> float:
+        """Return the share of the limit that is taken, as is to be expected."""
+        return self.expect_flows(homes) / max(self.limit, 1)
 
 
 class Loads:
@@ -63,6 +77,7 @@
         if report.number <= load.number:
             return False
         load.number = report.number
+        load.ended = 0
         load.flows = report.flows
         load.limit = report.limit
         while load.expected and load.expected[0] <= report.assignment:
@@ -73,6 +88,12 @@
         """Count in a flow that was just assigned to a member."""
         self.find(member).expected.append(assignment)
 
+    def note_ended(self, name: str, incarnation: int) -> None:
+        """Note that a flow of a member has ended."""
+        load = self._loads.get(name)
+        if load is not None and load.incarnation == incarnation:
+            load.ended += 1
+
     def decline(self, member: Member, flows: int, assignment: int, now: float) -> None:
         """Note that a member had no room for an assignment."""
         load = self.find(member)
--- a/fulmarshore/routing/openings.py
+++ b/fulmarshore/routing/openings.py
@@ -69,7 +69,7 @@
         tried = entry.tried if entry is not None else ()
         limit = self.state.gate.get_limit(now)
         is_open = self.state.is_accepting and len(self.state.flows) < limit
-        own = self.state.reporter.get_room(is_open, limit)
+        own = self.state.reporter.get_room(is_open, len(self.state.flows), limit)
         owner = self.state.arbiter.choose_owner(service, tried, own, now)
         if owner is not None and owner.name == self.state.member.name:
             # The gate is asked only now: asking takes from its rate.
@@ -84,9 +84,8 @@
             )
         if owner.name == self.state.member.name:
             self.state.directory.forget(packet.flow)
-            self.state.reporter.note_opening(True)
+            self.state.reporter.note_kept()
             return self._admit(packet, now)
-        self.state.reporter.note_opening(False)
         self.state.counters["handed_over"] += 1
         return self._assign(owner, packet, True, now)
 
--- a/fulmarshore/routing/upkeep.py
+++ b/fulmarshore/routing/upkeep.py
@@ -36,6 +36,7 @@
             self.state.table.version,
             len(self.state.flows),
             self.state.gate.get_limit(now),
+            self.state.counters["flows_opened"],
             now,
         )
         return [SendPeer(address, report) for address, report in reports]
