An agent in a zone that goes out is waited for, however silent it was

Zone a goes out right after control was cut off and is back. plans-1 has the new view and opens a flow of plans-0 at once; plans-0 gets the view 6 ms later and delivers in between. plans-1 had not heard of plans-0 for 2 s: an agent with a lease sends keepalives every 2 s and asks nothing. Being silent tells of a crash only where control ended the lease as well; so whoever is in a zone that goes out is waited for, 1 s at most where the zone is dead.

Not run on this commit: the whole soak.

--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -215,7 +215,9 @@
         self._view = view
         self.table = Table(view, previous)
         self.peers.follow(self.table)
-        self.evictions.follow(previous_service, self.service, view.version, now)
+        self.evictions.follow(
+            previous_service, self.service, self.table.zones_out, view.version, now
+        )
         self.versions.note_applied(view.version)
         if self.service is not None:
             self.gate.follow(self.service.profile)
--- a/fulmarshore/routing/eviction.py
+++ b/fulmarshore/routing/eviction.py
@@ -103,6 +103,7 @@
         self,
         previous: ServiceTable | None,
         service: ServiceTable | None,
+        zones_out: set[str],
         version: int,
         now: float,
     ) -> None:
@@ -113,7 +114,10 @@
             self._drop_replaced(name, kept.get(name))
         for member in held:
             if member.name not in kept and member.name != self._identity.name:
-                self._wait(member, version, now)
+                # In a zone that is out it has its lease, and no cause to ask.
+                has_lease = member.zone in zones_out
+                if has_lease or self._is_heard(member, now):
+                    self._wait(member, version, now)
         heard: dict[Address, float] = {}
         for member in kept.values():
             self._silent.discard(Identity(member.name, member.incarnation))
@@ -127,10 +131,12 @@
         if member is not None and member.incarnation > waiting.identity.incarnation:
             del self._waiting[name]
 
+    def _is_heard(self, member: Member, now: float) -> bool:
+        heard_at = self._heard.get(Address(member.host, member.port), float("-inf"))
+        return now - heard_at < HEARD_MEMORY_S
+
     def _wait(self, member: Member, version: int, now: float) -> None:
         address = Address(member.host, member.port)
-        if now - self._heard.get(address, float("-inf")) >= HEARD_MEMORY_S:
-            return
         identity = Identity(member.name, member.incarnation)
         self._add(identity, address, member.zone, version, now)
 
--- a/fulmarshore/routing/eviction_test.py
+++ b/fulmarshore/routing/eviction_test.py
@@ -11,6 +11,7 @@
     Forward,
     LinkMessage,
     LoadReport,
+    PeerMessage,
     Reason,
     Refusal,
     Removed,
@@ -18,6 +19,7 @@
     TakeoverReply,
     Tick,
     ViewCheck,
+    Zone,
 )
 from fulmarshore.membership.view import change_view, make_delta
 from fulmarshore.routing.agent_test import (
@@ -202,6 +204,16 @@
                 flow, _ = self.open(core, now)
                 self.assertEqual(flow in core.flows, is_open)
 
+    def test_one_in_a_zone_that_goes_out_is_waited_for_though_it_was_silent(self):
+        # Trace of the soak, seed 3: a zone out, heard of only by keepalives.
+        core = self.start()
+        view = change_view(make_view(), 9, [Zone("zc", True)], [])
+        core.handle(LinkMessage("x", make_delta(view, VERSION)), 50.0)
+        flow, _ = self.open(core, 50.0)
+        self.assertNotIn(flow, core.flows)
+        core.handle(PeerMessage(get_address("c"), EvictionDone("s", "c", 1, 9)), 50.1)
+        self.assertIn(flow, core.flows)
+
     def test_one_that_does_not_answer_is_waited_for_once(self):
         core = self.start()
         check = ViewCheck("s", "c", 1, VERSION, 1)
