Challenge callers for the proof that a request is younger than a loss

Cause: after two lost memories, and in a new service, a home told every request of the next 5 s 'unknown', since only its age and the longest way of a packet bounded when it began. Now the home asks for a copy that carries its challenge: the copy was made after the challenge was issued, and the request began `age` before it. The bound holds for late, doubled and crossed copies alike. Former homes in a zone that is out and never seen by a new home are asked too, and a silent one dates the loss to the end of the wait, as the 5 s no longer cover it.

--- a/fulmarshore/admission/bounds.py
+++ b/fulmarshore/admission/bounds.py
@@ -8,6 +8,9 @@
 COPY_LIFE_S = 5.0
 """A copy of a request that was sent this long ago is in no network or queue."""
 
+MAX_CLOCK_DRIFT = 1e-3
+"""Share by which the clock of a caller may be slower than that of an agent."""
+
 CLAIM_MARGIN_S = 25.0
 """How much longer than needed a claim is kept."""
 
--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -23,6 +23,7 @@
 from fulmarshore.admission.messages import (
     make_answer,
     make_backup,
+    make_challenge,
     make_packet,
     make_run,
 )
@@ -30,6 +31,8 @@
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
+    Answer,
+    Challenge,
     ClaimBackupReply,
     Effect,
     Identity,
@@ -120,6 +123,13 @@
         """Make the claim of a request that is new to this home."""
         if self.ledger.is_full(request.caller):
             return self._drop(Reason.LEDGER_FULL)
+        bucket = find_bucket(flow)
+        admitted = request.idempotent or self.settlement.admits(bucket, request, now)
+        challenge = (
+            None if admitted else self.settlement.challenge(bucket, request, now)
+        )
+        if challenge is not None:
+            return self._challenge(flow, request, source, entry, challenge)
         state = ClaimState(flow, request.caller, request.number, self.identity)
         state.request = request
         state.idempotent = request.idempotent
@@ -130,14 +140,13 @@
         crowded = self.ledger.is_crowded(request.caller)
         self.ledger.add(state, barred=crowded)
         self.counters["claims_made"] += 1
+        if not admitted:
+            # A former home may have run it: not even a refusal would be true.
+            return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
         if request.cancel:
             return self.refuse(state, Reason.CANCELLED, now)
         if crowded:
             return self.refuse(state, Reason.LEDGER_FULL, now)
-        bucket = find_bucket(flow)
-        age = request.age
-        if not state.idempotent and not self.settlement.admits(bucket, age, now):
-            return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
         self.budget.earn()
         return self._write(state, Stage.WRITING, now)
 
@@ -178,9 +187,18 @@
             self.counters["told_again"] += 1
             return self.respond(state)
         assert state.verdict != Verdict.ANSWERED
+        is_newest = self._is_newest(state, request, now)
+        bucket = find_bucket(state.flow)
+        challenge = (
+            None if is_newest else self.settlement.challenge(bucket, request, now)
+        )
+        if challenge is not None:
+            return self._challenge(
+                state.flow, request, state.source, state.entry, challenge
+            )
         state.attempt = request.attempt
         state.verdict, state.reason, state.body = None, "", b""
-        if not self._is_newest(state, request, now):
+        if not is_newest:
             return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
         state.coordinator = self.identity
         state.executor = None
@@ -198,7 +216,7 @@
         bucket = find_bucket(state.flow)
         if state.idempotent or state.term == self.settlement.terms.get(bucket):
             return True
-        return self.settlement.admits(bucket, request.age, now)
+        return self.settlement.admits(bucket, request, now)
 
     def _cancel(self, state: ClaimState, now: float) -> list[Effect]:
         state.cancelled = True
@@ -500,14 +518,35 @@
     def respond(self, state: ClaimState) -> list[Effect]:
         """Send the outcome to where the newest copy came from."""
         assert state.stage == Stage.DONE and state.verdict is not None
-        entry = self.table.entries.get(state.entry)
+        if state.source is None:
+            return []
+        answer = make_answer(self.member, self.table.version, state)
+        return self._send_answer(answer, state.entry)
+
+    def _send_answer(self, answer: Answer, name: str) -> list[Effect]:
+        """Send through the entry host of that name, or any if it is gone."""
+        entry = self.table.entries.get(name)
         if entry is None:
             entry = next(iter(self.table.entries.values()), None)
-        if state.source is None or entry is None:
+        if entry is None:
             return []
-        answer = make_answer(self.member, self.table.version, state)
         return [SendPeer(Address(entry.host, entry.port), answer)]
 
+    def _challenge(
+        self,
+        flow: bytes,
+        request: Request,
+        source: Address,
+        entry: str,
+        challenge: Challenge,
+    ) -> list[Effect]:
+        """Ask the caller for a copy that shows when its request began."""
+        self.counters["challenges"] += 1
+        answer = make_challenge(
+            self.member, self.table.version, flow, request, source, challenge
+        )
+        return self._send_answer(answer, entry)
+
     # -- claims of others --------------------------------------------------
 
     def hear_later(self, reply: RunReply) -> None:
--- a/fulmarshore/admission/messages.py
+++ b/fulmarshore/admission/messages.py
@@ -7,15 +7,19 @@
 from fulmarshore.admission.ledger import ClaimState
 from fulmarshore.core.codec import encode
 from fulmarshore.core.records import (
+    Address,
     Answer,
+    Challenge,
     ClaimBackup,
     Forward,
     Identity,
     Member,
     Phase,
+    Reason,
     Request,
     Response,
     RunRequest,
+    Verdict,
 )
 
 
@@ -78,6 +82,36 @@
     )
 
 
+def make_challenge(
+    member: Member,
+    version: int,
+    flow: bytes,
+    request: Request,
+    source: Address,
+    challenge: Challenge,
+) -> Answer:
+    """Return a challenge on its way to the caller of a request."""
+    response = Response(
+        member.service,
+        request.caller,
+        request.number,
+        request.attempt,
+        Verdict.UNKNOWN,
+        Reason.NOT_SETTLED,
+        b"",
+        challenge,
+    )
+    return Answer(
+        member.service,
+        member.name,
+        member.incarnation,
+        version,
+        flow,
+        *source,
+        encode(response),
+    )
+
+
 def make_packet(
     member: Member, version: int, state: ClaimState, home: Identity, now: float
 ) -> Forward | None:
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -239,11 +239,13 @@
         )
         return [SendPeer(source, reply)]
 
-    def _list_announced(self) -> set[Identity]:
-        found = set()
+    def _list_announced(self) -> dict[Identity, Address]:
+        found = {}
         for stamped in self.subscriber.view.items.values():
-            if isinstance(stamped.item, Member):
-                found.add(Identity(stamped.item.name, stamped.item.incarnation))
+            item = stamped.item
+            if not isinstance(item, Member) or item.service != self.member.service:
+                continue
+            found[Identity(item.name, item.incarnation)] = Address(item.host, item.port)
         return found
 
     def _check_lease(self, now: float) -> None:
@@ -367,7 +369,9 @@
         if request.timeout == 0:
             profile = self.executor.profile
             request = replace(request, timeout=min(profile.deadline, MAX_TIMEOUT_S))
-        if not 0 < request.timeout <= MAX_TIMEOUT_S or not request.age >= 0:
+        if not 0 < request.timeout <= MAX_TIMEOUT_S:
+            return None
+        if not 0 <= request.age <= MAX_TIMEOUT_S:
             return None
         return request
 
--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -3,15 +3,17 @@
 A new home asks every member once. If the last home answers, its claims are
 all there are. If it is lost, each of its claims is held by one peer, so no
 claim is lost unless one more memory is. Then only requests that are provably
-younger than the loss are admitted until the life of a claim is over.
+younger than the loss are admitted until the life of a claim is over; the home
+challenges their callers for the proof.
 """
 
 from __future__ import annotations
 
-from fulmarshore.admission.bounds import COPY_LIFE_S, MAX_TIMEOUT_S
+from fulmarshore.admission.bounds import COPY_LIFE_S, MAX_CLOCK_DRIFT, MAX_TIMEOUT_S
 from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
 from fulmarshore.core.records import (
     Address,
+    Challenge,
     ClaimsQuery,
     ClaimsReply,
     Effect,
@@ -19,6 +21,7 @@
     KnownHome,
     Lost,
     Member,
+    Request,
     SendPeer,
 )
 from fulmarshore.routing.table import ServiceTable
@@ -117,7 +120,7 @@
         self._former: dict[Identity, tuple[Address, float]] = {}
         self._lost: dict[Identity, float] = {}
         self._guarded: dict[int, float] = {}
-        self._announced: set[Identity] = set()
+        self._announced: dict[Identity, Address] = {}
         self._bequests: dict[Identity, set[int]] = {}
         self._since: float | None = None
         self._queries = first_query
@@ -126,16 +129,16 @@
         self,
         service: ServiceTable,
         version: int,
-        announced: set[Identity],
+        announced: dict[Identity, Address],
         now: float,
     ) -> None:
         """Take a new table of the service.
 
         Parameters
         ----------
-        announced : set of Identity
-            Members of the view, also those in a zone that is out: they may
-            go on until they hear of it.
+        announced : dict of Identity to Address
+            Agents of the service in the view, also those in a zone that is
+            out: they may go on until they hear of it.
         """
         if self._since is None:
             self._since = now
@@ -148,6 +151,7 @@
             for member in service.members
         }
         self._note_vanished(members, now)
+        self._note_outsiders(members, announced, now)
         self._members = members
         self.homes = self._find_homes(service)
         self.settled &= self.homes
@@ -188,6 +192,22 @@
             if identity in members or now - gone_at > NEEDED_S:
                 del self._lost[identity]
 
+    def _note_outsiders(
+        self,
+        members: dict[Identity, Address],
+        announced: dict[Identity, Address],
+        now: float,
+    ) -> None:
+        """Count agents that this one never saw as members among the former ones.
+
+        A view in which they were members may still be in force with them.
+        """
+        for identity, address in announced.items():
+            known = identity in members or identity in self._announced
+            if known or identity == self.identity:
+                continue
+            self._former.setdefault(identity, (address, now))
+
     def _ask(self, now: float) -> None:
         unsettled = self.homes - self.settled
         if not unsettled:
@@ -219,14 +239,8 @@
         """Return whether this agent is the home of a bucket."""
         return self.find_home(bucket) == self.identity
 
-    def admits(self, bucket: int, age: float, now: float) -> bool:
-        """Return whether a request without a known claim can't have run.
-
-        Parameters
-        ----------
-        age : float
-            Time since its first copy was sent, in seconds, when this copy was.
-        """
+    def admits(self, bucket: int, request: Request, now: float) -> bool:
+        """Return whether a request without a known claim can't have run."""
         assert bucket in self.settled
         lost_at = self._guarded.get(bucket)
         if lost_at is None:
@@ -234,7 +248,32 @@
         if now - lost_at > NEEDED_S:
             del self._guarded[bucket]
             return True
-        return now - max(age, 0.0) - COPY_LIFE_S > lost_at
+        return self._bound_beginning(request, now) > lost_at
+
+    def _bound_beginning(self, request: Request, now: float) -> float:
+        """Return a time before which no copy of a request was sent.
+
+        The caller got the challenge before it made this copy, and it had begun
+        ``age`` before that. However long this copy was under way, and however
+        often it arrives, the bound is the same.
+        """
+        challenge = request.challenge
+        if challenge is None or not self._has_issued(challenge, now):
+            return float("-inf")
+        bound = challenge.issued - request.age * (1.0 + MAX_CLOCK_DRIFT)
+        assert bound <= now - request.age, "a challenge is older than its copy"
+        return bound
+
+    def _has_issued(self, challenge: Challenge, now: float) -> bool:
+        issuer = Identity(challenge.agent, challenge.incarnation)
+        return issuer == self.identity and challenge.issued <= now
+
+    def challenge(self, bucket: int, request: Request, now: float) -> Challenge | None:
+        """Return a challenge, unless the request is surely older than the loss."""
+        lost_at = self._guarded.get(bucket, float("inf"))
+        if now - request.age <= lost_at:
+            return None
+        return Challenge(self.identity.name, self.identity.incarnation, now)
 
     def tick(self, version: int, service: str, now: float) -> list[Effect]:
         """Ask those that have not answered yet."""
@@ -304,7 +343,9 @@
             guard = guards.get(bucket, float("inf"))
             if guard < 0.0 or (guard == float("inf") and is_survived):
                 continue
-            lost_at = current.began if guard == float("inf") else now - guard
+            # A former home that did not answer may have gone on until now.
+            ended = now if current.missing else current.began
+            lost_at = ended if guard == float("inf") else now - guard
             self._guarded[bucket] = lost_at
         for bucket in current.buckets & self.homes:
             self.settled.add(bucket)
--- a/fulmarshore/callers/requests.py
+++ b/fulmarshore/callers/requests.py
@@ -7,7 +7,7 @@
 
 from fulmarshore.admission.bounds import MAX_ATTEMPTS, MAX_TIMEOUT_S
 from fulmarshore.core.codec import decode_request, encode
-from fulmarshore.core.records import Reason, Request, Response, Verdict
+from fulmarshore.core.records import Challenge, Reason, Request, Response, Verdict
 
 FIRST_RESEND_S = 0.25
 MAX_RESEND_S = 2.0
@@ -56,6 +56,7 @@
         "resend_at",
         "interval",
         "reason",
+        "challenge",
     )
 
     def __init__(self, request: Request, now: float) -> None:
@@ -66,6 +67,16 @@
         self.interval = FIRST_RESEND_S
         self.resend_at = now + FIRST_RESEND_S
         self.reason = Reason.EXPIRED
+        self.challenge: Challenge | None = None
+
+    def take_challenge(self, challenge: Challenge, now: float) -> None:
+        """Send the next copy with a challenge, at once for the first of a home."""
+        known = self.challenge
+        issuer = (challenge.agent, challenge.incarnation)
+        if known is None or issuer != (known.agent, known.incarnation):
+            self.resend_at = now
+        self.challenge = challenge
+        self.reason = Reason.NOT_SETTLED
 
 
 class CallerCore:
@@ -131,12 +142,14 @@
         pending = self.pending.get(response.number)
         if pending is None:
             return None
-        outcome = self._judge(pending, response)
+        outcome = self._judge(pending, response, now)
         if outcome is not None:
             del self.pending[response.number]
         return outcome
 
-    def _judge(self, pending: Pending, response: Response) -> Outcome | None:
+    def _judge(
+        self, pending: Pending, response: Response, now: float
+    ) -> Outcome | None:
         number = response.number
         if response.verdict == Verdict.ANSWERED:
             held = response.reason != Reason.BODY_NOT_HELD
@@ -146,6 +159,9 @@
             return None
         if response.verdict == Verdict.NOT_RUN:
             return NotRun(number, response.reason)
+        if response.challenge is not None:
+            pending.take_challenge(response.challenge, now)
+            return None
         if response.reason == Reason.NO_UPSTREAM:
             pending.reason = Reason.NO_UPSTREAM
             return None
@@ -184,5 +200,6 @@
                 request.cancel,
                 request.body,
                 now - pending.began,
+                pending.challenge,
             )
         )
--- a/fulmarshore/callers/requests_test.py
+++ b/fulmarshore/callers/requests_test.py
@@ -11,7 +11,7 @@
     Unknown,
 )
 from fulmarshore.core.codec import decode_request, encode
-from fulmarshore.core.records import Reason, Response, Verdict
+from fulmarshore.core.records import Challenge, Reason, Response, Verdict
 
 ANSWER = Response("s", "c", 1, 0, Verdict.ANSWERED, "", b"done")
 
@@ -47,6 +47,43 @@
                     self.assertEqual(len(self.resend(1.0 + step)), 1)
                 self.assertEqual(self.caller.take(encode(response), 3.0), wanted)
 
+    def test_a_challenge_is_sent_back_at_once_and_is_no_outcome(self):
+        one, two = Challenge("a", 1, 7.0), Challenge("a", 1, 8.0)
+        other = Challenge("b", 1, 9.0)
+        table = [
+            ("the first", [(0, one)], [(1, one)]),
+            ("the same again", [(0, one), (1, two)], [(1, one)]),
+            ("of another home", [(0, one), (1, other)], [(1, one), (2, other)]),
+            ("to an earlier attempt", [(0, one), (0, other)], [(1, one)]),
+        ]
+        for name, challenges, wanted in table:
+            with self.subTest(name):
+                self.setUp()
+                copies = []
+                for attempt, challenge in challenges:
+                    frame = encode(self.make_challenge(attempt, challenge))
+                    self.assertIsNone(self.caller.take(frame, 0.1))
+                    copies += self.resend(0.1)
+                sent = [(copy.attempt, copy.challenge) for copy in copies]
+                self.assertEqual(sent, wanted)
+                self.assertAlmostEqual(copies[0].age, 0.1)
+
+    def test_a_challenge_that_was_answered_in_vain_is_told_at_the_end(self):
+        frame = encode(self.make_challenge(0, Challenge("a", 1, 7.0)))
+        self.caller.take(frame, 0.1)
+        _, outcomes = self.caller.tick(4.0 + OUTCOME_GRACE_S)
+        self.assertEqual(outcomes, [Unknown(1, Reason.NOT_SETTLED)])
+
+    def make_challenge(self, attempt, challenge):
+        return replace(
+            ANSWER,
+            attempt=attempt,
+            verdict=Verdict.UNKNOWN,
+            reason=Reason.NOT_SETTLED,
+            body=b"",
+            challenge=challenge,
+        )
+
     def test_a_body_that_is_not_held_is_told(self):
         response = replace(ANSWER, reason=Reason.BODY_NOT_HELD, body=b"")
         self.assertEqual(
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -585,6 +585,22 @@
 # --------------------------------------------------------------------------
 
 
+class Challenge(Record, frozen=True):
+    """What a home asks a caller to send back, to see when a request began.
+
+    Parameters
+    ----------
+    agent, incarnation : str, int
+        The home.
+    issued : float
+        When it was issued, in seconds of the home's own clock.
+    """
+
+    agent: str
+    incarnation: int
+    issued: float
+
+
 class Request(Record, frozen=True):
     """A caller's request as it travels to the upstream.
 
@@ -606,6 +622,9 @@
         The work itself.
     age : float
         Time since the first copy of the request was sent, in seconds.
+    challenge : Challenge, optional
+        The last one that the caller got for this request before it made
+        this copy.
     """
 
     service: str
@@ -617,6 +636,7 @@
     cancel: bool
     body: bytes
     age: float = 0.0
+    challenge: Challenge | None = None
 
 
 class Verdict(enum.StrEnum):
@@ -630,7 +650,8 @@
 class Response(Record, frozen=True):
     """The outcome of a request, as the caller or an agent receives it.
 
-    From an upstream, ``NOT_RUN`` means that it shed the request unrun.
+    From an upstream, ``NOT_RUN`` means that it shed the request unrun. With
+    a challenge the outcome is open, and the caller resends with it.
     """
 
     service: str
@@ -640,6 +661,7 @@
     verdict: Verdict
     reason: str
     body: bytes
+    challenge: Challenge | None = None
 
 
 RequestMessage = Union[Request, Response]
