Tell an unknown outcome for the newest attempt

Cause: copies that wait until a bucket is settled are taken one after the other; the first made the claim, and its unknown outcome was told to the later copies with the first attempt, which the caller rightly passes over. It heard 'expired' at its deadline instead of 'not_settled' at once. No copy of non-idempotent work runs after an unknown outcome, so it covers all attempts.

--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -184,6 +184,9 @@
             state.idempotent and state.verdict == Verdict.UNKNOWN
         )
         if not again or not may_run:
+            if state.verdict == Verdict.UNKNOWN:
+                # No later copy runs, so the word covers this one too.
+                state.attempt = max(state.attempt, request.attempt)
             self.counters["told_again"] += 1
             return self.respond(state)
         assert state.verdict != Verdict.ANSWERED
--- a/fulmarshore/admission/requests_test.py
+++ b/fulmarshore/admission/requests_test.py
@@ -322,6 +322,17 @@
         self.assertEqual(self.list_messages(effects), [ClaimBackup, Forward])
         self.assertEqual((state.verdict, state.attempt), (Verdict.NOT_RUN, -1))
 
+    def test_an_unknown_outcome_covers_later_attempts(self):
+        # Copies that waited are taken at once; the caller is at the last one.
+        self.request = replace(self.request, challenge=None, age=self.now)
+        state = self.open()
+        self.assertEqual(state.verdict, Verdict.UNKNOWN)
+        copy = replace(self.request, attempt=3)
+        source = self.caller.address
+        effects = self.home.take_copy(state, copy, source, "entry0", self.now)
+        response = decode_request(effects[0].message.payload, "")
+        self.assertEqual((response.verdict, response.attempt), (Verdict.UNKNOWN, 3))
+
     def test_without_a_lease_every_member_must_agree(self):
         self.home.has_lease = False
         state = self.open()
