--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -18,27 +18,26 @@
     MAX_RUNS_PER_ATTEMPT,
 )
 from fulmarshore.admission.budget import RetryBudget
+from fulmarshore.admission.holders import choose_holders, is_member
 from fulmarshore.admission.ledger import ClaimState, Ledger, Stage
 from fulmarshore.admission.loads import Loads
 from fulmarshore.admission.messages import (
     make_answer,
     make_backup,
-    make_challenge,
     make_packet,
     make_run,
 )
+from fulmarshore.admission.retries import RETRY_JITTER_S, may_retry
 from fulmarshore.admission.settlement import Settlement
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
     Answer,
-    Challenge,
     ClaimBackupReply,
     Effect,
     Identity,
     Member,
     Reason,
-    Request,
     RunReply,
     SendPeer,
     SlotReport,
@@ -53,8 +52,6 @@
 """Wait for the last word of an executor that left the table."""
 OVERDUE_S = 2.0
 """Time after the deadline at which an outcome that nobody tells is unknown."""
-RETRY_JITTER_S = 0.02
-MAX_RETRIES = 2
 MAX_OUTCOME_WRITES = 6
 """Tries to show an outcome that was told already."""
 
@@ -64,19 +61,6 @@
 """Attempt of a claim that was handed back: each copy may still run."""
 NUMBER_BITS = 48
 
-RETRYABLE = frozenset(
-    {
-        Reason.BARRED,
-        Reason.DRAINING,
-        Reason.FULL,
-        Reason.SHED,
-        Reason.STOPPING,
-        Reason.ZONE_OUT,
-    }
-)
-UNCHARGED = frozenset({Reason.ZONE_OUT, Reason.DRAINING, Reason.BARRED})
-"""Refusals that tell nothing about load: a retry costs no budget."""
-
 
 class Coordinator:
     """Brings each claim of its buckets from the first copy to its outcome.
@@ -107,7 +91,7 @@
         self._random = random
         self._due: list[tuple[float, bytes]] = []
         self._large: list[tuple[float, bytes]] = []
-        self._heard: list[RunReply] = []
+        self.heard: list[RunReply] = []
         self._sequence = random.getrandbits(NUMBER_BITS)
 
     @property
@@ -115,123 +99,14 @@
         """The table of the agent's service."""
         return self.table.services.get(self.member.service)
 
-    # -- copies of requests ------------------------------------------------
-
-    def open(
-        self, flow: bytes, request: Request, source: Address, entry: str, now: float
-    ) -> list[Effect]:
-        """Make the claim of a request that is new to this home."""
-        if self.ledger.is_full(request.caller):
-            return self._drop(Reason.LEDGER_FULL)
-        bucket = find_bucket(flow)
-        admitted = request.idempotent or self.settlement.admits(bucket, request, now)
-        challenge = (
-            None if admitted else self.settlement.challenge(bucket, request, now)
-        )
-        if challenge is not None:
-            return self._challenge(flow, request, source, entry, challenge)
-        state = ClaimState(flow, request.caller, request.number, self.identity)
-        state.request = request
-        state.idempotent = request.idempotent
-        state.attempt = request.attempt
-        state.source, state.entry = source, entry
-        state.deadline = now + request.timeout
-        state.extend(request.timeout, now)
-        crowded = self.ledger.is_crowded(request.caller)
-        self.ledger.add(state, barred=crowded)
-        self.counters["claims_made"] += 1
-        if not admitted:
-            # A former home may have run it: not even a refusal would be true.
-            return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
-        if request.cancel:
-            return self.refuse(state, Reason.CANCELLED, now)
-        if crowded:
-            return self.refuse(state, Reason.LEDGER_FULL, now)
-        self.budget.earn()
-        return self._write(state, Stage.WRITING, now)
-
-    def take_copy(
-        self,
-        state: ClaimState,
-        request: Request,
-        source: Address,
-        entry: str,
-        now: float,
-    ) -> list[Effect]:
-        """Take another copy of a request whose claim is known."""
-        if request.attempt >= state.attempt or state.source is None:
-            state.source, state.entry = source, entry
-        state.extend(request.timeout, now)
-        newer = request.attempt > state.attempt
-        if state.stage == Stage.DONE:
-            return self._take_late_copy(state, request, now)
-        state.attempt = max(state.attempt, request.attempt)
-        if state.stage == Stage.ELSEWHERE:
-            self.schedule(state, now + POLL_INTERVAL_S)
-            return []
-        if request.cancel:
-            return self._cancel(state, now)
-        if newer and state.stage == Stage.REFUSING:
-            return self._write(state, Stage.REFUSING, now)
-        return []
-
-    def _take_late_copy(
-        self, state: ClaimState, request: Request, now: float
-    ) -> list[Effect]:
-        """Tell a stored outcome, or run again what is certain not to have run."""
-        again = request.attempt > state.attempt
-        may_run = state.verdict == Verdict.NOT_RUN or (
-            state.idempotent and state.verdict == Verdict.UNKNOWN
-        )
-        if not again or not may_run:
-            if state.verdict == Verdict.UNKNOWN:
-                # No later copy runs, so the word covers this one too.
-                state.attempt = max(state.attempt, request.attempt)
-            self.counters["told_again"] += 1
-            return self.respond(state)
-        assert state.verdict != Verdict.ANSWERED
-        is_newest = self._is_newest(state, request, now)
-        bucket = find_bucket(state.flow)
-        challenge = (
-            None if is_newest else self.settlement.challenge(bucket, request, now)
-        )
-        if challenge is not None:
-            return self._challenge(
-                state.flow, request, state.source, state.entry, challenge
-            )
-        state.attempt = request.attempt
-        state.verdict, state.reason, state.body = None, "", b""
-        if not is_newest:
-            return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
-        state.coordinator = self.identity
-        state.executor = None
-        state.cancelled = False
-        state.tries = 0
-        state.request = request
-        state.deadline = now + request.timeout
-        if request.cancel:
-            return self.refuse(state, Reason.CANCELLED, now)
-        self.counters["claims_reopened"] += 1
-        return self._write(state, Stage.WRITING, now)
-
-    def _is_newest(self, state: ClaimState, request: Request, now: float) -> bool:
-        """Return whether no newer state of the claim can have been lost."""
-        bucket = find_bucket(state.flow)
-        if state.idempotent or state.term == self.settlement.terms.get(bucket):
-            return True
-        return self.settlement.admits(bucket, request, now)
-
-    def _cancel(self, state: ClaimState, now: float) -> list[Effect]:
-        state.cancelled = True
-        if state.stage in (Stage.WRITING, Stage.WAITING):
-            return self.refuse(state, Reason.CANCELLED, now)
-        if state.stage == Stage.REFUSING:
-            return self._write(state, Stage.REFUSING, now)
-        return self._send_run(state, now)
+    def follow(self, table: Table) -> None:
+        """Take a newer table."""
+        self.table = table
+        self.budget.share = self.service.profile.retry_budget if self.service else 0.0
 
     # -- writing to a peer -------------------------------------------------
 
-    def _write(self, state: ClaimState, stage: Stage, now: float) -> list[Effect]:
+    def write(self, state: ClaimState, stage: Stage, now: float) -> list[Effect]:
         """Show a claim to a peer; what follows waits for the peer's word."""
         state.stage = stage
         self._stamp(state)
@@ -256,7 +131,7 @@
         is_home = self.settlement.is_home(find_bucket(state.flow))
         if state.stage == Stage.WRITING and not is_home:
             return self._hand_back(state, now)
-        peers = self._choose_peers(state)
+        peers = choose_holders(self, state)
         if not peers and not self.has_lease:
             self.schedule(state, now + WRITE_INTERVAL_S)
             return []
@@ -272,26 +147,6 @@
                 effects.append(self._show(state, peer, now))
         return effects
 
-    def _choose_peers(self, state: ClaimState) -> list[Member]:
-        """Return the peers that must hold the claim before it is acted on.
-
-        Without a lease another agent may have become the home unseen: then
-        every member must agree, as one of them would know.
-        """
-        service = self.service
-        if service is None:
-            return []
-        home = self.settlement.find_home(find_bucket(state.flow))
-        if home is not None and home != self.identity:
-            member = service.by_name.get(home.name)
-            if member is not None and member.incarnation == home.incarnation:
-                return [member]
-        others = [m for m in service.members if m.name != self.member.name]
-        backup = self.backups.find(find_bucket(state.flow))
-        if not self.has_lease or backup is None or not self._is_member(backup):
-            return others
-        return [service.by_name[backup.name]]
-
     def _show(self, state: ClaimState, peer: Member, now: float) -> SendPeer:
         message = make_backup(self.member, self.table.version, state, now)
         return SendPeer(Address(peer.host, peer.port), message)
@@ -338,7 +193,7 @@
             return self._hand_back(state, now)
         return self.hand_over(state, now)
 
-    def _may_hand_over(self, state: ClaimState) -> bool:
+    def may_hand_over(self, state: ClaimState) -> bool:
         """Return whether this agent was home all the time since the write."""
         bucket = find_bucket(state.flow)
         if state.idempotent:
@@ -395,9 +250,10 @@
         state.polls = 0
         state.heard = False
         self._loads.expect(executor)
-        return self._send_run(state, now)
+        return self.send_run(state, now)
 
-    def _send_run(self, state: ClaimState, now: float) -> list[Effect]:
+    def send_run(self, state: ClaimState, now: float) -> list[Effect]:
+        """Send a hand-over, or ask about it, until the executor's word is there."""
         interval = min(POLL_INTERVAL_S * 2**state.polls, MAX_POLL_INTERVAL_S)
         state.polls = min(state.polls + 1, 8)
         self.schedule(state, now + interval)
@@ -408,66 +264,8 @@
         """Take what an executor says about its load."""
         self._loads.take(report)
 
-    def take_run_reply(self, reply: RunReply, now: float) -> list[Effect]:
-        """Take what an executor says about a hand-over."""
-        self.take_load(
-            SlotReport(
-                reply.service,
-                reply.agent,
-                reply.incarnation,
-                reply.version,
-                reply.used,
-                reply.limit,
-            )
-        )
-        state = self.ledger.find(reply.flow)
-        executor = Identity(reply.agent, reply.incarnation)
-        if state is None or state.executor != executor or state.run != reply.run:
-            return []
-        state.heard = True
-        if reply.verdict is None:
-            return []
-        if state.stage == Stage.DONE:
-            return self._correct(state, reply, now)
-        if state.stage != Stage.RUNNING:
-            return []
-        match reply.verdict:
-            case Verdict.ANSWERED:
-                verdict = Verdict.ANSWERED
-                return self.finish(state, verdict, reply.reason, reply.body, now)
-            case Verdict.NOT_RUN:
-                return self._take_refusal(state, reply.reason, now)
-        if state.idempotent and self._may_retry(state, reply.reason, now):
-            return self._retry(state, now)
-        return self.finish(state, Verdict.UNKNOWN, reply.reason, b"", now)
-
-    def _correct(self, state: ClaimState, reply: RunReply, now: float) -> list[Effect]:
-        """Replace an unknown outcome by an answer that comes late."""
-        if state.verdict != Verdict.UNKNOWN or reply.verdict != Verdict.ANSWERED:
-            return []
-        self.counters["answers_late"] += 1
-        return self.finish(state, Verdict.ANSWERED, reply.reason, reply.body, now)
-
-    def _take_refusal(self, state: ClaimState, reason: str, now: float) -> list[Effect]:
-        if reason == Reason.BARRED and not self._may_hand_over(state):
-            state.stage = Stage.WAITING
-            self.schedule(state, now + WRITE_INTERVAL_S)
-            return []
-        if reason in RETRYABLE and self._may_retry(state, reason, now):
-            return self._retry(state, now)
-        return self.refuse(state, reason, now)
-
-    def _may_retry(self, state: ClaimState, reason: str, now: float) -> bool:
-        if state.cancelled or state.tries >= MAX_RETRIES or state.request is None:
-            return False
-        if now + RETRY_JITTER_S >= state.deadline:
-            return False
-        service = self.service
-        if service is None or len(service.accepting) < 2:
-            return False
-        return reason in UNCHARGED or self.budget.spend()
-
-    def _retry(self, state: ClaimState, now: float) -> list[Effect]:
+    def retry(self, state: ClaimState, now: float) -> list[Effect]:
+        """Let a claim wait for its next hand-over."""
         state.tries += 1
         state.stage = Stage.WAITING
         self.counters["retries"] += 1
@@ -480,7 +278,7 @@
         """Say 'not run' once a peer holds the tombstone."""
         assert state.verdict in (None, Verdict.NOT_RUN)
         state.verdict, state.reason, state.body = Verdict.NOT_RUN, reason, b""
-        return self._write(state, Stage.REFUSING, now)
+        return self.write(state, Stage.REFUSING, now)
 
     def finish(
         self, state: ClaimState, verdict: Verdict, reason: str, body: bytes, now: float
@@ -501,7 +299,7 @@
         if state.writes >= MAX_OUTCOME_WRITES:
             return []
         effects: list[Effect] = []
-        for peer in self._choose_peers(state)[:1]:
+        for peer in choose_holders(self, state)[:1]:
             state.needed = {Identity(peer.name, peer.incarnation)}
             effects.append(self._show(state, peer, now))
         state.writes += 1
@@ -524,9 +322,9 @@
         if state.source is None:
             return []
         answer = make_answer(self.member, self.table.version, state)
-        return self._send_answer(answer, state.entry)
+        return self.send_answer(answer, state.entry)
 
-    def _send_answer(self, answer: Answer, name: str) -> list[Effect]:
+    def send_answer(self, answer: Answer, name: str) -> list[Effect]:
         """Send through the entry host of that name, or any if it is gone."""
         entry = self.table.entries.get(name)
         if entry is None:
@@ -535,27 +333,8 @@
             return []
         return [SendPeer(Address(entry.host, entry.port), answer)]
 
-    def _challenge(
-        self,
-        flow: bytes,
-        request: Request,
-        source: Address,
-        entry: str,
-        challenge: Challenge,
-    ) -> list[Effect]:
-        """Ask the caller for a copy that shows when its request began."""
-        self.counters["challenges"] += 1
-        answer = make_challenge(
-            self.member, self.table.version, flow, request, source, challenge
-        )
-        return self._send_answer(answer, entry)
-
     # -- claims of others --------------------------------------------------
 
-    def hear_later(self, reply: RunReply) -> None:
-        """Keep an executor's last word for the next tick."""
-        self._heard.append(reply)
-
     def resume(self, buckets: set[int], now: float) -> None:
         """Look after the open claims of buckets that were settled just now."""
         for state in self.ledger.claims.values():
@@ -581,10 +360,6 @@
     def tick(self, now: float) -> list[Effect]:
         """Bring on every claim that is due."""
         effects: list[Effect] = []
-        self.budget.share = self.service.profile.retry_budget if self.service else 0.0
-        heard, self._heard = self._heard, []
-        for reply in heard:
-            effects += self.take_run_reply(reply, now)
         while self._due and self._due[0][0] <= now:
             at, flow = heapq.heappop(self._due)
             state = self.ledger.find(flow)
@@ -603,10 +378,10 @@
         match state.stage:
             case Stage.WRITING | Stage.WAITING if now >= state.deadline:
                 return self.refuse(state, Reason.EXPIRED, now)
-            case Stage.WAITING if self._may_hand_over(state):
+            case Stage.WAITING if self.may_hand_over(state):
                 return self.hand_over(state, now)
             case Stage.WAITING if self.settlement.is_home(find_bucket(state.flow)):
-                return self._write(state, Stage.WRITING, now)
+                return self.write(state, Stage.WRITING, now)
             case Stage.WAITING:
                 return self._hand_back(state, now)
             case Stage.REFUSING if now >= state.deadline + OVERDUE_S:
@@ -626,26 +401,19 @@
         state.verdict = None
         return self.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
 
-    def _is_member(self, identity: Identity | None) -> bool:
-        service = self.service
-        if service is None or identity is None:
-            return False
-        member = service.by_name.get(identity.name)
-        return member is not None and member.incarnation == identity.incarnation
-
     def _poll(self, state: ClaimState, now: float) -> list[Effect]:
-        gone = not self._is_member(state.executor)
+        gone = not is_member(self.service, state.executor)
         if gone and state.gone_at == 0.0:
             state.gone_at = now
         if state.polls > POLLS_UNTIL_SILENT and not state.heard:
             self._loads.note_silence(state.executor.name, now)
         waited = gone and now - state.gone_at >= GRACE_S
         if not waited and now < state.deadline + OVERDUE_S:
-            return self._send_run(state, now)
+            return self.send_run(state, now)
         state.gone_at = 0.0
         reason = Reason.UPSTREAM_GONE if gone else Reason.EXPIRED
-        if state.idempotent and self._may_retry(state, reason, now):
-            return self._retry(state, now)
+        if state.idempotent and may_retry(self, state, reason, now):
+            return self.retry(state, now)
         return self.finish(state, Verdict.UNKNOWN, reason, b"", now)
 
     def _follow_elsewhere(self, state: ClaimState, now: float) -> list[Effect]:
@@ -655,7 +423,7 @@
         if find_bucket(state.flow) not in self.settlement.settled:
             self.schedule(state, now + GRACE_S)
             return []
-        there = self._is_member(state.coordinator)
+        there = is_member(self.service, state.coordinator)
         if there and state.coordinator != self.identity:
             self.schedule(state, now + GRACE_S)
             if now < state.deadline + OVERDUE_S:
@@ -669,13 +437,14 @@
         member = None
         if service is not None and state.executor is not None:
             member = service.by_name.get(state.executor.name)
-        if member is None or not self._is_member(state.executor):
+        if member is None or not is_member(self.service, state.executor):
             return self.finish(state, Verdict.UNKNOWN, Reason.UPSTREAM_GONE, b"", now)
         state.executor_address = Address(member.host, member.port)
         state.stage = Stage.RUNNING
         state.polls = 0
-        return self._send_run(state, now)
+        return self.send_run(state, now)
 
-    def _drop(self, reason: Reason) -> list[Effect]:
+    def drop(self, reason: Reason) -> list[Effect]:
+        """Count a copy that gets no answer."""
         self.counters[f"dropped_{reason}"] += 1
         return []
--- /dev/null
+++ b/fulmarshore/admission/copies.py
@@ -0,0 +1,152 @@
+"""What a home does with each copy of a request: claim it, tell it, give it up."""
+
+from __future__ import annotations
+
+from fulmarshore.admission.coordinator import POLL_INTERVAL_S, Coordinator
+from fulmarshore.admission.ledger import ClaimState, Stage
+from fulmarshore.admission.messages import make_challenge
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Address,
+    Challenge,
+    Effect,
+    Reason,
+    Request,
+    Verdict,
+)
+
+
+def open_claim(
+    home: Coordinator,
+    flow: bytes,
+    request: Request,
+    source: Address,
+    entry: str,
+    now: float,
+) -> list[Effect]:
+    """Make the claim of a request that is new to this home."""
+    if home.ledger.is_full(request.caller):
+        return home.drop(Reason.LEDGER_FULL)
+    bucket = find_bucket(flow)
+    admitted = request.idempotent or home.settlement.admits(bucket, request, now)
+    challenge = None if admitted else home.settlement.challenge(bucket, request, now)
+    if challenge is not None:
+        return _challenge(home, flow, request, source, entry, challenge)
+    state = ClaimState(flow, request.caller, request.number, home.identity)
+    state.request = request
+    state.idempotent = request.idempotent
+    state.attempt = request.attempt
+    state.source, state.entry = source, entry
+    state.deadline = now + request.timeout
+    state.extend(request.timeout, now)
+    crowded = home.ledger.is_crowded(request.caller)
+    home.ledger.add(state, barred=crowded)
+    home.counters["claims_made"] += 1
+    if not admitted:
+        # A former home may have run it: not even a refusal would be true.
+        return home.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
+    if request.cancel:
+        return home.refuse(state, Reason.CANCELLED, now)
+    if crowded:
+        return home.refuse(state, Reason.LEDGER_FULL, now)
+    home.budget.earn()
+    return home.write(state, Stage.WRITING, now)
+
+
+def take_copy(
+    home: Coordinator,
+    state: ClaimState,
+    request: Request,
+    source: Address,
+    entry: str,
+    now: float,
+) -> list[Effect]:
+    """Take another copy of a request whose claim is known."""
+    if request.attempt >= state.attempt or state.source is None:
+        state.source, state.entry = source, entry
+    state.extend(request.timeout, now)
+    newer = request.attempt > state.attempt
+    if state.stage == Stage.DONE:
+        return _take_late_copy(home, state, request, now)
+    state.attempt = max(state.attempt, request.attempt)
+    if state.stage == Stage.ELSEWHERE:
+        home.schedule(state, now + POLL_INTERVAL_S)
+        return []
+    if request.cancel:
+        return _cancel(home, state, now)
+    if newer and state.stage == Stage.REFUSING:
+        return home.write(state, Stage.REFUSING, now)
+    return []
+
+
+def _take_late_copy(
+    home: Coordinator, state: ClaimState, request: Request, now: float
+) -> list[Effect]:
+    """Tell a stored outcome, or run again what is certain not to have run."""
+    again = request.attempt > state.attempt
+    may_run = state.verdict == Verdict.NOT_RUN or (
+        state.idempotent and state.verdict == Verdict.UNKNOWN
+    )
+    if not again or not may_run:
+        if state.verdict == Verdict.UNKNOWN:
+            # No later copy runs, so the word covers this one too.
+            state.attempt = max(state.attempt, request.attempt)
+        home.counters["told_again"] += 1
+        return home.respond(state)
+    assert state.verdict != Verdict.ANSWERED
+    is_newest = _is_newest(home, state, request, now)
+    bucket = find_bucket(state.flow)
+    challenge = None if is_newest else home.settlement.challenge(bucket, request, now)
+    if challenge is not None:
+        return _challenge(
+            home, state.flow, request, state.source, state.entry, challenge
+        )
+    state.attempt = request.attempt
+    state.verdict, state.reason, state.body = None, "", b""
+    if not is_newest:
+        return home.finish(state, Verdict.UNKNOWN, Reason.NOT_SETTLED, b"", now)
+    state.coordinator = home.identity
+    state.executor = None
+    state.cancelled = False
+    state.tries = 0
+    state.request = request
+    state.deadline = now + request.timeout
+    if request.cancel:
+        return home.refuse(state, Reason.CANCELLED, now)
+    home.counters["claims_reopened"] += 1
+    return home.write(state, Stage.WRITING, now)
+
+
+def _is_newest(
+    home: Coordinator, state: ClaimState, request: Request, now: float
+) -> bool:
+    """Return whether no newer state of the claim can have been lost."""
+    bucket = find_bucket(state.flow)
+    if state.idempotent or state.term == home.settlement.terms.get(bucket):
+        return True
+    return home.settlement.admits(bucket, request, now)
+
+
+def _cancel(home: Coordinator, state: ClaimState, now: float) -> list[Effect]:
+    state.cancelled = True
+    if state.stage in (Stage.WRITING, Stage.WAITING):
+        return home.refuse(state, Reason.CANCELLED, now)
+    if state.stage == Stage.REFUSING:
+        return home.write(state, Stage.REFUSING, now)
+    return home.send_run(state, now)
+
+
+def _challenge(
+    home: Coordinator,
+    flow: bytes,
+    request: Request,
+    source: Address,
+    entry: str,
+    challenge: Challenge,
+) -> list[Effect]:
+    """Ask the caller for a copy that shows when its request began."""
+    home.counters["challenges"] += 1
+    answer = make_challenge(
+        home.member, home.table.version, flow, request, source, challenge
+    )
+    return home.send_answer(answer, entry)
--- a/fulmarshore/admission/knowledge.py
+++ b/fulmarshore/admission/knowledge.py
@@ -178,7 +178,7 @@
         0,
         0.01,
     )
-    home.hear_later(reply)
+    home.heard.append(reply)
 
 
 def split_claims(
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -11,6 +11,7 @@
 from fulmarshore.admission.bequests import Bequests
 from fulmarshore.admission.bounds import MAX_ATTEMPTS, MAX_TIMEOUT_S
 from fulmarshore.admission.coordinator import Coordinator
+from fulmarshore.admission.copies import open_claim, take_copy
 from fulmarshore.admission.executor import Executor
 from fulmarshore.admission.knowledge import (
     merge_claim,
@@ -19,6 +20,7 @@
     take_backup,
 )
 from fulmarshore.admission.ledger import Stage
+from fulmarshore.admission.runs import take_heard, take_run_reply
 from fulmarshore.admission.warmth import WarmthReport
 from fulmarshore.core.codec import decode_request
 from fulmarshore.core.hashing import find_bucket, hash_request
@@ -181,7 +183,7 @@
 
     def _follow(self, table: Table, now: float) -> list[Effect]:
         """Take a newer table."""
-        self.home.table = table
+        self.home.follow(table)
         service = table.services.get(self.member.service)
         if service is None or service.service.protocol != Protocol.REQUEST:
             return []
@@ -320,7 +322,7 @@
                 barred = home not in (None, sender) and not message.request.idempotent
                 return self.executor.take(message, source, now, barred)
             case RunReply():
-                return self.home.take_run_reply(message, now)
+                return take_run_reply(self.home, message, now)
             case ClaimBackup():
                 if self._bequests.has_begun():
                     return self._drop(Reason.STOPPING)
@@ -390,14 +392,14 @@
         settlement = self.home.settlement
         own = state is not None and state.coordinator == self.identity
         if own and state.is_open() and state.stage != Stage.ELSEWHERE:
-            return self.home.take_copy(state, request, source, packet.entry, now)
+            return take_copy(self.home, state, request, source, packet.entry, now)
         if not settlement.is_home(bucket):
             return self._pass_on(packet, settlement.find_home(bucket))
         if not request.idempotent and bucket not in settlement.settled:
             return self._park(packet, request, now)
         if state is None:
-            return self.home.open(flow, request, source, packet.entry, now)
-        return self.home.take_copy(state, request, source, packet.entry, now)
+            return open_claim(self.home, flow, request, source, packet.entry, now)
+        return take_copy(self.home, state, request, source, packet.entry, now)
 
     def _pass_on(self, packet: Forward, home: Identity | None) -> list[Effect]:
         service = self.home.service
@@ -510,6 +512,7 @@
         effects = settlement.tick(self.home.table.version, service, now)
         effects += self._settle(now)
         effects += self.home.backups.tick(now)
+        effects += take_heard(self.home, now)
         effects += self.home.tick(now)
         effects += self.executor.tick(now)
         effects += self._warmth.collect(service, self.executor.limiter)
--- a/fulmarshore/admission/requests_test.py
+++ b/fulmarshore/admission/requests_test.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 import fulmarshore.standins.profiles  # noqa: F401
+from fulmarshore.admission.copies import open_claim, take_copy
 from fulmarshore.admission.ledger import Stage
 from fulmarshore.bench.once import KINDS, MODEL, PROFILE, run_once
 from fulmarshore.callers.requests import Answered, NotRun, Unknown
@@ -277,7 +278,8 @@
         self.now += 0.2
 
     def open(self):
-        self.home.open(self.flow, self.request, self.caller.address, "entry0", self.now)
+        source = self.caller.address
+        open_claim(self.home, self.flow, self.request, source, "entry0", self.now)
         return self.home.ledger.find(self.flow)
 
     def acknowledge(self, state, accepted=True):
@@ -329,7 +331,7 @@
         self.assertEqual(state.verdict, Verdict.UNKNOWN)
         copy = replace(self.request, attempt=3)
         source = self.caller.address
-        effects = self.home.take_copy(state, copy, source, "entry0", self.now)
+        effects = take_copy(self.home, state, copy, source, "entry0", self.now)
         response = decode_request(effects[0].message.payload, "")
         self.assertEqual((response.verdict, response.attempt), (Verdict.UNKNOWN, 3))
 
--- /dev/null
+++ b/fulmarshore/admission/retries.py
@@ -0,0 +1,39 @@
+"""Which refusals a home retries at another executor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fulmarshore.admission.ledger import ClaimState
+from fulmarshore.core.records import Reason
+
+if TYPE_CHECKING:
+    from fulmarshore.admission.coordinator import Coordinator
+
+RETRY_JITTER_S = 0.02
+MAX_RETRIES = 2
+
+RETRYABLE = frozenset(
+    {
+        Reason.BARRED,
+        Reason.DRAINING,
+        Reason.FULL,
+        Reason.SHED,
+        Reason.STOPPING,
+        Reason.ZONE_OUT,
+    }
+)
+UNCHARGED = frozenset({Reason.ZONE_OUT, Reason.DRAINING, Reason.BARRED})
+"""Refusals that tell nothing about load: a retry costs no budget."""
+
+
+def may_retry(home: Coordinator, state: ClaimState, reason: str, now: float) -> bool:
+    """Return whether a claim may be handed over again, and charge the budget."""
+    if state.cancelled or state.tries >= MAX_RETRIES or state.request is None:
+        return False
+    if now + RETRY_JITTER_S >= state.deadline:
+        return False
+    service = home.service
+    if service is None or len(service.accepting) < 2:
+        return False
+    return reason in UNCHARGED or home.budget.spend()
--- /dev/null
+++ b/fulmarshore/admission/runs.py
@@ -0,0 +1,80 @@
+"""What a home makes of the words of executors about its hand-overs."""
+
+from __future__ import annotations
+
+from fulmarshore.admission.coordinator import WRITE_INTERVAL_S, Coordinator
+from fulmarshore.admission.ledger import ClaimState, Stage
+from fulmarshore.admission.retries import RETRYABLE, may_retry
+from fulmarshore.core.records import (
+    Effect,
+    Identity,
+    Reason,
+    RunReply,
+    SlotReport,
+    Verdict,
+)
+
+
+def take_heard(home: Coordinator, now: float) -> list[Effect]:
+    """Take the last words that were kept for this tick."""
+    effects: list[Effect] = []
+    heard, home.heard = home.heard, []
+    for reply in heard:
+        effects += take_run_reply(home, reply, now)
+    return effects
+
+
+def take_run_reply(home: Coordinator, reply: RunReply, now: float) -> list[Effect]:
+    """Take what an executor says about a hand-over."""
+    home.take_load(
+        SlotReport(
+            reply.service,
+            reply.agent,
+            reply.incarnation,
+            reply.version,
+            reply.used,
+            reply.limit,
+        )
+    )
+    state = home.ledger.find(reply.flow)
+    executor = Identity(reply.agent, reply.incarnation)
+    if state is None or state.executor != executor or state.run != reply.run:
+        return []
+    state.heard = True
+    if reply.verdict is None:
+        return []
+    if state.stage == Stage.DONE:
+        return _correct(home, state, reply, now)
+    if state.stage != Stage.RUNNING:
+        return []
+    match reply.verdict:
+        case Verdict.ANSWERED:
+            verdict = Verdict.ANSWERED
+            return home.finish(state, verdict, reply.reason, reply.body, now)
+        case Verdict.NOT_RUN:
+            return _take_refusal(home, state, reply.reason, now)
+    if state.idempotent and may_retry(home, state, reply.reason, now):
+        return home.retry(state, now)
+    return home.finish(state, Verdict.UNKNOWN, reply.reason, b"", now)
+
+
+def _correct(
+    home: Coordinator, state: ClaimState, reply: RunReply, now: float
+) -> list[Effect]:
+    """Replace an unknown outcome by an answer that comes late."""
+    if state.verdict != Verdict.UNKNOWN or reply.verdict != Verdict.ANSWERED:
+        return []
+    home.counters["answers_late"] += 1
+    return home.finish(state, Verdict.ANSWERED, reply.reason, reply.body, now)
+
+
+def _take_refusal(
+    home: Coordinator, state: ClaimState, reason: str, now: float
+) -> list[Effect]:
+    if reason == Reason.BARRED and not home.may_hand_over(state):
+        state.stage = Stage.WAITING
+        home.schedule(state, now + WRITE_INTERVAL_S)
+        return []
+    if reason in RETRYABLE and may_retry(home, state, reason, now):
+        return home.retry(state, now)
+    return home.refuse(state, reason, now)
