--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -6,24 +6,20 @@
 from random import Random
 from typing import get_args
 
-from msgspec.structs import replace
-
 from fulmarshore.admission.bequests import Bequests
-from fulmarshore.admission.bounds import MAX_ATTEMPTS, MAX_TIMEOUT_S
 from fulmarshore.admission.coordinator import Coordinator
-from fulmarshore.admission.copies import open_claim, take_copy
 from fulmarshore.admission.executor import Executor
+from fulmarshore.admission.intake import Intake
 from fulmarshore.admission.knowledge import (
     merge_claim,
-    merge_run,
     split_claims,
     take_backup,
 )
-from fulmarshore.admission.ledger import Stage
+from fulmarshore.admission.loadreports import LoadReports
+from fulmarshore.admission.queries import answer_query, merge_round
 from fulmarshore.admission.runs import take_heard, take_run_reply
 from fulmarshore.admission.warmth import WarmthReport
-from fulmarshore.core.codec import decode_request
-from fulmarshore.core.hashing import find_bucket, hash_request
+from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
     BackupSync,
@@ -45,7 +41,6 @@
     PeerMessage,
     Protocol,
     Reason,
-    Request,
     RunReply,
     RunRequest,
     SendPeer,
@@ -59,11 +54,6 @@
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.table import Table
 
-MAX_HOPS = 4
-MAX_PARKED = 1_024
-"""Copies that wait until their bucket is settled; more are dropped."""
-REPORT_INTERVAL_S = 0.25
-
 COMPARE_INTERVAL_S = 0.02
 LEASE_MARGIN_S = 1.0
 """An agent's lease is over for itself this long before it is for control."""
@@ -84,17 +74,6 @@
 REQUEST_MESSAGES = get_args(RequestEvent)
 
 
-class Parked:
-    """A copy that waits until its bucket is settled."""
-
-    __slots__ = ("packet", "request", "arrived_at")
-
-    def __init__(self, packet: Forward, request: Request, now: float) -> None:
-        self.packet = packet
-        self.request = request
-        self.arrived_at = now
-
-
 class RequestCore:
     """Runs each request of a service at most once and tells its outcome.
 
@@ -116,9 +95,8 @@
         self.executor: Executor | None = None
         self._warmth = WarmthReport()
         self.counters = self.home.counters
-        self._parked: deque[Parked] = deque()
-        self._reported = (-1, -1.0)
-        self._reported_at = float("-inf")
+        self._intake = Intake(self.home)
+        self._reports = LoadReports()
         self._is_stopping = False
         self._bequests = Bequests(self.home)
         self._compared_at = float("-inf")
@@ -289,7 +267,8 @@
                     return self._drop(Reason.WRONG_SERVICE)
                 effects = self._compare_versions(message.version, source, now)
                 if isinstance(message, Forward):
-                    return effects + self._take_packet(message, now)
+                    profile = self.executor.profile
+                    return effects + self._intake.take(message, profile, now)
                 return effects + self._take_message(message, source, now)
             case UpstreamDatagram(flow=flow, payload=payload):
                 return self.executor.answer(flow, payload, now)
@@ -338,7 +317,8 @@
                 self.home.take_load(message)
                 return []
             case ClaimsQuery():
-                return self._answer_query(message, source, now)
+                home, executor = self.home, self.executor
+                return answer_query(home, executor, message, source, now)
             case ClaimsReply():
                 self.home.settlement.take_reply(message)
                 return self._settle(now)
@@ -349,151 +329,20 @@
                 return []
         return self._drop(Reason.MALFORMED)
 
-    # -- copies of requests ------------------------------------------------
-
-    def _take_packet(self, packet: Forward, now: float) -> list[Effect]:
-        mine = Identity(packet.target, packet.incarnation)
-        if mine != self.identity:
-            return self._drop(Reason.WRONG_INCARNATION)
-        request = self._read(packet)
-        if request is None:
-            return self._drop(Reason.MALFORMED)
-        return self._take_request(packet, request, now)
-
-    def _read(self, packet: Forward) -> Request | None:
-        """Return the request of a packet if it is well-formed."""
-        request = decode_request(packet.payload, packet.entry)
-        if not isinstance(request, Request) or request.service != packet.service:
-            return None
-        flow = hash_request(request.service, request.caller, request.number)
-        if flow != packet.flow or not 0 <= request.attempt < MAX_ATTEMPTS:
-            return None
-        if request.timeout == 0:
-            profile = self.executor.profile
-            request = replace(request, timeout=min(profile.deadline, MAX_TIMEOUT_S))
-        if not 0 < request.timeout <= MAX_TIMEOUT_S:
-            return None
-        if not 0 <= request.age <= MAX_TIMEOUT_S:
-            return None
-        return request
-
-    def _take_request(
-        self, packet: Forward, request: Request, now: float
-    ) -> list[Effect]:
-        flow = packet.flow
-        source = Address(packet.caller_host, packet.caller_port)
-        state = self.home.ledger.find(flow)
-        if state is not None and (state.caller, state.number) != (
-            request.caller,
-            request.number,
-        ):
-            return self._drop("key_collision")
-        bucket = find_bucket(flow)
-        settlement = self.home.settlement
-        own = state is not None and state.coordinator == self.identity
-        if own and state.is_open() and state.stage != Stage.ELSEWHERE:
-            return take_copy(self.home, state, request, source, packet.entry, now)
-        if not settlement.is_home(bucket):
-            return self._pass_on(packet, settlement.find_home(bucket))
-        if not request.idempotent and bucket not in settlement.settled:
-            return self._park(packet, request, now)
-        if state is None:
-            return open_claim(self.home, flow, request, source, packet.entry, now)
-        return take_copy(self.home, state, request, source, packet.entry, now)
-
-    def _pass_on(self, packet: Forward, home: Identity | None) -> list[Effect]:
-        service = self.home.service
-        member = service.by_name.get(home.name) if service and home else None
-        if member is None or member.incarnation != home.incarnation:
-            return self._drop(Reason.NO_UPSTREAM)
-        if packet.hops >= MAX_HOPS:
-            return self._drop(Reason.TOO_MANY_HOPS)
-        self.counters["passed_on"] += 1
-        passed = replace(
-            packet,
-            target=home.name,
-            incarnation=home.incarnation,
-            version=self.home.table.version,
-            hops=packet.hops + 1,
-        )
-        return [SendPeer(Address(member.host, member.port), passed)]
-
-    def _park(self, packet: Forward, request: Request, now: float) -> list[Effect]:
-        if len(self._parked) >= MAX_PARKED:
-            return self._drop(Reason.NOT_SETTLED)
-        self._parked.append(Parked(packet, request, now))
-        self.counters["parked"] += 1
-        return []
-
-    def _release_parked(self, now: float) -> list[Effect]:
-        parked, self._parked = self._parked, deque()
-        effects: list[Effect] = []
-        for copy in parked:
-            waited = now - copy.arrived_at
-            if waited >= copy.request.timeout:
-                self.counters[f"dropped_{Reason.EXPIRED}"] += 1
-                continue
-            request = replace(
-                copy.request,
-                timeout=copy.request.timeout - waited,
-                age=copy.request.age + waited,
-            )
-            effects += self._take_request(copy.packet, request, now)
-        return effects
-
     # -- knowledge of buckets ----------------------------------------------
 
     def _settle(self, now: float) -> list[Effect]:
         finished = self.home.settlement.finish_round(now)
         if finished is None:
             return []
-        for parts in finished.replies.values():
-            for reply in parts.values():
-                for claim in reply.claims:
-                    merge_claim(self.home, claim, now)
-        for parts in finished.replies.values():
-            for reply in parts.values():
-                for claim in reply.runs:
-                    merge_run(self.home, claim, now)
-        for claim in self.executor.list_in(finished.buckets, now):
-            merge_run(self.home, claim, now)
-        self.home.resume(finished.buckets, now)
+        merge_round(self.home, self.executor, finished, now)
         self.counters["buckets_settled"] += len(finished.buckets)
         detail = f"{len(finished.buckets)} buckets"
         effects: list[Effect] = [
             TimelineEvent("buckets_settled", self.member.service, detail=detail)
         ]
         effects += self._choose_backups(now)
-        return effects + self._release_parked(now)
-
-    def _answer_query(
-        self, query: ClaimsQuery, source: Address, now: float
-    ) -> list[Effect]:
-        homes = self.home.settlement.list_homes(set(query.buckets), now)
-        stale = not self.home.settlement.give_up(query)
-        buckets = set() if stale else set(query.buckets)
-        claims = self.home.ledger.list_in(buckets, now)
-        runs = self.executor.list_in(buckets, now)
-        parts = split_claims(claims, runs)
-        effects: list[Effect] = []
-        for part, (some_claims, some_runs) in enumerate(parts):
-            reply = ClaimsReply(
-                self.member.service,
-                self.member.name,
-                self.member.incarnation,
-                self.home.table.version,
-                query.query,
-                stale,
-                part,
-                len(parts),
-                self.home.settlement.get_memory_age(now),
-                self.home.settlement.list_lost(now),
-                homes if part == 0 else [],
-                some_claims,
-                some_runs,
-            )
-            effects.append(SendPeer(source, reply))
-        return effects
+        return effects + self._intake.release(now)
 
     def export_claims(self, buckets: set[int], now: float) -> list[Claim]:
         """Return what is known about the requests in some buckets."""
@@ -516,32 +365,11 @@
         effects += self.home.tick(now)
         effects += self.executor.tick(now)
         effects += self._warmth.collect(service, self.executor.limiter)
-        effects += self._report(now)
+        effects += self._reports.tick(self.home, self.executor, now)
         if self._is_stopping:
             effects += self._bequests.tick(self.executor, now)
         return effects
 
-    def _report(self, now: float) -> list[Effect]:
-        load = (self.executor.count_used(), self.executor.limiter.limit)
-        if load == self._reported or now - self._reported_at < REPORT_INTERVAL_S:
-            return []
-        self._reported, self._reported_at = load, now
-        report = SlotReport(
-            self.member.service,
-            self.member.name,
-            self.member.incarnation,
-            self.home.table.version,
-            *load,
-        )
-        self.home.take_load(report)
-        service = self.home.service
-        effects: list[Effect] = []
-        for member in service.members if service else ():
-            if member.name == self.member.name:
-                continue
-            effects.append(SendPeer(Address(member.host, member.port), report))
-        return effects
-
     def _drop(self, reason: str) -> list[Effect]:
         self.counters[f"dropped_{reason}"] += 1
         return []
--- a/fulmarshore/admission/settlement_test.py
+++ b/fulmarshore/admission/settlement_test.py
@@ -1,7 +1,8 @@
 from unittest import TestCase
 
 from fulmarshore.admission.bounds import MAX_CLOCK_DRIFT
-from fulmarshore.admission.settlement import FORMER_WAIT_S, NEEDED_S, Settlement
+from fulmarshore.admission.rounds import FORMER_WAIT_S
+from fulmarshore.admission.settlement import NEEDED_S, Settlement
 from fulmarshore.core.records import (
     Address,
     Challenge,
