--- a/fulmarshore/admission/requests_test.py
+++ b/fulmarshore/admission/requests_test.py
@@ -36,7 +36,7 @@
 
 SETTLED_S = 8.0
 CROWDED = Faults(0.0, 0.3, 0.0005, 0.01, late=0.2, max_late=4.5)
-RUNS_SHARE = 12
+RUNS_SHARE = 4
 """A run takes about a second: so many fewer than the profile asks for."""
 SLOW = WorkModel(
     slots=3, service_s=1.0, cold_factor=1.0, warm_up_s=1.0, strain=1000.0, spread=0.0
@@ -362,20 +362,35 @@
         max_delay=st.sampled_from([0.002, 0.03]),
         fault_interval=st.sampled_from([0.7, 1.5, 4.0]),
         kinds=st.sets(st.sampled_from(KINDS), min_size=1),
+        requests=st.sampled_from([150, 400]),
+        warm_up=st.sampled_from([0.3, 2.0, 8.0]),
+        timeout=st.sampled_from([1.0, 4.0, 8.0]),
     )
     # A late copy of a backup's part reached a new process at the same address.
-    @example(29110, 0.05, 0.0, 0.2, 0.002, 1.5, set(KINDS))
+    @example(29110, 0.05, 0.0, 0.2, 0.002, 1.5, set(KINDS), 400, 8.0, 8.0)
     def test_at_most_once_true_refusals_right_answers(
-        self, seed, loss, duplication, late, max_delay, fault_interval, kinds
+        self,
+        seed,
+        loss,
+        duplication,
+        late,
+        max_delay,
+        fault_interval,
+        kinds,
+        requests,
+        warm_up,
+        timeout,
     ):
         faults = Faults(loss, duplication, 0.0005, max_delay, late=late, max_late=4.5)
         result, world = run_once(
             seed,
-            400,
+            requests,
             rate=Random(seed).choice([50.0, 150.0]),
             fault_interval=fault_interval,
             faults=faults,
             kinds=tuple(sorted(kinds)),
+            warm_up=warm_up,
+            timeout=timeout,
         )
         self.assertEqual(result.ran_twice, 0)
         self.assertEqual(result.false_refusals, 0)
--- a/fulmarshore/bench/once.py
+++ b/fulmarshore/bench/once.py
@@ -8,14 +8,15 @@
 
 from fulmarshore.core.records import Kind, Profile, Zone
 from fulmarshore.standins.network import Faults
-from fulmarshore.standins.requests import RequestWorld
+from fulmarshore.standins.requests import CallerNode, RequestWorld
 from fulmarshore.standins.work import WorkModel
 
 REQUESTS = 100_000
 FAULT_INTERVAL_S = 15.0
 TIMEOUT_S = 8.0
 WARM_UP_S = 8.0
-SETTLE_S = 15.0
+SETTLE_S = 7.0
+"""Run after the deadline of the last request, longer than a late copy lives."""
 STEP_S = 0.05
 CANCEL_SHARE = 0.02
 IDEMPOTENT_SHARE = 0.1
@@ -176,6 +177,8 @@
     agents: int = 5,
     faults: Faults = FAULTS,
     kinds: tuple[str, ...] = KINDS,
+    warm_up: float = WARM_UP_S,
+    timeout: float = TIMEOUT_S,
 ) -> tuple[OnceResult, RequestWorld]:
     """Run requests while one fault follows the other.
 
@@ -185,11 +188,15 @@
         New requests a second.
     fault_interval : float
         Mean time between two faults, in seconds.
+    warm_up : float
+        Time without requests and faults at the start, in seconds.
+    timeout : float
+        Deadline of each request, in seconds.
     """
     world = RequestWorld(seed, PROFILE, MODEL, agents, 3, 6, CALM)
     plan = FaultPlan(world, agents, seed)
     random = Random(seed + 1)
-    world.network.run(WARM_UP_S)
+    world.network.run(warm_up)
     world.network.faults = faults
     callers = list(world.callers.values())
     left = requests
@@ -201,7 +208,7 @@
         while due >= 1.0 and left > 0:
             due -= 1.0
             left -= 1
-            _submit(world, random.choice(callers), random)
+            _submit(world, random.choice(callers), random, timeout)
         now = world.network.now
         if now >= fault_at and kinds:
             kind = random.choice(kinds)
@@ -215,14 +222,16 @@
         plan.repair()
         world.network.run(STEP_S)
     plan.heal()
-    world.network.run(SETTLE_S)
+    world.network.run(timeout + SETTLE_S)
     return _summarise(seed, world, plan), world
 
 
-def _submit(world: RequestWorld, caller, random: Random) -> None:
+def _submit(
+    world: RequestWorld, caller: CallerNode, random: Random, timeout: float
+) -> None:
     idempotent = random.random() < IDEMPOTENT_SHARE
     now = world.network.now
-    number = caller.submit(TIMEOUT_S, idempotent, now)
+    number = caller.submit(timeout, idempotent, now)
     if random.random() < CANCEL_SHARE:
         datagram = caller.core.cancel(number, now)
         if datagram is not None:
