Treat what is read after a stall as lost

Cause: a process that is stopped for long goes on with what its sockets kept. An entry host stopped for 60 s passed on copies whose claims were forgotten: 10 of 20 orders ran twice. An agent took control's old replies for a new lease, and the backup's old word for a permission to hand over. Now each core notes gaps of more than 1 s between its events; for 0.5 s after one, requests and words about them are dropped and no reply renews a lease. A claim that waits is not handed over without a lease. The fake network can pause a core; stalls of entry hosts and agents are drawn by the randomised run. Four guards taken out one by one: a test fails for each. Not covered: a machine whose monotonic clock stands still while it is paused.

--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -198,6 +198,8 @@
         bucket = find_bucket(state.flow)
         if state.idempotent:
             return True
+        if not self.has_lease:
+            return False
         if not self.settlement.is_home(bucket):
             return False
         if bucket not in self.settlement.settled:
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -49,6 +49,7 @@
     UpstreamDatagram,
     UpstreamGone,
 )
+from fulmarshore.core.stalls import StallGuard
 from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
@@ -96,6 +97,7 @@
         self._warmth = WarmthReport()
         self.counters = self.home.counters
         self._intake = Intake(self.home)
+        self._stalls = StallGuard()
         self._reports = LoadReports()
         self._is_stopping = False
         self._bequests = Bequests(self.home)
@@ -129,6 +131,9 @@
             return effects
         self._check_lease(now)
         self.executor.draining = self._is_draining()
+        if self._stalls.is_stale(now) and isinstance(event, PeerMessage):
+            # It may be older than any copy lives: like lost ones, it is sent again.
+            return effects + self._drop(Reason.STALLED)
         effects += self._handle(event, now)
         return self._loop_back(effects, now)
 
--- a/fulmarshore/admission/requests_test.py
+++ b/fulmarshore/admission/requests_test.py
@@ -10,7 +10,7 @@
 import fulmarshore.standins.profiles  # noqa: F401
 from fulmarshore.admission.copies import open_claim, take_copy
 from fulmarshore.admission.ledger import Stage
-from fulmarshore.bench.once import KINDS, MODEL, PROFILE, run_once
+from fulmarshore.bench.once import KINDS, MODEL, PROFILE, STALL_KINDS, run_once
 from fulmarshore.callers.requests import Answered, NotRun, Unknown
 from fulmarshore.core.codec import decode_request, encode
 from fulmarshore.core.hashing import find_bucket, hash_request
@@ -21,6 +21,7 @@
     ClaimsQuery,
     Datagram,
     Forward,
+    PeerMessage,
     Reason,
     Request,
     RunRequest,
@@ -261,6 +262,55 @@
         self.assert_kept()
 
 
+class StallTest(WorldTest):
+    def begin(self, timeout):
+        now = self.world.network.now
+        body = f"caller0:{len(self.caller.began) + 1}".encode()
+        number, copy = self.caller.core.submit(body, timeout, False, now)
+        self.caller.began[number] = now
+        return number, copy
+
+    def test_an_entry_host_that_was_stopped_passes_on_no_old_copy(self):
+        for seconds in (2.0, 10.0, 60.0):
+            with self.subTest(seconds=seconds):
+                self.make()
+                self.world.network.pause("entry0")
+                for _ in range(20):
+                    _, copy = self.begin(4.0)
+                    old = Datagram(SERVICE, self.caller.address, copy)
+                    self.world.network.schedule(0.001, "entry0", old)
+                    self.world.network.schedule(0.001, "entry1", old)
+                self.run_for(seconds)
+                self.world.network.resume("entry0")
+                self.run_for(8.0)
+                self.assert_kept()
+
+    def test_an_agent_that_was_stopped_takes_no_old_copy(self):
+        for seconds in (2.0, 10.0, 60.0):
+            with self.subTest(seconds=seconds):
+                self.make(run=40.0)
+                for _ in range(20):
+                    _, copy = self.begin(8.0)
+                    self.world.send(self.caller, copy)
+                self.world.network.pause("agent1")
+                self.run_for(seconds)
+                self.world.network.resume("agent1")
+                self.run_for(15.0)
+                self.assert_kept()
+
+    def test_what_an_agent_reads_after_a_stall_renews_no_lease(self):
+        self.make()
+        subscriber = self.world.get_agent("agent1").subscriber
+        self.world.network.pause("agent1")
+        self.run_for(10.0)
+        before = subscriber.lease_renewed
+        self.world.network.resume("agent1")
+        self.run_for(0.2)
+        self.assertEqual(subscriber.lease_renewed, before)
+        self.run_for(2.0)
+        self.assertGreater(subscriber.lease_renewed, before + 10.0)
+
+
 class TermTest(WorldTest):
     def setUp(self):
         self.make()
@@ -335,6 +385,30 @@
         response = decode_request(effects[0].message.payload, "")
         self.assertEqual((response.verdict, response.attempt), (Verdict.UNKNOWN, 3))
 
+    def test_a_word_of_the_backup_from_before_a_stall_hands_nothing_over(self):
+        state = self.open()
+        requests = self.world.get_agent(self.name).requests
+        backup = self.home.backups.find(find_bucket(self.flow))
+        reply = ClaimBackupReply(
+            *(SERVICE, backup.name, backup.incarnation, 1),
+            *(self.flow, state.sequence, True),
+        )
+        event = PeerMessage(self.caller.address, reply)
+        requests.handle(Tick(), self.home.table, self.now)
+        effects = requests.handle(event, self.home.table, self.now + 5.0)
+        self.assertNotIn(RunRequest, self.list_messages(effects))
+        self.assertEqual(state.stage, Stage.WRITING)
+
+    def test_a_claim_that_waits_is_written_again_without_a_lease(self):
+        # A stall or a partition may lie between the claim and this moment.
+        state = self.open()
+        self.acknowledge(state)
+        state.stage, state.executor = Stage.WAITING, None
+        self.home.schedule(state, self.now)
+        self.home.has_lease = False
+        kinds = self.list_messages(self.home.tick(self.now))
+        self.assertEqual((set(kinds), len(kinds)), ({ClaimBackup}, 3))
+
     def test_without_a_lease_every_member_must_agree(self):
         self.home.has_lease = False
         state = self.open()
@@ -361,13 +435,18 @@
         late=st.sampled_from([0.0, 0.02, 0.2]),
         max_delay=st.sampled_from([0.002, 0.03]),
         fault_interval=st.sampled_from([0.7, 1.5, 4.0]),
-        kinds=st.sets(st.sampled_from(KINDS), min_size=1),
+        kinds=st.sets(st.sampled_from(KINDS + STALL_KINDS), min_size=1),
         requests=st.sampled_from([150, 400]),
         warm_up=st.sampled_from([0.3, 2.0, 8.0]),
         timeout=st.sampled_from([1.0, 4.0, 8.0]),
     )
     # A late copy of a backup's part reached a new process at the same address.
     @example(29110, 0.05, 0.0, 0.2, 0.002, 1.5, set(KINDS), 400, 8.0, 8.0)
+    # The same, where the draws show it.
+    @example(
+        *(43, 0.05, 0.0, 0.2, 0.002, 0.7, {"agent_restart", "two_agents_crash"}),
+        *(400, 8.0, 4.0),
+    )
     def test_at_most_once_true_refusals_right_answers(
         self,
         seed,
--- a/fulmarshore/bench/once.py
+++ b/fulmarshore/bench/once.py
@@ -88,6 +88,7 @@
         self.down: dict[str, float] = {}
         self.zone_back_at = float("inf")
         self.entry_back_at = float("inf")
+        self.stalled: dict[str, float] = {}
 
     def cause(self, kind: str) -> None:
         """Cause one fault now."""
@@ -118,6 +119,16 @@
             case "partition" if name:
                 others = [n for n in self.names if n != name]
                 self.world.network.part([name], [*others, "control"])
+            case "agent_stall" if name:
+                self._stall(name)
+            case "entry_stall":
+                self._stall("entry1")
+
+    def _stall(self, name: str) -> None:
+        """Stop a process for a while; its sockets keep what arrives."""
+        self.world.network.pause(name)
+        length = self.random.uniform(*self.random.choice(STALLS_S))
+        self.stalled[name] = self.world.network.now + length
 
     def _reuse_address(self, name: str) -> None:
         """Another process takes the address of one that crashed."""
@@ -136,6 +147,11 @@
             del self.down[name]
             place = next(p for p, w in self.world.works.items() if w.agent == name)
             self.world.start_agent(name, place)
+        for name, at in list(self.stalled.items()):
+            if now < at:
+                continue
+            del self.stalled[name]
+            self.world.network.resume(name)
         if now >= self.zone_back_at:
             self.zone_back_at = float("inf")
             self.world.change(Zone("b"))
@@ -145,6 +161,8 @@
         self.world.network.heal()
         for name in list(self.down):
             self.down[name] = 0.0
+        for name in list(self.stalled):
+            self.stalled[name] = 0.0
         if self.zone_back_at < float("inf"):
             self.zone_back_at = 0.0
         self.repair()
@@ -162,6 +180,9 @@
     "entry_restart",
     "partition",
 )
+STALL_KINDS = ("agent_stall", "entry_stall")
+"""Faults of the randomised test only."""
+STALLS_S = ((0.5, 3.0), (3.0, 12.0), (30.0, 60.0))
 
 
 def run(seed: int, requests: int, fault_interval: float) -> OnceResult:
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -297,6 +297,7 @@
     STRANGER = "stranger"
     MALFORMED = "malformed"
     EXPIRED = "expired"
+    STALLED = "stalled"
     LEDGER_FULL = "ledger_full"
     BARRED = "barred"
     BODY_NOT_HELD = "body_not_held"
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -20,6 +20,7 @@
     Subscribe,
     TimelineEvent,
 )
+from fulmarshore.core.stalls import StallGuard
 from fulmarshore.membership.changes import describe_delta
 from fulmarshore.membership.view import View, apply_delta
 
@@ -58,6 +59,7 @@
         self.view = View()
         self.counters: Counter[str] = Counter()
         self.lease_renewed = float("-inf")
+        self._stalls = StallGuard()
         self._controls = list(controls)
         self._random = random
         self._current = random.randrange(len(controls))
@@ -88,6 +90,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Send heartbeats, and move on from a control host that is silent."""
         effects: list[Effect] = []
+        self._stalls.is_stale(now)
         if self._fresh_at == float("-inf"):
             self._fresh_at = now
         if now - self._fresh_at > SILENCE_TIMEOUT_S:
@@ -107,13 +110,14 @@
 
     def handle(self, event: LinkMessage, now: float) -> list[Effect]:
         """Take a message from a control host."""
+        is_stale = self._stalls.is_stale(now)
         match event.message:
             case Delta() as delta if not self._is_confirmed:
                 return self._keep(delta)
             case Delta() as delta:
                 return self.apply(delta, event.peer)
             case HeartbeatReply() as reply:
-                return self._take_reply(event.peer, reply, now)
+                return self._take_reply(event.peer, reply, is_stale, now)
         self.counters["unexpected_link_message"] += 1
         return []
 
@@ -130,14 +134,16 @@
         self.counters["deltas_applied"] += 1
         return list[Effect](events)
 
-    def _take_reply(self, peer: str, reply: HeartbeatReply, now: float) -> list[Effect]:
+    def _take_reply(
+        self, peer: str, reply: HeartbeatReply, is_stale: bool, now: float
+    ) -> list[Effect]:
         stamp = (reply.freshness.term, reply.freshness.stamp)
         effects: list[Effect] = []
         if stamp > (self._freshness.term, self._freshness.stamp):
             effects = self._confirm(peer)
             self._freshness = reply.freshness
             self._fresh_at = now
-            if reply.known:
+            if reply.known and not is_stale:
                 self.lease_renewed = now
         if peer != self.control:
             return effects
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -41,6 +41,7 @@
     StreamRedirect,
     Tick,
 )
+from fulmarshore.core.stalls import StallGuard
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.hints import MAX_HINTS, ServiceRoutes, Source
@@ -77,6 +78,7 @@
         self.counters: Counter[str] = Counter()
         self.routes: dict[str, ServiceRoutes] = {}
         self._max_hints = max_hints
+        self._stalls = StallGuard()
         self._rotated_at = float("-inf")
         self._stopping_at = float("inf")
         self._stopped_at = float("inf")
@@ -91,7 +93,7 @@
         """Take one event and return what is to be done."""
         match event:
             case Datagram():
-                return self.forward(event)
+                return self.forward(event, now)
             case PeerMessage():
                 return self._handle_peer(event)
             case LinkMessage():
@@ -110,14 +112,14 @@
 
     # Callers' packets ------------------------------------------------------
 
-    def forward(self, event: Datagram) -> list[Effect]:
+    def forward(self, event: Datagram, now: float) -> list[Effect]:
         """Send a caller's datagram to the agent of its flow."""
         routes = self.routes.get(event.service)
         if routes is None:
             return self._drop(Reason.NO_UPSTREAM)
         protocol = routes.service.service.protocol
         if protocol == Protocol.REQUEST:
-            return self._forward_request(routes, event)
+            return self._forward_request(routes, event, now)
         source = (event.source[0], event.source[1])
         hint = routes.find(source)
         if hint is None:
@@ -129,7 +131,12 @@
         )
         return [SendPeer(hint.address, packet)]
 
-    def _forward_request(self, routes: ServiceRoutes, event: Datagram) -> list[Effect]:
+    def _forward_request(
+        self, routes: ServiceRoutes, event: Datagram, now: float
+    ) -> list[Effect]:
+        if self._stalls.is_stale(now):
+            # Its claim may be forgotten already: then it would run again.
+            return self._drop(Reason.STALLED)
         request = decode_request(event.payload, event.source[0])
         name = routes.service.service.name
         if not isinstance(request, Request) or request.service != name:
@@ -328,6 +335,7 @@
         return [StopAccepting(), *self.subscriber.leave()]
 
     def _tick(self, now: float) -> list[Effect]:
+        self._stalls.is_stale(now)
         if now >= self._stopping_at:
             is_done = not self.streams or now >= self._stopped_at
             return [Stopped()] if is_done else []
--- a/fulmarshore/standins/network.py
+++ b/fulmarshore/standins/network.py
@@ -146,6 +146,7 @@
         self._by_address: dict[Address, str] = {}
         self._cut: set[tuple[str, str]] = set()
         self._muted: set[tuple[str, str]] = set()
+        self._paused: dict[str, list[tuple[Node, Event | SyncDue]]] = {}
         self._queue: list[tuple[float, int, Node | Addressed, Event | SyncDue]] = []
         self._sequence = 0
 
@@ -164,6 +165,7 @@
         address = address or Address("127.0.0.1", 10_000 + len(self.nodes))
         node = Node(name, address, core, observe)
         node.disk = disk
+        self._paused.pop(name, None)
         self.nodes[name] = node
         self._by_address[address] = name
         self._push(self.now, node, Tick())
@@ -173,6 +175,15 @@
         """Crash a core: it takes no events from now on."""
         self.nodes[name].running = False
 
+    def pause(self, name: str) -> None:
+        """Stop a core without ending it: its sockets keep what arrives."""
+        self._paused.setdefault(name, [])
+
+    def resume(self, name: str) -> None:
+        """Let a paused core go on; it reads all that arrived meanwhile."""
+        for node, event in self._paused.pop(name, []):
+            self._push(self.now, node, event)
+
     def cut(self, source: str, destination: str) -> None:
         """Lose everything from one core to another, silently."""
         self._cut.add((source, destination))
@@ -201,6 +212,9 @@
 
     def inject(self, name: str, event: Event) -> None:
         """Hand an event to a core now."""
+        if name in self._paused:
+            self._paused[name].append((self.nodes[name], event))
+            return
         self._deliver(self.nodes[name], event)
 
     def draw_delays(self) -> list[float]:
@@ -229,6 +243,9 @@
                 node = self.nodes[self._by_address[node.address]]
             if not node.running or self.nodes.get(node.name) is not node:
                 continue
+            if node.name in self._paused:
+                self._paused[node.name].append((node, event))
+                continue
             if isinstance(event, SyncDue):
                 sequence = node.disk.sync()
                 event = Stored(sequence)
