--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -3,15 +3,18 @@
 A new home asks every member once. If the last home answers, its claims are
 all there are. If it is lost, each of its claims is held by one peer, so no
 claim is lost unless one more memory is. Then only requests that are provably
-younger than the loss are admitted until the life of a claim is over.
+younger than the loss are admitted until the life of a claim is over; the home
+challenges their callers for the proof.
 """
 
 from __future__ import annotations
 
-from fulmarshore.admission.bounds import COPY_LIFE_S, MAX_TIMEOUT_S
+from fulmarshore.admission.bounds import COPY_LIFE_S, MAX_CLOCK_DRIFT, MAX_TIMEOUT_S
+from fulmarshore.admission.rounds import FORMER_WAIT_S, Round
 from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
 from fulmarshore.core.records import (
     Address,
+    Challenge,
     ClaimsQuery,
     ClaimsReply,
     Effect,
@@ -19,6 +22,7 @@
     KnownHome,
     Lost,
     Member,
+    Request,
     SendPeer,
 )
 from fulmarshore.routing.table import ServiceTable
@@ -27,9 +31,6 @@
 """A claim older than this bars nothing any more: all its copies are gone."""
 
 QUERY_INTERVAL_S = 0.1
-FORMER_WAIT_S = 3.0
-"""Wait for an agent out of the table, until its lease is over."""
-
 MAX_ASKERS = 8
 """Earlier homes of a bucket that an agent remembers, the newest ones."""
 
@@ -37,59 +38,6 @@
 """Lost memories that the copies of a claim survive."""
 
 
-class Round:
-    """One asking of all members about some buckets."""
-
-    __slots__ = (
-        "query",
-        "version",
-        "buckets",
-        "began",
-        "sent_at",
-        "missing",
-        "former",
-        "replies",
-    )
-
-    def __init__(
-        self,
-        query: int,
-        version: int,
-        buckets: set[int],
-        asked: dict[Identity, Address],
-        former: dict[Identity, Address],
-        now: float,
-    ) -> None:
-        self.query = query
-        self.version = version
-        self.buckets = buckets
-        self.began = now
-        self.sent_at = float("-inf")
-        self.missing: dict[Identity, Address] = {**asked, **former}
-        self.former = set(former)
-        self.replies: dict[Identity, dict[int, ClaimsReply]] = {}
-
-    def is_complete(self, now: float) -> bool:
-        """Return whether nobody is waited for any more."""
-        if not self.missing:
-            return True
-        if not self.former.issuperset(self.missing):
-            return False
-        return now - self.began >= FORMER_WAIT_S
-
-    def list_answered(self) -> set[Identity]:
-        """Return who answered completely."""
-        return {peer for peer in self.replies if peer not in self.missing}
-
-    def list_homes(self) -> list[tuple[Identity, KnownHome]]:
-        """Return what the peers know about earlier homes, and who knows it."""
-        found = []
-        for peer, parts in self.replies.items():
-            for reply in parts.values():
-                found += [(peer, home) for home in reply.homes]
-        return found
-
-
 class Settlement:
     """The buckets that an agent is home of, and what it knows about them.
 
@@ -117,7 +65,7 @@
         self._former: dict[Identity, tuple[Address, float]] = {}
         self._lost: dict[Identity, float] = {}
         self._guarded: dict[int, float] = {}
-        self._announced: set[Identity] = set()
+        self._announced: dict[Identity, Address] = {}
         self._bequests: dict[Identity, set[int]] = {}
         self._since: float | None = None
         self._queries = first_query
@@ -126,16 +74,16 @@
         self,
         service: ServiceTable,
         version: int,
-        announced: set[Identity],
+        announced: dict[Identity, Address],
         now: float,
     ) -> None:
         """Take a new table of the service.
 
         Parameters
         ----------
-        announced : set of Identity
-            Members of the view, also those in a zone that is out: they may
-            go on until they hear of it.
+        announced : dict of Identity to Address
+            Agents of the service in the view, also those in a zone that is
+            out: they may go on until they hear of it.
         """
         if self._since is None:
             self._since = now
@@ -148,6 +96,7 @@
             for member in service.members
         }
         self._note_vanished(members, now)
+        self._note_outsiders(members, announced, now)
         self._members = members
         self.homes = self._find_homes(service)
         self.settled &= self.homes
@@ -188,6 +137,22 @@
             if identity in members or now - gone_at > NEEDED_S:
                 del self._lost[identity]
 
+    def _note_outsiders(
+        self,
+        members: dict[Identity, Address],
+        announced: dict[Identity, Address],
+        now: float,
+    ) -> None:
+        """Count agents that this one never saw as members among the former ones.
+
+        A view in which they were members may still be in force with them.
+        """
+        for identity, address in announced.items():
+            known = identity in members or identity in self._announced
+            if known or identity == self.identity:
+                continue
+            self._former.setdefault(identity, (address, now))
+
     def _ask(self, now: float) -> None:
         unsettled = self.homes - self.settled
         if not unsettled:
@@ -219,14 +184,8 @@
         """Return whether this agent is the home of a bucket."""
         return self.find_home(bucket) == self.identity
 
-    def admits(self, bucket: int, age: float, now: float) -> bool:
-        """Return whether a request without a known claim can't have run.
-
-        Parameters
-        ----------
-        age : float
-            Time since its first copy was sent, in seconds, when this copy was.
-        """
+    def admits(self, bucket: int, request: Request, now: float) -> bool:
+        """Return whether a request without a known claim can't have run."""
         assert bucket in self.settled
         lost_at = self._guarded.get(bucket)
         if lost_at is None:
@@ -234,7 +193,32 @@
         if now - lost_at > NEEDED_S:
             del self._guarded[bucket]
             return True
-        return now - max(age, 0.0) - COPY_LIFE_S > lost_at
+        return self._bound_beginning(request, now) > lost_at
+
+    def _bound_beginning(self, request: Request, now: float) -> float:
+        """Return a time before which no copy of a request was sent.
+
+        The caller got the challenge before it made this copy, and it had begun
+        ``age`` before that. However long this copy was under way, and however
+        often it arrives, the bound is the same.
+        """
+        challenge = request.challenge
+        if challenge is None or not self._has_issued(challenge, now):
+            return float("-inf")
+        bound = challenge.issued - request.age * (1.0 + MAX_CLOCK_DRIFT)
+        assert bound <= now - request.age, "a challenge is older than its copy"
+        return bound
+
+    def _has_issued(self, challenge: Challenge, now: float) -> bool:
+        issuer = Identity(challenge.agent, challenge.incarnation)
+        return issuer == self.identity and challenge.issued <= now
+
+    def challenge(self, bucket: int, request: Request, now: float) -> Challenge | None:
+        """Return a challenge, unless the request is surely older than the loss."""
+        lost_at = self._guarded.get(bucket, float("inf"))
+        if now - request.age <= lost_at:
+            return None
+        return Challenge(self.identity.name, self.identity.incarnation, now)
 
     def tick(self, version: int, service: str, now: float) -> list[Effect]:
         """Ask those that have not answered yet."""
@@ -304,7 +288,9 @@
             guard = guards.get(bucket, float("inf"))
             if guard < 0.0 or (guard == float("inf") and is_survived):
                 continue
-            lost_at = current.began if guard == float("inf") else now - guard
+            # A former home that did not answer may have gone on until now.
+            ended = now if current.missing else current.began
+            lost_at = ended if guard == float("inf") else now - guard
             self._guarded[bucket] = lost_at
         for bucket in current.buckets & self.homes:
             self.settled.add(bucket)
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -255,7 +255,7 @@
     def settle(self) -> bool:
         """End all faults, start every host, and run until all is settled."""
         self.network.heal()
-        self.network.resume()
+        self.network.resume_all()
         self.network.faults = Faults()
         assert self.run_until(lambda: not self.stopping), "a planned stop ends"
         for name in self.names:
