Bench flows cuts control off from every process

Cause: nothing at the level of flows showed what a loss of all of control does. Conclusion: a row of bench flows and a case of its test.

--- a/fulmarshore/bench/flows.py
+++ b/fulmarshore/bench/flows.py
@@ -27,6 +27,7 @@
 ROUNDS_AFTER = 2
 HIDDEN_S = 60.0
 """How long entry hosts keep an old version."""
+CUT_OFF_S = 30.0
 SEED = 7
 
 Apply = Callable[[RoutedRegion], None]
@@ -238,6 +239,14 @@
     region.network.heal()
 
 
+def cut_off_control(region: RoutedRegion) -> None:
+    """Cut control off from every process for longer than a lease, and heal."""
+    others = [name for name in region.network.nodes if name != "control"]
+    region.network.part(["control"], others)
+    region.network.run(CUT_OFF_S)
+    region.network.heal()
+
+
 def many_at_once(region: RoutedRegion) -> None:
     """Make changes of every kind at one moment."""
     region.network.cut("control", "entry1")
@@ -305,6 +314,7 @@
     restart_agent_twice,
     restart_every_agent_in_turn,
     hide_versions_for_a_minute,
+    cut_off_control,
     many_at_once,
     many_at_once_twice,
     hundred_versions,
--- a/fulmarshore/bench/flows_test.py
+++ b/fulmarshore/bench/flows_test.py
@@ -2,6 +2,7 @@
 
 from fulmarshore.bench.flows import (
     crash_upstream,
+    cut_off_control,
     drain_upstream,
     many_at_once_twice,
     measure_change,
@@ -16,6 +17,7 @@
         cases = [
             (drain_upstream, True, False),
             (many_at_once_twice, True, False),
+            (cut_off_control, True, False),
             (crash_upstream, False, True),
             (zone_out, False, True),
         ]
