--- a/fulmarshore/timeline/flows.py
+++ b/fulmarshore/timeline/flows.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from fulmarshore.core.records import (
     CloseUpstream,
     Datagram,
@@ -38,10 +40,11 @@
         Flows remembered; of the one longest silent a step may be told again.
     """
 
-    __slots__ = ("_max_flows", "_last")
+    __slots__ = ("_max_flows", "_last", "_held")
 
     def __init__(self, max_flows: int = MAX_FLOWS) -> None:
         self._max_flows = max_flows
+        self._held: dict[bytes, Forward] = {}
         self._last: dict[bytes, TimelineEvent] = {}
 
     def observe(self, event: Event, effects: list[Effect]) -> list[TimelineEvent]:
@@ -56,6 +59,8 @@
                 self._tell(told, "flow_opened", event, event.owner.name)
             case StreamEnded(flow=flow):
                 self._end(told, flow, "stream ended")
+            case PeerMessage(message=Forward() as message) if not effects:
+                self._hold(message)
         for effect in effects:
             match effect:
                 case SendPeer(message=message):
@@ -95,12 +100,22 @@
         held = self._last.get(flow)
         if held is not None and held.kind == "flow_opened":
             return
-        if not isinstance(event, PeerMessage):
+        packet = self._held.pop(flow, None)
+        if isinstance(event, PeerMessage) and isinstance(event.message, Forward):
+            if event.message.flow == flow:
+                packet = event.message
+        if packet is None:
+            return
+        detail = f"assignment {packet.assignment}" if packet.assignment else "home"
+        self._tell(told, "flow_opened", packet, packet.entry, detail)
+
+    def _hold(self, packet: Forward) -> None:
+        """Remember a packet that waits, as its flow is opened by a later event."""
+        if packet.flow in self._last or packet.flow in self._held:
             return
-        if isinstance(event.message, Forward) and event.message.flow == flow:
-            packet = event.message
-            detail = f"assignment {packet.assignment}" if packet.assignment else "home"
-            self._tell(told, "flow_opened", packet, packet.entry, detail)
+        self._held[packet.flow] = replace(packet, payload=b"")
+        if len(self._held) > self._max_flows:
+            del self._held[next(iter(self._held))]
 
     def _tell(
         self,
--- a/fulmarshore/timeline/flows_test.py
+++ b/fulmarshore/timeline/flows_test.py
@@ -47,6 +47,19 @@
                 told = FlowWatch().observe(event, [effect])
                 self.assertEqual([(t.kind, t.flow) for t in told], [(kind, KEY.hex())])
 
+    def test_a_flow_whose_packet_had_to_wait_is_told_as_opened(self):
+        table = [
+            ("held, then delivered", KEY, ["flow_opened"]),
+            ("another flow", b"o" * 16, []),
+        ]
+        for title, flow, kinds in table:
+            with self.subTest(title):
+                watch = FlowWatch()
+                self.assertEqual(watch.observe(PeerMessage(AT, make_packet()), []), [])
+                for expected in (kinds, []):
+                    told = watch.observe(Tick(), [SendUpstream(flow, b"x")])
+                    self.assertEqual([event.kind for event in told], expected)
+
     def test_a_step_is_told_once_and_memory_is_bounded(self):
         watch = FlowWatch(max_flows=4)
         event = PeerMessage(AT, make_packet())
