Data path bench takes short slices in drawn order and pairs them

Cause: runs of one tree differed by a tenth and more. Each subject was loaded for 0.7 s at a stretch in a fixed order, in 3 rounds; processor time was read from the table of processes in ticks of 10 ms; and the packets of a subject began with its first flow in each round.

Now a round is a slice of 20 ms of every subject in an order drawn for the round, 50 rounds; processor time comes from the clock of the process in nanoseconds; packets go on where the last slice stopped, so that 300,000 flows all get their turn. Ratios are of one round and are shown with their quartiles. The relay is as it was.

A run with 15 ms slices failed once with "nothing came through entry_1": under load no packet came for 30 ms. It now waits 200 ms, and no more once a slice.

The test of the small run compares the relay's ratio with its whole spread in place of one number.

--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -1,23 +1,33 @@
 """The cost of a packet: a bare relay, the entry host's path, the agent's path.
 
 Every subject runs in a process of its own, the daemons with their real loop
-and sockets. Rounds of all subjects are interleaved. So that the load is never
-the limit, a subject is stopped while a burst is put into its socket's buffer;
-the time runs from its going on to the last datagram at the sink, and only what
-reaches the sink is counted.
+and sockets. A round is one short slice of every subject, in an order that is
+drawn for each round, and ratios are taken within rounds: what else the machine
+does meets all subjects alike. So that the load is never the limit, a subject is
+stopped while a burst is put into its socket's buffer; the time runs from its
+going on to the last datagram at the sink, and only what reaches the sink is
+counted. A subject's packets go on from slice to slice where they stopped, so
+that all its flows get their turn.
 """
 
 from __future__ import annotations
 
 import os
 import socket
-import statistics
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from random import Random
 
 from msgspec import Struct
 
 from fulmarshore.adapters.keys import RING_SECRET_BYTES, Ring, add_ring_key
+from fulmarshore.bench.rates import (
+    Rate,
+    Spread,
+    compare_cpu,
+    compare_time,
+    take_median,
+)
 from fulmarshore.bench.subjects import NOWHERE, VERSION, run_agent, run_entry
 from fulmarshore.bench.traffic import (
     LOOPBACK,
@@ -43,6 +53,9 @@
     Service,
 )
 
+ROUNDS = 50
+SLICE_S = 0.02
+ORDER_SEED = 1
 PAYLOAD = bytes(200)
 FLOWS = (1, 1_000, 300_000)
 AGENT_FLOWS = 2_000
@@ -58,21 +71,6 @@
 SEALED_HOST = 8
 
 
-class Rate(Struct, frozen=True):
-    """What one subject did in one round.
-
-    Parameters
-    ----------
-    pps : float
-        Packets a second that reached the sink.
-    cpu_pps : float
-        The same for each second of processor time of the subject.
-    """
-
-    pps: float
-    cpu_pps: float
-
-
 class ForwardResult(Struct, frozen=True):
     """Medians over the rounds; ratios are to the relay, of ``cpu_pps``.
 
@@ -80,9 +78,9 @@
     ----------
     rates : dict of str to Rate
         Medians by subject.
-    ratios, wall_ratios : dict of str to float
+    ratios, wall_ratios : dict of str to Spread
         Packets a second of processor time, and of the clock, as a share of
-        the relay's in the same round, medians over the rounds.
+        the relay's in the same round.
     cost_growth : float
         Processor time of a packet with most flows over that with fewest.
     cost_growth_from_thousand : float
@@ -99,8 +97,8 @@
     """
 
     rates: dict[str, Rate]
-    ratios: dict[str, float]
-    wall_ratios: dict[str, float]
+    ratios: dict[str, Spread]
+    wall_ratios: dict[str, Spread]
     cost_growth: float
     cost_growth_from_thousand: float
     new_flows_per_second: float
@@ -109,13 +107,28 @@
     sealing_cost: float
 
 
-class Subject(Struct, frozen=True):
-    """A process under measurement and how to send its n-th packet."""
+class Subject(Struct):
+    """A process under measurement and how to send its n-th packet.
+
+    Parameters
+    ----------
+    name : str
+        Its name in the report.
+    child : Child
+        The process.
+    send : callable
+        Sends the packet of a flow.
+    count : int
+        Number of flows.
+    sent : int
+        Packets sent so far while it was measured.
+    """
 
     name: str
     child: Child
     send: Callable[[int], None]
     count: int
+    sent: int = 0
 
 
 class ForwardBench:
@@ -126,7 +139,7 @@
     rounds : int
         Rounds of all subjects.
     seconds : float
-        Length of the load on one subject in one round.
+        Length of the slice of one subject in one round.
     flows : tuple of int
         Flows of the entry hosts, ascending.
     """
@@ -142,6 +155,7 @@
         self.subjects: list[Subject] = []
         self.sockets = [self.source]
         self.services: list[Address] = []
+        self.arrived = 0
 
     def close(self) -> None:
         """End all processes."""
@@ -163,24 +177,24 @@
         held = self._count_hints(most)
         resident = most.child.read_resident()
         measured: dict[str, list[Rate]] = {s.name: [] for s in self.subjects}
+        random = Random(ORDER_SEED)
+        self.arrived, _ = count_sink(self.sink)
         for _ in range(self.rounds):
-            for subject in self.subjects:
+            for subject in random.sample(self.subjects, len(self.subjects)):
                 measured[subject.name].append(self._measure(subject))
         return self._sum_up(measured, self._measure_new_flows(), resident, held)
 
     def _measure(self, subject: Subject) -> Rate:
         """Measure bursts that wait in the subject's buffer before it starts."""
         child = subject.child
-        before, _ = count_sink(self.sink)
-        first = before
+        first = before = self.arrived
         cpu = child.read_cpu()
         busy = 0.0
-        number = 0
         while busy < self.seconds:
             child.pause()
             for _ in range(BURST):
-                subject.send(number % subject.count)
-                number += 1
+                subject.send(subject.sent % subject.count)
+                subject.sent += 1
             start = time.perf_counter()
             child.resume()
             after, last = count_sink(self.sink, before + BURST)
@@ -188,6 +202,7 @@
                 raise RuntimeError(f"nothing came through {subject.name}")
             busy += last - start
             before = after
+        self.arrived = before
         packets = before - first
         return Rate(packets / busy, packets / (child.read_cpu() - cpu))
 
@@ -334,20 +349,17 @@
         resident: int,
         held: int,
     ) -> ForwardResult:
-        rates = {name: _take_median(rounds) for name, rounds in measured.items()}
-        ratios = {}
-        wall_ratios = {}
-        for name, rounds in measured.items():
-            pairs = list(zip(rounds, measured["relay"], strict=True))
-            ratios[name] = _round(r.cpu_pps / relay.cpu_pps for r, relay in pairs)
-            wall_ratios[name] = _round(r.pps / relay.pps for r, relay in pairs)
+        rates = {name: take_median(rounds) for name, rounds in measured.items()}
+        relay = measured["relay"]
+        ratios = {name: compare_cpu(found, relay) for name, found in measured.items()}
+        wall = {name: compare_time(found, relay) for name, found in measured.items()}
         names = [f"entry_{count}" for count in self.flows]
         return ForwardResult(
             rates,
             ratios,
-            wall_ratios,
-            _compare(measured[names[0]], measured[names[-1]]),
-            _compare(measured[names[-2]], measured[names[-1]]),
+            wall,
+            compare_cpu(measured[names[0]], measured[names[-1]]).median,
+            compare_cpu(measured[names[-2]], measured[names[-1]]).median,
             round(new_flows),
             round(resident / MEGABYTE, 1),
             held,
@@ -355,12 +367,12 @@
         )
 
     def _find_sealing_cost(self, measured: dict[str, list[Rate]]) -> float:
-        pairs = zip(measured[SEALED], measured[f"entry_{self.flows[-2]}"], strict=True)
-        return _round(1 - sealed.cpu_pps / plain.cpu_pps for sealed, plain in pairs)
+        plain = measured[f"entry_{self.flows[-2]}"]
+        return round(1 - compare_cpu(measured[SEALED], plain).median, 3)
 
 
 def run(
-    rounds: int = 3, seconds: float = 0.7, flows: tuple[int, ...] = FLOWS
+    rounds: int = ROUNDS, seconds: float = SLICE_S, flows: tuple[int, ...] = FLOWS
 ) -> ForwardResult:
     """Run the measurement in processes of its own."""
     bench = ForwardBench(rounds, seconds, flows)
@@ -370,22 +382,6 @@
         bench.close()
 
 
-def _take_median(rounds: list[Rate]) -> Rate:
-    return Rate(
-        round(statistics.median(rate.pps for rate in rounds)),
-        round(statistics.median(rate.cpu_pps for rate in rounds)),
-    )
-
-
-def _round(values: Iterable[float]) -> float:
-    return round(statistics.median(values), 3)
-
-
-def _compare(few: list[Rate], most: list[Rate]) -> float:
-    """Return the cost of a packet in the second rounds over the first."""
-    return _round(f.cpu_pps / m.cpu_pps for f, m in zip(few, most, strict=True))
-
-
 def _declare(address: Address) -> list[Item]:
     profile = Profile("p", Kind.FEED, idle_timeout=IDLE_TIMEOUT_S)
     return [profile, Service("s", "p", *address)]
--- a/fulmarshore/bench/forward_test.py
+++ b/fulmarshore/bench/forward_test.py
@@ -1,6 +1,7 @@
 from unittest import TestCase
 
 from fulmarshore.bench.forward import run
+from fulmarshore.bench.rates import Spread
 
 FLOWS = (1, 10, 20)
 
@@ -15,8 +16,8 @@
             with self.subTest(name):
                 self.assertGreater(rate.pps, 0)
                 self.assertGreater(rate.cpu_pps, 0)
-                self.assertGreater(result.ratios[name], 0)
-        self.assertEqual(result.ratios["relay"], 1.0)
+                self.assertGreater(result.ratios[name].median, 0)
+        self.assertEqual(result.ratios["relay"], Spread(1.0, 1.0, 1.0))
         self.assertEqual(result.entry_flows, FLOWS[-1])
         self.assertGreater(result.entry_resident_mb, 0)
         self.assertGreater(result.new_flows_per_second, 0)
--- a/fulmarshore/bench/traffic.py
+++ b/fulmarshore/bench/traffic.py
@@ -24,12 +24,14 @@
 LOOPBACK = "127.0.0.1"
 IP_PKTINFO = 8
 """Linux's number of the ancillary message, which the library does not name."""
+CPU_CLOCK_SHIFT = 3
+CPU_CLOCK_OF_PROCESS = 2
 MAX_CALLERS = 1 << 22
 BUFFER_BYTES = 4 * 1024 * 1024
 SINK_PAUSE_S = 0.0003
 SINK_BATCH = 512
 START_TIMEOUT_S = 20.0
-SETTLE_S = 0.03
+SETTLE_S = 0.2
 POLL_S = 0.001
 
 _CONTEXT = multiprocessing.get_context("spawn")
@@ -53,6 +55,7 @@
         other.close()
         self.hello = self.receive()
         self._usage = psutil.Process(self._process.pid)
+        self._cpu_clock = find_cpu_clock(self._process.pid)
 
     def receive(self) -> Any:
         """Return the next message of the child."""
@@ -62,8 +65,7 @@
 
     def read_cpu(self) -> float:
         """Return the processor time spent so far, in seconds."""
-        times = self._usage.cpu_times()
-        return times.user + times.system
+        return time.clock_gettime(self._cpu_clock)
 
     def pause(self) -> None:
         """Stop the child until it is resumed."""
@@ -84,6 +86,15 @@
         self.pipe.close()
 
 
+def find_cpu_clock(pid: int) -> int:
+    """Return the clock of the processor time of a process.
+
+    It counts nanoseconds, where the table of processes counts ticks of 10 ms.
+    The number is what Linux's clock_getcpuclockid(3) gives.
+    """
+    return ~pid << CPU_CLOCK_SHIFT | CPU_CLOCK_OF_PROCESS
+
+
 def run_relay(pipe: Connection, destination: Address) -> None:
     """Relay datagrams with two blocking calls each, until terminated."""
     sock = open_socket(LOOPBACK)
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -100,8 +100,13 @@
 
 
 @bench.command("forward")
-@click.option("--rounds", type=click.IntRange(1, 100), default=3)
-@click.option("--seconds", type=click.FloatRange(0.1, 60.0), default=0.7)
+@click.option("--rounds", type=click.IntRange(1, 1000), default=forward_bench.ROUNDS)
+@click.option(
+    "--seconds",
+    type=click.FloatRange(0.001, 60.0),
+    default=forward_bench.SLICE_S,
+    help="Length of one subject's slice of a round.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def forward(rounds: int, seconds: float, as_json: bool) -> None:
     """Measure packets a second against a bare relay."""
@@ -109,11 +114,14 @@
     if as_json:
         click.echo(json.dumps(msgspec.to_builtins(result)))
         return
-    rows = [
-        (name, rate.pps, rate.cpu_pps, result.wall_ratios[name], result.ratios[name])
-        for name, rate in result.rates.items()
-    ]
-    headers = ("subject", "pps", "pps/cpu s", "ratio", "ratio/cpu s")
+    rows = []
+    for name, rate in result.rates.items():
+        wall = msgspec.structs.astuple(result.wall_ratios[name])
+        cpu = msgspec.structs.astuple(result.ratios[name])
+        rows.append((name, rate.pps, rate.cpu_pps, *wall, *cpu))
+    quartiles = ("low", "high")
+    headers = ("subject", "pps", "pps/cpu s", "ratio", *quartiles)
+    headers += ("ratio/cpu s", *quartiles)
     click.echo(tabulate(rows, headers=headers))
     click.echo(f"cost growth with flows: {result.cost_growth}")
     click.echo(f"from 1,000 flows on: {result.cost_growth_from_thousand}")
