Data path sends to each known peer on a connected socket

Now the data socket opens, beside itself and on the same address, a connected socket for each peer of the table that the short ways send to, 256 at most. Peers see the same source. The address is shared (SO_REUSEADDR) for the moment of the binding only. A channel that reports an earlier error has its datagram sent beside it. Channels of peers that left the table are closed.

--- /dev/null
+++ b/fulmarshore/adapters/channels.py
@@ -0,0 +1,91 @@
+"""Connected sockets to the peers that most datagrams go to.
+
+Each is bound to the address of the unconnected socket beside it: peers see one
+source, and what a peer sends comes to the socket that is connected to it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+
+from fulmarshore.adapters.datagrams import SEND_ERRORS, Batch, DatagramSocket
+from fulmarshore.core.records import Address
+
+MAX_CHANNELS = 256
+"""Peers with a connected socket; the others share the unconnected one."""
+
+Send = Callable[[bytes], object]
+
+
+class Channels:
+    """Sends to peers, on a connected socket each as far as they reach.
+
+    Parameters
+    ----------
+    base : DatagramSocket
+        The bound socket beside which they are opened.
+    counters : Counter
+        Counts channels that could not be opened.
+    limit : int
+        Bound of the connected sockets.
+    """
+
+    __slots__ = ("_base", "_counters", "_limit", "_sends", "_sockets")
+
+    def __init__(
+        self,
+        base: DatagramSocket,
+        counters: Counter[str],
+        limit: int = MAX_CHANNELS,
+    ) -> None:
+        self._base = base
+        self._counters = counters
+        self._limit = limit
+        self._sends: dict[Address, Send] = {}
+        self._sockets: dict[Address, DatagramSocket] = {}
+
+    def __len__(self) -> int:
+        return len(self._sockets)
+
+    def send_all(self, batch: Batch) -> None:
+        """Send frames to peers, in their order.
+
+        A channel reports the error of an earlier datagram in place of sending
+        this one, so that what it does not take is tried without it.
+        """
+        find_send = self._sends.get
+        for frame, peer in batch:
+            send = find_send(peer) or self._open(peer)
+            try:
+                send(frame)
+            except SEND_ERRORS:
+                self._base.send(frame, peer)
+
+    def keep(self, is_known: Callable[[Address], bool]) -> None:
+        """Close the channels to all but known peers."""
+        for peer in list(self._sends):
+            if is_known(peer):
+                continue
+            del self._sends[peer]
+            sock = self._sockets.pop(peer, None)
+            if sock is not None:
+                sock.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.keep(lambda peer: False)
+
+    def _open(self, peer: Address) -> Send:
+        send: Send = partial(self._base.send, destination=peer)
+        if len(self._sockets) < self._limit:
+            try:
+                sock = self._base.branch(peer)
+            except OSError:
+                self._counters["channels_not_opened"] += 1
+            else:
+                self._sockets[peer] = sock
+                send = sock.send_now
+        self._sends[peer] = send
+        return send
--- a/fulmarshore/adapters/datagrams.py
+++ b/fulmarshore/adapters/datagrams.py
@@ -108,6 +108,31 @@
         self._connected = True
         self._watch()
 
+    def branch(self, peer: Address) -> DatagramSocket:
+        """Return a socket on this one's address that is connected to a peer.
+
+        What the peer sends comes to that one from then on, in the same batches
+        to the same callback. The address is shared for this moment only:
+        another process gets it neither before nor after.
+        """
+        beside = DatagramSocket(
+            self._loop, self._receive, None, self._drain, self._counters
+        )
+        beside._open(peer.host, SOCKET_BUFFER_BYTES)
+        try:
+            for sock in (self._socket, beside._socket):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            beside._socket.bind(self._socket.getsockname())
+            beside._socket.connect(peer)
+        except OSError:
+            beside._socket.close()
+            raise
+        finally:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
+        beside._connected = True
+        beside._watch()
+        return beside
+
     def send(self, payload: bytes, destination: Address | None = None) -> None:
         """Send a datagram; one that the kernel has no room for is dropped."""
         if self._socket is None:
@@ -120,15 +145,6 @@
         except SEND_ERRORS as error:
             self.note_send_error(error)
 
-    def send_all(self, batch: Batch) -> None:
-        """Send datagrams to their destinations, as ``send`` does."""
-        send_now_to = self.send_now_to
-        for payload, destination in batch:
-            try:
-                send_now_to(payload, destination)
-            except SEND_ERRORS as error:
-                self.note_send_error(error)
-
     def note_send_error(self, error: OSError | OverflowError) -> None:
         """Count a datagram that the kernel did not take."""
         if isinstance(error, ConnectionRefusedError):
--- a/fulmarshore/adapters/datagrams_test.py
+++ b/fulmarshore/adapters/datagrams_test.py
@@ -110,6 +110,6 @@
             for number in range(3):
                 sender.sendto(bytes([number]), address)
         sock._read()
-        sock.send_all([(b"x", address)])
+        sock.send(b"x", address)
         sock.send_now(b"x")
         self.assertEqual((seen, counters), ([b"\0"], {}))
--- a/fulmarshore/adapters/peers.py
+++ b/fulmarshore/adapters/peers.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from fulmarshore.adapters.channels import Channels
 from fulmarshore.adapters.datagrams import Batch, DatagramSocket
 from fulmarshore.adapters.sealing import Sealer, SealProblem
 from fulmarshore.core.codec import DECODE_ERRORS, decode_data_frame, encode
@@ -32,7 +33,7 @@
         Without it datagrams are neither authenticated nor encrypted.
     """
 
-    __slots__ = ("_socket", "_receive", "_counters", "_sealer")
+    __slots__ = ("_socket", "_receive", "_counters", "_sealer", "_channels")
 
     def __init__(
         self,
@@ -45,6 +46,7 @@
         self._receive = receive
         self._counters = counters
         self._socket = DatagramSocket(loop, drain=self._drain, counters=counters)
+        self._channels = Channels(self._socket, counters)
 
     def bind(self, address: Address) -> Address:
         """Bind to an address and return the one in use."""
@@ -61,14 +63,19 @@
         self._socket.send(frame, destination)
 
     def send_all(self, batch: Batch) -> None:
-        """Send encoded messages to their destinations."""
+        """Send encoded messages to peers of the table, on channels."""
         if self._sealer is not None:
             seal = self._sealer.seal
             batch = [(seal(frame), destination) for frame, destination in batch]
-        self._socket.send_all(batch)
+        self._channels.send_all(batch)
+
+    def keep_channels(self, is_known: Callable[[Address], bool]) -> None:
+        """Close the channels to peers that the table does not name any more."""
+        self._channels.keep(is_known)
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close all sockets."""
+        self._channels.close()
         self._socket.close()
 
     def _drain(self, batch: Batch) -> None:
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -139,6 +139,7 @@
         self.watch_flows(event, effects)
         if self.core.table is not self._table:
             self._table = self.core.table
+            self._data.keep_channels(self.core.peers.is_known)
             service = self.core.service
             is_stream = service is not None and service.service.protocol == Protocol.TCP
             self._serves_streams = is_stream
--- a/fulmarshore/daemons/batch_test.py
+++ b/fulmarshore/daemons/batch_test.py
@@ -59,6 +59,9 @@
     def send_all(self, batch):
         self.sent.extend(batch)
 
+    def keep_channels(self, is_known):
+        pass
+
 
 def make_entry(protocol, max_hints):
     core = make_core(max_hints)
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -137,6 +137,7 @@
         self.watch_flows(event, effects)
         if self.core.table.version != self._version:
             self._version = self.core.table.version
+            self._data.keep_channels(self.core.peers.is_known)
             self._follow_services()
         return effects
 
