Short ways compare with local names and count once a batch

Cause: in a loop without sockets over 2,000 flows a known packet took an agent 545 to 596 ns, 255 to 270 ns of it in take_known, and an answer an entry host 488 to 509 ns. A third of take_known was a Counter, counted up for each packet, and the rest look-ups through three objects.

Now the counts are made once a batch by the daemon, take_known and check_answer load each object once and make no further call, and what a packet changes of its flow but seldom (entry host, assignment) stands apart. The checks are the same ones.

--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -189,10 +189,12 @@
         take_known = self.core.take_known
         find_upstream = self._upstreams.get
         ready: list[tuple[DatagramSocket, bytes]] = []
+        handled = 0
         for message, source in messages:
             is_packet = type(message) is Forward and not self._serves_streams
             if not is_packet or not take_known(message, now):
                 self._send_ready(ready)
+                handled += 1
                 self.execute(self.handle(PeerMessage(source, message), now))
                 # The core may have begun a new life.
                 take_known = self.core.take_known
@@ -202,6 +204,8 @@
                 sock = self._open_upstream(message.flow, 0)
             ready.append((sock, message.payload))
         self._send_ready(ready)
+        # A counter costs as much as all else that is done for a known packet.
+        self.core.counters["delivered"] += len(messages) - handled
 
     def _send_ready(self, ready: list[tuple[DatagramSocket, bytes]]) -> None:
         """Send what is ready in its order, before anything else is done."""
@@ -258,14 +262,17 @@
         """Send the upstream's datagrams on the socket of a flow back."""
         now = time.monotonic()
         ready: Batch = []
+        handled = 0
         for payload, _ in batch:
             is_short = len(payload) < PREPARED_LENGTHS
             flow = self.core.answer_known(key, now) if is_short else None
             if flow is None:
                 self._data.send_all(ready)
                 ready.clear()
+                handled += 1
                 self.dispatch(UpstreamDatagram(key, payload))
                 continue
             frame = b"".join((flow.head, LENGTHS[len(payload)], payload))
             ready.append((frame, flow.entry_address))
         self._data.send_all(ready)
+        self.core.counters["answered"] += len(batch) - handled
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -94,7 +94,6 @@
         self._sockets: dict[str, ServiceSocket] = {}
         self._streams: CallerStreams | None = None
         self._version = -1
-        self._answered = 0
         self._is_direct = settings.fabric == Fabric.DIRECT
 
     def open(self) -> None:
@@ -168,8 +167,6 @@
 
     def list_counters(self) -> list[Counter[str]]:
         """Return the counters for the metrics."""
-        self.core.counters["answered"] += self._answered
-        self._answered = 0
         return [self.counters, self.core.counters, self.core.subscriber.counters]
 
     def _take_peers(self, messages: Messages, now: float) -> None:
@@ -177,6 +174,7 @@
         check_answer = self.core.check_answer
         sockets = self._sockets
         ready: list[tuple[DatagramSocket, bytes, Source]] = []
+        answered = 0
         for message, source in messages:
             is_answer = type(message) is Answer
             caller = check_answer(message, source) if is_answer else None
@@ -185,14 +183,15 @@
                 self.execute(self.handle(PeerMessage(source, message), now))
                 check_answer = self.core.check_answer
                 continue
-            # A counter costs as much as the whole check of an answer.
-            self._answered += 1
+            answered += 1
             held = sockets.get(message.service)
             if held is None or not self._is_direct:
                 self._send_caller(message.service, caller, message.payload)
                 continue
             ready.append((held.socket, message.payload, caller))
         self._send_ready(ready)
+        # A counter costs as much as half of the check of an answer.
+        self.core.counters["answered"] += answered
 
     def _send_ready(self, ready: list[tuple[DatagramSocket, bytes, Source]]) -> None:
         """Send what is ready in its order, before anything else is done."""
--- a/fulmarshore/routing/delivery.py
+++ b/fulmarshore/routing/delivery.py
@@ -46,25 +46,33 @@
     def take_known(self, packet: Forward, now: float) -> bool:
         """Take a packet of a flow held here that needs nothing but delivery.
 
-        Its payload goes to the upstream on the socket of the flow. False: it
-        is to be handled as an event.
+        Its payload goes to the upstream on the socket of the flow, and is
+        counted there. False: it is to be handled as an event.
         """
         flow = self.flows.get(packet.flow)
-        member = self.state.member
-        if flow is None or packet.version != self.state.table.version:
+        if flow is None or now >= flow.silent_at:
             return False
-        if packet.service != member.service or packet.target != member.name:
+        state = self.state
+        member = state.member
+        if (
+            packet.version != state.table.version
+            or packet.incarnation != member.incarnation
+            or packet.target != member.name
+            or packet.service != member.service
+        ):
             return False
-        if packet.incarnation != member.incarnation or now >= flow.silent_at:
-            return False
-        self._touch(flow, packet, now)
+        flow.last_active = now
+        if flow.entry != packet.entry or packet.assignment > flow.assignment:
+            self._follow_packet(flow, packet)
+        if flow.silent_at == NEVER and self._silent_timeout != NEVER:
+            flow.silent_at = now + self._silent_timeout
         return True
 
     def answer_known(self, key: bytes, now: float) -> Flow | None:
         """Return the flow that an upstream's datagram goes back on, if simple.
 
-        Its head and the payload, joined, go to its entry host. None: the
-        datagram is to be handled as an event.
+        Its head and the payload, joined, go to its entry host, and are counted
+        there. None: the datagram is to be handled as an event.
         """
         flow = self.flows.get(key)
         if flow is None or flow.entry_address is None:
@@ -75,7 +83,6 @@
         if flow.head_version != self.state.table.version:
             flow.head = encode_head(self._make_answer(flow, b""))
             flow.head_version = self.state.table.version
-        self.counters["answered"] += 1
         return flow
 
     def deliver(self, flow: Flow, packet: Forward, now: float) -> SendUpstream:
@@ -116,12 +123,16 @@
         flow.last_active = now
         if flow.silent_at == NEVER:
             flow.silent_at = now + self._silent_timeout
+        self._follow_packet(flow, packet)
+        self.counters["delivered"] += 1
+
+    def _follow_packet(self, flow: Flow, packet: Forward) -> None:
+        """Note by which entry host and assignment a flow's packet came."""
         if packet.assignment > flow.assignment:
             flow.assignment = packet.assignment
         if flow.entry != packet.entry:
             flow.entry = packet.entry
             flow.entry_address = self.state.find_entry(packet.entry)
-        self.counters["delivered"] += 1
 
     def _make_answer(self, flow: Flow, payload: bytes) -> Answer:
         return Answer(
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -195,14 +195,17 @@
         One that fits is counted by who sends it on.
         """
         routes = self.routes.get(answer.service)
-        if routes is None or answer.version != routes.version:
+        if routes is None:
             return None
+        version = routes.version
         caller = (answer.caller_host, answer.caller_port)
-        hint = routes.peek(caller)
-        if hint is None or hint.flow != answer.flow or source != hint.address:
+        hint = routes.young.get(caller)
+        if hint is None or answer.version != version or hint.version != version:
+            return None
+        if hint.flow != answer.flow or source != hint.address:
             return None
         member = hint.member
-        if member.name != answer.owner or member.incarnation != answer.incarnation:
+        if member.incarnation != answer.incarnation or member.name != answer.owner:
             return None
         return caller
 
