Data path bench draws the order in which flows speak

Cause: flows spoke in the order in which they were opened, so that the objects of a flow lay beside those of the one before and the processor fetched them ahead.

Now each subject's flows speak in an order drawn once.

--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -6,8 +6,9 @@
 does meets all subjects alike. So that the load is never the limit, a subject is
 stopped while a burst is put into its socket's buffer; the time runs from its
 going on to the last datagram at the sink, and only what reaches the sink is
-counted. A subject's packets go on from slice to slice where they stopped, so
-that all its flows get their turn.
+counted. A subject's flows get their turns in an order that is drawn once, as
+callers do not speak in the order in which they came, and packets go on from
+slice to slice where they stopped.
 """
 
 from __future__ import annotations
@@ -118,8 +119,8 @@
         The process.
     send : callable
         Sends the packet of a flow.
-    count : int
-        Number of flows.
+    order : list of int
+        The flows in the order in which they speak.
     sent : int
         Packets sent so far while it was measured.
     """
@@ -127,7 +128,7 @@
     name: str
     child: Child
     send: Callable[[int], None]
-    count: int
+    order: list[int]
     sent: int = 0
 
 
@@ -156,6 +157,7 @@
         self.sockets = [self.source]
         self.services: list[Address] = []
         self.arrived = 0
+        self.random = Random(ORDER_SEED)
 
     def close(self) -> None:
         """End all processes."""
@@ -177,10 +179,9 @@
         held = self._count_hints(most)
         resident = most.child.read_resident()
         measured: dict[str, list[Rate]] = {s.name: [] for s in self.subjects}
-        random = Random(ORDER_SEED)
         self.arrived, _ = count_sink(self.sink)
         for _ in range(self.rounds):
-            for subject in random.sample(self.subjects, len(self.subjects)):
+            for subject in self.random.sample(self.subjects, len(self.subjects)):
                 measured[subject.name].append(self._measure(subject))
         return self._sum_up(measured, self._measure_new_flows(), resident, held)
 
@@ -193,7 +194,7 @@
         while busy < self.seconds:
             child.pause()
             for _ in range(BURST):
-                subject.send(subject.sent % subject.count)
+                subject.send(subject.order[subject.sent % len(subject.order)])
                 subject.sent += 1
             start = time.perf_counter()
             child.resume()
@@ -206,6 +207,9 @@
         packets = before - first
         return Rate(packets / busy, packets / (child.read_cpu() - cpu))
 
+    def _draw_order(self, count: int) -> list[int]:
+        return self.random.sample(range(count), count)
+
     def _start(self, *arguments: object) -> Child:
         child = Child(*arguments)
         self.children.append(child)
@@ -218,7 +222,7 @@
     def _add(self, name: str, child: Child, destination: Address, count: int) -> None:
         """Add a subject that gets datagrams from callers."""
         send = self._make_sender(self.source, destination)
-        self.subjects.append(Subject(name, child, send, count))
+        self.subjects.append(Subject(name, child, send, self._draw_order(count)))
 
     def _make_sender(
         self, sock: socket.socket, destination: Address
@@ -256,12 +260,12 @@
     def _prime(self, subject: Subject) -> None:
         """Send every flow's packet, slowly, until all flows are held."""
         for _ in range(PRIME_ROUNDS):
-            for number in range(subject.count):
+            for number in range(len(subject.order)):
                 subject.send(number)
                 if number % PRIME_BURST == 0:
                     time.sleep(PRIME_PAUSE_S)
             time.sleep(PRIME_PAUSE_S)
-            if self._count_hints(subject) >= subject.count:
+            if self._count_hints(subject) >= len(subject.order):
                 return
 
     def _count_hints(self, subject: Subject) -> int:
@@ -299,7 +303,8 @@
         def send(number: int) -> None:
             sendto(frames[number], destination)
 
-        self.subjects.append(Subject(name, child, send, len(frames)))
+        order = self._draw_order(len(frames))
+        self.subjects.append(Subject(name, child, send, order))
 
     def _add_agent(self) -> None:
         child = self._start(run_agent, self.sink.hello, _declare(NOWHERE))
@@ -309,7 +314,7 @@
         self._prime_agent(self.subjects[-1])
 
     def _prime_agent(self, subject: Subject) -> None:
-        for number in range(subject.count):
+        for number in range(len(subject.order)):
             subject.send(number)
             if number % PRIME_BURST == 0:
                 time.sleep(PRIME_PAUSE_S * 10)
@@ -331,7 +336,8 @@
         def send(number: int) -> None:
             upstream.sendto(PAYLOAD, peers[number])
 
-        self.subjects.append(Subject("agent_answers", child, send, len(peers)))
+        order = self._draw_order(len(peers))
+        self.subjects.append(Subject("agent_answers", child, send, order))
 
     def _measure_new_flows(self) -> float:
         """Send first packets of flows that the first entry host never saw."""
@@ -339,7 +345,8 @@
         self.sockets.append(fresh)
         first = self.subjects[1]
         send = self._make_sender(fresh, self.services[0])
-        subject = Subject("new_flows", first.child, send, len(self.callers))
+        order = self._draw_order(len(self.callers))
+        subject = Subject("new_flows", first.child, send, order)
         return self._measure(subject).pps
 
     def _sum_up(
