--- a/fulmarshore/core/codec.py
+++ b/fulmarshore/core/codec.py
@@ -5,7 +5,9 @@
 from typing import Any
 
 import msgspec
+from msgspec.structs import replace
 
+from fulmarshore.core.hashing import FLOW_BYTES
 from fulmarshore.core.records import (
     Answer,
     Command,
@@ -54,6 +56,17 @@
     return encode(message).removesuffix(LENGTHS[0])
 
 
+def find_flow(message: Forward | Answer) -> int:
+    """Return where the key of the flow stands in an encoded message.
+
+    Messages that differ only in what stands behind it have it at the same place.
+    """
+    zeros, ones = (
+        encode(replace(message, flow=bytes([fill]) * FLOW_BYTES)) for fill in (0, 1)
+    )
+    return next(at for at, byte in enumerate(zeros) if byte != ones[at])
+
+
 def decode_data(frame: bytes, peer: str) -> DataMessage | Malformed:
     """Decode a datagram of the data path.
 
--- a/fulmarshore/core/hashing.py
+++ b/fulmarshore/core/hashing.py
@@ -6,6 +6,8 @@
 
 from xxhash import xxh3_64_intdigest, xxh3_128_digest
 
+FLOW_BYTES = 16
+"""Size of the key of a flow."""
 BUCKETS_PER_SERVICE = 1024
 """Buckets of each service; a power of two."""
 
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -278,7 +278,7 @@
         forwarded = 0
         for payload, source in batch:
             hint = find_young(source)
-            if hint is None or hint.version != version:
+            if hint is None or hint.route.version != version:
                 hint = routes.find(source)
                 # A full generation may have made room for a new one.
                 find_young = routes.young.get
@@ -291,7 +291,8 @@
                 self.dispatch(Datagram(name, source, payload))
                 find_young = routes.young.get
                 continue
-            ready.append((join((hint.head, lengths[size], payload)), hint.address))
+            frame = join((hint.head, lengths[size], payload))
+            ready.append((frame, hint.route.address))
         self._data.send_all(ready)
         self.core.counters["forwarded"] += forwarded + len(ready)
         self._watch_renewed(name, routes)
@@ -300,7 +301,7 @@
         """Put the flows that are new here on their time line."""
         while routes.renewed:
             renewed = routes.renewed.popleft()
-            self.watch_forwarded(service, renewed.flow, renewed.member.name)
+            self.watch_forwarded(service, renewed.flow, renewed.route.member.name)
 
     def _take_headers(self, held: ServiceSocket, batch: Batch) -> Batch:
         """Return payloads and callers in place of frames and fabric."""
--- a/fulmarshore/routing/entry.py
+++ b/fulmarshore/routing/entry.py
@@ -11,7 +11,7 @@
 from fulmarshore.admission.refusals import refuse_request
 from fulmarshore.core.addresses import is_address
 from fulmarshore.core.codec import decode_request
-from fulmarshore.core.hashing import find_bucket, hash_flow, hash_request
+from fulmarshore.core.hashing import FLOW_BYTES, find_bucket, hash_flow, hash_request
 from fulmarshore.core.phases import find_phase
 from fulmarshore.core.records import (
     Address,
@@ -127,9 +127,9 @@
         phase = find_phase(protocol, event.payload)
         self.counters["forwarded"] += 1
         packet = routes.make_packet(
-            hint.flow, source, hint.member, phase, event.payload
+            hint.flow, source, hint.route.member, phase, event.payload
         )
-        return [SendPeer(hint.address, packet)]
+        return [SendPeer(hint.route.address, packet)]
 
     def _forward_request(
         self, routes: ServiceRoutes, event: Datagram, now: float
@@ -200,11 +200,14 @@
         version = routes.version
         caller = (answer.caller_host, answer.caller_port)
         hint = routes.young.get(caller)
-        if hint is None or answer.version != version or hint.version != version:
+        if hint is None or answer.version != version:
             return None
-        if hint.flow != answer.flow or source != hint.address:
+        route = hint.route
+        start = route.flow_at
+        flow = hint.head[start : start + FLOW_BYTES]
+        if route.version != version or flow != answer.flow or source != route.address:
             return None
-        member = hint.member
+        member = route.member
         if member.incarnation != answer.incarnation or member.name != answer.owner:
             return None
         return caller
@@ -278,7 +281,7 @@
         if owner.incarnation != answer.incarnation:
             return
         hint = routes.peek(caller)
-        if hint is not None and hint.member is owner:
+        if hint is not None and hint.route.member is owner:
             return
         routes.learn(caller, answer.flow, owner)
 
--- a/fulmarshore/routing/entry_test.py
+++ b/fulmarshore/routing/entry_test.py
@@ -190,7 +190,8 @@
         (send,) = core.handle(Datagram("s", CALLER, payload), 1.0)
         frame = hint.head + LENGTHS[size] + payload
         self.assertEqual(frame, encode(send.message))
-        self.assertEqual(hint.address, send.destination)
+        self.assertEqual(hint.route.address, send.destination)
+        self.assertEqual(hint.flow, send.message.flow)
 
     def test_short_way_is_only_for_the_usual_phase(self):
         core = make_core()
@@ -248,7 +249,8 @@
                 view = make_view(VERSION + number, items)
                 core.handle(LinkMessage("c", view), 2.0)
                 hint = core.routes["s"].find(CALLER)
-                found = (hint.member.incarnation, hint.address.port) if hint else None
+                route = hint.route if hint else None
+                found = route and (route.member.incarnation, route.address.port)
                 self.assertEqual(found, (incarnation, port) if port else None)
 
     def test_agent_takes_only_its_own_packets_the_short_way(self):
--- a/fulmarshore/routing/hints.py
+++ b/fulmarshore/routing/hints.py
@@ -10,8 +10,11 @@
 
 from collections import deque
 
-from fulmarshore.core.codec import encode_head
-from fulmarshore.core.hashing import find_bucket, hash_flow
+from msgspec import Struct
+
+from fulmarshore.core.addresses import MAX_PORT
+from fulmarshore.core.codec import encode_head, find_flow
+from fulmarshore.core.hashing import FLOW_BYTES, find_bucket, hash_flow
 from fulmarshore.core.phases import find_phase, get_usual_phase
 from fulmarshore.core.records import Address, Forward, Member, Phase
 from fulmarshore.routing.table import ServiceTable
@@ -23,35 +26,60 @@
 
 Source = tuple[str, int]
 
+PORTS = tuple(range(MAX_PORT + 1))
+"""One number object for each port in place of one for each flow."""
 
-class Hint:
-    """Where the packets of one flow go while a version is in force.
+
+class Route:
+    """What the flows to one agent have in common while a version is in force.
 
     Parameters
     ----------
-    flow : bytes
-        Key of the flow.
     member : Member
-        The agent that gets them.
+        The agent.
     address : Address
         Its data address.
     version : int
-        The version that ``member`` and ``head`` belong to.
-    head : bytes
-        An encoded `Forward` of the flow in the usual phase of its protocol,
-        up to the payload.
+        The version that it belongs to.
+    flow_at : int
+        Where the key of the flow stands in a head.
     """
 
-    __slots__ = ("flow", "member", "address", "version", "head")
+    __slots__ = ("member", "address", "version", "flow_at")
 
     def __init__(
-        self, flow: bytes, member: Member, address: Address, version: int, head: bytes
+        self, member: Member, address: Address, version: int, flow_at: int
     ) -> None:
-        self.flow = flow
         self.member = member
         self.address = address
         self.version = version
-        self.head = head
+        self.flow_at = flow_at
+
+
+class Hint(Struct, gc=False):
+    """Where the packets of one flow go while a version is in force.
+
+    Most of what a packet costs among many flows are the objects of its flow
+    that are in no cache of the processor. So a hint is two references, without
+    the collector's part: neither of them leads back.
+
+    Parameters
+    ----------
+    route : Route
+        The agent that gets them.
+    head : bytes
+        An encoded `Forward` of the flow in the usual phase of its protocol,
+        up to the payload.
+    """
+
+    route: Route
+    head: bytes
+
+    @property
+    def flow(self) -> bytes:
+        """Key of the flow."""
+        start = self.route.flow_at
+        return self.head[start : start + FLOW_BYTES]
 
 
 class ServiceRoutes:
@@ -83,7 +111,7 @@
         "young",
         "_old",
         "_max_young",
-        "_addresses",
+        "_routes",
         "_phase",
     )
 
@@ -110,12 +138,12 @@
         self.service = service
         self.version = version
         self._phase = get_usual_phase(service.service.protocol)
-        self._addresses = {m.name: Address(m.host, m.port) for m in service.members}
+        self._routes: dict[str, Route] = {}
 
     def find(self, source: Source) -> Hint | None:
         """Return where the packets of a caller go; None if nowhere."""
         hint = self.young.get(source)
-        if hint is not None and hint.version == self.version:
+        if hint is not None and hint.route.version == self.version:
             return hint
         return self._refresh(source, hint)
 
@@ -126,15 +154,19 @@
     def peek(self, source: Source) -> Hint | None:
         """Return the current hint of a caller that spoke not long ago."""
         hint = self.young.get(source)
-        if hint is not None and hint.version == self.version:
+        if hint is not None and hint.route.version == self.version:
             return hint
         return None
 
     def point(self, flow: bytes, caller: Source, member: Member) -> Hint:
         """Return a hint to a member."""
         packet = self.make_packet(flow, caller, member, self._phase, b"")
-        address = self._addresses[member.name]
-        return Hint(flow, member, address, self.version, encode_head(packet))
+        route = self._routes.get(member.name)
+        if route is None:
+            address = Address(member.host, member.port)
+            route = Route(member, address, self.version, find_flow(packet))
+            self._routes[member.name] = route
+        return Hint(route, encode_head(packet))
 
     def make_packet(
         self,
@@ -187,7 +219,7 @@
     def _refresh(self, source: Source, hint: Hint | None) -> Hint | None:
         if hint is None:
             hint = self._old.pop(source, None)
-        if hint is None or hint.version != self.version:
+        if hint is None or hint.route.version != self.version:
             hint = self._renew(source, hint)
         if hint is None:
             self.young.pop(source, None)
@@ -198,8 +230,8 @@
     def _renew(self, source: Source, hint: Hint | None) -> Hint | None:
         """Return a hint of this version: the same owner, if it is still there."""
         if hint is not None:
-            owner = self.service.by_name.get(hint.member.name)
-            if owner is not None and owner.incarnation == hint.member.incarnation:
+            owner = self.service.by_name.get(hint.route.member.name)
+            if owner is not None and owner.incarnation == hint.route.member.incarnation:
                 return self.point(hint.flow, source, owner)
             flow = hint.flow
         else:
@@ -212,7 +244,7 @@
         return renewed
 
     def _keep(self, source: Source, hint: Hint) -> None:
-        self.young[source] = hint
+        self.young[source[0], PORTS[source[1]]] = hint
         if len(self.young) <= self._max_young:
             return
         self.evictions += self.rotate()
