IPv6 callers take the short way

Cause: a service on an IPv6 address was sent the whole way for one reason: its sources have four parts, and hints are kept by two.

Now the two parts are taken out once a batch. Ruled out: a second dictionary for four parts, since flow label and scope are no part of a flow's key. The new test compares with what the core sends.

--- a/fulmarshore/daemons/batch_test.py
+++ b/fulmarshore/daemons/batch_test.py
@@ -36,6 +36,7 @@
 from fulmarshore.routing.flows import Flow
 
 NOWHERE = Address("127.0.0.1", 1)
+V6_SOURCES = [("2001:db8::1", 7, 0, 0), ("2001:db8::1", 7, 5, 0), ("::1", 8, 0, 0)]
 CALLERS = [Address("10.0.0.1", port) for port in range(1, 20)]
 SIZES = st.sampled_from([0, 1, 9, 255, 256, 2047, 2048, 5000])
 FIRST = st.sampled_from([0x00, 0x40, 0xC0, 0xE0])
@@ -116,6 +117,19 @@
         forwarded = daemon.core.counters["forwarded"]
         self.assertEqual(forwarded, alone.core.counters["forwarded"])
 
+    @given(st.lists(st.tuples(PAYLOADS, st.sampled_from(V6_SOURCES)), max_size=9))
+    def test_callers_of_ipv6_take_the_short_way_too(self, batch):
+        daemon, held = make_entry(Protocol.OPAQUE, 100)
+        alone, _ = make_entry(Protocol.OPAQUE, 100)
+        held.is_v6 = True
+        daemon._drain_callers(held, batch)
+        wanted = []
+        for payload, source in batch:
+            for effect in alone.core.handle(Datagram("s", source, payload), 1.0):
+                wanted.append((encode(effect.message), effect.destination))
+        self.assertEqual(daemon._data.sent, wanted)
+        self.assertEqual(daemon.core.hint_count, alone.core.hint_count)
+
     @given(st.lists(st.sampled_from(range(8)), max_size=12))
     def test_answers_equal_those_of_the_core(self, kinds):
         daemon, held = make_entry(Protocol.OPAQUE, 100)
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -72,7 +72,7 @@
 class ServiceSocket:
     """The socket of one service on this entry host."""
 
-    __slots__ = ("service", "socket", "address", "fabric", "is_plain")
+    __slots__ = ("service", "socket", "address", "fabric", "is_plain", "is_v6")
 
     def __init__(self, service: Service, socket: DatagramSocket) -> None:
         self.service = service
@@ -80,7 +80,8 @@
         self.address = Address(service.host, service.port)
         self.fabric: Address | None = None
         is_known = service.protocol in (Protocol.OPAQUE, Protocol.QUIC)
-        self.is_plain = is_known and ":" not in service.host
+        self.is_plain = is_known
+        self.is_v6 = ":" in service.host
 
 
 class EntryDaemon(Daemon):
@@ -269,6 +270,9 @@
             return
         if not self._is_direct:
             batch = self._take_headers(held, batch)
+        elif held.is_v6:
+            # Flow label and scope are no part of a caller's address here.
+            batch = [(payload, source[:2]) for payload, source in batch]
         is_opaque = held.service.protocol == Protocol.OPAQUE
         version = routes.version
         find_young = routes.young.get
