Data path bench tells an agent's memory for each flow

The agent's resident memory before and after it opens 2,000 flows, its sockets included, without the kernel's part. It was never measured (docs/CAPACITY.md).

--- a/fulmarshore/bench/forward.py
+++ b/fulmarshore/bench/forward.py
@@ -95,6 +95,9 @@
     sealing_cost : float
         Share of an entry host's packets a second of processor time that the
         sealing of each forwarded packet takes.
+    agent_flow_bytes : int
+        Resident memory of an agent for each flow, with the flow's socket but
+        without the kernel's part of it.
     """
 
     rates: dict[str, Rate]
@@ -106,6 +109,7 @@
     entry_resident_mb: float
     entry_flows: int
     sealing_cost: float
+    agent_flow_bytes: int
 
 
 class Subject(Struct):
@@ -157,6 +161,7 @@
         self.sockets = [self.source]
         self.services: list[Address] = []
         self.arrived = 0
+        self.agent_growth = 0
         self.random = Random(ORDER_SEED)
 
     def close(self) -> None:
@@ -311,7 +316,9 @@
         frames = _make_forwards(child.hello)
         data = Address(child.hello.host, child.hello.port)
         self._add_frames("agent", child, self.source, frames, data)
+        before = child.read_resident()
         self._prime_agent(self.subjects[-1])
+        self.agent_growth = child.read_resident() - before
 
     def _prime_agent(self, subject: Subject) -> None:
         for number in range(len(subject.order)):
@@ -371,6 +378,7 @@
             round(resident / MEGABYTE, 1),
             held,
             self._find_sealing_cost(measured),
+            round(self.agent_growth / AGENT_FLOWS),
         )
 
     def _find_sealing_cost(self, measured: dict[str, list[Rate]]) -> float:
--- a/fulmarshore/bench/forward_test.py
+++ b/fulmarshore/bench/forward_test.py
@@ -20,4 +20,5 @@
         self.assertEqual(result.ratios["relay"], Spread(1.0, 1.0, 1.0))
         self.assertEqual(result.entry_flows, FLOWS[-1])
         self.assertGreater(result.entry_resident_mb, 0)
+        self.assertGreater(result.agent_flow_bytes, 0)
         self.assertGreater(result.new_flows_per_second, 0)
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -129,6 +129,7 @@
     click.echo(f"sealing takes {result.sealing_cost} of an entry host's packets")
     held = f"{result.entry_flows} flows in {result.entry_resident_mb} MB resident"
     click.echo(f"entry host: {held}")
+    click.echo(f"agent: {result.agent_flow_bytes} bytes resident a flow")
 
 
 @bench.command()
