A cold upstream beside idle peers gets the work that it bears

Its limit had fallen to 0.3 of 3 slots, so one request was 3.3 times what it bears, above every idle peer: its own agent, as home, gave each request away, and an upstream warms by work alone. It stayed cold until demand outgrew the others. Ruled out: slots that stay taken after the freeze, silence noted by peers, reports of a former self (the same happens over the cores without a freeze). Now a home asks its own executor whether it would start the request at once, and keeps it if so. With the guard out loads_test fails in 3 cases.

--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -18,6 +18,7 @@
     MAX_RUNS_PER_ATTEMPT,
 )
 from fulmarshore.admission.budget import RetryBudget
+from fulmarshore.admission.executor import Executor
 from fulmarshore.admission.holders import choose_holders, is_member
 from fulmarshore.admission.ledger import ClaimState, Ledger, Stage
 from fulmarshore.admission.loads import Loads
@@ -88,6 +89,7 @@
         self.has_lease = True
         self.is_outdated = False
         self.budget = RetryBudget(0.1)
+        self.executor: Executor | None = None
         self._loads = Loads(member.name)
         self._random = random
         self._due: list[tuple[float, bytes]] = []
@@ -248,7 +250,9 @@
         if now >= state.deadline:
             return self.refuse(state, Reason.EXPIRED, now)
         accepting = self.service.accepting if self.service else ()
-        executor = self._loads.choose(accepting, state.executor, now)
+        own = self.executor
+        has_own_slot = own is not None and own.has_free_slot(now)
+        executor = self._loads.choose(accepting, state.executor, has_own_slot, now)
         if executor is None:
             return self.refuse(state, Reason.NO_UPSTREAM, now)
         state.executor = Identity(executor.name, executor.incarnation)
--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -140,6 +140,12 @@
         """Return the requests in work and in the queue."""
         return len(self.working) + len(self.queue)
 
+    def has_free_slot(self, now: float) -> bool:
+        """Return whether a hand-over would start at once."""
+        if self.closed is not None or self.draining or len(self.queue):
+            return False
+        return self.limiter.has_room(len(self.working), now)
+
     def take(
         self, message: RunRequest, source: Address, now: float, barred: bool = False
     ) -> list[Effect]:
--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -95,16 +95,20 @@
         self._rate = math.log(1.0 / max(cold_share, 0.01)) / slow_start
         self.limit = min(self.limit, float(slots))
 
+    def has_room(self, running: int, now: float) -> bool:
+        """Return whether one more request could start beside those running."""
+        self._count(running, now)
+        if running < math.floor(self.limit + 1e-9):
+            return True
+        return running < math.ceil(self.limit - 1e-9) and self._credit >= 0.0
+
     def allows(self, running: int, now: float) -> bool:
         """Return whether one more request may start beside those running.
 
         Where it may, it is taken to start now.
         """
-        self._count(running, now)
-        whole = math.floor(self.limit + 1e-9)
-        if running >= whole:
-            if running >= math.ceil(self.limit - 1e-9) or self._credit < 0.0:
-                return False
+        if not self.has_room(running, now):
+            return False
         self._running = running + 1
         return True
 
--- a/fulmarshore/admission/loads.py
+++ b/fulmarshore/admission/loads.py
@@ -44,9 +44,17 @@
         self._silent[name] = now
 
     def choose(
-        self, accepting: tuple[Member, ...], refuser: Identity | None, now: float
+        self,
+        accepting: tuple[Member, ...],
+        refuser: Identity | None,
+        has_own_slot: bool,
+        now: float,
     ) -> Member | None:
-        """Return the executor with most room.
+        """Return the executor with most room, the agent itself before others.
+
+        A cold upstream has the highest load of all with its first request, and
+        warms by work alone: so the home asks its own executor for a free slot,
+        and does not compare shares where it has one.
 
         Parameters
         ----------
@@ -54,6 +62,10 @@
             Who may be chosen.
         refuser : Identity or None
             Who refused the request just now.
+        has_own_slot : bool
+            Whether the agent itself could start the request at once.
+        now : float
+            The time, in seconds.
         """
         best: Member | None = None
         best_share = float("inf")
@@ -62,8 +74,10 @@
             is_refuser = refuser is not None and member.name == refuser.name
             if is_refuser or self._is_silent(member.name, now):
                 share += SHARE_OF_AVOIDED
+            elif member.name == self._name and has_own_slot:
+                return member
             elif member.name == self._name:
-                share = share / PREFERENCE_OF_SELF if share > 1.0 else 0.0
+                share /= PREFERENCE_OF_SELF
             if share < best_share:
                 best, best_share = member, share
         return best
--- /dev/null
+++ b/fulmarshore/admission/loads_test.py
@@ -0,0 +1,67 @@
+"""Choice of executors, and that a cold upstream beside idle ones warms."""
+
+from unittest import TestCase
+
+from msgspec.structs import replace
+
+from fulmarshore.admission.loads import Loads
+from fulmarshore.bench.once import PROFILE
+from fulmarshore.core.records import Identity, Member, SlotReport
+from fulmarshore.standins.requests import RequestWorld
+from fulmarshore.standins.work import WorkModel
+
+MEMBERS = tuple(
+    Member(name, 1, "orders", "zone-a", "127.0.0.1", 1, slots=3) for name in "abc"
+)
+QUICK = WorkModel(
+    slots=3, service_s=0.02, cold_factor=1.0, warm_up_s=1.0, strain=1000.0, spread=0.0
+)
+SETTLED_S = 8.0
+
+
+class LoadsTest(TestCase):
+    def test_chooses_by_room(self):
+        table = [
+            ("free slot of its own, cold", {"a": (0, 0.3), "b": (0, 3.0)}, True, "a"),
+            ("no free slot, cold", {"a": (1, 0.3), "b": (0, 3.0)}, False, "b"),
+            ("no free slot, peers fuller", {"a": (3, 3.0), "b": (6, 3.0)}, False, "a"),
+            ("peer clearly emptier", {"a": (6, 3.0), "b": (1, 3.0)}, False, "b"),
+        ]
+        for title, reports, has_own_slot, wanted in table:
+            with self.subTest(title):
+                loads = Loads("a")
+                for name, (used, limit) in reports.items():
+                    loads.take(SlotReport("orders", name, 1, 1, used, limit))
+                chosen = loads.choose(MEMBERS[:2], None, has_own_slot, 0.0)
+                self.assertEqual(chosen.name, wanted)
+
+    def test_a_refuser_is_avoided_even_with_a_free_slot(self):
+        loads = Loads("a")
+        refuser = Identity("a", 1)
+        self.assertNotEqual(loads.choose(MEMBERS, refuser, True, 0.0).name, "a")
+
+
+class WarmUpTest(TestCase):
+    def offer(self, world, interval, seconds):
+        """Let each caller submit a request in each interval."""
+        until = world.network.now + seconds
+        while world.network.now < until:
+            for caller in world.callers.values():
+                caller.submit(4.0, False, world.network.now)
+            world.network.run(interval)
+
+    def test_a_cold_upstream_beside_idle_ones_warms(self):
+        profile = replace(PROFILE, slow_start=1.0, cold_share=0.1)
+        for interval in (0.1, 0.05):
+            with self.subTest(interval=interval):
+                world = RequestWorld(1, profile, QUICK, 3, 2, 6)
+                world.network.run(SETTLED_S)
+                self.offer(world, interval, 3.0)
+                executor = world.get_agent("agent1").requests.executor
+                executor.limiter.turn_cold(world.network.now)
+                before = sum(world.works["agent1"].upstream.ran.values())
+                self.offer(world, interval, 8.0)
+                self.assertEqual(executor.limiter.limit, 3.0)
+                ran = sum(world.works["agent1"].upstream.ran.values()) - before
+                self.assertGreater(ran, 0)
+                self.assertEqual(world.tally().ran_twice, 0)
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -174,6 +174,7 @@
         if self.executor is None:
             self.executor = Executor(self.member, service.profile)
             self.executor.counters = self.counters
+            self.home.executor = self.executor
         self.executor.version = table.version
         self.executor.follow(service.profile)
         announced = self._list_announced()
