Streams split by job; model checking stands among the stand-ins

The replicas of the explorer are only used by its test. No change of behaviour: streams, bind and explorer tests pass.

--- /dev/null
+++ b/fulmarshore/adapters/linkends.py
@@ -0,0 +1,193 @@
+"""Ends of streams between an entry host and an agent: records, then chunks."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from fulmarshore.adapters.sealing import HEADER_BYTES, Sealer, SealProblem
+from fulmarshore.adapters.streams import StreamEnd
+from fulmarshore.adapters.streamseal import (
+    MAX_PLAIN_BYTES,
+    MAX_SEALED_BYTES,
+    StreamSealer,
+    derive_stream_sealer,
+)
+from fulmarshore.core.codec import MAX_STREAM_FRAME_BYTES, decode_stream, encode
+from fulmarshore.core.records import Malformed, StreamMessage
+
+LENGTH_BYTES = 4
+
+
+class LinkEnd(StreamEnd):
+    """An end of a connection between an entry host and an agent.
+
+    Bytes travel in chunks behind their length, and an empty chunk is the
+    half-close. A process that dies closes its connections just as one that
+    has finished: without the empty chunk that is a reset, so that nobody
+    takes half of an upload or a download for the whole. With keys each chunk
+    is a sealed record, and one that does not open resets the stream.
+    """
+
+    __slots__ = (
+        "sealer",
+        "counters",
+        "_records",
+        "_is_opener",
+        "_stream_sealer",
+        "_part",
+        "_left",
+        "_length",
+    )
+
+    def __init__(
+        self,
+        on_made: Callable[[StreamEnd], None] | None = None,
+        on_bytes: Callable[[], None] | None = None,
+        on_lost: Callable[[], None] | None = None,
+    ) -> None:
+        super().__init__(on_made, on_bytes, on_lost)
+        self.sealer: Sealer | None = None
+        self.counters = Counter[str]()
+        self._records: list[bytes] = []
+        self._is_opener = False
+        self._stream_sealer: StreamSealer | None = None
+        self._part = bytearray()
+        self._left = 0
+        self._length = bytearray()
+
+    def secure(self, sealer: Sealer | None, counters: Counter[str]) -> None:
+        """Seal records and bytes, where there are keys, and count forgeries."""
+        self.sealer = sealer
+        self.counters = counters
+
+    def eof_received(self) -> bool:
+        """Reset the stream if the other process has not finished it."""
+        if not self._has_ended:
+            self.abort()
+        return True
+
+    def write(self, data: bytes) -> None:
+        """Send bytes as chunks."""
+        if not self.is_open or not data:
+            return
+        if self._stream_sealer is None:
+            self._send_chunk(data)
+            return
+        view = memoryview(data)
+        for start in range(0, len(view), MAX_PLAIN_BYTES):
+            plain = view[start : start + MAX_PLAIN_BYTES]
+            self._send_chunk(self._stream_sealer.seal(plain))
+
+    def send(self, message: StreamMessage) -> None:
+        """Send a framed record, sealed where there are keys."""
+        frame = encode(message)
+        if self.sealer is not None:
+            frame = self.sealer.seal(frame)
+            self._is_opener = not self._records
+            self._records.append(frame[:HEADER_BYTES])
+        self.write(frame)
+
+    def take_message(self, peer: str) -> StreamMessage | Malformed | None:
+        """Take a framed record off what was received; None if not yet whole."""
+        size = int.from_bytes(self.received[:LENGTH_BYTES], "big")
+        if size > MAX_STREAM_FRAME_BYTES:
+            return Malformed("take_message", peer, f"{size} bytes")
+        end = LENGTH_BYTES + size
+        if len(self.received) < max(end, LENGTH_BYTES + 1):
+            return None
+        frame = bytes(self.received[LENGTH_BYTES:end])
+        del self.received[:end]
+        if self.sealer is None:
+            return decode_stream(frame, peer)
+        opened = self.sealer.open(frame)
+        if isinstance(opened, SealProblem):
+            return Malformed("take_message", peer, opened.value)
+        self._records.append(frame[:HEADER_BYTES])
+        return decode_stream(opened, peer)
+
+    def prepare(self) -> bool:
+        """Derive the keys of the stream from the records that opened it."""
+        if self.sealer is None:
+            return True
+        opening, reply = self._records
+        self._stream_sealer = derive_stream_sealer(
+            self.sealer, opening, reply, self._is_opener
+        )
+        return self._stream_sealer is not None
+
+    def finish(self) -> None:
+        """Half-close: send the empty chunk."""
+        if self.is_open and not self._has_finished:
+            sealer = self._stream_sealer
+            self._send_chunk(b"" if sealer is None else sealer.seal(b""))
+        super().finish()
+
+    def _send_chunk(self, chunk: bytes) -> None:
+        self.transport.write(len(chunk).to_bytes(LENGTH_BYTES, "big"))
+        if chunk:
+            self.transport.write(chunk)
+
+    def _feed(self, data: bytes) -> None:
+        if self._stream_sealer is not None:
+            self._feed_sealed(data)
+            return
+        rest = memoryview(data)
+        while rest and not self._has_ended:
+            if self._left:
+                chunk = rest[: self._left]
+                self._other.write(chunk)
+                self._left -= len(chunk)
+                rest = rest[len(chunk) :]
+                continue
+            missing = LENGTH_BYTES - len(self._length)
+            self._length += rest[:missing]
+            rest = rest[missing:]
+            if len(self._length) < LENGTH_BYTES:
+                return
+            self._left = int.from_bytes(self._length, "big")
+            self._length.clear()
+            if not self._left:
+                self._end()
+
+    def _feed_sealed(self, data: bytes) -> None:
+        """Open the whole records in what has come; keep the rest for later."""
+        if self._part:
+            self._part += data
+            if len(self._part) < self._left:
+                return
+            data = self._part
+        rest = memoryview(data)
+        self._left = LENGTH_BYTES
+        while len(rest) >= LENGTH_BYTES and not self._has_ended:
+            size = int.from_bytes(rest[:LENGTH_BYTES], "big")
+            if size > MAX_SEALED_BYTES:
+                self._reject()
+                return
+            end = LENGTH_BYTES + size
+            if len(rest) < end:
+                self._left = end
+                break
+            plain = self._stream_sealer.open(rest[LENGTH_BYTES:end])
+            if plain is None:
+                self._reject()
+                return
+            rest = rest[end:]
+            self._left = LENGTH_BYTES
+            if plain:
+                self._other.write(plain)
+                continue
+            self._end()
+        self._part = bytearray(rest)
+
+    def _reject(self) -> None:
+        """Reset a stream whose bytes are not what the other process sent."""
+        self.counters["dropped_seal_stream"] += 1
+        self._part = bytearray()
+        self.abort()
+
+    def _end(self) -> None:
+        self._has_ended = True
+        self._other.finish()
+        if self._has_finished:
+            self.close()
--- /dev/null
+++ b/fulmarshore/adapters/listener.py
@@ -0,0 +1,65 @@
+"""A listening TCP socket whose connections become ends of streams."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from fulmarshore.adapters.streams import StreamEnd
+from fulmarshore.core.records import Address
+
+BACKLOG = 1024
+
+
+class Listener:
+    """A listening socket whose connections become stream ends.
+
+    The address is bound at once; connections are accepted as soon as the
+    loop runs.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 takes a free one.
+    on_made : callable
+        Called with each new end.
+    end_type : type
+        What the ends are.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        on_made: Callable[[StreamEnd], None],
+        end_type: type[StreamEnd] = StreamEnd,
+    ) -> None:
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen(BACKLOG)
+            sock.setblocking(False)
+        except OSError:
+            sock.close()
+            raise
+        self.address = Address(*sock.getsockname()[:2])
+        self._socket = sock
+        self._server: asyncio.Server | None = None
+        self._on_made = on_made
+        self._end_type = end_type
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def close(self) -> None:
+        """Stop listening; connections that were accepted go on."""
+        self._task.cancel()
+        if self._server is not None:
+            self._server.close()
+        self._socket.close()
+
+    async def _serve(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: self._end_type(self._on_made), sock=self._socket
+        )
--- a/fulmarshore/adapters/streams_test.py
+++ b/fulmarshore/adapters/streams_test.py
@@ -8,9 +8,10 @@
 
 import fulmarshore.standins.profiles  # noqa: F401
 from fulmarshore.adapters.keys import Ring, RingKey
+from fulmarshore.adapters.linkends import LENGTH_BYTES, LinkEnd
 from fulmarshore.adapters.sealing import Sealer
 from fulmarshore.adapters.sealing_test import RING, Clock
-from fulmarshore.adapters.streams import LENGTH_BYTES, LinkEnd, StreamEnd
+from fulmarshore.adapters.streams import StreamEnd
 from fulmarshore.adapters.streamseal import MAX_PLAIN_BYTES
 from fulmarshore.core.records import Malformed, Reason, StreamRefused
 
--- a/fulmarshore/bench/streams.py
+++ b/fulmarshore/bench/streams.py
@@ -8,8 +8,10 @@
 from collections import Counter
 
 from fulmarshore.adapters.keys import Ring
+from fulmarshore.adapters.linkends import LinkEnd
+from fulmarshore.adapters.listener import Listener
 from fulmarshore.adapters.sealing import Sealer
-from fulmarshore.adapters.streams import LinkEnd, Listener, StreamEnd
+from fulmarshore.adapters.streams import StreamEnd
 from fulmarshore.core.records import Address, Reason, StreamRefused
 
 CHUNK_BYTES = 65_536
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -13,9 +13,10 @@
     DatagramSocket,
     ReceiveFrom,
 )
+from fulmarshore.adapters.linkends import LinkEnd
+from fulmarshore.adapters.listener import Listener
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.adapters.peers import PeerSocket
-from fulmarshore.adapters.streams import LinkEnd, Listener
 from fulmarshore.core.codec import LENGTHS, PREPARED_LENGTHS
 from fulmarshore.core.records import (
     Address,
--- a/fulmarshore/daemons/streams.py
+++ b/fulmarshore/daemons/streams.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from fulmarshore.adapters.linkends import LinkEnd
+from fulmarshore.adapters.listener import Listener
 from fulmarshore.adapters.proxy import take_stream_header
 from fulmarshore.adapters.sealing import Sealer
-from fulmarshore.adapters.streams import LinkEnd, Listener, StreamEnd
+from fulmarshore.adapters.streams import StreamEnd
 from fulmarshore.core.addresses import is_address
 from fulmarshore.core.records import (
     Address,
--- a/fulmarshore/agreement/explorer.py
+++ b/fulmarshore/standins/explorer.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct
 
-from fulmarshore.agreement.world import Limits, World, list_next, make_key
+from fulmarshore.standins.replicas import Limits, World, list_next, make_key
 
 
 class Found(Struct, frozen=True):
--- a/fulmarshore/agreement/explorer_test.py
+++ b/fulmarshore/standins/explorer_test.py
@@ -5,9 +5,9 @@
 from hypothesis import settings
 from msgspec.structs import replace
 
-from fulmarshore.agreement.explorer import explore
-from fulmarshore.agreement.world import Limits, make_led, make_new, make_split
+from fulmarshore.standins.explorer import explore
 from fulmarshore.standins.profiles import CI_EXAMPLES
+from fulmarshore.standins.replicas import Limits, make_led, make_new, make_split
 
 SCALE = max(1, settings().max_examples // CI_EXAMPLES)
 """How much further than in CI; above 1 in a soak."""
