What a replica has for its disk is a module of its own

Cause: replica.py kept the queue of records and of effects that wait for them in six fields beside its state. One rule became stricter: an effect without records before it is taken only while nothing is gathered or unsynced, looked at for each effect and not once for all.

--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from copy import copy
 from random import Random
 
 from fulmarshore.agreement import election, joining, replication, snapshots, transfer
 from fulmarshore.agreement.log import Log
 from fulmarshore.agreement.progress import OwnEntries, OwnVote, Progress, Role
+from fulmarshore.agreement.syncing import DiskQueue, Waiting
 from fulmarshore.core.records import (
     AppendReply,
     AppendRequest,
@@ -38,7 +39,6 @@
     Snapshot,
     SnapshotChunk,
     StandNow,
-    Store,
     Stored,
     TermVote,
     Tick,
@@ -107,13 +107,8 @@
         self.is_ordered = False
         self._leader_of_term: tuple[int, ReplicaId] | None = None
         self._restored = False
-        self._sequence = 0
-        self._stored = 0
         self._effects: list[Effect] = []
-        self._records: list[DiskRecord] = []
-        self._replace = False
-        self._waiting: deque[tuple[int, SendLink | OwnVote | OwnEntries]] = deque()
-        self._held: list[SendLink | OwnVote | OwnEntries] = []
+        self._disk = DiskQueue()
 
     @property
     def is_leader(self) -> bool:
@@ -148,7 +143,7 @@
             case Tick():
                 self._tick(now)
             case Stored(sequence=sequence):
-                self._release(sequence, now)
+                self._disk.note_stored(sequence)
             case LinkMessage(peer=peer, message=message):
                 self._receive(peer, message, now)
         return self.drain(now)
@@ -179,9 +174,7 @@
         twin.votes = set(self.votes)
         twin.counters = Counter(self.counters)
         twin._effects = list(self._effects)
-        twin._records = list(self._records)
-        twin._waiting = deque(self._waiting)
-        twin._held = list(self._held)
+        twin._disk = self._disk.copy()
         return twin
 
     def describe(self) -> tuple:
@@ -202,10 +195,12 @@
     def drain(self, now: float) -> list[Effect]:
         """Return the effects gathered, with the disk's part in one ``Store``."""
         while True:
-            self._settle(now)
-            if not self._records and not self._replace:
+            while (effect := self._disk.pop_ready()) is not None:
+                self._carry_out(effect, now)
+            store = self._disk.make_store()
+            if store is None:
                 break
-            self._store()
+            self.emit(store)
         effects = self._effects
         self._effects = []
         return effects
@@ -220,13 +215,13 @@
         """Add an event of the time line."""
         self.emit(TimelineEvent(kind, peer=peer, detail=detail))
 
-    def emit_stored(self, effect: SendLink | OwnVote | OwnEntries) -> None:
+    def emit_stored(self, effect: Waiting) -> None:
         """Add an effect that waits until everything so far is synced."""
-        self._held.append(effect)
+        self._disk.hold(effect)
 
     def write(self, record: DiskRecord) -> None:
         """Append a record to the log file."""
-        self._records.append(record)
+        self._disk.write(record)
 
     def write_term(self) -> None:
         """Write group, term and vote to the log file."""
@@ -235,13 +230,13 @@
     def rewrite(self) -> None:
         """Replace the log file by all that the replica holds."""
         self.generation += 1
-        self._replace = True
-        self._records = [FileHeader(self.identity, self.generation)]
+        self._disk.replace([FileHeader(self.identity, self.generation)])
         self.write_term()
         self.write(self.log.base)
         if self.snapshot is not None:
             self.write(self.snapshot)
-        self._records += self.log.entries
+        for entry in self.log.entries:
+            self.write(entry)
 
     def step_down(self, term: int) -> None:
         """Become a follower, in a newer term with no vote given."""
@@ -384,29 +379,7 @@
         joining.adopt_group(self, message.group)
         return True
 
-    def _release(self, sequence: int, now: float) -> None:
-        assert sequence <= self._sequence, "only what was asked for is stored"
-        self._stored = max(self._stored, sequence)
-
-    def _settle(self, now: float) -> None:
-        """Carry out what waited for the disk, as far as it is synced."""
-        while self._waiting and self._waiting[0][0] <= self._stored:
-            self._carry_out(self._waiting.popleft()[1], now)
-        if self._records or self._replace or self._stored < self._sequence:
-            return
-        while self._held:
-            self._carry_out(self._held.pop(0), now)
-
-    def _store(self) -> None:
-        self._sequence += 1
-        self.emit(Store(self._sequence, self._records, self._replace))
-        for effect in self._held:
-            self._waiting.append((self._sequence, effect))
-        self._records = []
-        self._replace = False
-        self._held = []
-
-    def _carry_out(self, effect: SendLink | OwnVote | OwnEntries, now: float) -> None:
+    def _carry_out(self, effect: Waiting, now: float) -> None:
         match effect:
             case SendLink():
                 self.emit(effect)
