Trials take ports that the kernel gives to nobody, and tell why nothing settled

Cause: a process test stopped with 'not settled' once in some 170 runs beside other work, without a word of which process was missing. The port that a trial had found free came from the range of outgoing sockets, any of which could take it before the daemon did. Now ports come from below that range, none twice, and the error names the missing processes with exit code and the end of their logs. Not shown that this was the cause: the log of that run is gone.

--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import cycle
 from pathlib import Path
+from random import SystemRandom
 from urllib.request import urlopen
 
 from prometheus_client.parser import text_string_to_metric_families
@@ -13,7 +15,12 @@
 from fulmarshore.adapters.keys import KeyFolder, KeyProblem
 from fulmarshore.adapters.metrics import FAMILIES, PREFIX
 from fulmarshore.adapters.security import load_security
-from fulmarshore.commands.operator import Controls, fetch_status, submit_change
+from fulmarshore.commands.operator import (
+    Controls,
+    NoAnswer,
+    fetch_status,
+    submit_change,
+)
 from fulmarshore.core.addresses import format_address
 from fulmarshore.core.records import (
     Address,
@@ -32,11 +39,22 @@
 OPERATOR = "test"
 WAIT_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.02
+FIRST_PORT, LAST_PORT = 20_000, 31_999
 REASON_LABELS = {family.label for family in FAMILIES}
 
 Reached = Callable[[], bool]
 
 
+def _shuffle_ports() -> Iterator[int]:
+    """Return ports without end, in an order that no other process has."""
+    ports = list(range(FIRST_PORT, LAST_PORT + 1))
+    SystemRandom().shuffle(ports)
+    return cycle(ports)
+
+
+_PORTS = _shuffle_ports()
+
+
 class Cluster:
     """One control host with entry hosts and agents added as asked.
 
@@ -136,12 +154,14 @@
         """Wait until all started processes have the same version in force."""
         loop = asyncio.get_running_loop()
         until = loop.time() + WAIT_TIMEOUT_S
+        status: StatusReply | NoAnswer | None = None
         while loop.time() < until:
             status = await asyncio.to_thread(fetch_status, self.reached)
             if isinstance(status, StatusReply) and self._is_settled(status):
                 return status
             await asyncio.sleep(POLL_INTERVAL_S)
-        raise TimeoutError(f"not settled: {sorted(self._names)}")
+        missing = sorted(self._names - self._list_current(status))
+        raise TimeoutError(f"not settled: {self.processes.describe(missing)}")
 
     async def wait_gone(self, name: str) -> None:
         """Wait until control has taken a process for dead."""
@@ -210,12 +230,17 @@
         return format_address(self.metrics[name])
 
     def _is_settled(self, status: StatusReply) -> bool:
-        current = {
+        return self._names <= self._list_current(status)
+
+    def _list_current(self, status: StatusReply | NoAnswer) -> set[str]:
+        """Return the processes that have the newest version in force."""
+        if not isinstance(status, StatusReply):
+            return set()
+        return {
             process.identity.name
             for process in status.processes
             if process.version == status.view.version
         }
-        return self._names <= current
 
 
 async def wait_until(reached: Reached) -> None:
@@ -244,16 +269,20 @@
 
 
 def find_address(host: str = "127.0.0.1") -> Address:
-    """Return an address with a port that is free now, for TCP and UDP."""
+    """Return an address with a port that is free now, for TCP and UDP.
+
+    The port is none that the kernel gives to sockets without one: such a socket
+    could take it before the process that it is meant for.
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     while True:
+        address = Address(host, next(_PORTS))
         with (
             socket.socket(family, socket.SOCK_STREAM) as stream,
             socket.socket(family, socket.SOCK_DGRAM) as datagram,
         ):
-            stream.bind((host, 0))
-            address = Address(*stream.getsockname()[:2])
             try:
+                stream.bind(address)
                 datagram.bind(address)
             except OSError:
                 continue
--- a/fulmarshore/standins/processes.py
+++ b/fulmarshore/standins/processes.py
@@ -11,6 +11,7 @@
 import psutil
 
 STOP_TIMEOUT_S = 5.0
+LOG_LINES = 3
 
 
 def list_control_arguments(
@@ -74,6 +75,17 @@
         """Return the resident memory of a daemon, in bytes."""
         return psutil.Process(self._running[name].pid).memory_info().rss
 
+    def describe(self, names: list[str]) -> str:
+        """Return some daemons with the exit code and the end of the log of each."""
+        told = []
+        for name in names:
+            process = self._running.get(name)
+            code = None if process is None else process.returncode
+            path = self._folder / f"{name}.log"
+            lines = path.read_text().splitlines() if path.exists() else []
+            told.append(f"{name} (exit code {code}): {' / '.join(lines[-LOG_LINES:])}")
+        return "; ".join(told)
+
     def signal(self, name: str, number: int = signal.SIGTERM) -> None:
         """Send a signal to a daemon."""
         self._running[name].send_signal(number)
