A drain that is lost on the way to control is told again

Cause: found by restarting agents under 5% loss over the cores: one agent never stopped. Its announcement that it drains was lost, and the reply to a heartbeat of before was taken for the word that control has it, so it was not repeated: no drain, and no end of the stop before the drain time-out (an hour). Now replies to heartbeats name the newest revision of the announcement that the control host has, and the process subscribes again until it is its own.

--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -967,7 +967,21 @@
 
 
 class Bequest(Record, frozen=True):
-    """An agent that stops as planned leaves what it knows to its peers."""
+    """An agent that stops as planned leaves what it knows to its peers.
+
+    Parameters
+    ----------
+    service, agent, incarnation, version : str, str, int, int
+        Who stops, and the version that it has seen.
+    part, parts : int
+        Which part of the whole this is, from 0.
+    claims, runs : list of Claim
+        Requests that it knows of, and those that its executor had.
+    memory_age : float
+        How far back it remembers, in seconds.
+    lost : list of Lost
+        Agents that it knows to have lost their memory.
+    """
 
     service: str
     agent: str
@@ -977,6 +991,8 @@
     parts: int
     claims: list[Claim]
     runs: list[Claim]
+    memory_age: float = 0.0
+    lost: list[Lost] = []
 
 
 class BequestReply(Record, frozen=True):
@@ -1080,6 +1096,8 @@
     newest : int
         Incarnation that bars the process from the membership: a newer life
         of its name, or of another name at its address. 0 if none does.
+    revision : int
+        Newest revision of the announcement that the control host has.
     """
 
     control: str
@@ -1088,6 +1106,7 @@
     known: bool
     clock: int = 0
     newest: int = 0
+    revision: int = 0
 
 
 class Change(Record, frozen=True):
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -97,7 +97,7 @@
         now: float,
     ) -> list[Effect]:
         """Answer a heartbeat with this host's half of it."""
-        newest = 0
+        newest, revision = 0, 0
         held = self.subscriptions.get(message.identity.name)
         known = held is not None and held.identity == message.identity
         if known:
@@ -105,9 +105,14 @@
             held.version = message.version
             held.peer = peer
             newest = find_newer(state, held.announcement)
-        version = state.view.version
+            revision = held.subscribe.revision
         reply = HeartbeatReply(
-            self.name, freshness, version, known and not newest, newest=newest
+            self.name,
+            freshness,
+            state.view.version,
+            known and not newest,
+            newest=newest,
+            revision=revision,
         )
         return [SendLink(peer, reply)]
 
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -158,7 +158,9 @@
             return effects
         if reply.newest > self.identity.incarnation and not self._was_member:
             return [Outdated(reply.newest)]
-        if reply.known:
+        # A reply to an earlier heartbeat says nothing of a newer announcement,
+        # which may be lost: a drain is told until control has it.
+        if reply.known and reply.revision == self._revision:
             self._subscribed = True
         version = self.view.version
         if self._unconfirmed is not None:
--- a/fulmarshore/membership/subscriber_test.py
+++ b/fulmarshore/membership/subscriber_test.py
@@ -3,7 +3,16 @@
 from random import Random
 from unittest import TestCase
 
-from fulmarshore.core.records import Identity, Member, Outdated, Tick
+from msgspec.structs import replace
+
+from fulmarshore.core.records import (
+    Identity,
+    LinkMessage,
+    Member,
+    MemberState,
+    Outdated,
+    Tick,
+)
 from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.standins.region import Region
@@ -71,6 +80,26 @@
                 self.assertEqual(self.list_members(region), [(name, incarnation)])
                 self.assertTrue(process.subscriber.is_member)
 
+    def test_a_lost_announcement_is_told_again(self):
+        region = Region(1)
+        process = self.start(region, "m", 3, "m")
+        region.network.run(JOIN_BOUND_S)
+        lost = []
+
+        def handle(event, now):
+            # The answer to a heartbeat of before is under way.
+            if isinstance(event, LinkMessage) and not lost:
+                member = process.subscriber.announcement
+                drained = replace(member, state=MemberState.DRAINING)
+                lost.extend(process.subscriber.announce(drained))
+            return Process.handle(process, event, now)
+
+        process.handle = handle
+        region.network.run(JOIN_BOUND_S)
+        self.assertEqual(len(lost), 1)
+        item = region.find_leader().state.view.items["Member", "m"].item
+        self.assertEqual(item.state, MemberState.DRAINING)
+
     def test_of_two_processes_with_one_name_the_newer_stays(self):
         region = Region(1)
         older = self.start(region, "m", 3, "m")
