Rolling restarts of agents hide no outcome

Now a bequest tells how far back the leaver remembers and what was lost; a peer that saw every version since takes both over. Two smaller faults beside it: an outcome that a newer home did not take was erased at the former one, and a request was handed back to a home that the own table did not name yet, which lost it with the word that it never started. Each guard taken out fails RollingTest.

--- a/fulmarshore/admission/bequests.py
+++ b/fulmarshore/admission/bequests.py
@@ -100,11 +100,14 @@
         bequests = {}
         for member in others:
             peer = Identity(member.name, member.incarnation)
-            bequests[peer] = self._split(shares[member.name], runs)
+            bequests[peer] = self._split(shares[member.name], runs, now)
         return bequests
 
-    def _split(self, claims: list[Claim], runs: list[Claim]) -> dict[int, Bequest]:
+    def _split(
+        self, claims: list[Claim], runs: list[Claim], now: float
+    ) -> dict[int, Bequest]:
         member: Member = self._home.member
+        settlement = self._home.settlement
         split = split_claims(claims, runs)
         parts = {}
         for part, (some_claims, some_runs) in enumerate(split):
@@ -117,6 +120,8 @@
                 len(split),
                 some_claims,
                 some_runs,
+                settlement.get_memory_age(now),
+                settlement.list_lost(now),
             )
         return parts
 
@@ -127,8 +132,7 @@
             merge_claim(home, claim, now)
         for claim in bequest.runs:
             merge_run(home, claim, now, only_known=True)
-        leaver = Identity(bequest.agent, bequest.incarnation)
-        home.settlement.note_bequest(leaver, bequest.part, bequest.parts)
+        home.settlement.take_bequest(bequest, now)
         reply = BequestReply(
             home.member.service,
             home.member.name,
--- a/fulmarshore/admission/bequests_test.py
+++ b/fulmarshore/admission/bequests_test.py
@@ -2,6 +2,8 @@
 
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from fulmarshore.bench.once import PROFILE
 from fulmarshore.callers.requests import Answered
 from fulmarshore.core.records import PeerMessage, RunRequest
@@ -12,10 +14,13 @@
 QUICK = WorkModel(
     slots=3, service_s=0.05, cold_factor=1.0, warm_up_s=1.0, strain=1000.0, spread=0.0
 )
+UNEVEN = replace(QUICK, spread=0.2)
+MAX_STOP_STEPS = 100
 WARM_S = 40.0
 """Time after which no claim of the start is needed any more."""
 SLOW_LINKS = Faults(0.0, 0.0, 0.05, 0.3)
 ROUGH_LINKS = Faults(0.02, 0.1, 0.0005, 0.05)
+LOSSY_LINKS = Faults(0.05, 0.1, 0.0, 0.4)
 
 
 class DeafExecutor:
@@ -80,3 +85,63 @@
                     taken_back += home.counters["runs_taken_back"]
                 self.assertGreater(taken_back, 0)
                 self.assert_answered(numbers)
+
+
+class RollingTest(TestCase):
+    """Agents are restarted as planned, one after the other or two at once."""
+
+    def make(self, seed, faults):
+        self.world = RequestWorld(seed, PROFILE, UNEVEN, 4, 2, 3, faults)
+        self.world.network.run(WARM_S)
+
+    def offer(self, seconds):
+        """Have each caller submit a request in each interval."""
+        until = self.world.network.now + seconds - 1e-9
+        while self.world.network.now < until:
+            for caller in self.world.callers.values():
+                caller.submit(8.0, False, self.world.network.now)
+            self.world.network.run(0.02)
+
+    def stop(self, name):
+        """Stop an agent and wait for its end."""
+        self.world.stop_agent(name)
+        for _ in range(MAX_STOP_STEPS):
+            self.offer(0.1)
+            if not self.world.network.nodes[name].running:
+                return
+        self.fail(f"{name} did not stop")
+
+    def restart_each(self, pause):
+        for number in range(4):
+            self.stop(f"agent{number}")
+            self.world.start_agent(f"agent{number}")
+            self.offer(pause)
+
+    def restart_two(self):
+        for name in ("agent0", "agent1"):
+            self.world.stop_agent(name)
+        self.offer(3.0)
+        for name in ("agent0", "agent1"):
+            self.world.start_agent(name)
+        self.offer(2.0)
+
+    def test_restarts_hide_no_outcome(self):
+        links = Faults(0.0, 0.0, 0.02, 0.2)
+        table = [
+            ("one after the other", 0, Faults(), lambda: self.restart_each(2.0)),
+            ("the same, slow links", 1, links, lambda: self.restart_each(2.0)),
+            ("the next at once", 0, Faults(), lambda: self.restart_each(0.1)),
+            ("the same, slow links", 1, links, lambda: self.restart_each(0.1)),
+            ("the same, rough", 19, ROUGH_LINKS, lambda: self.restart_each(0.1)),
+            ("two at once", 2, links, self.restart_two),
+            ("the same, lossy", 8, LOSSY_LINKS, self.restart_two),
+        ]
+        for title, seed, faults, act in table:
+            with self.subTest(title):
+                self.make(seed, faults)
+                act()
+                self.world.network.run(15.0)
+                tally = self.world.tally()
+                self.assertEqual((tally.unknown, tally.open), (0, 0))
+                self.assertEqual((tally.ran_twice, tally.false_refusals), (0, 0))
+                self.assertGreater(tally.answered, 0.9 * tally.requests)
--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -166,6 +166,10 @@
         peer = Identity(reply.agent, reply.incarnation)
         if reply.sequence != state.sequence or peer not in state.needed:
             return []
+        if not reply.accepted and state.stage == Stage.DONE:
+            # What was found out stands; a newer home hears of it when it asks.
+            state.needed = set()
+            return []
         if not reply.accepted:
             home = self.settlement.find_home(find_bucket(state.flow))
             return self._stand_back(state, now) if peer == home else []
@@ -222,7 +226,11 @@
         that whatever the new home says is newer still.
         """
         home = self.settlement.find_home(find_bucket(state.flow))
-        if home is None or state.request is None or home == self.identity:
+        if state.request is None or home == self.identity:
+            self.schedule(state, now + WRITE_INTERVAL_S)
+            return []
+        if not is_member(self.service, home):
+            # A home that asks may be in a newer table than the one in force here.
             self.schedule(state, now + WRITE_INTERVAL_S)
             return []
         self.counters["claims_handed_back"] += 1
--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -19,6 +19,7 @@
 from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
 from fulmarshore.core.records import (
     Address,
+    Bequest,
     Challenge,
     ClaimsQuery,
     ClaimsReply,
@@ -73,6 +74,7 @@
         self._announced: dict[Identity, Address] = {}
         self._bequests: dict[Identity, set[int]] = {}
         self._since: float | None = None
+        self._first_version = 0
         self._had_members = False
         self._queries = first_query
 
@@ -96,6 +98,7 @@
         """
         if self._since is None:
             self._since = now
+            self._first_version = version
             self._had_members = had_members
         self.version = version
         if service is self._service:
@@ -406,12 +409,32 @@
                 continue
             self.backed_up[bucket] = (identity, home.version, lost_at)
 
-    def note_bequest(self, leaver: Identity, part: int, parts: int) -> None:
-        """Note that an agent left its knowledge before it stopped."""
+    def take_bequest(self, bequest: Bequest, now: float) -> None:
+        """Note what an agent left before it stopped, once all parts are there."""
+        leaver = Identity(bequest.agent, bequest.incarnation)
         heard = self._bequests.setdefault(leaver, set())
-        heard.add(part)
-        if len(heard) == parts:
-            self.left_cleanly.add(leaver)
+        heard.add(bequest.part)
+        if len(heard) < bequest.parts:
+            return
+        self.left_cleanly.add(leaver)
+        self._inherit_memory(bequest, now)
+
+    def _inherit_memory(self, bequest: Bequest, now: float) -> None:
+        """Remember as far back as an agent that stopped.
+
+        Its word tells of all memories lost up to the version that it has seen.
+        Where that is not below the first version seen here, none is missed in
+        between, and this agent is as good a witness as that one was.
+        """
+        if self._since is None or bequest.version < self._first_version:
+            return
+        self._since = min(self._since, now - bequest.memory_age)
+        for lost in bequest.lost:
+            identity = Identity(lost.agent, lost.incarnation)
+            if identity in self._members or identity == self.identity:
+                continue
+            lost_at = self._lost.get(identity, float("-inf"))
+            self._lost[identity] = max(lost_at, now - lost.age)
 
     def get_memory_age(self, now: float) -> float:
         """Return how far back this agent remembers, in seconds."""
--- a/fulmarshore/bench/once.py
+++ b/fulmarshore/bench/once.py
@@ -110,6 +110,10 @@
             case "drain" if len(up) > 2:
                 self.world.stop_agent(name)
                 self.down[name] = now + self.random.uniform(4.0, 12.0)
+            case "agent_replaced" if name:
+                self._replace([name])
+            case "two_replaced" if len(up) > 3:
+                self._replace(self.random.sample(up, 2))
             case "zone_out" if self.zone_back_at == float("inf"):
                 self.world.change(Zone("b", True))
                 self.zone_back_at = now + self.random.uniform(2.0, 8.0)
@@ -126,6 +130,13 @@
                 return
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
+    def _replace(self, names: list[str]) -> None:
+        """Stop agents as planned and start them again soon, ended or not."""
+        for name in names:
+            self.world.stop_agent(name)
+            pause = self.random.uniform(*REPLACE_PAUSE_S)
+            self.down[name] = self.world.network.now + pause
+
     def _stall(self, name: str) -> None:
         """Stop a process for a while; its sockets keep what arrives."""
         self.world.network.pause(name)
@@ -183,8 +194,9 @@
     "entry_restart",
     "partition",
 )
-STALL_KINDS = ("agent_stall", "entry_stall")
+RANDOM_KINDS = ("agent_stall", "entry_stall", "agent_replaced", "two_replaced")
 """Faults of the randomised test only."""
+REPLACE_PAUSE_S = (0.1, 3.0)
 STALLS_S = ((0.5, 3.0), (3.0, 12.0), (30.0, 60.0))
 
 
