--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -8,9 +8,10 @@
 from collections import Counter
 
 from fulmarshore.adapters.datagrams import SEND_ERRORS, Batch, DatagramSocket
+from fulmarshore.adapters.linkends import LinkEnd
+from fulmarshore.adapters.listener import Listener
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.adapters.peers import Messages, PeerSocket
-from fulmarshore.adapters.streams import LinkEnd, Listener
 from fulmarshore.core.codec import LENGTHS, PREPARED_LENGTHS
 from fulmarshore.core.records import (
     Address,
