--- a/fulmarshore/bench/flows.py
+++ b/fulmarshore/bench/flows.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -23,7 +23,15 @@
 SIZES = (700, 7_000)
 WARM_UP_S = 35.0
 """Longer than the slow start of the upstreams."""
+WARM_UP_FLOWS = 200
 OPENING_TIME_S = 8.0
+OPENINGS_PER_S = 5.4
+"""Of one agent, at the size that the design is made for."""
+LATE_FLOWS = 400
+UNCOPIED_S = 0.6
+"""Flows opened in this time before a kill may not have been copied."""
+COPY_TIME_S = 90.0
+RETURN_S = 0.5
 ROUNDS_AFTER = 2
 HIDDEN_S = 60.0
 """How long entry hosts keep an old version."""
@@ -46,7 +54,8 @@
         Flows open when it happened.
     broken, given_up : int
         Flows that moved or went silent: those that had to stay, and those of
-        an upstream that crashed or a zone taken out.
+        an upstream that crashed or a zone taken out, or opened so shortly
+        before the kill of an agent that nobody had copied them.
     opened_twice, misdelivered : int
         Flows at two upstreams at once, and packets at one of another service.
     extra_hops : float
@@ -80,6 +89,8 @@
         for change in changes:
             for size in sizes:
                 rows.append(measure_change(change, planned, size))
+    for size in sizes:
+        rows.append(measure_kills(size))
     return FlowsReport(
         sum(row.flows for row in rows if row.planned),
         sum(row.broken for row in rows if row.planned),
@@ -101,13 +112,94 @@
     size : int
         Flows to open.
     """
-    services = {SERVICE: UPSTREAMS, "other": 2}
-    region = RoutedRegion(SEED, services, ENTRIES, CONNECTIONS, idle_timeout=600.0)
-    _warm_up(region, size)
+    region = _open_region(size)
     ports = range(1, size + 1)
-    region.send_all(SERVICE, ports, gap=OPENING_TIME_S / size)
     before = dict(region.owners)
     change(region)
+    lost = _list_lost(region)
+    spared = {flow for flow, owner in before.items() if owner[0] not in lost}
+    return _check_flows(region, ports, spared, change.__name__, planned)
+
+
+def measure_kills(size: int) -> ChangeRow:
+    """Kill each agent process in turn, each in a region of its own, and sum up."""
+    rows = [measure_kill(number, size) for number in range(UPSTREAMS)]
+    return ChangeRow(
+        "kill_agent_and_return",
+        False,
+        sum(row.flows for row in rows),
+        sum(row.broken for row in rows),
+        sum(row.given_up for row in rows),
+        sum(row.opened_twice for row in rows),
+        sum(row.misdelivered for row in rows),
+        round(sum(row.extra_hops for row in rows) / len(rows), 4),
+    )
+
+
+def measure_kill(number: int, size: int) -> ChangeRow:
+    """Kill an agent process whose upstream lives, and start it again at once.
+
+    Flows are opened until the kill, as many a second as in the long run. Those
+    that nobody has copied yet, of the last `UNCOPIED_S`, may be given up.
+
+    Parameters
+    ----------
+    number : int
+        Which agent is killed.
+    size : int
+        Flows to open and have copied first.
+    """
+    name = f"{SERVICE}-{number}"
+    region = _open_region(size)
+    region.network.run(COPY_TIME_S)
+    agents = region.list_agents(SERVICE)
+    uncopied = [core.copier.count_uncopied(len(core.flows)) for core in agents]
+    assert not any(uncopied), "the copies are whole"
+    first = size + WARM_UP_FLOWS + 1
+    late = range(first, first + LATE_FLOWS)
+    spared = set(region.owners)
+    for port in late:
+        region.send(SERVICE, port)
+        region.network.run(1.0 / (UPSTREAMS * OPENINGS_PER_S))
+        if port < late[-1] - UNCOPIED_S * UPSTREAMS * OPENINGS_PER_S:
+            spared.add(region.get_flow(SERVICE, port))
+    region.crash(name)
+    region.network.run(RETURN_S)
+    region.add_agent(name, SERVICE, "b")
+    ports = [*range(1, size + 1), *late]
+    return _check_flows(region, ports, spared, "kill_agent_and_return", False)
+
+
+def _open_region(size: int) -> RoutedRegion:
+    services = {SERVICE: UPSTREAMS, "other": 2}
+    region = RoutedRegion(SEED, services, ENTRIES, CONNECTIONS, idle_timeout=600.0)
+    _warm_up(region, size)
+    region.send_all(SERVICE, range(1, size + 1), gap=OPENING_TIME_S / size)
+    return region
+
+
+def _check_flows(
+    region: RoutedRegion,
+    ports: Sequence[int],
+    spared: set[bytes],
+    change: str,
+    planned: bool,
+) -> ChangeRow:
+    """Let every flow send on, and see which are broken.
+
+    Parameters
+    ----------
+    region : RoutedRegion
+        Where the change has just been made.
+    ports : sequence of int
+        The callers of the flows.
+    spared : set of bytes
+        Flows that had to stay; others may have been given up.
+    change : str
+        What happened.
+    planned : bool
+        Whether it must break nothing.
+    """
     region.network.run(4.0)
     # A datagram to a process that is gone is lost; callers send another.
     region.send_all(SERVICE, ports, gap=0.0002)
@@ -116,22 +208,21 @@
     passed = _count_passed(region)
     region.send_all(SERVICE, ports, ROUNDS_AFTER, gap=0.0002)
     region.network.run(1.0)
-    lost = _list_lost(region)
     broken = given_up = 0
     for port in ports:
         flow = region.get_flow(SERVICE, port)
         got = region.answers[SERVICE, port] - answers.get((SERVICE, port), 0)
         if flow not in region.moved and got >= ROUNDS_AFTER:
             continue
-        if before[flow][0] in lost:
-            given_up += 1
-        else:
+        if flow in spared:
             broken += 1
-    hops = (_count_passed(region) - passed) / (ROUNDS_AFTER * size)
+        else:
+            given_up += 1
+    hops = (_count_passed(region) - passed) / (ROUNDS_AFTER * len(ports))
     return ChangeRow(
-        change.__name__,
+        change,
         planned,
-        size,
+        len(ports),
         broken,
         given_up,
         region.opened_twice,
@@ -142,7 +233,7 @@
 
 def _warm_up(region: RoutedRegion, size: int) -> None:
     """Open and end a flow at each upstream, and wait for the slow start."""
-    for port in range(size + 1, size + 201):
+    for port in range(size + 1, size + WARM_UP_FLOWS + 1):
         region.send(SERVICE, port)
         region.network.run(0.02)
     for flow, (name, _) in list(region.owners.items()):
@@ -287,7 +378,7 @@
 
 
 def crash_agent_and_return(region: RoutedRegion) -> None:
-    """Kill an agent and start it again with nothing."""
+    """Kill an agent shortly after many openings, most not yet copied."""
     region.lost.add(f"{SERVICE}-1")
     region.add_agent(f"{SERVICE}-1", SERVICE, "b")
 
--- a/fulmarshore/bench/flows_test.py
+++ b/fulmarshore/bench/flows_test.py
@@ -6,6 +6,7 @@
     drain_upstream,
     many_at_once_twice,
     measure_change,
+    measure_kill,
     zone_out,
 )
 
@@ -29,6 +30,11 @@
                 self.assertEqual(row.given_up > 0, gives_up)
                 self.assertLess(row.given_up, FLOWS)
 
+    def test_a_killed_agent_that_returns_breaks_nothing_that_was_copied(self):
+        row = measure_kill(1, FLOWS)
+        found = (row.broken, row.opened_twice, row.misdelivered)
+        self.assertEqual(found, (0, 0, 0))
+
     def test_a_flow_that_breaks_is_seen(self):
         def crash_unnoticed(region):
             # The bench is not told, so it takes the flows for ones to be kept.
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -473,6 +473,10 @@
         Number of this part and count of all; 0 parts where none are kept.
     lease_left : float
         Time for which the agent is a member for certain, in seconds.
+    copied : int
+        Number of the newest batch in a running copy; 0 for the records that
+        the agent handed over itself. Where no parts are kept, the incarnation
+        is the newest former self that the sender has heard of.
     """
 
     service: str
@@ -484,6 +488,7 @@
     parts: int
     flows: list[FlowRecord]
     lease_left: float = 0.0
+    copied: int = 0
 
 
 class FlowRecordsKept(Record, frozen=True):
@@ -496,6 +501,49 @@
     part: int
 
 
+class FlowCopy(Record, frozen=True):
+    """A batch of a running copy of an agent's flow records.
+
+    Parameters
+    ----------
+    agent, incarnation : str, int
+        Whose flows they are.
+    version : int
+        Version of the configuration in force at the agent.
+    keeper : int
+        Incarnation of the peer that keeps the copy.
+    number, previous : int
+        Number of this batch, and of the one before it in the same copy; the
+        latter is 0 where the copy begins, with no records.
+    ended : list of int
+        Places of the records to drop. A copy numbers its records from 0 on,
+        in the order in which they were sent.
+    opened : list of FlowRecord
+        New records.
+    """
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    keeper: int
+    number: int
+    previous: int
+    ended: list[int]
+    opened: list[FlowRecord]
+
+
+class FlowCopyKept(Record, frozen=True):
+    """A peer keeps a batch, or has lost the copy that it belongs to."""
+
+    service: str
+    agent: str
+    incarnation: int
+    version: int
+    number: int
+    is_lost: bool = False
+
+
 class FlowRecordsRequest(Record, frozen=True):
     """A restarted agent asks for the flow records of its former self."""
 
@@ -1381,6 +1429,8 @@
     FlowRecords,
     FlowRecordsKept,
     FlowRecordsRequest,
+    FlowCopy,
+    FlowCopyKept,
     ViewCheck,
     ViewConfirmed,
     Eviction,
@@ -1565,6 +1615,13 @@
     flow: bytes
 
 
+class UpstreamOpened(Struct, frozen=True):
+    """Event: the socket of a flow towards the upstream is open."""
+
+    flow: bytes
+    port: int
+
+
 class StreamOpened(Struct, frozen=True):
     """Event: the stream of a flow is connected from end to end."""
 
@@ -1782,6 +1839,7 @@
     PeerMessage,
     UpstreamDatagram,
     UpstreamGone,
+    UpstreamOpened,
     StreamOpened,
     StreamEnded,
     LinkMessage,
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -37,6 +37,7 @@
     StreamEnded,
     UpstreamDatagram,
     UpstreamGone,
+    UpstreamOpened,
 )
 from fulmarshore.daemons.process import (
     Daemon,
@@ -177,6 +178,7 @@
         return {
             "version": self.core.table.version,
             "flows": len(self.core.flows),
+            "flows_uncopied": self.core.copier.count_uncopied(len(self.core.flows)),
             "streams": len(self._streams.table),
             "directory_flows": len(self.core.directory),
             "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
@@ -239,6 +241,7 @@
         sock = DatagramSocket(loop, None, fail, drain, self.counters)
         sock.connect(self.settings.upstream, port)
         self._upstreams[flow] = sock
+        self.core.handle(UpstreamOpened(flow, sock.local_port), time.monotonic())
         return sock
 
     def _drain_upstream(self, key: bytes, receive_from: ReceiveFrom) -> None:
--- a/fulmarshore/daemons/restart_test.py
+++ b/fulmarshore/daemons/restart_test.py
@@ -1,4 +1,4 @@
-"""Planned restart of an agent process: SIGHUP, and a successor."""
+"""An agent process that ends at SIGHUP or SIGKILL, and its successor."""
 
 import asyncio
 import signal
@@ -16,20 +16,26 @@
 
 
 class RestartTest(ProcessCase):
-    async def test_flows_survive_with_the_same_ports_towards_the_upstream(self):
-        await self.cluster.start_entry("entry-0", "127.0.2.7", "--fabric", "proxy")
+    async def open_flows(self, entry):
+        """Start three agents and callers, and return the callers' runs."""
+        await self.cluster.start_entry("entry-0", entry, "--fabric", "proxy")
         for name in ("m0", "m1", "m2"):
             await self.start_agent(name, "s")
         await self.declare("s")
-        self.open_fabric("s", ["127.0.2.7"])
-        callers = [self.make_caller("s") for _ in range(CALLERS)]
+        self.open_fabric("s", [entry])
+        self.callers = [self.make_caller("s") for _ in range(CALLERS)]
         loop = asyncio.get_running_loop()
-        runs = [asyncio.create_task(c.run(loop.time() + 60)) for c in callers]
-        await wait_until(lambda: all(c.answers >= 2 for c in callers))
+        runs = [asyncio.create_task(c.run(loop.time() + 60)) for c in self.callers]
+        await wait_until(lambda: all(c.answers >= 2 for c in self.callers))
+        return runs
+
+    async def check_survival(self, runs, number, code):
+        """End an agent with a signal, and see its successor go on."""
+        callers = self.callers
         owners = [caller.upstream for caller in callers]
         ports = set(self.upstreams["m0"].callers)
         self.assertGreater(len(ports), 0)
-        self.assertEqual(await self.cluster.end("m0", signal.SIGHUP), 0)
+        self.assertEqual(await self.cluster.end("m0", number), code)
         upstream = self.upstreams["m0"].address
         await self.cluster.start_agent("m0", "s", upstream)
         await self.cluster.wait_counter("m0", "flows_recovered", len(ports))
@@ -44,6 +50,16 @@
         self.assertEqual([caller.upstream for caller in callers], owners)
         self.assertEqual(self.upstreams["m0"].callers, ports)
 
+    async def test_flows_survive_with_the_same_ports_towards_the_upstream(self):
+        runs = await self.open_flows("127.0.2.7")
+        await self.check_survival(runs, signal.SIGHUP, 0)
+
+    async def test_flows_survive_a_killed_process_beside_a_living_upstream(self):
+        runs = await self.open_flows("127.0.2.8")
+        while (await self.cluster.read_counters("m0")).get("flows_uncopied", 1):
+            await asyncio.sleep(0.05)
+        await self.check_survival(runs, signal.SIGKILL, -signal.SIGKILL)
+
 
 class ClockTest(ProcessCase):
     async def test_processes_join_although_the_clock_was_set_back(self):
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -20,6 +20,8 @@
     Eviction,
     EvictionDone,
     FlowCheck,
+    FlowCopy,
+    FlowCopyKept,
     FlowRecords,
     FlowRecordsKept,
     FlowRecordsRequest,
@@ -41,11 +43,13 @@
     Tick,
     UpstreamDatagram,
     UpstreamGone,
+    UpstreamOpened,
     ViewCheck,
     ViewConfirmed,
 )
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
+from fulmarshore.routing.copying import Copying
 from fulmarshore.routing.delivery import Delivery
 from fulmarshore.routing.departures import Departures
 from fulmarshore.routing.endings import EndingReport
@@ -91,6 +95,7 @@
             self, self.versions, self.lifetimes, self.lease
         )
         self.restart = PlannedRestart(self, self.router, self.lease)
+        self.copying = Copying(self, self.lifetimes, self.router)
         self.upkeep = Upkeep(self, self.lifetimes)
         # Called for each packet: no further look-up.
         self.take_known = self.delivery.take_known
@@ -110,6 +115,9 @@
             case UpstreamGone(flow=flow):
                 self.gate.turn_cold(now)
                 return self.lifetimes.end(flow, Reason.UPSTREAM_GONE)
+            case UpstreamOpened(flow=flow, port=port):
+                self.copying.note_opened(flow, port)
+                return []
             case StreamOpened(flow=flow):
                 self.streams.add(flow)
                 return []
@@ -155,6 +163,11 @@
                 return self.handover.give(ask, event.source, now)
             case TakeoverReply() as reply:
                 return self.handover.take(reply, now)
+            case FlowCopyKept() as kept:
+                return self.copying.take_kept(kept, now)
+            case FlowCopy() as batch:
+                view = self.subscriber.view
+                return self.succession.handle(batch, event.source, view, now)
             case FlowRecords() | FlowRecordsKept() | FlowRecordsRequest() as message:
                 view = self.subscriber.view
                 effects = self.succession.handle(message, event.source, view, now)
@@ -230,6 +243,7 @@
         if self.table.zone_versions.get(zone) != previous.zone_versions.get(zone):
             # The zone may have been out in a version that was never seen here.
             self.homes.unsettle()
+            self.succession.drop_copies(self.table.zone_versions.get(zone, 0))
         settled = set(self.homes.settled)
         awaited = self.homes.follow(self.service, view.version)
         for bucket in awaited:
@@ -240,6 +254,7 @@
         self.handover.former_homes.follow(previous_service, self.service, taken)
         effects += self.handover.tell(alone)
         self.arbiter.follow(self.service)
+        effects += self.copying.follow(now)
         if zone in self.table.zones_out:
             return effects + self._leave_zone(now)
         if zone in previous.zones_out:
@@ -269,6 +284,7 @@
         effects = self.subscriber.tick(now)
         effects += self.succession.tick(self.table.version, now)
         effects += self.restart.finish_recovery(now)
+        effects += self.copying.tick(now)
         effects += self.lease.guard(now)
         effects += self.versions.ask(now)
         effects += self.departures.tell(now)
--- /dev/null
+++ b/fulmarshore/routing/copier.py
@@ -0,0 +1,356 @@
+"""The running copy of an agent's flow records at two of its peers.
+
+A process that is killed leaves no time to hand its records over, so peers hold
+them all along. What was opened and ended goes to each of two keepers in
+batches of a bounded size, one at a time: a batch is repeated until the keeper
+has acknowledged it. What does not fit waits, ends before openings; only the
+flows whose records still wait are lost in a crash.
+
+A record must not outlive the agent's claim to its flow: the end of a flow is
+told to nobody who could open it elsewhere before every keeper has dropped the
+record.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fulmarshore.core.codec import encode
+from fulmarshore.core.records import (
+    FlowCopy,
+    FlowCopyKept,
+    FlowRecord,
+    Identity,
+    Member,
+)
+from fulmarshore.routing.flows import Flow
+from fulmarshore.routing.table import ServiceTable
+
+KEEPERS = 2
+BATCH_INTERVAL_S = 0.25
+BATCH_BYTES = 250
+"""Bound of what a batch carries beside its head."""
+END_BYTES = 5
+"""Most that an encoded place takes."""
+MAX_COPIED = 16_384
+"""Records that one keeper is sent at most."""
+
+
+class CopyStream:
+    """The copy at one keeper.
+
+    Parameters
+    ----------
+    member : Member
+        The keeper.
+    flows : iterable of bytes
+        Flows to copy first.
+    """
+
+    __slots__ = (
+        "member",
+        "batch",
+        "_previous",
+        "_version",
+        "_places",
+        "_next_place",
+        "_opened",
+        "_ended",
+        "_leaving",
+        "_sent_at",
+    )
+
+    def __init__(self, member: Member, flows: Iterable[bytes]) -> None:
+        self.member = member
+        self._sent_at = float("-inf")
+        self.begin_anew(flows)
+
+    def begin_anew(self, flows: Iterable[bytes]) -> None:
+        """Copy everything again; the next batch replaces what is kept."""
+        self.batch: FlowCopy | None = None
+        self._previous = 0
+        self._version = -1
+        self._places: dict[bytes, int] = {}
+        self._next_place = 0
+        self._opened = dict.fromkeys(flows)
+        self._ended: dict[bytes, None] = {}
+        self._leaving: set[bytes] = set()
+
+    @property
+    def waiting(self) -> int:
+        """Number of flows whose records the keeper has not acknowledged."""
+        under_way = len(self.batch.opened) if self.batch is not None else 0
+        return len(self._opened) + under_way
+
+    def may_hold(self, flow: bytes) -> bool:
+        """Return whether the keeper may have the record of a flow."""
+        return flow in self._places or flow in self._leaving
+
+    def note_opened(self, flow: bytes) -> None:
+        """Note that a flow has a new record."""
+        self._opened[flow] = None
+        if flow in self._places:
+            self._ended[flow] = None
+
+    def note_ended(self, flow: bytes) -> None:
+        """Note that a flow has ended."""
+        self._opened.pop(flow, None)
+        if flow in self._places:
+            self._ended[flow] = None
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a batch may go out, a new one or a repeated one."""
+        return now - self._sent_at >= BATCH_INTERVAL_S
+
+    def has_news(self, version: int) -> bool:
+        """Return whether there is anything that the keeper has not heard."""
+        has_room = len(self._places) < MAX_COPIED
+        has_changed = self._ended or (self._opened and has_room)
+        return bool(has_changed) or version != self._version
+
+    def send(self, now: float) -> FlowCopy:
+        """Return the batch that is under way."""
+        assert self.batch is not None
+        self._sent_at = now
+        return self.batch
+
+    def make_batch(
+        self,
+        service: str,
+        identity: Identity,
+        version: int,
+        number: int,
+        flows: dict[bytes, Flow],
+    ) -> None:
+        """Put the next batch under way."""
+        assert self.batch is None, "one batch at a time"
+        ended = self._take_ended()
+        opened = self._take_opened(flows, BATCH_BYTES - len(ended) * END_BYTES)
+        assert ended or not self._ended, "ends go first"
+        self._version = version
+        self.batch = FlowCopy(
+            service,
+            identity.name,
+            identity.incarnation,
+            version,
+            self.member.incarnation,
+            number,
+            self._previous,
+            ended,
+            opened,
+        )
+
+    def take_kept(self, kept: FlowCopyKept) -> list[bytes] | None:
+        """Return the flows whose records were dropped; None for a late answer."""
+        if self.batch is None or kept.number != self.batch.number:
+            return None
+        if kept.incarnation != self.member.incarnation:
+            return None
+        dropped = list(self._leaving)
+        self._leaving.clear()
+        self._previous = self.batch.number
+        self.batch = None
+        return dropped
+
+    def _take_ended(self) -> list[int]:
+        ended = []
+        while self._ended and len(ended) < BATCH_BYTES // END_BYTES:
+            flow = next(iter(self._ended))
+            del self._ended[flow]
+            ended.append(self._places.pop(flow))
+            self._leaving.add(flow)
+        return ended
+
+    def _take_opened(self, flows: dict[bytes, Flow], room: int) -> list[FlowRecord]:
+        opened: list[FlowRecord] = []
+        while self._opened and not self._ended and len(self._places) < MAX_COPIED:
+            key = next(iter(self._opened))
+            flow = flows.get(key)
+            if flow is None or not flow.local_port:
+                del self._opened[key]
+                continue
+            record = make_record(flow)
+            room -= len(encode(record))
+            if room < 0 and opened:
+                break
+            del self._opened[key]
+            opened.append(record)
+            self._places[key] = self._next_place
+            self._next_place += 1
+        return opened
+
+
+class Copier:
+    """Keeps the copies at the peers up to date.
+
+    Parameters
+    ----------
+    identity : Identity
+        This life of the agent.
+    service : str
+        The service of its upstream.
+    """
+
+    __slots__ = ("_identity", "_service", "_streams", "_ended", "_number", "_is_frozen")
+
+    def __init__(self, identity: Identity, service: str) -> None:
+        self._identity = identity
+        self._service = service
+        self._streams: dict[str, CopyStream] = {}
+        self._ended: dict[bytes, Flow] = {}
+        self._number = 0
+        self._is_frozen = False
+
+    @property
+    def ended(self) -> list[Flow]:
+        """Flows that ended here, and are to be taken for this agent's own."""
+        return list(self._ended.values())
+
+    def count_uncopied(self, flows: int) -> int:
+        """Return how many of the flows held would be lost in a crash.
+
+        Parameters
+        ----------
+        flows : int
+            Number of flows held.
+        """
+        waiting = (stream.waiting for stream in self._streams.values())
+        return min(waiting, default=flows)
+
+    def freeze(self) -> None:
+        """Send no more, and keep every end to itself.
+
+        The agent hands its records over as a whole and leaves.
+        """
+        self._is_frozen = True
+
+    def follow(
+        self, service: ServiceTable | None, flows: dict[bytes, Flow]
+    ) -> list[Flow]:
+        """Choose keepers from a newer table.
+
+        Returns
+        -------
+        freed : list of Flow
+            Ended flows of which no keeper has a record any more.
+        """
+        members = service.by_name if service is not None else {}
+        if self._identity.name not in members:
+            # What was copied until now is no good, by the version of this view.
+            members = {}
+        for name, stream in list(self._streams.items()):
+            member = members.get(name)
+            if member is None or member.incarnation != stream.member.incarnation:
+                del self._streams[name]
+                continue
+            stream.member = member
+        if members:
+            for member in list_candidates(service, self._identity.name):
+                if len(self._streams) >= KEEPERS:
+                    break
+                if member.name not in self._streams:
+                    self._streams[member.name] = CopyStream(member, flows)
+        return self._take_freed(list(self._ended))
+
+    def note_opened(self, flow: bytes) -> None:
+        """Note that the socket of a flow was opened."""
+        for stream in self._streams.values():
+            stream.note_opened(flow)
+
+    def note_ended(self, flow: Flow) -> bool:
+        """Note that a flow ended; True where its end is not to be told yet."""
+        is_kept = self._is_frozen
+        for stream in self._streams.values():
+            stream.note_ended(flow.key)
+            is_kept = is_kept or stream.may_hold(flow.key)
+        if is_kept:
+            self._ended[flow.key] = flow
+        return is_kept
+
+    def is_ending(self, flow: bytes) -> bool:
+        """Return whether a keeper may still have the record of an ended flow."""
+        return flow in self._ended
+
+    def renew(self, flow: bytes, assignment: int) -> None:
+        """Note that the home has assigned an ended flow to this agent again."""
+        ended = self._ended[flow]
+        ended.assignment = max(ended.assignment, assignment)
+
+    def begin_anew(self, flows: dict[bytes, Flow]) -> None:
+        """Copy everything again, as a change of the view ended many flows.
+
+        The records of before are no good, by the version of that view.
+        """
+        self._ended.clear()
+        for stream in self._streams.values():
+            stream.begin_anew(flows)
+
+    def list_due(
+        self, version: int, flows: dict[bytes, Flow], now: float
+    ) -> list[tuple[Member, FlowCopy]]:
+        """Return the batches that are to be sent now."""
+        if self._is_frozen:
+            return []
+        due = []
+        for stream in self._streams.values():
+            if not stream.is_due(now):
+                continue
+            if stream.batch is None:
+                if not stream.has_news(version):
+                    continue
+                self._number += 1
+                stream.make_batch(
+                    self._service, self._identity, version, self._number, flows
+                )
+            due.append((stream.member, stream.send(now)))
+        return due
+
+    def take_kept(self, kept: FlowCopyKept, flows: dict[bytes, Flow]) -> list[Flow]:
+        """Take the answer of a keeper.
+
+        Returns
+        -------
+        freed : list of Flow
+            Ended flows of which no keeper has a record any more.
+        """
+        stream = self._streams.get(kept.agent)
+        if stream is None or self._is_frozen:
+            return []
+        dropped = stream.take_kept(kept)
+        if dropped is None:
+            return []
+        if not kept.is_lost:
+            return self._take_freed(dropped)
+        stream.begin_anew(flows)
+        return self._take_freed(list(self._ended))
+
+    def _take_freed(self, flows: list[bytes]) -> list[Flow]:
+        freed = []
+        if self._is_frozen:
+            return freed
+        for key in flows:
+            if key not in self._ended:
+                continue
+            if any(stream.may_hold(key) for stream in self._streams.values()):
+                continue
+            freed.append(self._ended.pop(key))
+        return freed
+
+
+def list_candidates(service: ServiceTable, name: str) -> list[Member]:
+    """Return the peers that may keep copies, in the order of preference.
+
+    Each agent begins with the peer that follows it, so that copies are spread;
+    those that accept go first, as the others are about to leave.
+    """
+    peers = sorted(service.members, key=lambda member: member.name)
+    after = [member for member in peers if member.name > name]
+    before = [member for member in peers if member.name < name]
+    accepting = {member.name for member in service.accepting}
+    return sorted(after + before, key=lambda member: member.name not in accepting)
+
+
+def make_record(flow: Flow) -> FlowRecord:
+    """Return what a successor needs to go on with a flow."""
+    port = flow.local_port
+    return FlowRecord(flow.key, *flow.caller, flow.entry, port, flow.assignment)
--- /dev/null
+++ b/fulmarshore/routing/copier_test.py
@@ -0,0 +1,298 @@
+"""The running copy of flow records, batch by batch."""
+
+from unittest import TestCase
+
+from msgspec.structs import replace
+
+from fulmarshore.core.codec import encode
+from fulmarshore.core.records import (
+    Address,
+    FlowCopyKept,
+    Identity,
+    Kind,
+    Member,
+    Profile,
+    Removed,
+    Service,
+    Zone,
+)
+from fulmarshore.membership.view import View, change_view
+from fulmarshore.routing.copier import (
+    BATCH_BYTES,
+    BATCH_INTERVAL_S,
+    Copier,
+    make_record,
+)
+from fulmarshore.routing.copies import Copies
+from fulmarshore.routing.flows import Flow
+from fulmarshore.routing.restart import Recovery, split_records
+from fulmarshore.routing.table import Table
+
+CALLER = Address("10.0.0.1", 7)
+VERSION = 5
+MAX_BATCHES = 100
+HEAD_BYTES = 60
+
+
+def make_member(name, incarnation=1):
+    return Member(name, incarnation, "s", "z", "127.0.0.1", 100 + ord(name))
+
+
+def make_view(names="abc", incarnation=1):
+    items = [Profile("p", Kind.FEED), Service("s", "p", "127.0.0.9", 80), Zone("z")]
+    items += [make_member(name, incarnation) for name in names]
+    return change_view(View(), VERSION, items, [])
+
+
+class CopierCase(TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.flows = {}
+        self.copier = Copier(Identity("a", 1), "s")
+        self.keepers = {"b": Copies(), "c": Copies()}
+        self.follow(make_view())
+
+    def follow(self, view):
+        return self.copier.follow(Table(view).services["s"], self.flows)
+
+    def open(self, *numbers, port=0):
+        for number in numbers:
+            key = bytes([number]) * 16
+            flow = Flow(key, CALLER, "entry", None, 1, 0.0)
+            flow.local_port = port or 1000 + number
+            self.flows[key] = flow
+            self.copier.note_opened(key)
+
+    def end(self, number):
+        """End a flow; return whether its end has to wait."""
+        return self.copier.note_ended(self.flows.pop(bytes([number]) * 16))
+
+    def list_due(self):
+        self.now += BATCH_INTERVAL_S
+        return self.copier.list_due(VERSION, self.flows, self.now)
+
+    def answer(self, batch, keeper, is_kept=True):
+        head = ("s", keeper, 1, VERSION, batch.number)
+        return self.copier.take_kept(FlowCopyKept(*head, not is_kept), self.flows)
+
+    def run_round(self, keepers="bc"):
+        """Deliver the batches that are due; return the flows that were freed."""
+        freed = []
+        for member, batch in self.list_due():
+            if member.name not in keepers:
+                continue
+            is_kept = self.keepers[member.name].apply(batch)
+            if is_kept is not None:
+                freed += self.answer(batch, member.name, is_kept)
+        return [flow.key[0] for flow in freed]
+
+    def run_all(self):
+        for _ in range(MAX_BATCHES):
+            if not self.run_round() and not self.list_due():
+                return
+        raise AssertionError("the copy does not end")
+
+    def list_kept(self, keeper, view=None, former=1):
+        copy = self.keepers[keeper].find("a", former, view or make_view())
+        records = copy.records.values() if copy is not None else ()
+        return sorted((record.flow[0], record.local_port) for record in records)
+
+
+class StreamTest(CopierCase):
+    def test_a_keeper_has_what_is_open_and_nothing_that_ended(self):
+        self.open(*range(1, 30))
+        self.run_all()
+        for number in range(1, 20):
+            self.end(number)
+        self.open(40)
+        self.run_all()
+        expected = [(number, 1000 + number) for number in (*range(20, 30), 40)]
+        self.assertEqual(self.list_kept("b"), expected)
+        self.assertEqual(self.list_kept("c"), expected)
+
+    def test_a_batch_is_bounded_and_ends_go_first(self):
+        self.open(*range(1, 81))
+        self.run_all()
+        self.open(*range(100, 200))
+        for number in range(1, 81):
+            self.end(number)
+        batches = []
+        for _ in range(MAX_BATCHES):
+            batches += [batch for _, batch in self.list_due()]
+            self.run_round()
+        sizes = [len(encode(batch)) for batch in batches]
+        self.assertLess(max(sizes), BATCH_BYTES + HEAD_BYTES)
+        self.assertEqual((len(batches[0].ended), batches[0].opened), (50, []))
+        self.assertEqual(len(self.list_kept("b")), 100)
+
+    def test_batches_may_be_lost_doubled_late_and_reordered(self):
+        self.open(1, 2)
+        first = self.list_due()
+        again = self.list_due()
+        self.assertEqual([b for _, b in first], [b for _, b in again])
+        keeper = self.keepers["b"]
+        batch = first[0][1]
+        self.assertTrue(keeper.apply(batch))
+        self.assertTrue(keeper.apply(batch))
+        self.answer(batch, "b")
+        self.assertEqual(self.answer(batch, "b"), [])
+        self.end(1)
+        later = [b for m, b in self.list_due() if m.name == "b"]
+        self.assertTrue(keeper.apply(later[0]))
+        self.assertIsNone(keeper.apply(batch))
+        self.assertEqual(self.list_kept("b"), [(2, 1002)])
+
+    def test_a_batch_for_another_copy_is_told_as_lost_and_all_is_sent_again(self):
+        self.open(1)
+        self.run_all()
+        self.keepers["b"] = Copies()
+        self.open(2)
+        self.run_round()
+        self.assertEqual(self.list_kept("b"), [])
+        self.run_all()
+        self.assertEqual(self.list_kept("b"), [(1, 1001), (2, 1002)])
+
+    def test_a_flow_that_comes_back_has_its_new_port(self):
+        self.open(1)
+        self.run_all()
+        self.end(1)
+        self.open(1, port=4000)
+        self.run_all()
+        self.assertEqual(self.list_kept("b"), [(1, 4000)])
+
+    def test_a_peer_that_joins_or_comes_back_gets_everything(self):
+        self.open(1, 2)
+        self.run_all()
+        for title, view in (
+            ("the other is lost", make_view("abd")),
+            ("a new life", make_view("abd", 2)),
+        ):
+            with self.subTest(title):
+                self.keepers = {"b": self.keepers["b"], "d": Copies()}
+                view = replace(view, version=VERSION)
+                self.copier.follow(Table(view).services["s"], self.flows)
+                for _ in range(4):
+                    for member, batch in self.list_due():
+                        self.assertEqual(batch.keeper, member.incarnation)
+                        self.keepers[member.name].apply(batch)
+                        head = ("s", member.name, member.incarnation, VERSION)
+                        kept = FlowCopyKept(*head, batch.number)
+                        self.copier.take_kept(kept, self.flows)
+                self.assertEqual(self.list_kept("d"), [(1, 1001), (2, 1002)])
+
+
+class EndTest(CopierCase):
+    def test_an_end_is_told_once_no_keeper_has_the_record(self):
+        self.open(1)
+        self.assertFalse(self.end(1), "no keeper has heard of it")
+        self.open(1, 2)
+        self.run_all()
+        self.assertTrue(self.end(1))
+        self.assertTrue(self.copier.is_ending(bytes([1]) * 16))
+        self.assertEqual([flow.key[0] for flow in self.copier.ended], [1])
+        self.assertEqual(self.run_round("b"), [])
+        self.assertEqual(self.run_round("bc"), [1])
+        self.assertFalse(self.copier.is_ending(bytes([1]) * 16))
+
+    def test_an_end_waits_for_a_record_under_way(self):
+        self.open(1)
+        batches = self.list_due()
+        self.assertTrue(self.end(1))
+        for member, batch in batches:
+            self.keepers[member.name].apply(batch)
+            self.assertEqual(self.answer(batch, member.name), [])
+        self.assertEqual(self.run_round("b"), [])
+        self.assertEqual(self.run_round("c"), [1])
+
+    def test_a_keeper_that_is_lost_holds_nothing_back(self):
+        self.open(1)
+        self.run_all()
+        self.end(1)
+        self.run_round("b")
+        freed = self.follow(make_view("ab"))
+        self.assertEqual([flow.key[0] for flow in freed], [1])
+
+    def test_nothing_is_told_once_the_agent_hands_over(self):
+        self.open(1)
+        self.copier.freeze()
+        self.assertTrue(self.end(1))
+        self.assertEqual(self.list_due(), [])
+
+
+class KeeperTest(CopierCase):
+    def test_a_copy_is_good_only_for_an_unbroken_membership(self):
+        self.open(1)
+        self.run_all()
+        view = make_view()
+        gone = [Removed(0, "Member", "a")]
+        evicted = change_view(view, 6, [], gone)
+        returned = change_view(evicted, 7, [make_member("a", 2)], [])
+        out = change_view(view, 6, [Zone("z", True)], [])
+        back = change_view(out, 7, [Zone("z")], [])
+        table = [
+            ("replaced in time", change_view(view, 6, [make_member("a", 2)], []), 1),
+            ("too late", returned, 0),
+            ("zone out and in", back, 0),
+            ("removals forgotten", View(6, view.items, (), 6), 0),
+        ]
+        for title, held, count in table:
+            with self.subTest(title):
+                self.assertEqual(len(self.list_kept("b", held)), count)
+        self.assertEqual(self.list_kept("b", former=2), [], "another life between")
+
+    def test_a_keeper_that_was_gone_itself_takes_no_late_batch(self):
+        self.open(1)
+        (_, late), *_ = self.list_due()
+        keeper = self.keepers["b"]
+        keeper.apply(late)
+        keeper.clear(VERSION + 1)
+        self.assertIsNone(keeper.apply(late))
+        self.assertEqual(self.list_kept("b"), [])
+
+
+class RecoveryTest(CopierCase):
+    def make_parts(self, sender, copied, ports, incarnation=1):
+        self.flows = {}
+        self.open(*ports)
+        records = [self.record(number, port) for number, port in ports.items()]
+        head = ("s", "a", incarnation, VERSION, 0.0)
+        return split_records(*head, records, sender, copied)
+
+    def record(self, number, port):
+        flow = self.flows[bytes([number]) * 16]
+        flow.local_port = port
+        return make_record(flow)
+
+    def test_which_records_are_taken(self):
+        older = self.make_parts("b", 3, {1: 10, 2: 20})
+        newer = self.make_parts("c", 4, {2: 21, 3: 30})
+        handed = self.make_parts("c", 0, {2: 22})
+        none = [replace(older[0], sender="c", incarnation=0, parts=0, flows=[])]
+        later = [replace(none[0], incarnation=2)]
+        table = [
+            ("both copies", [older, newer], 0.1, {1: 10, 2: 21, 3: 30}),
+            ("the same, crossed", [newer, older], 0.1, {1: 10, 2: 21, 3: 30}),
+            ("one keeper is new", [older, none], 0.1, {1: 10, 2: 20}),
+            ("a life in between", [older, later], 0.1, {}),
+            ("one is silent", [older], 5.0, {}),
+            ("handed over", [older, handed], 0.1, {2: 22}),
+            ("handed over, one is silent", [handed], 1.1, {2: 22}),
+        ]
+        for title, answers, now, expected in table:
+            with self.subTest(title):
+                recovery = Recovery({"b", "c"}, 0.0)
+                for parts in answers:
+                    for part in parts:
+                        recovery.take(part.sender, part)
+                self.assertTrue(recovery.is_done(now))
+                found = {r.flow[0]: r.local_port for r in recovery.list_records()}
+                self.assertEqual(found, expected)
+
+    def test_a_silent_peer_is_waited_for_until_it_is_no_member(self):
+        recovery = Recovery({"b", "c"}, 0.0)
+        for part in self.make_parts("b", 3, {1: 10}):
+            recovery.take("b", part)
+        self.assertFalse(recovery.is_done(2.9))
+        recovery.follow({"a", "b"})
+        self.assertTrue(recovery.is_done(2.9))
+        self.assertEqual(len(recovery.list_records()), 1)
--- /dev/null
+++ b/fulmarshore/routing/copying_test.py
@@ -0,0 +1,265 @@
+"""Crashes of agents whose upstreams live, over the cores."""
+
+from unittest import TestCase
+
+from msgspec.structs import replace
+
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    FlowCheck,
+    FlowCopy,
+    FlowCopyKept,
+    LinkMessage,
+    OwnedFlow,
+    Phase,
+    Released,
+    Takeover,
+    TakeoverReply,
+    Tick,
+    UpstreamGone,
+    UpstreamOpened,
+    Zone,
+)
+from fulmarshore.membership.view import change_view, make_delta
+from fulmarshore.routing.agent_test import (
+    VERSION,
+    AgentCase,
+    get_address,
+    make_member,
+    make_view,
+)
+from fulmarshore.standins.network import Faults
+from fulmarshore.standins.routing import RoutedRegion
+
+FLOWS = range(40)
+LATE = range(100, 160)
+COPY_TIME_S = 3.0
+QUICK_S = 0.3
+TOO_LATE_S = 6.0
+NAME = "s-0"
+ROUGH = Faults(loss=0.2, duplication=0.3, max_delay=0.05, late=0.2, max_late=1.0)
+
+
+def crash(region, away=QUICK_S, name=NAME):
+    region.crash(name)
+    region.network.run(away)
+    region.add_agent(name, "s", "a")
+
+
+def crash_after_copy(region):
+    region.network.run(COPY_TIME_S)
+    crash(region)
+
+
+def crash_twice(region):
+    crash_after_copy(region)
+    region.network.run(2.0)
+    crash_after_copy(region)
+
+
+def crash_again_at_once(region):
+    crash_after_copy(region)
+    region.network.run(0.05)
+    crash(region)
+
+
+def crash_with_a_keeper(region):
+    region.network.run(COPY_TIME_S)
+    region.crash("s-1")
+    crash(region)
+    region.network.run(4.0)
+
+
+def crash_with_both_keepers_restarted(region):
+    region.network.run(COPY_TIME_S)
+    for name in ("s-1", "s-2"):
+        region.add_agent(name, "s", "b")
+    crash(region)
+
+
+def crash_after_a_keeper_was_replaced(region):
+    region.network.run(COPY_TIME_S)
+    for name in ("s-1", "s-2"):
+        region.add_agent(name, "s", "b")
+        region.network.run(COPY_TIME_S)
+    crash(region)
+
+
+def crash_amid_loss(region):
+    region.network.faults = ROUGH
+    region.network.run(3 * COPY_TIME_S)
+    crash(region)
+    region.network.run(2.0)
+    region.network.faults = Faults()
+
+
+def return_too_late(region):
+    region.network.run(COPY_TIME_S)
+    crash(region, TOO_LATE_S)
+
+
+class CrashTest(TestCase):
+    def open_region(self, seed):
+        region = RoutedRegion(seed, {"s": 4})
+        region.send_all("s", FLOWS, gap=0.01)
+        return region
+
+    def list_owned(self, region, name):
+        return [flow for flow, owner in region.owners.items() if owner[0] == name]
+
+    def run_on(self, region):
+        for _ in range(3):
+            region.send_all("s", FLOWS, gap=0.01)
+        self.assertEqual(region.opened_twice, 0)
+        for flow in region.owners:
+            self.assertLessEqual(len(region.count_held(flow)), 1)
+
+    def test_flows_go_on_from_the_ports_they_had(self):
+        table = (
+            crash_after_copy,
+            crash_twice,
+            crash_with_a_keeper,
+            crash_after_a_keeper_was_replaced,
+            crash_amid_loss,
+        )
+        for change in table:
+            for seed in range(2):
+                with self.subTest(change.__name__, seed=seed):
+                    region = self.open_region(seed)
+                    owned = self.list_owned(region, NAME)
+                    self.assertTrue(owned)
+                    ports = {flow: region.ports[NAME, flow] for flow in owned}
+                    change(region)
+                    self.run_on(region)
+                    self.assertEqual(region.moved & set(owned), set())
+                    self.assertLessEqual(set(owned), set(self.list_owned(region, NAME)))
+                    found = {flow: region.ports[NAME, flow] for flow in owned}
+                    self.assertEqual(found, ports)
+
+    def test_flows_that_are_not_copied_are_opened_anew(self):
+        for seed in range(2):
+            with self.subTest(seed=seed):
+                region = self.open_region(seed)
+                region.network.run(COPY_TIME_S)
+                copied = set(self.list_owned(region, NAME))
+                for port in LATE:
+                    region.send("s", port)
+                region.network.run(0.01)
+                late = set(self.list_owned(region, NAME)) - copied
+                crash(region)
+                region.send_all("s", LATE, gap=0.01)
+                self.run_on(region)
+                self.assertLessEqual(region.moved, late)
+                self.assertTrue(region.moved)
+
+    def test_records_that_are_no_longer_good_are_refused(self):
+        for change in (return_too_late, crash_with_both_keepers_restarted):
+            for seed in range(2):
+                with self.subTest(change.__name__, seed=seed):
+                    region = self.open_region(seed)
+                    owned = self.list_owned(region, NAME)
+                    change(region)
+                    self.run_on(region)
+                    self.assertLessEqual(set(owned), region.moved)
+                    core = region.get_agent(NAME)
+                    self.assertEqual(core.counters["flows_recovered"], 0)
+
+    def test_a_second_crash_before_the_copy_opens_nothing_twice(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                region = self.open_region(seed)
+                crash_again_at_once(region)
+                self.run_on(region)
+
+    def test_a_flow_that_ended_is_not_resurrected_beside_its_new_owner(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                region = self.open_region(seed)
+                region.network.run(COPY_TIME_S)
+                for flow in self.list_owned(region, NAME):
+                    region.network.inject(NAME, UpstreamGone(flow))
+                region.send_all("s", FLOWS, gap=0.0)
+                for _ in range(20):
+                    # The caller sends on before the keepers have heard of it.
+                    region.network.run(0.002)
+                crash(region)
+                self.run_on(region)
+
+
+class EndingTest(AgentCase):
+    """An agent that has ended a flow of which its keepers have a record."""
+
+    def end_copied(self, connections=2000):
+        core = self.start(connections=connections)
+        self.flow = self.find_flow(core, "a")
+        packet = self.make_packet(self.flow)
+        core.handle(Tick(), 2.0)
+        self.send(core, packet)
+        core.handle(UpstreamOpened(self.flow, 4000), 2.0)
+        self.answer_all(core, 3.0)
+        core.handle(UpstreamGone(self.flow), 3.0)
+        return core
+
+    def answer_all(self, core, now):
+        for _ in range(3):
+            now += 0.25
+            effects = core.handle(Tick(), now)
+            for batch in self.list_sent(effects, FlowCopy):
+                for keeper in ("b", "c"):
+                    kept = FlowCopyKept("s", keeper, 1, VERSION, batch.number)
+                    effects += self.send(core, kept, get_address(keeper), now)
+        return effects
+
+    def test_a_packet_waits_at_the_home(self):
+        core = self.end_copied()
+        effects = self.send(core, self.make_packet(self.flow), now=3.1)
+        self.assertEqual(effects, [])
+        core.handle(Tick(), 3.2)
+        self.assertNotIn(self.flow, core.flows)
+        self.answer_all(core, 3.2)
+        self.assertIn(self.flow, core.flows)
+
+    def test_nobody_is_told_of_the_end(self):
+        core = self.end_copied()
+        version = VERSION << 32
+        bucket = find_bucket(self.flow)
+        ask = Takeover("s", "b", 1, VERSION, [bucket])
+        owned = OwnedFlow(self.flow, "a", 1, version)
+        middle = self.make_packet(self.flow, version)
+        table = [
+            ("check", FlowCheck("s", "b", 1, VERSION, [owned])),
+            ("middle", replace(middle, phase=Phase.MIDDLE)),
+        ]
+        effects = self.send(core, ask, get_address("b"), 3.1)
+        (reply,) = self.list_sent(effects, TakeoverReply)
+        self.assertEqual([o.flow for o in reply.flows], [self.flow])
+        for title, message in table:
+            with self.subTest(title):
+                effects = self.send(core, message, get_address("b"), 3.1)
+                self.assertEqual(self.list_sent(effects, Released), [])
+        released = []
+        for now in (3.2, 3.5, 3.8):
+            effects = self.answer_all(core, now)
+            released += self.list_sent(effects, Released)
+        self.assertTrue(core.copier.ended == [])
+
+    def test_an_assignment_is_not_declined(self):
+        core = self.end_copied()
+        bucket = find_bucket(self.flow)
+        ask = Takeover("s", "b", 1, VERSION, [bucket])
+        self.send(core, ask, get_address("b"), 3.1)
+        core.drain()
+        packet = self.make_packet(self.flow, (VERSION << 32) + 1)
+        self.assertEqual(self.send(core, packet, get_address("b"), 3.1), [])
+
+    def test_a_keeper_whose_own_zone_was_out_drops_its_copies(self):
+        core = self.start("b")
+        record = FlowCopy("s", "a", 1, VERSION, 1, 1, 0, [], [])
+        (kept,) = self.send(core, record, get_address("a"))
+        self.assertFalse(kept.message.is_lost)
+        view = change_view(make_view(), 8, [Zone("zb", True)], [])
+        view = change_view(view, 9, [Zone("zb"), make_member("a")], [])
+        core.handle(LinkMessage("x", make_delta(view, VERSION)), 3.0)
+        more = FlowCopy("s", "a", 1, 9, 1, 2, 1, [], [])
+        (kept,) = self.send(core, more, get_address("a"), 3.1)
+        self.assertTrue(kept.message.is_lost)
--- a/fulmarshore/routing/evicted.py
+++ b/fulmarshore/routing/evicted.py
@@ -80,6 +80,7 @@
             return []
         self.state.evicted_by = version
         self.state.directory.clear()
+        self.state.succession.drop_copies(version)
         former = []
         for flow in self.state.flows.values():
             if max(flow.version, get_ballot(flow.assignment)) <= version:
--- a/fulmarshore/routing/flows.py
+++ b/fulmarshore/routing/flows.py
@@ -22,6 +22,7 @@
         "silent_at",
         "assignment",
         "version",
+        "local_port",
         "head",
         "head_version",
     )
@@ -42,6 +43,8 @@
         self.assignment = assignment
         # Version of the view in force when the flow was taken.
         self.version = 0
+        # Port of the socket towards the upstream, 0 while there is none.
+        self.local_port = 0
         self.last_active = now
         self.silent_at = NEVER
         # An encoded answer up to the payload, and the version it belongs to.
--- a/fulmarshore/routing/handover.py
+++ b/fulmarshore/routing/handover.py
@@ -76,7 +76,7 @@
             self.state.subscriber.identity,
             given,
             complete,
-            self.state.flows.values(),
+            [*self.state.flows.values(), *self.state.copier.ended],
             self.state.directory,
         )
         effects += [SendPeer(source, reply) for reply in replies]
--- a/fulmarshore/routing/lifetimes.py
+++ b/fulmarshore/routing/lifetimes.py
@@ -36,7 +36,7 @@
         self._reclaimed_at = float("-inf")
 
     def end(self, key: bytes, reason: Reason) -> list[Effect]:
-        """End a flow, and tell its home."""
+        """End a flow, and tell its home once no keeper has its record."""
         flow = self.state.flows.pop(key, None)
         self.state.streams.discard(key)
         if flow is None:
@@ -46,12 +46,16 @@
         bucket = find_bucket(key)
         if bucket in self.state.homes.settled:
             self.state.reporter.note_ended()
-        address = self._find_home(bucket)
-        if address is None:
+        if self.state.copier.note_ended(flow):
             return effects
-        released = self.state.release(key, flow.assignment)
-        effects.append(SendPeer(address, released))
-        return effects
+        return effects + self.tell_home(flow)
+
+    def tell_home(self, flow: Flow) -> list[Effect]:
+        """Tell the home of a flow that it has ended, unless it came back."""
+        address = self._find_home(find_bucket(flow.key))
+        if address is None or flow.key in self.state.flows:
+            return []
+        return [SendPeer(address, self.state.release(flow.key, flow.assignment))]
 
     def end_with_refusal(self, flows: list[Flow], reason: Reason) -> list[Effect]:
         """End flows so that their callers can be shown it."""
@@ -62,6 +66,7 @@
             del self.state.flows[flow.key]
             self.state.streams.discard(flow.key)
             effects.append(CloseUpstream(flow.key))
+        self.state.copier.begin_anew(self.state.flows)
         self.state.counters[f"flows_ended_{reason}"] += len(flows)
         if flows:
             detail = f"{len(flows)} flows, {reason}"
@@ -93,6 +98,7 @@
         for owned in check.flows:
             if (
                 owned.flow in self.state.flows
+                or self.state.copier.is_ending(owned.flow)
                 or owned.incarnation > self.state.member.incarnation
             ):
                 continue
--- a/fulmarshore/routing/openings.py
+++ b/fulmarshore/routing/openings.py
@@ -55,8 +55,10 @@
             return self._assign(owner, packet, False, now)
         if packet.phase in (Phase.MIDDLE, Phase.END):
             return self.state.refuse(packet, Reason.FLOW_UNKNOWN)
-        if self.state.evictions.is_waiting(now):
-            # The flow may be one of an evicted agent that still serves it.
+        is_ending = self.state.copier.is_ending(packet.flow)
+        if is_ending or self.state.evictions.is_waiting(now):
+            # The flow may be one of an evicted agent that still serves it, or
+            # one that a successor of this agent would go on with.
             return self.forwarding.hold(packet, source, now)
         return self.open(service, packet, now)
 
@@ -97,8 +99,13 @@
         if effects:
             return effects + self.take_assigned(packet, source, now)
         self.state.reporter.note_assignment(source, packet.assignment)
+        is_ending = self.state.copier.is_ending(packet.flow)
+        if is_ending:
+            self.state.copier.renew(packet.flow, packet.assignment)
         if packet.phase in (Phase.MIDDLE, Phase.END):
             refusal = self.state.refuse(packet, Reason.FLOW_UNKNOWN)
+            if is_ending:
+                return refusal
             return [
                 *refusal,
                 SendPeer(source, self.state.release(packet.flow, packet.assignment)),
@@ -106,6 +113,9 @@
         declined = self._declined.get(packet.flow, 0) >= packet.assignment
         if not declined and self._has_room(now):
             return self._admit(packet, now)
+        if is_ending:
+            # The home would open it elsewhere while a keeper has its record.
+            return self.state.drop(Reason.NOT_SETTLED)
         return self._decline(packet, source)
 
     def _has_room(self, now: float) -> bool:
--- a/fulmarshore/routing/random_test.py
+++ b/fulmarshore/routing/random_test.py
@@ -12,7 +12,7 @@
     run_state_machine_as_test,
 )
 
-from fulmarshore.core.records import Drain, Removed, Zone
+from fulmarshore.core.records import Drain, Removed, UpstreamGone, Zone
 from fulmarshore.standins import profiles  # noqa: F401
 from fulmarshore.standins.network import Faults
 from fulmarshore.standins.routing import ZONES, RoutedRegion
@@ -95,6 +95,22 @@
     def crash_agent(self, agent):
         self.region.crash(f"{SERVICES[0]}-{agent}")
 
+    @rule(
+        agent=st.integers(0, 3),
+        ended=st.integers(0, 15),
+        away=st.sampled_from((0.05, 0.5, 2.0, 4.0)),
+    )
+    def crash_and_return(self, agent, ended, away):
+        """The upstream lives on; some flows end just before the crash."""
+        name = f"{SERVICES[0]}-{agent}"
+        if self.region.network.nodes[name].running:
+            for flow in list(self.region.get_agent(name).flows)[:ended]:
+                self.region.network.inject(name, UpstreamGone(flow))
+        self.send()
+        self.region.crash(name)
+        self.region.network.run(away)
+        self.region.add_agent(name, SERVICES[0], ZONES[agent % 3])
+
     @rule(agent=st.integers(0, 3))
     def drain(self, agent):
         self.region.change(Drain(f"{SERVICES[0]}-{agent}"))
--- a/fulmarshore/routing/restart.py
+++ b/fulmarshore/routing/restart.py
@@ -16,7 +16,9 @@
     FlowRecordsKept,
     Member,
 )
+from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.view import View
+from fulmarshore.routing.continuity import has_zone_changed, was_always_member
 from fulmarshore.routing.fence import LEASE_MARGIN_S
 
 KEEPERS = 2
@@ -25,7 +27,9 @@
 EXPORT_TIMEOUT_S = 2.0
 """A keeper that has not acknowledged by then is given up."""
 RECOVERY_TIMEOUT_S = 1.0
-"""A successor that has not heard from every peer by then goes on."""
+"""A successor to which records were handed over waits no longer for the rest."""
+SILENCE_TIMEOUT_S = LEASE_S + 1.0
+"""A successor that has not heard from every member by then goes on without."""
 KEEP_TIMEOUT_S = 30.0
 
 
@@ -118,14 +122,22 @@
         return True
 
     def find(
-        self, agent: str, incarnation: int, view: View, now: float
+        self, agent: str, former: int, view: View, now: float
     ) -> list[FlowRecords]:
-        """Return the parts kept for a successor; empty if they are not good."""
+        """Return the parts kept of a life; empty if they are not good.
+
+        Parameters
+        ----------
+        former : int
+            The newest life before the successor that asks.
+        """
         held = self._kept.get(agent)
-        if held is None or held.incarnation >= incarnation:
+        if held is None or held.incarnation < former:
             return []
         is_certain = now < held.certain_until
-        if not is_certain and not _was_always_member(view, agent, held.version):
+        if not is_certain and not was_always_member(view, agent, held.version):
+            return []
+        if has_zone_changed(view, agent, held.version):
             return []
         total = next(iter(held.parts.values())).parts
         if len(held.parts) < total:
@@ -166,32 +178,70 @@
         self._asked_at = now
         return sorted(self._unanswered)
 
+    def follow(self, members: set[str]) -> None:
+        """Wait no more for peers that are no members any more."""
+        self._unanswered &= members
+
     def take(self, keeper: str, records: FlowRecords) -> None:
         """Take a part from a keeper; one of no parts says that it has none."""
         if keeper not in self._unanswered:
             return
+        self._incarnation = max(self._incarnation, records.incarnation)
         if not records.parts:
             self._unanswered.discard(keeper)
             return
-        if records.incarnation > self._incarnation:
-            self._incarnation = records.incarnation
         parts = self._parts.setdefault(keeper, {})
+        first = next(iter(parts.values()), records)
+        if first.copied != records.copied or first.parts != records.parts:
+            # The keeper has taken in a late batch between two answers.
+            parts.clear()
         parts[records.part] = records
         if len(parts) == records.parts:
             self._unanswered.discard(keeper)
 
     def is_done(self, now: float) -> bool:
         """Return whether every peer has answered, or time is up."""
-        return not self._unanswered or now - self._began_at >= RECOVERY_TIMEOUT_S
+        waited = now - self._began_at
+        if not self._unanswered or waited >= SILENCE_TIMEOUT_S:
+            return True
+        return waited >= RECOVERY_TIMEOUT_S and bool(self._list_handed_over())
 
     def list_records(self) -> list[FlowRecord]:
-        """Return the records of the newest former self that are whole."""
+        """Return the records of the newest former self that are good.
+
+        Those of a running copy are only good where every member has answered:
+        a silent one may know of a life in between.
+        """
+        handed_over = self._list_handed_over()
+        if handed_over:
+            return list_flows(handed_over[0])
+        if self._unanswered:
+            return []
+        newest: dict[bytes, FlowRecord] = {}
+        for parts in sorted(self._list_whole(), key=_get_copied):
+            for record in list_flows(parts):
+                newest[record.flow] = record
+        return list(newest.values())
+
+    def _list_handed_over(self) -> list[dict[int, FlowRecords]]:
+        return [parts for parts in self._list_whole() if not _get_copied(parts)]
+
+    def _list_whole(self) -> list[dict[int, FlowRecords]]:
+        whole = []
         for parts in self._parts.values():
             first = next(iter(parts.values()))
-            if first.incarnation != self._incarnation or len(parts) < first.parts:
-                continue
-            return [record for part in parts.values() for record in part.flows]
-        return []
+            if first.incarnation == self._incarnation and len(parts) == first.parts:
+                whole.append(parts)
+        return whole
+
+
+def list_flows(parts: dict[int, FlowRecords]) -> list[FlowRecord]:
+    """Return the records of all parts."""
+    return [record for part in parts.values() for record in part.flows]
+
+
+def _get_copied(parts: dict[int, FlowRecords]) -> int:
+    return next(iter(parts.values())).copied
 
 
 def split_records(
@@ -201,6 +251,8 @@
     version: int,
     lease_left: float,
     records: list[FlowRecord],
+    sender: str = "",
+    copied: int = 0,
 ) -> list[FlowRecords]:
     """Return the records as messages that fit a datagram, at least one."""
     size = MAX_RECORDS_PER_MESSAGE
@@ -208,22 +260,11 @@
     messages = []
     for part in range(parts):
         flows = records[part * size : (part + 1) * size]
-        head = (service, agent, incarnation, version, agent)
-        messages.append(FlowRecords(*head, part, parts, flows, lease_left))
+        head = (service, agent, incarnation, version, sender or agent)
+        messages.append(FlowRecords(*head, part, parts, flows, lease_left, copied))
     return messages
 
 
 def get_address(member: Member) -> Address:
     """Return the data address of a member."""
     return Address(member.host, member.port)
-
-
-def _was_always_member(view: View, agent: str, since: int) -> bool:
-    if view.horizon > since:
-        return False
-    for gone in view.removed:
-        if gone.version <= since or gone.item_type != Member.__name__:
-            continue
-        if gone.name == agent:
-            return False
-    return True
--- a/fulmarshore/routing/restart_test.py
+++ b/fulmarshore/routing/restart_test.py
@@ -50,7 +50,7 @@
             with self.subTest(title):
                 keeper = Keeper()
                 keeper.keep(make_records(), 0.0)
-                self.assertEqual(bool(keeper.find("a", 2, held, now)), is_good)
+                self.assertEqual(bool(keeper.find("a", 1, held, now)), is_good)
 
     def test_a_keeper_that_is_behind_answers_later(self):
         view = change_view(View(), VERSION, [MEMBER], [])
--- a/fulmarshore/routing/router.py
+++ b/fulmarshore/routing/router.py
@@ -128,7 +128,9 @@
         if not self.state.has_recovered:
             return True
         bucket = find_bucket(packet.flow)
-        if bucket in self.state.homes.settled and self.state.evictions.is_waiting(now):
+        is_unsure = self.state.copier.is_ending(packet.flow)
+        is_unsure = is_unsure or self.state.evictions.is_waiting(now)
+        if bucket in self.state.homes.settled and is_unsure:
             return (
                 self.state.arbiter.find_owner(self.state.service, packet.flow) is None
             )
--- a/fulmarshore/routing/state.py
+++ b/fulmarshore/routing/state.py
@@ -21,6 +21,7 @@
 from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.routing.arbitration import Arbiter
+from fulmarshore.routing.copier import Copier
 from fulmarshore.routing.eviction import Evictions
 from fulmarshore.routing.fence import Fence
 from fulmarshore.routing.flows import Directory, Flow, IdleQueue
@@ -57,6 +58,7 @@
         self.held = HeldPackets()
         self.fence = Fence(LEASE_S)
         self.succession = Succession(subscriber.identity, self.member.service)
+        self.copier = Copier(subscriber.identity, self.member.service)
         self.evictions = Evictions(subscriber.identity, self.member.service)
         self.reporter = Reporter(self.member.name, self.member.incarnation)
         self.evicted_by = 0
--- a/fulmarshore/routing/succession.py
+++ b/fulmarshore/routing/succession.py
@@ -1,10 +1,14 @@
-"""An agent's part in planned restarts: its own and those of its peers."""
+"""An agent's part in restarts and crashes: its own and those of its peers."""
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from fulmarshore.core.records import (
     Address,
     Effect,
+    FlowCopy,
+    FlowCopyKept,
     FlowRecord,
     FlowRecords,
     FlowRecordsKept,
@@ -14,6 +18,8 @@
     SendPeer,
 )
 from fulmarshore.membership.view import View
+from fulmarshore.routing.continuity import Lives
+from fulmarshore.routing.copies import Copies
 from fulmarshore.routing.restart import (
     Export,
     Keeper,
@@ -35,12 +41,23 @@
         The service of its upstream.
     """
 
-    __slots__ = ("_identity", "_service", "_keeper", "_export", "_recovery", "_peers")
+    __slots__ = (
+        "_identity",
+        "_service",
+        "_lives",
+        "_keeper",
+        "_copies",
+        "_export",
+        "_recovery",
+        "_peers",
+    )
 
     def __init__(self, identity: Identity, service: str) -> None:
         self._identity = identity
         self._service = service
+        self._lives = Lives()
         self._keeper = Keeper()
+        self._copies = Copies()
         self._export: Export | None = None
         self._recovery: Recovery | None = None
         self._peers: dict[str, Member] = {}
@@ -74,6 +91,18 @@
         }
         self._recovery = Recovery(set(self._peers), now)
 
+    def follow(self, table: ServiceTable | None, now: float) -> None:
+        """Take in a newer table."""
+        members = set(table.by_name) if table is not None else set()
+        if self._recovery is not None:
+            self._recovery.follow(members)
+        self._lives.expire(members, now)
+        self._copies.keep_only(self._lives)
+
+    def drop_copies(self, version: int) -> None:
+        """Drop what was kept for peers up to an own eviction."""
+        self._copies.clear(version)
+
     def has_left(self, now: float) -> bool:
         """Return whether the records are kept, or nobody takes them."""
         return self._export is not None and self._export.is_done(now)
@@ -106,7 +135,7 @@
 
     def handle(
         self,
-        message: FlowRecords | FlowRecordsKept | FlowRecordsRequest,
+        message: FlowRecords | FlowRecordsKept | FlowRecordsRequest | FlowCopy,
         source: Address,
         view: View,
         now: float,
@@ -122,11 +151,27 @@
                 return self._hand_back(request, source, view, now)
             case FlowRecordsKept() as kept if self._export is not None:
                 self._export.take_kept(kept)
+            case FlowCopy() as batch if batch.keeper == self._identity.incarnation:
+                return self._copy(batch, source, view.version, now)
         return []
 
+    def _copy(
+        self, batch: FlowCopy, source: Address, version: int, now: float
+    ) -> list[Effect]:
+        if not self._lives.note(batch.agent, batch.incarnation, now):
+            return []
+        is_kept = self._copies.apply(batch)
+        if is_kept is None:
+            return []
+        name, incarnation = self._identity.name, self._identity.incarnation
+        head = (self._service, name, incarnation, version)
+        return [SendPeer(source, FlowCopyKept(*head, batch.number, not is_kept))]
+
     def _keep(
         self, records: FlowRecords, source: Address, version: int, now: float
     ) -> list[Effect]:
+        if not self._lives.note(records.agent, records.incarnation, now):
+            return []
         if self.is_leaving or not self._keeper.keep(records, now):
             return []
         name, incarnation = self._identity.name, self._identity.incarnation
@@ -136,27 +181,30 @@
     def _hand_back(
         self, request: FlowRecordsRequest, source: Address, view: View, now: float
     ) -> list[Effect]:
-        name = self._identity.name
-        found = self._keeper.find(request.agent, request.incarnation, view, now)
+        if not self._lives.note(request.agent, request.incarnation, now):
+            return []
+        former = self._lives.get_former(request.agent)
+        found = self._find(request.agent, former, view, now)
         if not found:
-            none = FlowRecords(
-                self._service, request.agent, 0, view.version, name, 0, 0, []
-            )
+            head = (self._service, request.agent, former, view.version)
+            none = FlowRecords(*head, self._identity.name, 0, 0, [])
             return [SendPeer(source, none)]
         if request.version > view.version:
             # The membership of the agent may have ended in between.
             return []
-        effects: list[Effect] = []
-        for part in found:
-            answer = FlowRecords(
-                self._service,
-                part.agent,
-                part.incarnation,
-                view.version,
-                name,
-                part.part,
-                part.parts,
-                part.flows,
-            )
-            effects.append(SendPeer(source, answer))
-        return effects
+        return [SendPeer(source, part) for part in found]
+
+    def _find(
+        self, agent: str, former: int, view: View, now: float
+    ) -> list[FlowRecords]:
+        """Return the records kept of a life: handed over, or else copied."""
+        name = self._identity.name
+        handed_over = self._keeper.find(agent, former, view, now)
+        if handed_over:
+            change = {"version": view.version, "sender": name, "lease_left": 0.0}
+            return [replace(part, **change) for part in handed_over]
+        copy = self._copies.find(agent, former, view)
+        if copy is None:
+            return []
+        head = (self._service, agent, copy.incarnation, view.version, 0.0)
+        return split_records(*head, list(copy.records.values()), name, copy.number)
--- a/fulmarshore/routing/successor.py
+++ b/fulmarshore/routing/successor.py
@@ -1,17 +1,17 @@
-"""Planned restart of this agent: its end, and the start of its successor."""
+"""Restart of this agent, planned or not: its end, and the start of a successor."""
 
 from __future__ import annotations
 
 from fulmarshore.core.records import (
     Address,
     Effect,
-    FlowRecord,
     LocalPort,
     OpenUpstream,
     Stopped,
     TimelineEvent,
 )
 from fulmarshore.membership.registry import LEASE_S
+from fulmarshore.routing.copier import make_record
 from fulmarshore.routing.eviction import is_first
 from fulmarshore.routing.flows import Flow
 from fulmarshore.routing.lease import LeaseGuard
@@ -37,6 +37,7 @@
         self.router = router
         self.lease = lease
         self._recovery_began = False
+        self._zone_version = 0
 
     def begin(self, ports: list[LocalPort], now: float) -> list[Effect]:
         """Hand the flow records to peers, for the successor to fetch."""
@@ -48,10 +49,9 @@
             flow = self.state.flows.get(local.flow)
             if flow is None:
                 continue
-            record = FlowRecord(
-                flow.key, *flow.caller, flow.entry, local.port, flow.assignment
-            )
-            records.append(record)
+            flow.local_port = local.port
+            records.append(make_record(flow))
+        self.state.copier.freeze()
         version = self.state.table.version
         lease_left = LEASE_S - (now - self.state.subscriber.lease_renewed)
         self.state.succession.begin_export(records, service, version, lease_left, now)
@@ -67,6 +67,7 @@
         if member is None or member.incarnation != self.state.member.incarnation:
             return []
         self._recovery_began = True
+        self._zone_version = self._find_zone_version()
         if is_first(self.state.subscriber.view, self.state.member):
             self.state.evictions.begin(now)
         self.state.succession.begin_recovery(service, now)
@@ -79,6 +80,10 @@
         if records is None:
             return []
         self.state.has_recovered = True
+        if self.state.evicted_by or self._zone_version != self._find_zone_version():
+            # Others may have opened the flows since the peers were asked.
+            self.state.counters["records_refused"] += len(records)
+            records = []
         effects: list[Effect] = []
         for record in records:
             caller = Address(record.caller_host, record.caller_port)
@@ -94,4 +99,8 @@
             self.state.counters["flows_recovered"] += len(records)
             detail = f"{len(records)} flows"
             effects.append(TimelineEvent("flows_recovered", detail=detail))
+        self.state.copier.follow(self.state.service, self.state.flows)
         return effects + self.lease.guard(now) + self.router.resume_held(now)
+
+    def _find_zone_version(self) -> int:
+        return self.state.table.zone_versions.get(self.state.member.zone, 0)
--- a/fulmarshore/standins/routing.py
+++ b/fulmarshore/standins/routing.py
@@ -14,6 +14,7 @@
 from fulmarshore.core.records import (
     Address,
     Change,
+    CloseUpstream,
     Datagram,
     Declaration,
     Effect,
@@ -33,6 +34,7 @@
     Stop,
     Stopped,
     UpstreamDatagram,
+    UpstreamOpened,
     Zone,
 )
 from fulmarshore.membership.control import ControlCore
@@ -86,12 +88,15 @@
         self.owners: dict[bytes, tuple[str, int]] = {}
         self.answers: Counter[tuple[str, int]] = Counter()
         self.answered_by: dict[tuple[str, int], str] = {}
+        self.ports: dict[tuple[str, bytes], int] = {}
         self.last_packet_at: dict[str, float] = {}
         self.opened_twice = 0
         self.misdelivered = 0
         self.moved: set[bytes] = set()
         self.lost: set[str] = set()
         self.first_zone: dict[bytes, str] = {}
+        self._open_ports: dict[tuple[str, bytes], int] = {}
+        self._last_port = 0
         self._services_of: dict[bytes, str] = {}
         self.network.add("control", ControlCore("control"))
         for number in range(entries):
@@ -135,6 +140,8 @@
         identity = Identity(name, incarnation)
         subscriber = Subscriber(identity, member, ["control"], self.random)
         core = AgentCore(subscriber)
+        for key in [key for key in self._open_ports if key[0] == name]:
+            del self._open_ports[key]
         self.network.add(name, core, address, self._observe_agent)
         return core
 
@@ -155,7 +162,7 @@
     def restart(self, name: str) -> None:
         """Restart an agent as planned: its successor starts once it has left."""
         flows = self.get_agent(name).flows
-        ports = [LocalPort(flow, 1 + port) for port, flow in enumerate(flows)]
+        ports = [LocalPort(flow, self.ports[name, flow]) for flow in flows]
         self.network.inject(name, Restart(ports))
         for _ in range(MAX_RESTART_TICKS):
             if not self.network.nodes[name].running:
@@ -249,9 +256,14 @@
         if isinstance(effect, Stopped):
             node.running = False
         if isinstance(effect, OpenUpstream):
-            self._recover(effect.flow, node.name)
+            self._recover(effect, node.name)
+        if isinstance(effect, CloseUpstream):
+            self._open_ports.pop((node.name, effect.flow), None)
         if not isinstance(effect, SendUpstream):
             return
+        if (node.name, effect.flow) not in self._open_ports:
+            self._last_port += 1
+            self._open(node.name, effect.flow, self._last_port)
         member = self.members[node.name]
         self.last_packet_at[node.name] = now
         flow = effect.flow
@@ -267,11 +279,22 @@
         self.owners[flow] = owner
         self.network.inject(node.name, UpstreamDatagram(flow, b"echo"))
 
-    def _recover(self, flow: bytes, name: str) -> None:
+    def _recover(self, opened: OpenUpstream, name: str) -> None:
         """Note that the upstream sees a flow of a former self go on."""
+        flow = opened.flow
         held = self.owners.get(flow)
+        if held is not None and held[0] != name and self._still_holds(held, flow):
+            self.opened_twice += 1
         if held is not None and held[0] == name:
-            self.owners[flow] = (name, self.members[name].incarnation)
+            if opened.port == self.ports.get((name, flow)):
+                self.owners[flow] = (name, self.members[name].incarnation)
+        self._open(name, flow, opened.port)
+
+    def _open(self, name: str, flow: bytes, port: int) -> None:
+        """Open the socket of a flow, and tell its agent."""
+        self.ports[name, flow] = port
+        self._open_ports[name, flow] = port
+        self.network.inject(name, UpstreamOpened(flow, port))
 
     def _still_holds(self, owner: tuple[str, int], flow: bytes) -> bool:
         name, incarnation = owner
