--- a/fulmarshore/routing/copier_test.py
+++ b/fulmarshore/routing/copier_test.py
@@ -135,11 +135,14 @@
         self.assertTrue(keeper.apply(batch))
         self.assertTrue(keeper.apply(batch))
         self.answer(batch, "b")
-        self.assertEqual(self.answer(batch, "b"), [])
         self.end(1)
-        later = [b for m, b in self.list_due() if m.name == "b"]
-        self.assertTrue(keeper.apply(later[0]))
+        (later,) = [b for m, b in self.list_due() if m.name == "b"]
+        self.answer(batch, "b")
+        self.assertEqual(self.list_due()[0][1], later, "a late answer counts not")
+        self.assertTrue(keeper.apply(later))
+        self.assertTrue(keeper.apply(later))
         self.assertIsNone(keeper.apply(batch))
+        self.assertFalse(keeper.apply(replace(later, number=9, previous=8)))
         self.assertEqual(self.list_kept("b"), [(2, 1002)])
 
     def test_a_batch_for_another_copy_is_told_as_lost_and_all_is_sent_again(self):
@@ -152,13 +155,14 @@
         self.run_all()
         self.assertEqual(self.list_kept("b"), [(1, 1001), (2, 1002)])
 
-    def test_a_flow_that_comes_back_has_its_new_port(self):
+    def test_a_flow_that_comes_back_or_moves_has_its_new_port(self):
         self.open(1)
         self.run_all()
         self.end(1)
-        self.open(1, port=4000)
-        self.run_all()
-        self.assertEqual(self.list_kept("b"), [(1, 4000)])
+        for port in (4000, 5000):
+            self.open(1, port=port)
+            self.run_all()
+            self.assertEqual(self.list_kept("b"), [(1, port)])
 
     def test_a_peer_that_joins_or_comes_back_gets_everything(self):
         self.open(1, 2)
--- a/fulmarshore/routing/copying_test.py
+++ b/fulmarshore/routing/copying_test.py
@@ -9,10 +9,16 @@
     FlowCheck,
     FlowCopy,
     FlowCopyKept,
+    FlowRecord,
+    FlowRecords,
+    FlowRecordsRequest,
     LinkMessage,
+    LocalPort,
     OwnedFlow,
     Phase,
     Released,
+    Removed,
+    Restart,
     Takeover,
     TakeoverReply,
     Tick,
@@ -28,6 +34,7 @@
     make_member,
     make_view,
 )
+from fulmarshore.routing.arbitration import ASSIGNMENT_BITS
 from fulmarshore.standins.network import Faults
 from fulmarshore.standins.routing import RoutedRegion
 
@@ -201,27 +208,30 @@
         return core
 
     def answer_all(self, core, now):
+        """Acknowledge batches for a while; return all that the agent sends."""
+        found = []
         for _ in range(3):
             now += 0.25
             effects = core.handle(Tick(), now)
+            found += effects
             for batch in self.list_sent(effects, FlowCopy):
                 for keeper in ("b", "c"):
                     kept = FlowCopyKept("s", keeper, 1, VERSION, batch.number)
-                    effects += self.send(core, kept, get_address(keeper), now)
-        return effects
+                    found += self.send(core, kept, get_address(keeper), now)
+        return found
 
     def test_a_packet_waits_at_the_home(self):
         core = self.end_copied()
         effects = self.send(core, self.make_packet(self.flow), now=3.1)
         self.assertEqual(effects, [])
-        core.handle(Tick(), 3.2)
+        core.handle(Tick(), 3.15)
         self.assertNotIn(self.flow, core.flows)
         self.answer_all(core, 3.2)
         self.assertIn(self.flow, core.flows)
 
     def test_nobody_is_told_of_the_end(self):
         core = self.end_copied()
-        version = VERSION << 32
+        version = VERSION << ASSIGNMENT_BITS
         bucket = find_bucket(self.flow)
         ask = Takeover("s", "b", 1, VERSION, [bucket])
         owned = OwnedFlow(self.flow, "a", 1, version)
@@ -237,11 +247,9 @@
             with self.subTest(title):
                 effects = self.send(core, message, get_address("b"), 3.1)
                 self.assertEqual(self.list_sent(effects, Released), [])
-        released = []
-        for now in (3.2, 3.5, 3.8):
-            effects = self.answer_all(core, now)
-            released += self.list_sent(effects, Released)
-        self.assertTrue(core.copier.ended == [])
+        effects = self.answer_all(core, 3.2)
+        released = [message.flow for message in self.list_sent(effects, Released)]
+        self.assertEqual((released, core.copier.ended), ([self.flow], []))
 
     def test_an_assignment_is_not_declined(self):
         core = self.end_copied()
@@ -249,17 +257,77 @@
         ask = Takeover("s", "b", 1, VERSION, [bucket])
         self.send(core, ask, get_address("b"), 3.1)
         core.drain()
-        packet = self.make_packet(self.flow, (VERSION << 32) + 1)
+        packet = self.make_packet(self.flow, (VERSION << ASSIGNMENT_BITS) + 1)
         self.assertEqual(self.send(core, packet, get_address("b"), 3.1), [])
+        (released,) = self.list_sent(self.answer_all(core, 3.1), Released)
+        self.assertEqual(released.assignment, packet.assignment)
+
+    def test_nobody_is_told_once_the_records_are_handed_over(self):
+        core = self.start()
+        flow = self.find_flow(core, "b")
+        packet = self.make_packet(flow, VERSION << ASSIGNMENT_BITS)
+        self.send(core, packet, get_address("b"))
+        core.handle(Restart([LocalPort(flow, 4000)]), 2.1)
+        effects = core.handle(UpstreamGone(flow), 2.2)
+        self.assertEqual(self.list_sent(effects, Released), [])
+
+
+class KeeperTest(AgentCase):
+    """An agent that keeps the records of another."""
+
+    def keep(self, core, number=1, version=VERSION, keeper=1, opened=(), now=2.0):
+        """Send a batch; return whether it is told as lost, None if as nothing."""
+        head = ("s", "a", 1, version, keeper, number, number - 1, [])
+        batch = FlowCopy(*head, list(opened))
+        effects = self.send(core, batch, get_address("a"), now)
+        kept = [answer.is_lost for answer in self.list_sent(effects, FlowCopyKept)]
+        return kept[0] if kept else None
+
+    def test_copies_are_dropped_by_a_keeper_that_was_gone_itself(self):
+        gone = [Removed(0, "Member", "b")]
+        table = [
+            ("zone out and in", [Zone("zb", True)], [], Zone("zb")),
+            ("evicted and back", [], gone, make_member("b")),
+        ]
+        for title, items, removed, back in table:
+            with self.subTest(title):
+                core = self.start("b")
+                self.assertIs(self.keep(core), False)
+                view = change_view(make_view(), 8, items, removed)
+                view = change_view(view, 9, [back], [])
+                core.handle(LinkMessage("x", make_delta(view, VERSION)), 3.0)
+                self.assertIs(self.keep(core, 2, 9, now=3.1), True)
+
+    def test_a_batch_for_a_former_life_of_the_keeper_is_not_kept(self):
+        self.assertIsNone(self.keep(self.start("b"), keeper=2))
 
-    def test_a_keeper_whose_own_zone_was_out_drops_its_copies(self):
+    def test_records_go_to_the_first_successor_only(self):
         core = self.start("b")
-        record = FlowCopy("s", "a", 1, VERSION, 1, 1, 0, [], [])
-        (kept,) = self.send(core, record, get_address("a"))
-        self.assertFalse(kept.message.is_lost)
-        view = change_view(make_view(), 8, [Zone("zb", True)], [])
-        view = change_view(view, 9, [Zone("zb"), make_member("a")], [])
-        core.handle(LinkMessage("x", make_delta(view, VERSION)), 3.0)
-        more = FlowCopy("s", "a", 1, 9, 1, 2, 1, [], [])
-        (kept,) = self.send(core, more, get_address("a"), 3.1)
-        self.assertTrue(kept.message.is_lost)
+        record = FlowRecord(b"k" * 16, "10.0.0.1", 7, "entry", 4000, 1)
+        self.keep(core, opened=[record])
+        table = [(2, [(1, 1)]), (2, [(1, 1)]), (3, [(0, 2)]), (2, [])]
+        for incarnation, expected in table:
+            request = FlowRecordsRequest("s", "a", incarnation, VERSION)
+            effects = self.send(core, request, get_address("a"), 2.1)
+            answers = self.list_sent(effects, FlowRecords)
+            found = [(answer.parts, answer.incarnation) for answer in answers]
+            self.assertEqual(found, expected)
+
+
+class SuccessorTest(AgentCase):
+    def test_records_are_refused_if_the_own_zone_was_out_meanwhile(self):
+        record = FlowRecord(b"k" * 16, "10.0.0.1", 7, "entry", 4000, 1)
+        for was_out in (False, True):
+            with self.subTest(was_out=was_out):
+                core = self.start_unsettled()
+                view = make_view()
+                if was_out:
+                    view = change_view(view, 8, [Zone("za", True)], [])
+                    view = change_view(view, 9, [Zone("za")], [])
+                    core.handle(LinkMessage("x", make_delta(view, VERSION)), 0.5)
+                for peer in ("b", "c"):
+                    head = ("s", "a", 0, VERSION, peer, 0, 1, [record])
+                    records = FlowRecords(*head, copied=1)
+                    self.send(core, records, get_address(peer), 1.0)
+                self.assertTrue(core.has_recovered)
+                self.assertEqual(record.flow in core.flows, not was_out)
