--- a/fulmarshore/bench/capacity.py
+++ b/fulmarshore/bench/capacity.py
@@ -97,9 +97,9 @@
     items = list_items(endpoints)
     source = change_view(View(), 1, items, [])
     frame = encode(make_delta(source, 0))
-    view, view_bytes = _trace(lambda: _decode(frame))
-    table, table_bytes = _trace(lambda: Table(view))
-    _, rows_bytes = _trace(lambda: _fill_rows(table))
+    view, view_bytes = trace_memory(lambda: _decode(frame))
+    table, table_bytes = trace_memory(lambda: Table(view))
+    _, rows_bytes = trace_memory(lambda: _fill_rows(table))
     member = next(item for item in items if isinstance(item, Member))
     changed = change_view(view, 2, [member], [])
     return RegionSlope(
@@ -122,7 +122,7 @@
         for n in range(FLOWS)
     ]
     core = _make_entry(seed)
-    _, used = _trace(lambda: _open_flows(core, events))
+    _, used = trace_memory(lambda: _open_flows(core, events))
     assert core.hint_count == FLOWS, "every flow leaves a hint"
     fresh = _make_entry(seed)
     open_ms = _time(lambda: _open_flows(fresh, events), rounds=1)
@@ -179,7 +179,7 @@
         core.handle(event, 0.0)
 
 
-def _trace(make: Callable[[], object]) -> tuple[object, int]:
+def trace_memory(make: Callable[[], object]) -> tuple[object, int]:
     """Return what a function makes and the bytes that stay allocated."""
     gc.collect()
     tracemalloc.start()
--- a/fulmarshore/bench/copies.py
+++ b/fulmarshore/bench/copies.py
@@ -10,9 +10,11 @@
 from msgspec import Struct
 
 from fulmarshore.adapters.sealing import HEADER_BYTES, TAG_BYTES
-from fulmarshore.core.codec import encode
+from fulmarshore.bench.capacity import trace_memory
+from fulmarshore.core.codec import decode_data, encode
 from fulmarshore.core.records import (
     Address,
+    FlowCopy,
     FlowCopyKept,
     Identity,
     Kind,
@@ -65,10 +67,25 @@
 
 
 class CopyReport(Struct, frozen=True):
-    """All rates, and the first copy of all flows."""
+    """All rates, and the first copy of all flows.
+
+    Parameters
+    ----------
+    flows : int
+        Flows held.
+    record_bytes : float
+        Sent for each flow to both keepers, with all headers and answers.
+    kept_bytes : float
+        Memory that a record takes at a keeper.
+    first_copy_s : float
+        Time until all are copied.
+    rates : list of CopyRow
+        What replacing the flows costs after that.
+    """
 
     flows: int
     record_bytes: float
+    kept_bytes: float
     first_copy_s: float
     rates: list[CopyRow]
 
@@ -87,6 +104,7 @@
         self.flows: dict[bytes, Flow] = {}
         self.copier.follow(Table(view).services[SERVICE], self.flows)
         self.keepers = {name: Copies() for name in NAMES}
+        self.batches: list[bytes] = []
         self.ticks = 0
         self.opened = 0
         self.datagrams = 0
@@ -114,11 +132,13 @@
         now = self.ticks / TICKS_PER_S
         for member, batch in self.copier.list_due(VERSION, self.flows, now):
             assert self.keepers[member.name].apply(batch), "nothing is lost"
+            self.batches.append(encode(batch))
             head = (SERVICE, member.name, INCARNATION, VERSION)
             kept = FlowCopyKept(*head, batch.number)
             self.copier.take_kept(kept, self.flows)
             self.datagrams += 2
-            self.bytes += len(encode(batch)) + len(encode(kept)) + 2 * DATAGRAM_BYTES
+            self.bytes += len(self.batches[-1]) + len(encode(kept))
+            self.bytes += 2 * DATAGRAM_BYTES
         return self.copier.count_uncopied(len(self.flows))
 
     def copy_all(self) -> float:
@@ -137,8 +157,21 @@
     began = agent.bytes
     first = agent.copy_all()
     record = (agent.bytes - began) / FLOWS
+    _, kept = trace_memory(lambda: _keep(agent.batches))
     rates = [measure_rate(rate) for rate in OPENINGS_PER_S]
-    return CopyReport(FLOWS, round(record, 1), round(first, 1), rates)
+    return CopyReport(
+        FLOWS, round(record, 1), round(kept / FLOWS, 1), round(first, 1), rates
+    )
+
+
+def _keep(batches: list[bytes]) -> Copies:
+    """Return the copy of one keeper, from what came over the network."""
+    copies = Copies()
+    for frame in batches:
+        batch = decode_data(frame, "bench")
+        assert isinstance(batch, FlowCopy)
+        copies.apply(batch)
+    return copies
 
 
 def measure_rate(rate: float) -> CopyRow:
