--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -18,6 +18,7 @@
     MAX_RUNS_PER_ATTEMPT,
 )
 from fulmarshore.admission.budget import RetryBudget
+from fulmarshore.admission.executor import Executor
 from fulmarshore.admission.holders import choose_holders, is_member
 from fulmarshore.admission.ledger import ClaimState, Ledger, Stage
 from fulmarshore.admission.loads import Loads
@@ -88,6 +89,7 @@
         self.has_lease = True
         self.is_outdated = False
         self.budget = RetryBudget(0.1)
+        self.executor: Executor | None = None
         self._loads = Loads(member.name)
         self._random = random
         self._due: list[tuple[float, bytes]] = []
@@ -215,9 +217,9 @@
     def _hand_back(self, state: ClaimState, now: float) -> list[Effect]:
         """Leave a request that nobody runs to the new home of its bucket.
 
-        What this agent holds says that it ran nothing and bars nothing; the
-        stamp stays that of the former term, so that whatever the new home
-        says is newer.
+        What this agent holds says that it ran nothing and bars nothing. It is
+        newer than what peers hold of this home, and stays in the former term, so
+        that whatever the new home says is newer still.
         """
         home = self.settlement.find_home(find_bucket(state.flow))
         if home is None or state.request is None or home == self.identity:
@@ -227,6 +229,8 @@
         passed = self._pass_on(state, home, now)
         state.verdict, state.reason = Verdict.NOT_RUN, Reason.NOT_SETTLED
         state.attempt = NOTHING_BARRED
+        self._sequence += 1
+        state.sequence = self._sequence
         state.stage = Stage.DONE
         state.request = None
         state.writes = 0
@@ -248,7 +252,9 @@
         if now >= state.deadline:
             return self.refuse(state, Reason.EXPIRED, now)
         accepting = self.service.accepting if self.service else ()
-        executor = self._loads.choose(accepting, state.executor, now)
+        own = self.executor
+        has_own_slot = own is not None and own.has_free_slot(now)
+        executor = self._loads.choose(accepting, state.executor, has_own_slot, now)
         if executor is None:
             return self.refuse(state, Reason.NO_UPSTREAM, now)
         state.executor = Identity(executor.name, executor.incarnation)
@@ -419,11 +425,25 @@
         if not waited and now < state.deadline + OVERDUE_S:
             return self.send_run(state, now)
         state.gone_at = 0.0
+        has_left = state.executor in self.settlement.left_cleanly
+        if gone and has_left and state.request is not None:
+            return self._take_back(state, now)
         reason = Reason.UPSTREAM_GONE if gone else Reason.EXPIRED
         if state.idempotent and may_retry(self, state, reason, now):
             return self.retry(state, now)
         return self.finish(state, Verdict.UNKNOWN, reason, b"", now)
 
+    def _take_back(self, state: ClaimState, now: float) -> list[Effect]:
+        """Hand a request over again that an executor left without starting it.
+
+        It has named in its bequest all that it ran, and a stopping executor
+        starts nothing more.
+        """
+        self.counters["runs_taken_back"] += 1
+        if state.cancelled:
+            return self.refuse(state, Reason.CANCELLED, now)
+        return self.retry(state, now)
+
     def _follow_elsewhere(self, state: ClaimState, now: float) -> list[Effect]:
         """Find the outcome of a claim whose coordinator may have vanished."""
         if not self.settlement.is_home(find_bucket(state.flow)):
