--- a/fulmarshore/bench/flows_test.py
+++ b/fulmarshore/bench/flows_test.py
@@ -1,14 +1,13 @@
 from unittest import TestCase
 
-from fulmarshore.bench.flows import (
+from fulmarshore.bench.changes import (
     crash_upstream,
     cut_off_control,
     drain_upstream,
     many_at_once_twice,
-    measure_change,
-    measure_kill,
     zone_out,
 )
+from fulmarshore.bench.flows import measure_change, measure_kill
 
 FLOWS = 60
 
--- a/fulmarshore/routing/copier_test.py
+++ b/fulmarshore/routing/copier_test.py
@@ -18,13 +18,9 @@
 )
 from fulmarshore.membership.view import View, change_view
 from fulmarshore.routing.continuity import GivenRecords
-from fulmarshore.routing.copier import (
-    BATCH_BYTES,
-    BATCH_INTERVAL_S,
-    Copier,
-    make_record,
-)
+from fulmarshore.routing.copier import Copier
 from fulmarshore.routing.copies import Copies
+from fulmarshore.routing.copystream import BATCH_BYTES, BATCH_INTERVAL_S, make_record
 from fulmarshore.routing.flows import Flow
 from fulmarshore.routing.restart import Recovery, split_records
 from fulmarshore.routing.table import Table
--- a/fulmarshore/routing/successor.py
+++ b/fulmarshore/routing/successor.py
@@ -11,7 +11,7 @@
     TimelineEvent,
 )
 from fulmarshore.membership.registry import LEASE_S
-from fulmarshore.routing.copier import make_record
+from fulmarshore.routing.copystream import make_record
 from fulmarshore.routing.eviction import is_first
 from fulmarshore.routing.flows import Flow
 from fulmarshore.routing.lease import LeaseGuard
