--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -32,6 +32,7 @@
     StreamEnded,
     UpstreamDatagram,
     UpstreamGone,
+    UpstreamOpened,
 )
 from fulmarshore.daemons.process import (
     Daemon,
@@ -172,6 +173,7 @@
         return {
             "version": self.core.table.version,
             "flows": len(self.core.flows),
+            "flows_uncopied": self.core.copier.count_uncopied(len(self.core.flows)),
             "streams": len(self._streams.table),
             "directory_flows": len(self.core.directory),
             "lease_age_seconds": measure_age(self.core.subscriber.lease_renewed),
@@ -256,6 +258,7 @@
         sock.connect(self.settings.upstream, port)
         self._upstreams[flow] = sock
         self._forget_send(flow)
+        self.core.handle(UpstreamOpened(flow, sock.local_port), time.monotonic())
         return sock
 
     def _close_upstream(self, key: bytes) -> None:
