Agents ask the health and load endpoints of their upstreams

Cause: Limiter.suggest had no adapter, so an upstream that says that it leaves or is overloaded was not heard. A hint is held beside the learnt limit, counts for 5 s, never below the cold share, and not for a minute or more once five answers in time spoke against it. Draining makes the agent announce a drain; at most half of a service drains so. Tests: bench/cold.py's stand-in policies set the learnt limit, as limit is derived now; no test was eased. Conclusion: hints cannot raise a limit; what they bring is the drain.

--- a/fulmarshore/adapters/metrics.py
+++ b/fulmarshore/adapters/metrics.py
@@ -54,6 +54,7 @@
     Family("flows_ended", "reason", "Flows ended."),
     Family("outcomes", "verdict", "Requests by the outcome told to callers."),
     Family("runs_refused", "reason", "Requests that an executor did not start."),
+    Family("hint_polls", "outcome", "Questions to the upstream's endpoints."),
     Family("changes", "status", "Operators' changes answered."),
 )
 HELP = {
@@ -69,6 +70,9 @@
     "runs_answered": "Requests that the upstream answered.",
     "runs_unknown": "Requests whose end the executor did not see.",
     "retries": "Hand-overs repeated by the home.",
+    "hints_lowered": "Times that an endpoint lowered the limit.",
+    "hints_contradicted": "Hints that work spoke against.",
+    "hinted_drains": "Drains that the health endpoint asked for.",
     "slots_closed": "Slots freed by closing the connection to a silent upstream.",
     "deltas_applied": "Newer views taken into force.",
     "control_moves": "Moves to another control host.",
--- a/fulmarshore/adapters/parameters.py
+++ b/fulmarshore/adapters/parameters.py
@@ -5,6 +5,7 @@
 import ipaddress
 import re
 from typing import NamedTuple
+from urllib.parse import urlsplit
 
 import click
 
@@ -12,6 +13,7 @@
 
 NAME_PATTERN = re.compile(r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")
 MAX_PORT = 65_535
+ENDPOINT_PATTERN = re.compile(r"^http://[0-9a-fA-F.:\[\]]+/[!-~]*\Z")
 
 
 class AddressType(click.ParamType):
@@ -95,6 +97,33 @@
         )
 
 
+class EndpointType(click.ParamType):
+    """``http://IP:PORT/path`` with a numeric IP address."""
+
+    name = "url"
+
+    def convert(
+        self, value: str, param: click.Parameter | None, ctx: click.Context | None
+    ) -> str:
+        """Return the URL or fail with what is allowed."""
+        if not is_endpoint(value):
+            allowed = f"http://IP:PORT/path with a port of 1 to {MAX_PORT}"
+            self.fail(f"{value!r}: allowed is {allowed}", param, ctx)
+        return value
+
+
+def is_endpoint(text: str) -> bool:
+    """Return whether a text is the URL of an endpoint, and nothing beside it."""
+    if not ENDPOINT_PATTERN.match(text):
+        return False
+    try:
+        parts = urlsplit(text)
+    except ValueError:
+        return False
+    address = parse_address(parts.netloc)
+    return address is not None and address.port > 0
+
+
 def parse_address(text: str) -> Address | None:
     """Parse ``HOST:PORT``; None where it is no numeric IP address and port."""
     host, _, port = text.rpartition(":")
@@ -112,3 +141,4 @@
 HOST = HostType()
 NAME = NameType()
 PEER = PeerType()
+ENDPOINT = EndpointType()
--- /dev/null
+++ b/fulmarshore/admission/endpoints.py
@@ -0,0 +1,129 @@
+"""How far the health and load endpoints of an upstream are believed.
+
+A hint only lowers what the agent found out by itself, and only for a time.
+Work that goes well in spite of it shows that the endpoint misleads.
+"""
+
+from __future__ import annotations
+
+import math
+
+from fulmarshore.core.records import Health, HintSource, UpstreamHint
+
+HINT_LIFE_S = 5.0
+"""How long a hint counts unless the endpoint renews it."""
+
+SETTLE_S = 1.0
+"""Time after the first hint before good work speaks against it."""
+
+CONTRADICTION_COUNT = 5
+"""Pieces of work that went well, after which a hint is taken for wrong."""
+
+MIN_DISTRUST_S = 60.0
+MAX_DISTRUST_S = 960.0
+DISTRUST_FACTOR = 2.0
+"""How long a misleading endpoint is not believed, longer each time."""
+
+
+class EndpointTrust:
+    """What one endpoint asks for, and whether it is believed."""
+
+    __slots__ = (
+        "_share",
+        "_until",
+        "_began",
+        "_good",
+        "_distrust",
+        "_distrusted_until",
+    )
+
+    def __init__(self) -> None:
+        self._share = 1.0
+        self._until = float("-inf")
+        self._began = float("-inf")
+        self._good = 0
+        self._distrust = MIN_DISTRUST_S
+        self._distrusted_until = float("-inf")
+
+    def is_believed(self, now: float) -> bool:
+        """Return whether its hints count."""
+        return now >= self._distrusted_until
+
+    def take(self, share: float, now: float) -> None:
+        """Take the share of its slots that the upstream claims to bear."""
+        if share < 1.0 and now - self._until >= HINT_LIFE_S:
+            # Hints that come and go at short intervals are judged as one.
+            self._began = now
+            self._good = 0
+        if share < 1.0:
+            self._until = now + HINT_LIFE_S
+        self._share = share
+
+    def get_share(self, now: float) -> float:
+        """Return the share that the endpoint is believed to allow."""
+        if now >= self._until or not self.is_believed(now):
+            return 1.0
+        return self._share
+
+    def observe(self, good: int, bad: int, now: float) -> bool:
+        """Hold the hint against work done; True if it turns out misleading.
+
+        Parameters
+        ----------
+        good, bad : int
+            Work that went well, and signs of overload, since the last call.
+        """
+        if self.get_share(now) >= 1.0:
+            return False
+        if bad:
+            self._good = 0
+            self._distrust = MIN_DISTRUST_S
+            return False
+        if now - self._began < SETTLE_S:
+            return False
+        self._good += good
+        if self._good < CONTRADICTION_COUNT:
+            return False
+        self._good = 0
+        self._distrusted_until = now + self._distrust
+        self._distrust = min(self._distrust * DISTRUST_FACTOR, MAX_DISTRUST_S)
+        return True
+
+
+class Endpoints:
+    """The share of its slots that all endpoints of an upstream allow."""
+
+    __slots__ = ("_trust", "_good", "_bad")
+
+    def __init__(self) -> None:
+        self._trust = {source: EndpointTrust() for source in HintSource}
+        self._good = 0
+        self._bad = 0
+
+    def take(self, hint: UpstreamHint, now: float) -> bool:
+        """Take a hint; False where it makes no sense."""
+        if not math.isfinite(hint.share) or not 0.0 <= hint.share <= 1.0:
+            return False
+        share = 0.0 if hint.health == Health.SICK else hint.share
+        self._trust[hint.source].take(share, now)
+        return True
+
+    def get_share(self, now: float) -> float:
+        """Return the lowest share that a believed endpoint allows."""
+        return min(trust.get_share(now) for trust in self._trust.values())
+
+    def observe(self, good: int, bad: int, now: float) -> list[HintSource]:
+        """Return the endpoints that turn out misleading.
+
+        Parameters
+        ----------
+        good, bad : int
+            Work that went well, and signs of overload, since the start.
+        """
+        new_good, new_bad = good - self._good, bad - self._bad
+        self._good, self._bad = good, bad
+        found: list[HintSource] = []
+        for source, trust in self._trust.items():
+            if trust.observe(new_good, new_bad, now):
+                found.append(source)
+        return found
--- a/fulmarshore/admission/gate.py
+++ b/fulmarshore/admission/gate.py
@@ -29,6 +29,7 @@
         "_cold_since",
         "_tokens",
         "_refilled_at",
+        "_share",
     )
 
     def __init__(self, member: Member) -> None:
@@ -38,6 +39,7 @@
         self._cold_since: float | None = None
         self._tokens = 0.0
         self._refilled_at = 0.0
+        self._share = 1.0
 
     def follow(self, profile: Profile) -> None:
         """Take the bounds of the service's profile."""
@@ -52,6 +54,17 @@
         self._tokens = min(self._tokens, self._find_rate(now))
         self._refilled_at = now
 
+    def suggest(self, share: float) -> None:
+        """Take what endpoints of the upstream allow: it only slows openings.
+
+        Parameters
+        ----------
+        share : float
+            Share of its connections that may be opened a second, 0 to 1; a
+            cold upstream's rate is the least.
+        """
+        self._share = max(share, COLD_RATE_SHARE)
+
     def get_limit(self, now: float) -> int:
         """Return the number of flows the upstream bears at a time."""
         return self._connections
@@ -81,4 +94,5 @@
         since = self._cold_since if self._cold_since is not None else now
         warmth = min((now - since) / self._slow_start, 1.0)
         share = COLD_RATE_SHARE + (1.0 - COLD_RATE_SHARE) * warmth
+        share = min(share, self._share)
         return max(self._connections * share, 1.0)
--- a/fulmarshore/admission/gate_test.py
+++ b/fulmarshore/admission/gate_test.py
@@ -41,3 +41,17 @@
         self.gate.has_room(0, 60.0)
         self.gate.turn_cold(60.0)
         self.assertLessEqual(open_flows(self.gate, 0, 60.0), 200)
+
+    def test_a_hint_slows_openings_and_leaves_the_flows(self):
+        table = [("sick", 0.0, 200), ("half", 0.5, 1000), ("well", 1.0, 2000)]
+        for title, share, wanted in table:
+            with self.subTest(title):
+                self.setUp()
+                self.gate.has_room(0, 0.0)
+                self.gate.suggest(share)
+                self.assertEqual(open_flows(self.gate, 0, 60.0), wanted)
+                self.assertEqual(self.gate.get_limit(60.0), 2000)
+
+    def test_a_hint_does_not_open_a_cold_upstream(self):
+        self.gate.suggest(1.0)
+        self.assertEqual(open_flows(self.gate, 0, 0.0), 200)
--- /dev/null
+++ b/fulmarshore/admission/hinteddrain.py
@@ -0,0 +1,182 @@
+"""A drain that the health endpoint of an upstream asks for.
+
+Only a part of a service may drain on such a word, so that endpoints which
+mislead, one or all of them, cannot take the service down.
+"""
+
+from __future__ import annotations
+
+from fulmarshore.core.records import Health
+from fulmarshore.routing.table import ServiceTable
+
+CONFIRMING_WORDS = 2
+"""Answers in a row that say draining before it is believed."""
+
+WORD_LIFE_S = 5.0
+"""How long a word counts, and the longest time between two words in a row."""
+
+STEP_S = 0.5
+MAX_WAIT_S = 5.0
+"""Time between the drains of two upstreams, and the longest wait of the last.
+
+In a step the announcement of one is in force at the others.
+"""
+
+WELL_S = 10.0
+"""How long the endpoint says well before the drain is taken back."""
+
+DRAIN_LIFE_S = 60.0
+"""How long a drain stands of which the endpoint says nothing any more."""
+
+TELL_TIMEOUT_S = 5.0
+"""How long control may take to put the drain in force."""
+
+MIN_HOLD_OFF_S = 60.0
+MAX_HOLD_OFF_S = 960.0
+HOLD_OFF_FACTOR = 2.0
+"""How long no drain follows one that had to be taken back, longer each time."""
+
+MAX_TURNS = 3
+"""Times that the endpoint may turn from draining while its drain stands."""
+
+
+class HintedDrain:
+    """Decides whether an upstream drains on the word of its endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Name of the agent.
+    """
+
+    __slots__ = (
+        "is_on",
+        "_name",
+        "_words",
+        "_said_at",
+        "_confirmed_at",
+        "_well_since",
+        "_well_at",
+        "_began",
+        "_alone_since",
+        "_turns",
+        "_hold_off",
+        "_held_until",
+    )
+
+    def __init__(self, name: str) -> None:
+        self.is_on = False
+        self._name = name
+        self._words = 0
+        self._said_at = float("-inf")
+        self._confirmed_at = float("-inf")
+        self._well_since = float("inf")
+        self._well_at = float("-inf")
+        self._began = float("-inf")
+        self._alone_since: float | None = None
+        self._turns = 0
+        self._hold_off = MIN_HOLD_OFF_S
+        self._held_until = float("-inf")
+
+    def take(self, health: Health, now: float) -> None:
+        """Take a word of the health endpoint."""
+        if self._words and health != Health.DRAINING:
+            self._turns += 1
+        match health:
+            case Health.DRAINING:
+                self._words += 1
+                self._said_at = now
+                self._well_at = float("-inf")
+                if self._words == CONFIRMING_WORDS:
+                    self._confirmed_at = now
+            case Health.SICK:
+                self._words = 0
+                self._well_at = float("-inf")
+            case Health.WELL:
+                self._words = 0
+                if now - self._well_at >= WORD_LIFE_S:
+                    self._well_since = now
+                self._well_at = now
+
+    def decide(self, service: ServiceTable, has_lease: bool, now: float) -> bool:
+        """Return whether the upstream shall drain now.
+
+        Parameters
+        ----------
+        service : ServiceTable
+            The members in force.
+        has_lease : bool
+            Whether control can be told.
+        """
+        if not self.is_on:
+            self.is_on = has_lease and self._may_begin(service, now)
+            self._began = now
+            self._turns = 0
+            return self.is_on
+        if self._must_end(service, now):
+            self.is_on = False
+            self._alone_since = None
+            self._held_until = now + self._hold_off
+            self._hold_off = min(self._hold_off * HOLD_OFF_FACTOR, MAX_HOLD_OFF_S)
+        elif self._is_over(now):
+            self.is_on = False
+        return self.is_on
+
+    def _may_begin(self, service: ServiceTable, now: float) -> bool:
+        if self._words < CONFIRMING_WORDS or now < self._held_until:
+            return False
+        if now - self._said_at >= WORD_LIFE_S:
+            return False
+        own = service.by_name.get(self._name)
+        if own is None or own not in service.accepting:
+            return False
+        if len(service.accepting) - 1 < count_kept(len(service.members)):
+            return False
+        return now - self._confirmed_at >= find_wait(self._name, service)
+
+    def _is_over(self, now: float) -> bool:
+        if now - self._said_at >= DRAIN_LIFE_S:
+            return True
+        return self._well_at - self._well_since >= WELL_S
+
+    def _must_end(self, service: ServiceTable, now: float) -> bool:
+        """Return whether the drain does harm, or the word of it is doubtful.
+
+        That is so where nobody accepts, where control does not tell the
+        others, and where the upstream neither leaves nor keeps its word.
+        """
+        if self._turns >= MAX_TURNS:
+            return True
+        if now - self._began >= service.profile.drain_timeout:
+            return True
+        if self._is_untold(service, now):
+            return True
+        return self._is_needed(service, now)
+
+    def _is_untold(self, service: ServiceTable, now: float) -> bool:
+        own = service.by_name.get(self._name)
+        is_told = own is not None and own not in service.accepting
+        return not is_told and now - self._began >= TELL_TIMEOUT_S
+
+    def _is_needed(self, service: ServiceTable, now: float) -> bool:
+        if service.accepting:
+            self._alone_since = None
+            return False
+        if self._alone_since is None:
+            self._alone_since = now
+        return now - self._alone_since >= find_wait(self._name, service)
+
+
+def count_kept(members: int) -> int:
+    """Return how many members of a service accept in spite of all endpoints."""
+    return max(members - members // 2, 1)
+
+
+def find_wait(name: str, service: ServiceTable) -> float:
+    """Return how long a member waits for those before it, in seconds.
+
+    The order is that of all members: among those that accept, two that see
+    different tables could come at the same moment.
+    """
+    before = sum(member.name < name for member in service.members)
+    return before * min(STEP_S, MAX_WAIT_S / len(service.members))
--- /dev/null
+++ b/fulmarshore/admission/hints.py
@@ -0,0 +1,134 @@
+"""What an agent does with the word of its upstream's endpoints."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from fulmarshore.admission.endpoints import Endpoints
+from fulmarshore.admission.executor import Executor
+from fulmarshore.admission.gate import Gate
+from fulmarshore.admission.hinteddrain import HintedDrain
+from fulmarshore.admission.limit import Limiter
+from fulmarshore.core.records import (
+    Effect,
+    HintSource,
+    Reason,
+    TimelineEvent,
+    UpstreamHint,
+)
+from fulmarshore.routing.table import ServiceTable
+
+
+class HintFollower:
+    """Lowers the gate and the limit, and asks for drains.
+
+    Parameters
+    ----------
+    name, service : str
+        Name of the agent and of its service.
+    gate : Gate
+        The gate of flows.
+    counters : Counter
+        Where hints are counted.
+    """
+
+    __slots__ = (
+        "_service",
+        "_gate",
+        "_counters",
+        "_endpoints",
+        "_drain",
+        "_is_lowered",
+        "_limiter",
+    )
+
+    def __init__(
+        self, name: str, service: str, gate: Gate, counters: Counter[str]
+    ) -> None:
+        self._service = service
+        self._gate = gate
+        self._counters = counters
+        self._endpoints = Endpoints()
+        self._drain = HintedDrain(name)
+        self._is_lowered = False
+        self._limiter: Limiter | None = None
+
+    @property
+    def wants_drain(self) -> bool:
+        """Whether the upstream drains on the word of its endpoint."""
+        return self._drain.is_on
+
+    def take(self, hint: UpstreamHint, now: float) -> list[Effect]:
+        """Take a hint."""
+        if not self._endpoints.take(hint, now):
+            self._counters[f"dropped_{Reason.MALFORMED}"] += 1
+            return []
+        if hint.source == HintSource.HEALTH:
+            self._drain.take(hint.health, now)
+        return self._lower(now)
+
+    def tick(
+        self,
+        service: ServiceTable | None,
+        executor: Executor | None,
+        has_lease: bool,
+        now: float,
+    ) -> list[Effect]:
+        """Hold the hints against what is seen, and decide about a drain.
+
+        Parameters
+        ----------
+        service : ServiceTable or None
+            The members of the service.
+        executor : Executor or None
+            What runs the requests, where the service has requests.
+        has_lease : bool
+            Whether control can be told.
+        """
+        self._limiter = executor.limiter if executor is not None else None
+        effects = [*self._judge(now), *self._lower(now)]
+        if service is None:
+            return effects
+        was_on = self._drain.is_on
+        is_on = self._drain.decide(service, has_lease, now)
+        if is_on == was_on:
+            return effects
+        if is_on:
+            self._counters["hinted_drains"] += 1
+            return [*effects, self._tell("hinted_drain_began", "")]
+        self._gate.turn_cold(now)
+        if self._limiter is not None:
+            self._limiter.turn_cold(now)
+        return [*effects, self._tell("hinted_drain_ended", "")]
+
+    def _judge(self, now: float) -> list[Effect]:
+        """Find endpoints that the upstream's answers speak against.
+
+        Whether a flow goes well is not seen, so hints to the gate are not
+        judged; the rate of a cold upstream is the worst that they can do.
+        """
+        if self._limiter is None:
+            return []
+        effects: list[Effect] = []
+        good, bad = self._limiter.good, self._limiter.bad
+        for source in self._endpoints.observe(good, bad, now):
+            self._counters["hints_contradicted"] += 1
+            effects.append(self._tell("hint_contradicted", source))
+        return effects
+
+    def _lower(self, now: float) -> list[Effect]:
+        share = self._endpoints.get_share(now)
+        self._gate.suggest(share)
+        if self._limiter is not None:
+            self._limiter.suggest(share)
+        is_lowered = share < 1.0
+        if is_lowered == self._is_lowered:
+            return []
+        self._is_lowered = is_lowered
+        if not is_lowered:
+            return [self._tell("hint_ended", "")]
+        self._counters["hints_lowered"] += 1
+        return [self._tell("hint_lowered", f"share {share:.2f}")]
+
+    def _tell(self, kind: str, detail: str) -> TimelineEvent:
+        return TimelineEvent(kind, self._service, detail=detail)
--- /dev/null
+++ b/fulmarshore/admission/hints_test.py
@@ -0,0 +1,68 @@
+"""Services whose endpoints mislead, over the cores."""
+
+from unittest import TestCase
+
+from fulmarshore.admission.hinteddrain import WELL_S
+from fulmarshore.bench.hints import HintedDriver
+from fulmarshore.core.records import Health, MemberState, Stop
+from fulmarshore.standins.hints import Candour, make_hints
+
+CALLERS = 8
+RATE = 12.0
+"""Requests of a caller in a second; together 0.4 of what the agents bear."""
+SETTLED_S = 15.0
+
+
+class HintsTest(TestCase):
+    def start(self, candour):
+        driver = HintedDriver(1, candour)
+        driver.offer({}, 6.0)
+        rates = {name: RATE for name in driver.world.callers}
+        driver.offer(rates, SETTLED_S)
+        return driver, rates
+
+    def say(self, driver, name, health, seconds, rates):
+        """Let the endpoints of one agent say something for a time."""
+        for _ in range(seconds):
+            for hint in make_hints(health, 1.0):
+                driver.world.network.inject(name, hint)
+            driver.offer(rates, 1.0)
+
+    def count_ran(self, driver, name):
+        return sum(driver.world.works[name].upstream.ran.values())
+
+    def test_no_endpoints_take_the_service_down(self):
+        for candour in Candour:
+            with self.subTest(candour):
+                driver, rates = self.start(candour)
+                before = driver.world.tally()
+                driver.offer(rates, 10.0)
+                driver.offer({}, 4.0)
+                after = driver.world.tally()
+                asked = after.requests - before.requests
+                self.assertGreater(after.answered - before.answered, 0.97 * asked)
+                self.assertEqual((after.ran_twice, after.false_refusals), (0, 0))
+                self.assertGreaterEqual(driver.least_accepting, 2)
+
+    def test_one_that_leaves_gets_no_new_work_until_it_is_well(self):
+        driver, rates = self.start(Candour.SILENT)
+        self.say(driver, "agent1", Health.DRAINING, 5, rates)
+        before = self.count_ran(driver, "agent1")
+        tally = driver.world.tally()
+        self.say(driver, "agent1", Health.DRAINING, 5, rates)
+        self.assertEqual(self.count_ran(driver, "agent1"), before)
+        state = driver.world.get_agent("agent0").service.by_name["agent1"].state
+        self.assertEqual(state, MemberState.DRAINING)
+        self.say(driver, "agent1", Health.WELL, int(WELL_S) + 3, rates)
+        self.assertGreater(self.count_ran(driver, "agent1"), before)
+        driver.offer({}, 4.0)
+        after = driver.world.tally()
+        self.assertEqual(after.not_run, tally.not_run)
+        self.assertEqual((after.unknown, after.open), (tally.unknown, 0))
+
+    def test_a_planned_stop_is_not_taken_back(self):
+        driver, rates = self.start(Candour.SILENT)
+        core = driver.world.get_agent("agent1")
+        driver.world.network.inject("agent1", Stop())
+        self.say(driver, "agent1", Health.WELL, 2, {})
+        self.assertEqual(core.member.state, MemberState.DRAINING)
--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -48,12 +48,20 @@
         Share of the slots that a cold upstream bears.
     slow_start : float
         Time over which a cold upstream warms at its limit, in seconds.
+
+    Attributes
+    ----------
+    good, bad : int
+        Answers at the usual service time, and signs of overload, so far.
     """
 
     __slots__ = (
         "slots",
-        "limit",
         "baseline",
+        "good",
+        "bad",
+        "_earned",
+        "_hinted",
         "_deviation",
         "_cold_limit",
         "_rate",
@@ -69,6 +77,9 @@
 
     def __init__(self, slots: int, cold_share: float, slow_start: float) -> None:
         assert slots >= 1
+        self.good = 0
+        self.bad = 0
+        self._hinted = 1.0
         self.baseline = 0.0
         self._deviation = 0.0
         self._recent: deque[float] = deque(maxlen=RECENT_ANSWERS)
@@ -79,21 +90,27 @@
         self._fell_at = float("-inf")
         self._held_until = float("-inf")
         self._cut_at = float("-inf")
-        self.limit = float(slots)
+        self._earned = float(slots)
         self.configure(slots, cold_share, slow_start)
-        self.limit = self._cold_limit
+        self._earned = self._cold_limit
+
+    @property
+    def limit(self) -> float:
+        """The requests that may be in work on average."""
+        hinted = max(self._hinted * self.slots, self._cold_limit)
+        return min(self._earned, hinted)
 
     @property
     def is_cold(self) -> bool:
-        """Whether the limit is that of a start."""
-        return self.limit <= self._cold_limit
+        """Whether the upstream is taken for cold, whatever is hinted."""
+        return self._earned <= self._cold_limit
 
     def configure(self, slots: int, cold_share: float, slow_start: float) -> None:
         """Take other bounds; the limit reached is kept as far as they allow."""
         self.slots = slots
         self._cold_limit = max(cold_share, 0.01) * slots
         self._rate = math.log(1.0 / max(cold_share, 0.01)) / slow_start
-        self.limit = min(self.limit, float(slots))
+        self._earned = min(self._earned, float(slots))
 
     def has_room(self, running: int, now: float) -> bool:
         """Return whether one more request could start beside those running."""
@@ -146,37 +163,41 @@
         is_steady = usual <= max(STEADY_RATIO * self.baseline, ordinary)
         self._follow_baseline(service_time)
         if is_slow and len(self._recent) == RECENT_ANSWERS:
+            self.bad += 1
             self.turn_cold(now)
             return
+        self.good += is_steady
         if now < self._held_until or not is_steady:
             return
-        used = running >= math.floor(self.limit)
+        used = running >= math.floor(self._earned)
         if not used:
             return
-        grown = self.limit + self._pace * self._rate * min(
+        grown = self._earned + self._pace * self._rate * min(
             service_time, 2.0 * self.baseline
         )
-        self.limit = min(grown, float(self.slots))
+        self._earned = min(grown, float(self.slots))
 
     def shed(self, running: int, now: float) -> None:
         """Learn that the upstream refused work: it has less room than thought."""
         self._count(running, now)
         self._running = running - 1
+        self.bad += 1
         hold = max(4.0 * self.baseline, 0.1)
         if now - self._cut_at < self.baseline:
             return
         self._cut_at = now
         self._held_until = now + hold
-        self.limit = max(self.limit * SHED_FACTOR, self._cold_limit)
+        self._earned = max(self._earned * SHED_FACTOR, self._cold_limit)
 
     def time_out(self, worked: float, now: float) -> None:
         """Learn that a deadline passed in work that took a time so far."""
         if worked > SLOW_RATIO * self.baseline:
+            self.bad += 1
             self.turn_cold(now)
 
     def turn_cold(self, now: float) -> None:
         """Learn that the upstream was restarted, timed out or became slow."""
-        self.limit = self._cold_limit
+        self._earned = self._cold_limit
         self._held_until = now + self.baseline
         if self._recent:
             self.baseline = max(self.baseline, median(self._recent))
@@ -187,12 +208,20 @@
         if now - self._fell_at >= FALL_INTERVAL_S:
             self._pace = max(self._pace * PACE_FACTOR, MIN_PACE)
         self._fell_at = now
+        self.bad += 1
         self.turn_cold(now)
 
     def suggest(self, share: float) -> None:
-        """Take the hint of a load or health endpoint: it can only lower."""
-        hinted = max(min(share, 1.0) * self.slots, self._cold_limit)
-        self.limit = min(self.limit, hinted)
+        """Take what endpoints of the upstream allow: it can only lower.
+
+        What was learnt from answers stays beside it.
+
+        Parameters
+        ----------
+        share : float
+            Share of the slots, 0 to 1; the limit of a start is the least.
+        """
+        self._hinted = share
 
     def _follow_baseline(self, service_time: float) -> None:
         step = service_time - self.baseline
--- a/fulmarshore/admission/limit_test.py
+++ b/fulmarshore/admission/limit_test.py
@@ -59,6 +59,17 @@
         limiter.suggest(1.0)
         self.assertAlmostEqual(limiter.limit, 0.3)
 
+    def test_what_was_learnt_stays_beside_a_hint(self):
+        for share in (0.0, 0.5):
+            with self.subTest(share=share):
+                limiter = Limiter(3, 0.1, 5.0)
+                work(limiter, 0.1, 20.0)
+                limiter.suggest(share)
+                self.assertAlmostEqual(limiter.limit, max(share, 0.1) * 3)
+                self.assertFalse(limiter.is_cold)
+                limiter.suggest(1.0)
+                self.assertEqual(limiter.limit, 3.0)
+
     def test_one_slot_is_spaced_out_and_never_stops(self):
         limiter = Limiter(1, 0.1, 1e9)
         _, starts = work(limiter, 0.1, 100.0)
--- a/fulmarshore/bench/cold.py
+++ b/fulmarshore/bench/cold.py
@@ -55,7 +55,7 @@
 
     def __init__(self, slots: int, limit: float) -> None:
         super().__init__(slots, 1.0, 1.0)
-        self.limit = limit
+        self._earned = limit
 
     def finish(self, running: int, service_time: float, now: float) -> None:
         """Only count the work."""
@@ -88,7 +88,7 @@
         if now >= COLD_AT_S > self.began:
             self.began = COLD_AT_S
         passed = (now - self.began) / self.span
-        self.limit = self.slots * min(self.share ** (1.0 - passed), 1.0)
+        self._earned = self.slots * min(self.share ** (1.0 - passed), 1.0)
         return super().allows(running, now)
 
 
@@ -109,13 +109,13 @@
         self.long = self.long or service_time
         self.long += 0.05 * (service_time - self.long)
         gradient = min(max(1.5 * self.long / service_time, 0.5), 1.0)
-        wanted = self.limit * gradient + math.sqrt(self.limit)
-        smoothed = 0.8 * self.limit + 0.2 * wanted
-        self.limit = min(max(smoothed, self._cold_limit), float(self.slots))
+        wanted = self._earned * gradient + math.sqrt(self._earned)
+        smoothed = 0.8 * self._earned + 0.2 * wanted
+        self._earned = min(max(smoothed, self._cold_limit), float(self.slots))
 
     def fall_over(self, now: float) -> None:
         """Begin anew."""
-        self.limit = self._cold_limit
+        self._earned = self._cold_limit
 
 
 class Outcome(Struct, frozen=True):
@@ -150,9 +150,20 @@
 
 
 def run_policy(
-    upstream: str, name: str, policy: Policy, model: WorkModel, seed: int
+    upstream: str,
+    name: str,
+    policy: Policy,
+    model: WorkModel,
+    seed: int,
+    watch: Callable[[WorkUpstream, float], None] | None = None,
 ) -> Outcome:
-    """Run one policy before one upstream under as much demand as it takes."""
+    """Run one policy before one upstream under as much demand as it takes.
+
+    Parameters
+    ----------
+    watch : callable or None
+        Looks at the upstream at each step.
+    """
     work = WorkUpstream(name, model, Random(seed))
     events: list[tuple[float, int, object]] = []
     running: dict[bytes, float] = {}
@@ -168,6 +179,8 @@
             turned = True
             work.turn_cold()
             answers.clear()
+        if watch is not None:
+            watch(work, now)
         while events and events[0][0] <= now:
             _, _, event = heapq.heappop(events)
             for seen in work.finish(event, now):
--- /dev/null
+++ b/fulmarshore/bench/hints.py
@@ -0,0 +1,200 @@
+"""Limits and drains beside health and load endpoints that mislead."""
+
+from __future__ import annotations
+
+from random import Random
+
+from msgspec import Struct
+
+from fulmarshore.admission.endpoints import Endpoints
+from fulmarshore.admission.limit import Limiter
+from fulmarshore.bench.cold import UPSTREAMS, run_policy
+from fulmarshore.bench.surge import (
+    AGENTS,
+    CALLERS,
+    CAPACITY,
+    PHASE_S,
+    WARM_UP_S,
+    Driver,
+    count_overloads,
+)
+from fulmarshore.standins.hints import Candour, HintModel
+from fulmarshore.standins.work import WorkModel, WorkUpstream
+
+POLL_INTERVAL_S = 1.0
+SETTLE_S = 6.0
+DEMANDS = (0.5, 1.0)
+
+
+class HintedLimit:
+    """Lowers a limiter by what endpoints say of its upstream.
+
+    Parameters
+    ----------
+    limiter : Limiter
+        The limiter of the product.
+    model : HintModel
+        What the endpoints say.
+    """
+
+    def __init__(self, limiter: Limiter, model: HintModel) -> None:
+        self.limiter = limiter
+        self.endpoints = Endpoints()
+        self._model = model
+        self._asked_at = float("-inf")
+
+    def watch(self, work: WorkUpstream, now: float) -> None:
+        """Ask the endpoints when it is time and lower the limit."""
+        limiter, endpoints = self.limiter, self.endpoints
+        endpoints.observe(limiter.good, limiter.bad, now)
+        if now - self._asked_at >= POLL_INTERVAL_S:
+            self._asked_at = now
+            for hint in self._model.ask(work, now):
+                endpoints.take(hint, now)
+        limiter.suggest(endpoints.get_share(now))
+
+
+class ColdOutcome(Struct, frozen=True):
+    """What one kind of endpoints gave before one upstream."""
+
+    upstream: str
+    endpoints: Candour
+    overloads: int
+    time_to_full_s: float
+    time_to_full_again_s: float
+    answers_per_s: float
+
+
+class ServiceOutcome(Struct, frozen=True):
+    """What one kind of endpoints gave at all upstreams of a service.
+
+    Parameters
+    ----------
+    demand : float
+        Offered requests over capacity.
+    goodput : float
+        Answers in time over what was offered.
+    least_accepting : int
+        Fewest upstreams that accepted at a time.
+    """
+
+    endpoints: Candour
+    demand: float
+    goodput: float
+    least_accepting: int
+    overloads: int
+    contradicted: int
+    ran_twice: int
+    false_refusals: int
+
+
+class HintsReport(Struct, frozen=True):
+    """The report: totals, a single upstream and a whole service."""
+
+    overloads: int
+    ran_twice: int
+    false_refusals: int
+    cold: list[ColdOutcome]
+    service: list[ServiceOutcome]
+
+
+class HintedDriver(Driver):
+    """Offers demand to a service whose endpoints all tell alike.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of everything.
+    candour : Candour
+        How the endpoints tell the state of their upstreams.
+    """
+
+    def __init__(self, seed: int, candour: Candour) -> None:
+        super().__init__(seed)
+        self.least_accepting = AGENTS
+        self._models = {
+            f"agent{number}": HintModel(candour, Random(seed + number))
+            for number in range(AGENTS)
+        }
+
+    def offer(self, rates: dict[str, float], seconds: float) -> None:
+        """Let callers send, and the endpoints be asked between."""
+        for _ in range(round(seconds / POLL_INTERVAL_S)):
+            self._ask_endpoints()
+            super().offer(rates, POLL_INTERVAL_S)
+
+    def _ask_endpoints(self) -> None:
+        network = self.world.network
+        for name, model in self._models.items():
+            for hint in model.ask(self.world.works[name].upstream, network.now):
+                network.inject(name, hint)
+        service = self.world.get_agent("agent0").service
+        if service is not None and len(service.members) == AGENTS:
+            accepting = len(service.accepting)
+            self.least_accepting = min(self.least_accepting, accepting)
+
+
+def run_cold(
+    upstream: str, model: WorkModel, candour: Candour, seed: int
+) -> ColdOutcome:
+    """Run the product's limiter beside one kind of endpoints."""
+    limiter = Limiter(model.slots, model.cold_share, model.warm_up_s)
+    hinted = HintedLimit(limiter, HintModel(candour, Random(seed)))
+    found = run_policy(upstream, candour, limiter, model, seed, hinted.watch)
+    return ColdOutcome(
+        upstream,
+        candour,
+        found.overloads,
+        found.time_to_full_s,
+        found.time_to_full_again_s,
+        found.answers_per_s,
+    )
+
+
+def run_service(candour: Candour, demand: float, seed: int) -> ServiceOutcome:
+    """Run a service; one of its upstreams turns cold in the middle."""
+    driver = HintedDriver(seed, candour)
+    world = driver.world
+    driver.offer({}, SETTLE_S)
+    rates = {name: demand * CAPACITY / CALLERS for name in world.callers}
+    driver.offer(rates, WARM_UP_S)
+    before = world.tally()
+    driver.offer(rates, PHASE_S)
+    world.works["agent1"].upstream.turn_cold()
+    driver.offer(rates, PHASE_S)
+    driver.offer({}, SETTLE_S)
+    after = world.tally()
+    contradicted = 0
+    for number in range(AGENTS):
+        counters = world.get_agent(f"agent{number}").counters
+        contradicted += counters["hints_contradicted"]
+    offered = after.requests - before.requests
+    return ServiceOutcome(
+        candour,
+        demand,
+        round((after.answered - before.answered) / offered, 3),
+        driver.least_accepting,
+        count_overloads(world),
+        contradicted,
+        after.ran_twice,
+        after.false_refusals,
+    )
+
+
+def run(seed: int = 1) -> HintsReport:
+    """Run every kind of endpoints before every upstream and a service."""
+    cold = [
+        run_cold(upstream, model, candour, seed)
+        for upstream, model in UPSTREAMS.items()
+        for candour in Candour
+    ]
+    service = [
+        run_service(candour, demand, seed) for demand in DEMANDS for candour in Candour
+    ]
+    return HintsReport(
+        sum(row.overloads for row in [*cold, *service]),
+        sum(row.ran_twice for row in service),
+        sum(row.false_refusals for row in service),
+        cold,
+        service,
+    )
--- a/fulmarshore/bench/surge.py
+++ b/fulmarshore/bench/surge.py
@@ -102,7 +102,7 @@
     costs: list[Cost]
 
 
-class _Driver:
+class Driver:
     """Offers demand to a world and counts what it gives."""
 
     def __init__(self, seed: int) -> None:
@@ -182,7 +182,7 @@
 
 def run(seed: int = 1) -> SurgeReport:
     """Run the surge and the flood."""
-    driver = _Driver(seed)
+    driver = Driver(seed)
     names = list(driver.world.callers)
     driver.offer({}, 6.0)
     driver.offer({name: CAPACITY / CALLERS for name in names}, WARM_UP_S)
@@ -197,12 +197,12 @@
     phases.append(driver.measure("half lost", 1.0, PHASE_S, CAPACITY / 2))
     driver.offer({}, 10.0)
     tallies = [driver.world.tally()]
-    overloads = _count_overloads(driver.world)
+    overloads = count_overloads(driver.world)
     calm, calm_world = _run_light(seed, 0.0)
     flooded, flooded_world = _run_light(seed, FLOOD)
     for world in (calm_world, flooded_world):
         tallies.append(world.tally())
-        overloads += _count_overloads(world)
+        overloads += count_overloads(world)
     return SurgeReport(
         CAPACITY,
         phases[len(DEMANDS) - 1].goodput,
@@ -218,7 +218,7 @@
 
 def _run_light(seed: int, flood: float) -> tuple[int, RequestWorld]:
     """Return the answers of light callers, with one that floods or without."""
-    driver = _Driver(seed + 1)
+    driver = Driver(seed + 1)
     names = list(driver.world.callers)
     light, flooding = names[:-1], names[-1]
     driver.offer({}, 6.0)
@@ -233,7 +233,8 @@
     return answers, driver.world
 
 
-def _count_overloads(world: RequestWorld) -> int:
+def count_overloads(world: RequestWorld) -> int:
+    """Return how often any upstream of a world fell over."""
     total = 0
     for name, work in world.works.items():
         if work.name == name:
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -16,6 +16,7 @@
 from fulmarshore.bench import control as control_bench
 from fulmarshore.bench import flows as flows_bench
 from fulmarshore.bench import forward as forward_bench
+from fulmarshore.bench import hints as hints_bench
 from fulmarshore.bench import once as once_bench
 from fulmarshore.bench import sealing as sealing_bench
 from fulmarshore.bench import surge as surge_bench
@@ -154,6 +155,14 @@
     show_report(surge_bench.run(seed), as_json)
 
 
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def hints(seed: int, as_json: bool) -> None:
+    """Measure limits beside health and load endpoints that mislead."""
+    show_report(hints_bench.run(seed), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def zone(as_json: bool) -> None:
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -9,7 +9,7 @@
 
 import click
 
-from fulmarshore.adapters.parameters import ADDRESS, HOST, NAME, PEER, Peer
+from fulmarshore.adapters.parameters import ADDRESS, ENDPOINT, HOST, NAME, PEER, Peer
 from fulmarshore.commands.options import refuse_exposed
 from fulmarshore.core.addresses import format_address
 from fulmarshore.core.records import Address
@@ -116,6 +116,8 @@
     default=2000,
     help="Flows that the upstream holds at most.",
 )
+@click.option("--health", type=ENDPOINT, help="Health endpoint of the upstream.")
+@click.option("--load", type=ENDPOINT, help="Load endpoint of the upstream.")
 def agent(controls: tuple[Address, ...], **settings: Any) -> None:
     """Run the agent beside an upstream."""
     _run(AgentDaemon(AgentSettings(controls=controls, **settings)))
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1586,6 +1586,39 @@
     message: ControlMessage
 
 
+class HintSource(enum.StrEnum):
+    """Which endpoint of an upstream a hint comes from."""
+
+    HEALTH = "health"
+    LOAD = "load"
+
+
+class Health(enum.StrEnum):
+    """What an upstream says about itself."""
+
+    WELL = "well"
+    SICK = "sick"
+    DRAINING = "draining"
+
+
+class UpstreamHint(Struct, frozen=True):
+    """Event: what a health or load endpoint of the upstream says.
+
+    Parameters
+    ----------
+    source : HintSource
+        The endpoint.
+    health : Health
+        What it says; a load endpoint always says that the upstream is well.
+    share : float
+        Share of its slots that the upstream claims to bear, 0 to 1.
+    """
+
+    source: HintSource
+    health: Health = Health.WELL
+    share: float = 1.0
+
+
 class Tick(Struct, frozen=True):
     """Event: time has passed."""
 
@@ -1785,6 +1818,7 @@
     StreamOpened,
     StreamEnded,
     LinkMessage,
+    UpstreamHint,
     Tick,
     Stop,
     Restart,
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -13,6 +13,7 @@
     DatagramSocket,
     ReceiveFrom,
 )
+from fulmarshore.adapters.endpoints import EndpointPoller
 from fulmarshore.adapters.metrics import Gauges
 from fulmarshore.adapters.peers import PeerSocket
 from fulmarshore.adapters.streams import LinkEnd, Listener
@@ -24,6 +25,7 @@
     Effect,
     Event,
     Forward,
+    HintSource,
     Identity,
     LocalPort,
     Member,
@@ -64,6 +66,8 @@
         Where the upstream listens.
     slots, connections : int
         What the warm upstream bears.
+    health, load : str or None
+        URLs of the upstream's own endpoints.
     """
 
     data: Address
@@ -71,6 +75,8 @@
     upstream: Address
     slots: int = 1
     connections: int = 2000
+    health: str | None = None
+    load: str | None = None
 
 
 class AgentDaemon(Daemon):
@@ -86,6 +92,7 @@
         self._listener: Listener | None = None
         self._table: Table | None = None
         self._serves_streams = False
+        self._pollers: list[EndpointPoller] = []
 
     def open(self) -> None:
         """Open the data socket and create the core."""
@@ -96,6 +103,19 @@
         loop.add_signal_handler(signal.SIGHUP, self._restart)
         self._data_address = data
         self._begin(draw_incarnation())
+        self._open_pollers()
+
+    def _open_pollers(self) -> None:
+        """Ask the endpoints of the upstream that are set."""
+        settings = self.settings
+        urls = {HintSource.HEALTH: settings.health, HintSource.LOAD: settings.load}
+        for source, url in urls.items():
+            if url is None:
+                continue
+            shared = (self.dispatch, self.counters, self.random)
+            poller = EndpointPoller(source, url, *shared)
+            poller.open()
+            self._pollers.append(poller)
 
     def _begin(self, incarnation: int) -> None:
         """Create the core of a new life of this process."""
@@ -133,6 +153,8 @@
 
     def close(self) -> None:
         """Close all sockets."""
+        for poller in self._pollers:
+            poller.close()
         self._listener.close()
         self._streams.close()
         self._data.close()
--- a/fulmarshore/routing/agent.py
+++ b/fulmarshore/routing/agent.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from fulmarshore.admission.requests import RequestCore
+from fulmarshore.admission.hints import HintFollower
+from fulmarshore.admission.requests import LEASE_MARGIN_S, RequestCore
 from fulmarshore.core.records import (
     Address,
     Declined,
@@ -41,9 +42,11 @@
     Tick,
     UpstreamDatagram,
     UpstreamGone,
+    UpstreamHint,
     ViewCheck,
     ViewConfirmed,
 )
+from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import make_delta
 from fulmarshore.routing.delivery import Delivery
@@ -75,6 +78,9 @@
     def __init__(self, subscriber: Subscriber) -> None:
         super().__init__(subscriber)
         self.requests = RequestCore(subscriber)
+        self.hints = HintFollower(
+            self.member.name, self.member.service, self.gate, self.counters
+        )
         self._view = subscriber.view
         self._endings = EndingReport()
         self._stopping_at = float("inf")
@@ -118,6 +124,8 @@
             case LinkMessage():
                 effects = self.subscriber.handle(event, now)
                 return effects + self._update_table(now)
+            case UpstreamHint() as hint:
+                return self.hints.take(hint, now)
             case Tick():
                 return self._tick(now)
             case Stop():
@@ -279,7 +287,20 @@
         effects += self.upkeep.reclaim_idle(now)
         effects += self._endings.collect(self.member.service, self.counters, now)
         effects += self.requests.handle(Tick(), self.table, now)
-        return effects
+        return effects + self._follow_hints(now)
+
+    def _follow_hints(self, now: float) -> list[Effect]:
+        """Announce what the upstream's endpoints ask for, as far as believed."""
+        if self._stopping_at != float("inf") or self.succession.is_leaving:
+            return []
+        has_lease = now - self.subscriber.lease_renewed < LEASE_S - LEASE_MARGIN_S
+        effects = self.hints.tick(self.service, self.requests.executor, has_lease, now)
+        state = MemberState.ACCEPTING
+        if self.hints.wants_drain:
+            state = MemberState.DRAINING
+        if state == self.member.state:
+            return effects
+        return effects + self._announce(state)
 
     def _is_done(self, now: float) -> bool:
         """Return whether a planned stop has nothing more to wait for."""
@@ -301,7 +322,10 @@
 
     def drain(self) -> list[Effect]:
         """Announce that no new flow shall be opened here."""
-        self.member = msgspec.structs.replace(self.member, state=MemberState.DRAINING)
+        return self._announce(MemberState.DRAINING)
+
+    def _announce(self, state: MemberState) -> list[Effect]:
+        self.member = msgspec.structs.replace(self.member, state=state)
         return self.subscriber.announce(self.member)
 
     def _drop_misdirected(
--- /dev/null
+++ b/fulmarshore/standins/endpoint.py
@@ -0,0 +1,85 @@
+"""An HTTP endpoint of an upstream, that says what it is told to say."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fulmarshore.core.records import Address
+
+END_OF_HEAD = b"\r\n\r\n"
+
+
+class StandInEndpoint:
+    """Answers every request with a set status and body.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answers.
+    body : bytes
+        Body of the answers.
+    delay_s : float
+        Time before an answer, in seconds.
+    drip_s : float
+        Time between two bytes of the body; 0 sends it whole.
+    """
+
+    def __init__(
+        self,
+        status: int = 200,
+        body: bytes = b"ok",
+        delay_s: float = 0.0,
+        drip_s: float = 0.0,
+    ) -> None:
+        self.status = status
+        self.body = body
+        self.delay_s = delay_s
+        self.drip_s = drip_s
+        self.asked = 0
+        self.at_once = 0
+        self.most_at_once = 0
+        self.address: Address | None = None
+        self._server: asyncio.Server | None = None
+
+    @property
+    def url(self) -> str:
+        """Where it is asked."""
+        return f"http://{self.address.host}:{self.address.port}/state"
+
+    async def open(self) -> None:
+        """Begin to answer."""
+        self._server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        self.address = Address(*self._server.sockets[0].getsockname()[:2])
+
+    def close(self) -> None:
+        """Answer no more."""
+        self._server.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.asked += 1
+        self.at_once += 1
+        self.most_at_once = max(self.most_at_once, self.at_once)
+        try:
+            await reader.readuntil(END_OF_HEAD)
+            await asyncio.sleep(self.delay_s)
+            head = f"HTTP/1.1 {self.status} -\r\nconnection: close\r\n"
+            head += f"content-length: {len(self.body)}\r\n\r\n"
+            writer.write(head.encode())
+            await self._send_body(writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        except asyncio.CancelledError:
+            # The end of a test; the server would log it as an error.
+            return
+        finally:
+            self.at_once -= 1
+            writer.close()
+
+    async def _send_body(self, writer: asyncio.StreamWriter) -> None:
+        size = 1 if self.drip_s else max(len(self.body), 1)
+        for start in range(0, len(self.body), size):
+            writer.write(self.body[start : start + size])
+            await writer.drain()
+            await asyncio.sleep(self.drip_s)
--- a/fulmarshore/standins/work.py
+++ b/fulmarshore/standins/work.py
@@ -86,6 +86,14 @@
         cold = self.model.cold_share
         return self.model.slots * (cold + (1.0 - cold) * self.warmth)
 
+    def is_down(self, now: float) -> bool:
+        """Return whether it is away after it fell over."""
+        return now < self._down_until
+
+    def find_load(self) -> float:
+        """Return the requests in work over those that it bears for long."""
+        return len(self._working) / self.find_bearable()
+
     def turn_cold(self) -> None:
         """Lose all warmth without a sign."""
         self.warmth = 0.0
