--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -60,7 +60,7 @@
         "baseline",
         "good",
         "bad",
-        "_earned",
+        "_learnt",
         "_hinted",
         "_deviation",
         "_cold_limit",
@@ -90,27 +90,31 @@
         self._fell_at = float("-inf")
         self._held_until = float("-inf")
         self._cut_at = float("-inf")
-        self._earned = float(slots)
+        self._learnt = float(slots)
         self.configure(slots, cold_share, slow_start)
-        self._earned = self._cold_limit
+        self._learnt = self._cold_limit
 
     @property
     def limit(self) -> float:
-        """The requests that may be in work on average."""
+        """The requests that may be in work on average; set is what was learnt."""
         hinted = max(self._hinted * self.slots, self._cold_limit)
-        return min(self._earned, hinted)
+        return min(self._learnt, hinted)
+
+    @limit.setter
+    def limit(self, learnt: float) -> None:
+        self._learnt = learnt
 
     @property
     def is_cold(self) -> bool:
         """Whether the upstream is taken for cold, whatever is hinted."""
-        return self._earned <= self._cold_limit
+        return self._learnt <= self._cold_limit
 
     def configure(self, slots: int, cold_share: float, slow_start: float) -> None:
         """Take other bounds; the limit reached is kept as far as they allow."""
         self.slots = slots
         self._cold_limit = max(cold_share, 0.01) * slots
         self._rate = math.log(1.0 / max(cold_share, 0.01)) / slow_start
-        self._earned = min(self._earned, float(slots))
+        self._learnt = min(self._learnt, float(slots))
 
     def has_room(self, running: int, now: float) -> bool:
         """Return whether one more request could start beside those running."""
@@ -169,13 +173,13 @@
         self.good += is_steady
         if now < self._held_until or not is_steady:
             return
-        used = running >= math.floor(self._earned)
+        used = running >= math.floor(self._learnt)
         if not used:
             return
-        grown = self._earned + self._pace * self._rate * min(
+        grown = self._learnt + self._pace * self._rate * min(
             service_time, 2.0 * self.baseline
         )
-        self._earned = min(grown, float(self.slots))
+        self._learnt = min(grown, float(self.slots))
 
     def shed(self, running: int, now: float) -> None:
         """Learn that the upstream refused work: it has less room than thought."""
@@ -187,7 +191,7 @@
             return
         self._cut_at = now
         self._held_until = now + hold
-        self._earned = max(self._earned * SHED_FACTOR, self._cold_limit)
+        self._learnt = max(self._learnt * SHED_FACTOR, self._cold_limit)
 
     def time_out(self, worked: float, now: float) -> None:
         """Learn that a deadline passed in work that took a time so far."""
@@ -197,7 +201,7 @@
 
     def turn_cold(self, now: float) -> None:
         """Learn that the upstream was restarted, timed out or became slow."""
-        self._earned = self._cold_limit
+        self._learnt = self._cold_limit
         self._held_until = now + self.baseline
         if self._recent:
             self.baseline = max(self.baseline, median(self._recent))
--- a/fulmarshore/bench/cold.py
+++ b/fulmarshore/bench/cold.py
@@ -55,7 +55,7 @@
 
     def __init__(self, slots: int, limit: float) -> None:
         super().__init__(slots, 1.0, 1.0)
-        self._earned = limit
+        self.limit = limit
 
     def finish(self, running: int, service_time: float, now: float) -> None:
         """Only count the work."""
@@ -88,7 +88,7 @@
         if now >= COLD_AT_S > self.began:
             self.began = COLD_AT_S
         passed = (now - self.began) / self.span
-        self._earned = self.slots * min(self.share ** (1.0 - passed), 1.0)
+        self.limit = self.slots * min(self.share ** (1.0 - passed), 1.0)
         return super().allows(running, now)
 
 
@@ -109,13 +109,13 @@
         self.long = self.long or service_time
         self.long += 0.05 * (service_time - self.long)
         gradient = min(max(1.5 * self.long / service_time, 0.5), 1.0)
-        wanted = self._earned * gradient + math.sqrt(self._earned)
-        smoothed = 0.8 * self._earned + 0.2 * wanted
-        self._earned = min(max(smoothed, self._cold_limit), float(self.slots))
+        wanted = self.limit * gradient + math.sqrt(self.limit)
+        smoothed = 0.8 * self.limit + 0.2 * wanted
+        self.limit = min(max(smoothed, self._cold_limit), float(self.slots))
 
     def fall_over(self, now: float) -> None:
         """Begin anew."""
-        self._earned = self._cold_limit
+        self.limit = self._cold_limit
 
 
 class Outcome(Struct, frozen=True):
