The pace of growth recovers, and falls of warm upstreams leave it

Cause: each fall halved the pace for good, also a crash that load did not cause, so four crashes left a sixteenth of it. Now a fall counts only before one slow start of work at the whole limit, and ten slow starts of such work double the pace again, twice as many after a trial that failed. Conclusion: recovery holds; crashes faster than growth still hold the pace down.

--- a/fulmarshore/admission/limit.py
+++ b/fulmarshore/admission/limit.py
@@ -10,6 +10,8 @@
 from collections import deque
 from statistics import median
 
+from fulmarshore.admission.pace import Pace
+
 SLOW_RATIO = 2.0
 """Service time over the baseline from which the upstream is taken for cold."""
 
@@ -26,13 +28,6 @@
 DEVIATIONS = 3.0
 """Mean deviations above the baseline that count as ordinary."""
 
-PACE_FACTOR = 0.5
-MIN_PACE = 1.0 / 16.0
-"""What a fall leaves of the pace of growth, and the slowest pace."""
-
-FALL_INTERVAL_S = 1.0
-"""Connections that go within this time went in one fall."""
-
 SHED_FACTOR = 0.5
 """What is left of the limit after the upstream shed work."""
 
@@ -70,7 +65,7 @@
         "_running",
         "_counted_at",
         "_pace",
-        "_fell_at",
+        "_slow_start",
         "_held_until",
         "_cut_at",
     )
@@ -86,8 +81,7 @@
         self._credit = 0.0
         self._running = 0
         self._counted_at = 0.0
-        self._pace = 1.0
-        self._fell_at = float("-inf")
+        self._pace = Pace()
         self._held_until = float("-inf")
         self._cut_at = float("-inf")
         self._learnt = float(slots)
@@ -112,6 +106,7 @@
     def configure(self, slots: int, cold_share: float, slow_start: float) -> None:
         """Take other bounds; the limit reached is kept as far as they allow."""
         self.slots = slots
+        self._slow_start = slow_start
         self._cold_limit = max(cold_share, 0.01) * slots
         self._rate = math.log(1.0 / max(cold_share, 0.01)) / slow_start
         self._learnt = min(self._learnt, float(slots))
@@ -173,10 +168,13 @@
         self.good += is_steady
         if now < self._held_until or not is_steady:
             return
+        if self._learnt >= self.slots:
+            self._pace.note_work(service_time / self.slots / self._slow_start)
+            return
         used = running >= math.floor(self._learnt)
         if not used:
             return
-        grown = self._learnt + self._pace * self._rate * min(
+        grown = self._learnt + self._pace.share * self._rate * min(
             service_time, 2.0 * self.baseline
         )
         self._learnt = min(grown, float(self.slots))
@@ -202,16 +200,15 @@
     def turn_cold(self, now: float) -> None:
         """Learn that the upstream was restarted, timed out or became slow."""
         self._learnt = self._cold_limit
+        self._pace.note_cold()
         self._held_until = now + self.baseline
         if self._recent:
             self.baseline = max(self.baseline, median(self._recent))
         self._recent.clear()
 
     def fall_over(self, now: float) -> None:
-        """Learn that the upstream went away with work: grow slower from now on."""
-        if now - self._fell_at >= FALL_INTERVAL_S:
-            self._pace = max(self._pace * PACE_FACTOR, MIN_PACE)
-        self._fell_at = now
+        """Learn that the upstream went away with work."""
+        self._pace.note_fall(now)
         self.bad += 1
         self.turn_cold(now)
 
--- a/fulmarshore/bench/cold.py
+++ b/fulmarshore/bench/cold.py
@@ -156,6 +156,7 @@
     model: WorkModel,
     seed: int,
     watch: Callable[[WorkUpstream, float], None] | None = None,
+    seconds: float = SECONDS,
 ) -> Outcome:
     """Run one policy before one upstream under as much demand as it takes.
 
@@ -163,6 +164,8 @@
     ----------
     watch : callable or None
         Looks at the upstream at each step.
+    seconds : float
+        How long to run.
     """
     work = WorkUpstream(name, model, Random(seed))
     events: list[tuple[float, int, object]] = []
@@ -172,7 +175,7 @@
     turned = False
     full: list[float] = [-1.0, -1.0]
     capacity = model.slots / model.service_s
-    while now < SECONDS:
+    while now < seconds:
         step = now + STEP_S
         now = min(events[0][0], step) if events else step
         if now >= COLD_AT_S and not turned:
@@ -206,7 +209,7 @@
         work.overloads,
         round(full[0], 1),
         round(full[1], 1),
-        round(total / SECONDS, 2),
+        round(total / seconds, 2),
     )
 
 
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -18,6 +18,7 @@
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import hints as hints_bench
 from fulmarshore.bench import once as once_bench
+from fulmarshore.bench import pace as pace_bench
 from fulmarshore.bench import sealing as sealing_bench
 from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
@@ -155,6 +156,14 @@
     show_report(surge_bench.run(seed), as_json)
 
 
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def pace(seed: int, as_json: bool) -> None:
+    """Measure the growth of limits over hours of crashes and cold turns."""
+    show_report(pace_bench.run(seed), as_json)
+
+
 @bench.command()
 @click.option("--seed", type=int, default=1)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- a/fulmarshore/standins/work.py
+++ b/fulmarshore/standins/work.py
@@ -80,6 +80,7 @@
         self._strain = 0.0
         self._looked_at = 0.0
         self._down_until = 0.0
+        self._is_crashing = False
 
     def find_bearable(self) -> float:
         """Return the requests in work that it bears for long."""
@@ -98,6 +99,10 @@
         """Lose all warmth without a sign."""
         self.warmth = 0.0
 
+    def crash(self) -> None:
+        """Go away at the next look for a reason other than load."""
+        self._is_crashing = True
+
     def take(
         self, flow: bytes, payload: bytes, now: float
     ) -> list[tuple[float, Event]]:
@@ -167,9 +172,10 @@
         self._looked_at = now
         above = len(self._working) - self.find_bearable() * 1.05
         self._strain = max(self._strain + above * passed, 0.0)
-        if self._strain <= self._find_limit():
+        if self._strain <= self._find_limit() and not self._is_crashing:
             return []
-        self.overloads += 1
+        self.overloads += not self._is_crashing
+        self._is_crashing = False
         self._strain = 0.0
         self.warmth = 0.0
         self._down_until = now + self.model.restart_s
