Executor and settlement split by job

What an executor remembers of hand-overs (runmemory.py), the memories that were lost (memories.py), the proof that a request is younger than a loss (challenges.py) and what the last homes told (guards.py) are modules of their own; executor 427 to 327 lines, settlement 450 to 317.

--- a/fulmarshore/admission/bequests.py
+++ b/fulmarshore/admission/bequests.py
@@ -120,8 +120,8 @@
                 len(split),
                 some_claims,
                 some_runs,
-                settlement.get_memory_age(now),
-                settlement.list_lost(now),
+                settlement.memories.get_age(now),
+                settlement.memories.list_lost(now),
             )
         return parts
 
@@ -132,7 +132,7 @@
             merge_claim(home, claim, now)
         for claim in bequest.runs:
             merge_run(home, claim, now, only_known=True)
-        home.settlement.take_bequest(bequest, now)
+        home.settlement.memories.take_bequest(bequest, now)
         reply = BequestReply(
             home.member.service,
             home.member.name,
--- a/fulmarshore/admission/coordinator.py
+++ b/fulmarshore/admission/coordinator.py
@@ -433,7 +433,7 @@
         if not waited and now < state.deadline + OVERDUE_S:
             return self.send_run(state, now)
         state.gone_at = 0.0
-        has_left = state.executor in self.settlement.left_cleanly
+        has_left = state.executor in self.settlement.memories.left_cleanly
         if gone and has_left and state.request is not None:
             return self._take_back(state, now)
         reason = Reason.UPSTREAM_GONE if gone else Reason.EXPIRED
--- a/fulmarshore/admission/executor.py
+++ b/fulmarshore/admission/executor.py
@@ -6,24 +6,15 @@
 
 from __future__ import annotations
 
-import heapq
-from collections import Counter, deque
+from collections import Counter
 
 from msgspec.structs import replace
 
-from fulmarshore.admission.bounds import (
-    COPY_LIFE_S,
-    LARGE_BODY_LIFE_S,
-    MAX_ANSWER_BYTES,
-    MAX_CLAIM_LIFE_S,
-    MAX_KEPT_BODY_BYTES,
-    MAX_RUNS_PER_ATTEMPT,
-    MAX_TIMEOUT_S,
-)
+from fulmarshore.admission.bounds import MAX_ANSWER_BYTES, MAX_CLAIM_LIFE_S
 from fulmarshore.admission.limit import Limiter
 from fulmarshore.admission.queue import FairQueue
+from fulmarshore.admission.runmemory import Run, RunMemory
 from fulmarshore.core.codec import decode_request, encode
-from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
     Address,
     Claim,
@@ -33,7 +24,6 @@
     Member,
     Profile,
     Reason,
-    Request,
     Response,
     RunReply,
     RunRequest,
@@ -49,50 +39,6 @@
 """A slot whose upstream is silent for this long after the deadline is closed."""
 
 
-class Run:
-    """A hand-over that the executor holds, has started or has barred."""
-
-    __slots__ = (
-        "flow",
-        "caller",
-        "number",
-        "run",
-        "idempotent",
-        "request",
-        "home",
-        "address",
-        "deadline",
-        "leave_at",
-        "started_at",
-        "cancel_at",
-        "verdict",
-        "reason",
-        "body",
-        "expires",
-    )
-
-    def __init__(self, message: RunRequest, address: Address, now: float) -> None:
-        request = message.request
-        self.flow = message.flow
-        self.caller = request.caller
-        self.number = request.number
-        self.run = message.run
-        self.idempotent = request.idempotent
-        self.request: Request | None = request
-        self.home = Identity(message.agent, message.incarnation)
-        self.address = address
-        self.deadline = now + request.timeout
-        self.leave_at = self.deadline
-        self.started_at = 0.0
-        self.cancel_at = float("inf")
-        self.verdict: Verdict | None = None
-        self.reason = ""
-        self.body = b""
-        self.expires = now + MAX_CLAIM_LIFE_S
-        if request.idempotent:
-            self.expires = self.deadline + COPY_LIFE_S
-
-
 class Executor:
     """Queues hand-overs, starts them within the limit and tells the outcome.
 
@@ -106,19 +52,18 @@
 
     def __init__(self, member: Member, profile: Profile) -> None:
         self.member = member
+        self._identity = Identity(member.name, member.incarnation)
         self.counters: Counter[str] = Counter()
         self.version = 0
         self.closed: Reason | None = None
         self.draining = False
         self.profile = profile
         self.queue: FairQueue[Run] = FairQueue(profile.queue_length)
-        self.runs: dict[bytes, Run] = {}
+        self.memory = RunMemory()
         self.working: dict[bytes, Run] = {}
         self.limiter = Limiter(
             self._find_slots(), profile.cold_share, profile.slow_start
         )
-        self._expiry: list[tuple[float, bytes]] = []
-        self._large: deque[tuple[float, Run]] = deque()
 
     def follow(self, profile: Profile) -> None:
         """Take the bounds of the service's profile."""
@@ -158,12 +103,11 @@
         """
         assert message.executor == self.member.name
         assert message.executor_incarnation == self.member.incarnation
-        held = self.runs.get(message.flow)
+        held = self.memory.find(message.flow)
         if held is not None and not self._may_replace(held, message):
             return self._take_copy(held, message, source, now)
         run = Run(message, source, now)
-        self.runs[run.flow] = run
-        heapq.heappush(self._expiry, (run.expires, run.flow))
+        self.memory.add(run)
         if message.cancel:
             return self._end(run, Verdict.NOT_RUN, Reason.CANCELLED, b"")
         if barred:
@@ -284,8 +228,7 @@
         if run.verdict is None or verdict == Verdict.ANSWERED:
             effects += self._end(run, verdict, reason, body)
         run.request = None
-        if len(run.body) > MAX_KEPT_BODY_BYTES:
-            self._large.append((now + LARGE_BODY_LIFE_S, run))
+        self.memory.note_body(run, now)
         return effects + self.pump(now)
 
     def _end(
@@ -326,22 +269,7 @@
         """Cancel what is past its deadline and forget what is old."""
         effects = self._send_cancels(now)
         effects += self.pump(now)
-        while self._large and self._large[0][0] <= now:
-            _, run = self._large.popleft()
-            run.body, run.reason = b"", Reason.BODY_NOT_HELD
-        while self._expiry and self._expiry[0][0] <= now:
-            _, flow = heapq.heappop(self._expiry)
-            run = self.runs.get(flow)
-            if run is None:
-                continue
-            if run.expires > now:
-                heapq.heappush(self._expiry, (run.expires, flow))
-                continue
-            if flow in self.working or run.verdict is None:
-                run.expires = now + MAX_TIMEOUT_S
-                heapq.heappush(self._expiry, (run.expires, flow))
-                continue
-            del self.runs[flow]
+        self.memory.forget_old(self.working, now)
         return effects
 
     def _send_cancels(self, now: float) -> list[Effect]:
@@ -388,39 +316,11 @@
 
     def list_in(self, buckets: set[int], now: float) -> list[Claim]:
         """Return the hand-overs in some buckets as peers learn them."""
-        found = []
-        for run in self.runs.values():
-            if run.idempotent or find_bucket(run.flow) not in buckets:
-                continue
-            found.append(self._describe(run, now))
-        return found
+        return self.memory.list_in(buckets, self._identity, now)
 
     def list_all(self, now: float) -> list[Claim]:
         """Return all hand-overs of non-idempotent requests."""
-        held = self.runs.values()
-        return [self._describe(run, now) for run in held if not run.idempotent]
-
-    def _describe(self, run: Run, now: float) -> Claim:
-        reason, body = run.reason, run.body
-        if len(body) > MAX_KEPT_BODY_BYTES:
-            reason, body = Reason.BODY_NOT_HELD, b""
-        return Claim(
-            run.flow,
-            run.caller,
-            run.number,
-            run.run // MAX_RUNS_PER_ATTEMPT,
-            run.verdict,
-            reason,
-            body,
-            max(run.expires - now, 0.0),
-            run.home.name,
-            run.home.incarnation,
-            0,
-            0,
-            self.member.name,
-            self.member.incarnation,
-            run.run,
-        )
+        return self.memory.list_all(self._identity, now)
 
     def _drop(self, reason: str) -> list[Effect]:
         self.counters[f"dropped_{reason}"] += 1
--- /dev/null
+++ b/fulmarshore/admission/memories.py
@@ -0,0 +1,136 @@
+"""Which memories of claims were lost, and how far back an agent remembers."""
+
+from __future__ import annotations
+
+from fulmarshore.admission.bounds import COPY_LIFE_S, LEASELESS_S, MAX_TIMEOUT_S
+from fulmarshore.admission.rounds import Round
+from fulmarshore.core.records import Bequest, Identity, Lost
+
+NEEDED_S = MAX_TIMEOUT_S + COPY_LIFE_S
+"""A claim older than this bars nothing any more: all its copies are gone."""
+
+MAX_LOST_MEMORIES = 1
+"""Lost memories that the copies of a claim survive."""
+
+
+class Memories:
+    """The memories that were lost while an agent watched, and those left to it.
+
+    Parameters
+    ----------
+    identity : Identity
+        This life of this agent.
+    """
+
+    __slots__ = (
+        "left_cleanly",
+        "_identity",
+        "_members",
+        "_lost",
+        "_bequests",
+        "_since",
+        "_first_version",
+        "_had_members",
+    )
+
+    def __init__(self, identity: Identity) -> None:
+        self.left_cleanly: set[Identity] = set()
+        self._identity = identity
+        self._members: set[Identity] = set()
+        self._lost: dict[Identity, float] = {}
+        self._bequests: dict[Identity, set[int]] = {}
+        self._since: float | None = None
+        self._first_version = 0
+        self._had_members = False
+
+    def begin(self, version: int, had_members: bool, now: float) -> None:
+        """Remember from the first table on.
+
+        Parameters
+        ----------
+        had_members : bool
+            Whether there were ever agents that are members no more.
+        """
+        if self._since is not None:
+            return
+        self._since = now
+        self._first_version = version
+        self._had_members = had_members
+
+    def note_lost(self, identity: Identity, now: float) -> None:
+        """Note that a member is gone with what it knew."""
+        self._lost[identity] = now
+
+    def follow(self, members: set[Identity], now: float) -> None:
+        """Forget losses of members that are back, and old ones."""
+        self._members = members
+        for identity, gone_at in list(self._lost.items()):
+            if identity in members or now - gone_at > NEEDED_S:
+                del self._lost[identity]
+
+    def find_end(self, current: Round, now: float) -> float:
+        """Return when agents that no member ever knew admit nothing more.
+
+        They may be home of the same buckets in an older view. Their leases
+        were over before the first of the members came.
+        """
+        if not self._had_members:
+            return float("-inf")
+        ages = [self.get_age(now)]
+        for parts in current.replies.values():
+            ages.append(next(iter(parts.values())).memory_age)
+        return now - max(ages) + LEASELESS_S
+
+    def is_survived(self, current: Round, now: float) -> bool:
+        """Return whether each claim has a holder left among those who answered."""
+        lost = {gone for gone, at in self._lost.items() if now - at <= NEEDED_S}
+        lost -= self.left_cleanly
+        witnessed = self.get_age(now) >= NEEDED_S
+        for parts in current.replies.values():
+            reply = next(iter(parts.values()))
+            witnessed = witnessed or reply.memory_age >= NEEDED_S
+            for gone in reply.lost:
+                lost.add(Identity(gone.agent, gone.incarnation))
+        lost -= current.list_answered()
+        lost.discard(self._identity)
+        return witnessed and len(lost) <= MAX_LOST_MEMORIES
+
+    def take_bequest(self, bequest: Bequest, now: float) -> None:
+        """Note what an agent left before it stopped, once all parts are there."""
+        leaver = Identity(bequest.agent, bequest.incarnation)
+        heard = self._bequests.setdefault(leaver, set())
+        heard.add(bequest.part)
+        if len(heard) < bequest.parts:
+            return
+        self.left_cleanly.add(leaver)
+        self._inherit_memory(bequest, now)
+
+    def _inherit_memory(self, bequest: Bequest, now: float) -> None:
+        """Remember as far back as an agent that stopped.
+
+        Its word tells of all memories lost up to the version that it has seen.
+        Where that is not below the first version seen here, none is missed in
+        between, and this agent is as good a witness as that one was.
+        """
+        if self._since is None or bequest.version < self._first_version:
+            return
+        self._since = min(self._since, now - bequest.memory_age)
+        for lost in bequest.lost:
+            identity = Identity(lost.agent, lost.incarnation)
+            if identity in self._members or identity == self._identity:
+                continue
+            lost_at = self._lost.get(identity, float("-inf"))
+            self._lost[identity] = max(lost_at, now - lost.age)
+
+    def get_age(self, now: float) -> float:
+        """Return how far back this agent remembers, in seconds."""
+        return 0.0 if self._since is None else now - self._since
+
+    def list_lost(self, now: float) -> list[Lost]:
+        """Return the agents whose memory was lost without a bequest."""
+        found = []
+        for identity, at in self._lost.items():
+            if now - at > NEEDED_S or identity in self.left_cleanly:
+                continue
+            found.append(Lost(identity.name, identity.incarnation, now - at))
+        return found
--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -250,7 +250,7 @@
 
     def _forget_backups(self, now: float) -> None:
         """Be nobody's backup any more, but for an agent that just starts."""
-        if self.home.settlement.get_memory_age(now) > 0.0:
+        if self.home.settlement.memories.get_age(now) > 0.0:
             self.home.backups.forget(now)
 
     def _loop_back(self, effects: list[Effect], now: float) -> list[Effect]:
--- /dev/null
+++ b/fulmarshore/admission/runmemory.py
@@ -0,0 +1,156 @@
+"""What an executor remembers of the hand-overs that it has taken."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+
+from fulmarshore.admission.bounds import (
+    COPY_LIFE_S,
+    LARGE_BODY_LIFE_S,
+    MAX_CLAIM_LIFE_S,
+    MAX_KEPT_BODY_BYTES,
+    MAX_RUNS_PER_ATTEMPT,
+    MAX_TIMEOUT_S,
+)
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Address,
+    Claim,
+    Identity,
+    Reason,
+    Request,
+    RunRequest,
+    Verdict,
+)
+
+
+class Run:
+    """A hand-over that the executor holds, has started or has barred."""
+
+    __slots__ = (
+        "flow",
+        "caller",
+        "number",
+        "run",
+        "idempotent",
+        "request",
+        "home",
+        "address",
+        "deadline",
+        "leave_at",
+        "started_at",
+        "cancel_at",
+        "verdict",
+        "reason",
+        "body",
+        "expires",
+    )
+
+    def __init__(self, message: RunRequest, address: Address, now: float) -> None:
+        request = message.request
+        self.flow = message.flow
+        self.caller = request.caller
+        self.number = request.number
+        self.run = message.run
+        self.idempotent = request.idempotent
+        self.request: Request | None = request
+        self.home = Identity(message.agent, message.incarnation)
+        self.address = address
+        self.deadline = now + request.timeout
+        self.leave_at = self.deadline
+        self.started_at = 0.0
+        self.cancel_at = float("inf")
+        self.verdict: Verdict | None = None
+        self.reason = ""
+        self.body = b""
+        self.expires = now + MAX_CLAIM_LIFE_S
+        if request.idempotent:
+            self.expires = self.deadline + COPY_LIFE_S
+
+
+class RunMemory:
+    """All hand-overs that a copy may still come for."""
+
+    __slots__ = ("_runs", "_expiry", "_large")
+
+    def __init__(self) -> None:
+        self._runs: dict[bytes, Run] = {}
+        self._expiry: list[tuple[float, bytes]] = []
+        self._large: deque[tuple[float, Run]] = deque()
+
+    def find(self, flow: bytes) -> Run | None:
+        """Return the hand-over of a request."""
+        return self._runs.get(flow)
+
+    def add(self, run: Run) -> None:
+        """Remember a hand-over, in place of an older one of its request."""
+        self._runs[run.flow] = run
+        heapq.heappush(self._expiry, (run.expires, run.flow))
+
+    def note_body(self, run: Run, now: float) -> None:
+        """Keep a large answer for a while only."""
+        if len(run.body) > MAX_KEPT_BODY_BYTES:
+            self._large.append((now + LARGE_BODY_LIFE_S, run))
+
+    def forget_old(self, working: dict[bytes, Run], now: float) -> None:
+        """Forget what no copy can come for any more.
+
+        Parameters
+        ----------
+        working : dict of bytes to Run
+            What the upstream works on; it is kept.
+        """
+        while self._large and self._large[0][0] <= now:
+            _, run = self._large.popleft()
+            run.body, run.reason = b"", Reason.BODY_NOT_HELD
+        while self._expiry and self._expiry[0][0] <= now:
+            _, flow = heapq.heappop(self._expiry)
+            run = self._runs.get(flow)
+            if run is None:
+                continue
+            if run.expires > now:
+                heapq.heappush(self._expiry, (run.expires, flow))
+                continue
+            if flow in working or run.verdict is None:
+                run.expires = now + MAX_TIMEOUT_S
+                heapq.heappush(self._expiry, (run.expires, flow))
+                continue
+            del self._runs[flow]
+
+    def list_in(self, buckets: set[int], executor: Identity, now: float) -> list[Claim]:
+        """Return the hand-overs in some buckets as peers learn them."""
+        found: list[Claim] = []
+        for run in self._runs.values():
+            if run.idempotent or find_bucket(run.flow) not in buckets:
+                continue
+            found.append(_describe(run, executor, now))
+        return found
+
+    def list_all(self, executor: Identity, now: float) -> list[Claim]:
+        """Return all hand-overs of non-idempotent requests."""
+        held = self._runs.values()
+        return [_describe(run, executor, now) for run in held if not run.idempotent]
+
+
+def _describe(run: Run, executor: Identity, now: float) -> Claim:
+    reason, body = run.reason, run.body
+    if len(body) > MAX_KEPT_BODY_BYTES:
+        reason, body = Reason.BODY_NOT_HELD, b""
+    return Claim(
+        run.flow,
+        run.caller,
+        run.number,
+        run.run // MAX_RUNS_PER_ATTEMPT,
+        run.verdict,
+        reason,
+        body,
+        max(run.expires - now, 0.0),
+        run.home.name,
+        run.home.incarnation,
+        0,
+        0,
+        executor.name,
+        executor.incarnation,
+        run.run,
+    )
--- a/fulmarshore/admission/settlement.py
+++ b/fulmarshore/admission/settlement.py
@@ -9,40 +9,29 @@
 
 from __future__ import annotations
 
-from fulmarshore.admission.bounds import (
-    COPY_LIFE_S,
-    LEASELESS_S,
-    MAX_CLOCK_DRIFT,
-    MAX_TIMEOUT_S,
-)
+from fulmarshore.admission.challenges import bound_beginning
+from fulmarshore.admission.guards import find_guards
+from fulmarshore.admission.memories import NEEDED_S, Memories
 from fulmarshore.admission.rounds import FORMER_WAIT_S, Round
 from fulmarshore.core.hashing import BUCKETS_PER_SERVICE
 from fulmarshore.core.records import (
     Address,
-    Bequest,
     Challenge,
     ClaimsQuery,
     ClaimsReply,
     Effect,
     Identity,
     KnownHome,
-    Lost,
     Member,
     Request,
     SendPeer,
 )
 from fulmarshore.routing.table import ServiceTable
 
-NEEDED_S = MAX_TIMEOUT_S + COPY_LIFE_S
-"""A claim older than this bars nothing any more: all its copies are gone."""
-
 QUERY_INTERVAL_S = 0.1
 MAX_ASKERS = 8
 """Earlier homes of a bucket that an agent remembers, the newest ones."""
 
-MAX_LOST_MEMORIES = 1
-"""Lost memories that the copies of a claim survive."""
-
 
 class Settlement:
     """The buckets that an agent is home of, and what it knows about them.
@@ -65,17 +54,12 @@
         self.terms: dict[int, int] = {}
         self._askers: dict[int, dict[Identity, int]] = {}
         self.backed_up: dict[int, tuple[Identity, int, float | None]] = {}
-        self.left_cleanly: set[Identity] = set()
         self._service: ServiceTable | None = None
         self._members: dict[Identity, Address] = {}
+        self.memories = Memories(identity)
         self._former: dict[Identity, tuple[Address, float]] = {}
-        self._lost: dict[Identity, float] = {}
         self._guarded: dict[int, float] = {}
         self._announced: dict[Identity, Address] = {}
-        self._bequests: dict[Identity, set[int]] = {}
-        self._since: float | None = None
-        self._first_version = 0
-        self._had_members = False
         self._queries = first_query
 
     def follow(
@@ -96,10 +80,7 @@
         had_members : bool
             Whether there were ever agents that are members no more.
         """
-        if self._since is None:
-            self._since = now
-            self._first_version = version
-            self._had_members = had_members
+        self.memories.begin(version, had_members, now)
         self.version = version
         if service is self._service:
             return
@@ -142,13 +123,11 @@
             if identity in members or identity == self.identity:
                 continue
             self._former[identity] = (address, now)
-            self._lost[identity] = now
+            self.memories.note_lost(identity, now)
         for identity, (_, gone_at) in list(self._former.items()):
             if identity in members or now - gone_at > NEEDED_S:
                 del self._former[identity]
-        for identity, gone_at in list(self._lost.items()):
-            if identity in members or now - gone_at > NEEDED_S:
-                del self._lost[identity]
+        self.memories.follow(set(members), now)
 
     def _note_outsiders(
         self,
@@ -206,25 +185,7 @@
         if now - lost_at > NEEDED_S:
             del self._guarded[bucket]
             return True
-        return self._bound_beginning(request, now) > lost_at
-
-    def _bound_beginning(self, request: Request, now: float) -> float:
-        """Return a time before which no copy of a request was sent.
-
-        The caller got the challenge before it made this copy, and it had begun
-        ``age`` before that. However long this copy was under way, and however
-        often it arrives, the bound is the same.
-        """
-        challenge = request.challenge
-        if challenge is None or not self._has_issued(challenge, now):
-            return float("-inf")
-        bound = challenge.issued - request.age * (1.0 + MAX_CLOCK_DRIFT)
-        assert bound <= now - request.age, "a challenge is older than its copy"
-        return bound
-
-    def _has_issued(self, challenge: Challenge, now: float) -> bool:
-        issuer = Identity(challenge.agent, challenge.incarnation)
-        return issuer == self.identity and challenge.issued <= now
+        return bound_beginning(self.identity, request, now) > lost_at
 
     def challenge(self, bucket: int, request: Request, now: float) -> Challenge | None:
         """Return a challenge, unless the request is surely older than the loss."""
@@ -293,8 +254,8 @@
         if current is None or not current.is_complete(now):
             return None
         self.round = None
-        is_survived = self._is_survived(current, now)
-        guards = self._find_guards(current, now)
+        is_survived = self.memories.is_survived(current, now)
+        guards = find_guards(current, self._list_known(current, now), self.identity)
         for bucket in current.buckets:
             self.given_up.pop(bucket, None)
             self._guarded.pop(bucket, None)
@@ -304,74 +265,20 @@
             # A former home that did not answer may have gone on until now.
             ended = now if current.missing else current.began
             lost_at = ended if guard == float("inf") else now - guard
-            self._guarded[bucket] = max(lost_at, self._find_end(current, now))
+            self._guarded[bucket] = max(lost_at, self.memories.find_end(current, now))
         for bucket in current.buckets & self.homes:
             self.settled.add(bucket)
             self.terms[bucket] = current.version
         return current
 
-    def _find_guards(self, current: Round, now: float) -> dict[int, float]:
-        """Return the buckets whose last home told all it knew.
-
-        Returns
-        -------
-        guards : dict
-            By bucket, the time since that home lost claims, below 0 for never.
-        """
-        answered = current.list_answered()
-        answered.add(self.identity)
-        told: dict[int, tuple[int, float]] = {}
-        silent: dict[int, int] = {}
-        held: dict[int, dict[int, float]] = {}
+    def _list_known(
+        self, current: Round, now: float
+    ) -> list[tuple[Identity, KnownHome]]:
+        """Return the homes that the members or this agent tell of."""
         known = current.list_homes()
         for home in self.list_homes(current.buckets, now):
             known.append((self.identity, home))
-        for peer, home in known:
-            who = Identity(home.agent, home.incarnation)
-            for bucket in home.buckets:
-                if home.settled and who == peer:
-                    best = told.get(bucket, (-1, 0.0))
-                    told[bucket] = max(best, (home.version, home.guard))
-                elif home.settled:
-                    held.setdefault(bucket, {})[home.version] = home.guard
-                if who not in answered:
-                    silent[bucket] = max(silent.get(bucket, -1), home.version)
-        guards = {}
-        for bucket in current.buckets:
-            version, guard = told.get(bucket, (-1, 0.0))
-            last_silent = silent.get(bucket, -1)
-            if version > last_silent:
-                guards[bucket] = guard
-            elif last_silent in held.get(bucket, {}):
-                guards[bucket] = held[bucket][last_silent]
-        return guards
-
-    def _find_end(self, current: Round, now: float) -> float:
-        """Return when agents that no member ever knew admit nothing more.
-
-        They may be home of the same buckets in an older view. Their leases
-        were over before the first of the members came.
-        """
-        if not self._had_members:
-            return float("-inf")
-        ages = [self.get_memory_age(now)]
-        for parts in current.replies.values():
-            ages.append(next(iter(parts.values())).memory_age)
-        return now - max(ages) + LEASELESS_S
-
-    def _is_survived(self, current: Round, now: float) -> bool:
-        """Return whether each claim has a holder left among those who answered."""
-        lost = {gone for gone, at in self._lost.items() if now - at <= NEEDED_S}
-        lost -= self.left_cleanly
-        witnessed = self.get_memory_age(now) >= NEEDED_S
-        for parts in current.replies.values():
-            reply = next(iter(parts.values()))
-            witnessed = witnessed or reply.memory_age >= NEEDED_S
-            for gone in reply.lost:
-                lost.add(Identity(gone.agent, gone.incarnation))
-        lost -= current.list_answered()
-        lost.discard(self.identity)
-        return witnessed and len(lost) <= MAX_LOST_MEMORIES
+        return known
 
     def list_homes(self, buckets: set[int], now: float) -> list[KnownHome]:
         """Return what this agent knows about homes of some buckets."""
@@ -408,43 +315,3 @@
             if held is not None and held[1] > home.version:
                 continue
             self.backed_up[bucket] = (identity, home.version, lost_at)
-
-    def take_bequest(self, bequest: Bequest, now: float) -> None:
-        """Note what an agent left before it stopped, once all parts are there."""
-        leaver = Identity(bequest.agent, bequest.incarnation)
-        heard = self._bequests.setdefault(leaver, set())
-        heard.add(bequest.part)
-        if len(heard) < bequest.parts:
-            return
-        self.left_cleanly.add(leaver)
-        self._inherit_memory(bequest, now)
-
-    def _inherit_memory(self, bequest: Bequest, now: float) -> None:
-        """Remember as far back as an agent that stopped.
-
-        Its word tells of all memories lost up to the version that it has seen.
-        Where that is not below the first version seen here, none is missed in
-        between, and this agent is as good a witness as that one was.
-        """
-        if self._since is None or bequest.version < self._first_version:
-            return
-        self._since = min(self._since, now - bequest.memory_age)
-        for lost in bequest.lost:
-            identity = Identity(lost.agent, lost.incarnation)
-            if identity in self._members or identity == self.identity:
-                continue
-            lost_at = self._lost.get(identity, float("-inf"))
-            self._lost[identity] = max(lost_at, now - lost.age)
-
-    def get_memory_age(self, now: float) -> float:
-        """Return how far back this agent remembers, in seconds."""
-        return 0.0 if self._since is None else now - self._since
-
-    def list_lost(self, now: float) -> list[Lost]:
-        """Return the agents whose memory was lost without a bequest."""
-        found = []
-        for identity, at in self._lost.items():
-            if now - at > NEEDED_S or identity in self.left_cleanly:
-                continue
-            found.append(Lost(identity.name, identity.incarnation, now - at))
-        return found
