--- a/fulmarshore/admission/bounds.py
+++ b/fulmarshore/admission/bounds.py
@@ -41,6 +41,15 @@
 MAX_ANSWER_BYTES = 60_000
 """A body must fit one datagram with the records around it."""
 
+WRITE_INTERVAL_S = 0.05
+"""Time between two showings of a claim to a peer."""
+
+GRACE_S = 0.6
+"""Wait for the last word of an executor that left the table."""
+
+OVERDUE_S = 2.0
+"""Time after the deadline at which an outcome that nobody tells is unknown."""
+
 
 def find_claim_life(timeout: float) -> float:
     """Return how long a claim must outlive the copy that has this timeout.
--- /dev/null
+++ b/fulmarshore/admission/claimwrites.py
@@ -0,0 +1,107 @@
+"""Showing claims to the peers that hold them, and what follows their word."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fulmarshore.admission.bounds import WRITE_INTERVAL_S
+from fulmarshore.admission.handback import hand_back, stand_back
+from fulmarshore.admission.holders import choose_holders
+from fulmarshore.admission.ledger import ClaimState, Stage
+from fulmarshore.admission.messages import make_backup
+from fulmarshore.core.hashing import find_bucket
+from fulmarshore.core.records import (
+    Address,
+    ClaimBackupReply,
+    Effect,
+    Identity,
+    Member,
+    SendPeer,
+)
+
+if TYPE_CHECKING:
+    from fulmarshore.admission.coordinator import Coordinator
+
+
+def begin_write(
+    home: Coordinator, state: ClaimState, stage: Stage, now: float
+) -> list[Effect]:
+    """Show a claim to a peer; what follows waits for the peer's word."""
+    state.stage = stage
+    home.stamp(state)
+    state.writes = 0
+    state.needed = set()
+    if state.idempotent:
+        return _proceed(home, state, now)
+    return send_write(home, state, now)
+
+
+def send_write(home: Coordinator, state: ClaimState, now: float) -> list[Effect]:
+    """Show a claim to the peers that have not taken it yet."""
+    is_home = home.settlement.is_home(find_bucket(state.flow))
+    if state.stage == Stage.WRITING and not is_home:
+        return hand_back(home, state, now)
+    if home.is_outdated:
+        # Agents that came meanwhile may be home, and no peer here may know.
+        home.schedule(state, now + WRITE_INTERVAL_S)
+        return []
+    peers = choose_holders(home, state)
+    if not peers and not home.has_lease:
+        home.schedule(state, now + WRITE_INTERVAL_S)
+        return []
+    if not peers:
+        return _proceed(home, state, now)
+    chosen = {Identity(peer.name, peer.incarnation) for peer in peers}
+    if not state.needed or not state.needed <= chosen:
+        state.needed = chosen
+    home.schedule(state, now + WRITE_INTERVAL_S)
+    effects: list[Effect] = []
+    for peer in peers:
+        if Identity(peer.name, peer.incarnation) in state.needed:
+            effects.append(show(home, state, peer, now))
+    return effects
+
+
+def show(home: Coordinator, state: ClaimState, peer: Member, now: float) -> SendPeer:
+    """Return the message that shows a claim to one peer."""
+    message = make_backup(home.member, home.table.version, state, now)
+    return SendPeer(Address(peer.host, peer.port), message)
+
+
+def take_word(home: Coordinator, reply: ClaimBackupReply, now: float) -> list[Effect]:
+    """Take a peer's word about a claim that it was shown."""
+    state = home.ledger.find(reply.flow)
+    if state is None or state.stage in (Stage.WAITING, Stage.RUNNING):
+        return []
+    peer = Identity(reply.agent, reply.incarnation)
+    if reply.sequence != state.sequence or peer not in state.needed:
+        return []
+    if not reply.accepted and state.stage == Stage.DONE:
+        # What was found out stands; a newer home hears of it when it asks.
+        state.needed = set()
+        return []
+    if not reply.accepted:
+        new_home = home.settlement.find_home(find_bucket(state.flow))
+        return stand_back(home, state, now) if peer == new_home else []
+    state.needed.discard(peer)
+    if state.needed or state.stage not in (Stage.WRITING, Stage.REFUSING):
+        return []
+    return _proceed(home, state, now)
+
+
+def _proceed(home: Coordinator, state: ClaimState, now: float) -> list[Effect]:
+    bucket = find_bucket(state.flow)
+    is_home = home.settlement.is_home(bucket)
+    is_settled = bucket in home.settlement.settled and not home.is_outdated
+    if is_home and not is_settled and not state.idempotent:
+        # Another agent may have been home meanwhile: it is being asked.
+        home.schedule(state, now + WRITE_INTERVAL_S)
+        return []
+    if is_home:
+        state.term = home.settlement.terms.get(bucket, 0)
+    if state.stage == Stage.REFUSING:
+        return home.conclude(state, now)
+    assert state.stage == Stage.WRITING
+    if not is_home and not state.idempotent:
+        return hand_back(home, state, now)
+    return home.hand_over(state, now)
--- a/fulmarshore/admission/knowledge.py
+++ b/fulmarshore/admission/knowledge.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from fulmarshore.admission.bounds import CLAIM_MARGIN_S, COPY_LIFE_S
-from fulmarshore.admission.coordinator import GRACE_S, Coordinator
+from fulmarshore.admission.bounds import CLAIM_MARGIN_S, COPY_LIFE_S, GRACE_S
+from fulmarshore.admission.coordinator import Coordinator
 from fulmarshore.admission.ledger import ClaimState, Stage
 from fulmarshore.core.hashing import find_bucket
 from fulmarshore.core.records import (
--- a/fulmarshore/admission/runs.py
+++ b/fulmarshore/admission/runs.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from fulmarshore.admission.coordinator import WRITE_INTERVAL_S, Coordinator
+from fulmarshore.admission.bounds import WRITE_INTERVAL_S
+from fulmarshore.admission.coordinator import Coordinator
 from fulmarshore.admission.ledger import ClaimState, Stage
 from fulmarshore.admission.retries import RETRYABLE, may_retry
 from fulmarshore.core.records import (
