--- a/fulmarshore/daemons/hints_test.py
+++ b/fulmarshore/daemons/hints_test.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from fulmarshore.core.records import MemberState
-from fulmarshore.daemons.path_test import CALLERS, ProcessCase, wait_until
+from fulmarshore.daemons.path_test import ProcessCase
 from fulmarshore.standins.cluster import find_member
 from fulmarshore.standins.endpoint import StandInEndpoint
 
@@ -27,13 +27,8 @@
         self.open_fabric("s", ["127.0.2.21"])
 
     async def open_callers(self):
-        callers = [self.make_caller("s") for _ in range(CALLERS)]
-        loop = asyncio.get_running_loop()
-        for caller in callers:
-            run = asyncio.create_task(caller.run(loop.time() + 120))
-            self.addCleanup(caller.close)
-            self.addCleanup(run.cancel)
-        await wait_until(lambda: all(c.answers >= 2 for c in callers))
+        callers = self.run_callers("s")
+        await self.wait_answers(callers, 2)
         return callers
 
     async def wait_state(self, name, state):
@@ -52,10 +47,7 @@
         await self.wait_state("m0", MemberState.DRAINING)
         later = await self.open_callers()
         self.assertNotIn("m0", {caller.upstream for caller in later})
-        answers = [caller.answers for caller in before]
-        await wait_until(
-            lambda: all(c.answers >= n + 3 for c, n in zip(before, answers))
-        )
+        await self.wait_answers(before)
         self.assertEqual([caller.upstream for caller in before], owners)
         self.assertEqual(sum(caller.broken for caller in before + later), 0)
         self.endpoints["m0"].body = b"ok"
--- a/fulmarshore/daemons/keys_test.py
+++ b/fulmarshore/daemons/keys_test.py
@@ -145,19 +145,7 @@
 
     def open_callers(self):
         self.open_fabric("s", [ENTRY_HOST])
-        callers = [self.make_caller("s") for _ in range(CALLERS)]
-        loop = asyncio.get_running_loop()
-        for caller in callers:
-            run = asyncio.create_task(caller.run(loop.time() + 120))
-            self.addCleanup(caller.close)
-            self.addCleanup(run.cancel)
-        return callers
-
-    async def wait_answers(self, callers, count=3):
-        before = [caller.answers for caller in callers]
-        await wait_until(
-            lambda: all(c.answers >= n + count for c, n in zip(callers, before))
-        )
+        return self.run_callers("s")
 
     async def send_sealed(self, sealer, counted):
         """Send an agent a packet for its former self, and wait for a counter."""
--- a/fulmarshore/daemons/path_test.py
+++ b/fulmarshore/daemons/path_test.py
@@ -61,6 +61,22 @@
         address = self.services[service]
         return FlowCaller(service, address, 0.02, ANSWER_TIMEOUT_S, ATTEMPTS)
 
+    def run_callers(self, service):
+        """Let callers send until the end of the test."""
+        callers = [self.make_caller(service) for _ in range(CALLERS)]
+        loop = asyncio.get_running_loop()
+        for caller in callers:
+            run = asyncio.create_task(caller.run(loop.time() + 120))
+            self.addCleanup(caller.close)
+            self.addCleanup(run.cancel)
+        return callers
+
+    async def wait_answers(self, callers, count=3):
+        before = [caller.answers for caller in callers]
+        await wait_until(
+            lambda: all(c.answers >= n + count for c, n in zip(callers, before))
+        )
+
     def open_fabric(self, service, hosts, disturbance=None):
         address = self.services[service]
         entries = [Address(host, address.port) for host in hosts]
