--- a/fulmarshore/admission/requests.py
+++ b/fulmarshore/admission/requests.py
@@ -252,7 +252,7 @@
 
     def _forget_backups(self, now: float) -> None:
         """Be nobody's backup any more, but for an agent that just starts."""
-        if not self.home.settlement.has_just_started(now):
+        if not self.home.settlement.memories.has_just_started(now):
             self.home.backups.forget(now)
 
     def _loop_back(self, effects: list[Effect], now: float) -> list[Effect]:
