Load reports of one agent take 4,000 bytes a second at most

Cause: a report is due again 20 ms after the last one where 0.5% of the flows opened or ended. With a load that changes every 10 ms and 105 B a sealed report that was 467,586 B in 30 s at 7 members and 4,597,929 B at 60, against 5 KB/s for all of control.

Change: after its reports a process rests for their bytes, as encoded and sealed, over REPORT_BYTES_PER_S. So the least time between reports grows with the peers.

After: 30 s of that load take 120,000 B and one round at most, at 3, 4, 7 and 60 members (reports_test, seen failing without the rest).

At rest 0.25 s between reports is as before.

--- a/fulmarshore/routing/reports.py
+++ b/fulmarshore/routing/reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from fulmarshore.core.codec import encode
 from fulmarshore.core.records import Address, LoadReport
 from fulmarshore.routing.arbitration import Room
 from fulmarshore.routing.table import ServiceTable
@@ -13,6 +14,11 @@
 SIGNIFICANT_SHARE = 0.005
 """Openings and endings of this share of the flows are reported at once."""
 MIN_INTERVAL_S = 0.02
+REPORT_BYTES_PER_S = 4000
+"""The reports of one agent take no more than this, to all peers together; a
+process may spend 5,000 on control."""
+SEAL_BYTES = 41
+"""What sealing adds to a datagram."""
 
 
 class Reporter:
@@ -31,6 +37,7 @@
         "_flows",
         "_limit",
         "_reported_at",
+        "_resting_until",
         "_change",
         "_opened",
         "_seen",
@@ -45,6 +52,7 @@
         self._change = 0
         self._opened = 0
         self._reported_at = float("-inf")
+        self._resting_until = float("-inf")
         self._seen: dict[Address, int] = {}
 
     def note_kept(self) -> None:
@@ -124,9 +132,14 @@
             )
             reports.append((address, report))
         self._seen = seen
+        size = sum(len(encode(report)) + SEAL_BYTES for _, report in reports)
+        self._resting_until = now + size / REPORT_BYTES_PER_S
         return reports
 
     def _is_due(self, flows: int, limit: int, opened: int, now: float) -> bool:
+        # The more peers, the longer the rest: each of them costs a message.
+        if now < self._resting_until:
+            return False
         waited = now - self._reported_at
         if waited >= KEEPALIVE_INTERVAL_S:
             return True
--- /dev/null
+++ b/fulmarshore/routing/reports_test.py
@@ -0,0 +1,40 @@
+"""Load reports stay within their bytes, whatever the load does."""
+
+from unittest import TestCase
+
+from fulmarshore.core.codec import encode
+from fulmarshore.core.records import Kind, Member, Profile, Service, Zone
+from fulmarshore.membership.view import View, change_view
+from fulmarshore.routing.reports import REPORT_BYTES_PER_S, SEAL_BYTES, Reporter
+from fulmarshore.routing.table import Table
+
+SECONDS = 30
+TICK_S = 0.01
+
+
+def make_service(members):
+    items = [Profile("p", Kind.FEED), Service("s", "p", "127.0.0.9", 80), Zone("z")]
+    for number in range(members):
+        items.append(Member(f"s-{number}", 1, "s", "z", "127.0.0.1", 9 + number))
+    return Table(change_view(View(), 1, items, [])).services["s"]
+
+
+class ReportBytesTest(TestCase):
+    def test_a_surge_costs_no_more_than_the_budget(self):
+        for members in (3, 4, 7, 60):
+            with self.subTest(members=members):
+                service = make_service(members)
+                reporter = Reporter("s-0", 1)
+                sizes = []
+                for tick in range(int(SECONDS / TICK_S)):
+                    # Thrice the load in and out again, in each second.
+                    flows = 2000 + 20 * (tick % 300)
+                    reports = reporter.list_reports(
+                        service, 1, flows, 9000, 20 * tick, tick * TICK_S
+                    )
+                    size = sum(len(encode(one)) + SEAL_BYTES for _, one in reports)
+                    sizes.append(size)
+                once = max(sizes)
+                self.assertGreater(once, 0)
+                self.assertLessEqual(sum(sizes), SECONDS * REPORT_BYTES_PER_S + once)
+                self.assertGreater(sum(sizes), 0.5 * SECONDS * REPORT_BYTES_PER_S)
