--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from fulmarshore.adapters.datagrams import SEND_ERRORS, Batch, DatagramSocket
+from fulmarshore.adapters.endpoints import EndpointPoller
 from fulmarshore.adapters.linkends import LinkEnd
 from fulmarshore.adapters.listener import Listener
 from fulmarshore.adapters.metrics import Gauges
@@ -19,6 +20,7 @@
     Effect,
     Event,
     Forward,
+    HintSource,
     Identity,
     LocalPort,
     Member,
@@ -61,6 +63,8 @@
         Where the upstream listens.
     slots, connections : int
         What the warm upstream bears.
+    health, load : str or None
+        URLs of the upstream's own endpoints.
     """
 
     data: Address
@@ -68,6 +72,8 @@
     upstream: Address
     slots: int = 1
     connections: int = 2000
+    health: str | None = None
+    load: str | None = None
 
 
 class AgentDaemon(Daemon):
@@ -83,6 +89,7 @@
         self._listener: Listener | None = None
         self._table: Table | None = None
         self._serves_streams = False
+        self._pollers: list[EndpointPoller] = []
 
     def open(self) -> None:
         """Open the data socket and create the core."""
@@ -93,6 +100,19 @@
         loop.add_signal_handler(signal.SIGHUP, self._restart)
         self._data_address = data
         self._begin(draw_incarnation())
+        self._open_pollers()
+
+    def _open_pollers(self) -> None:
+        """Ask the endpoints of the upstream that are set."""
+        settings = self.settings
+        urls = {HintSource.HEALTH: settings.health, HintSource.LOAD: settings.load}
+        for source, url in urls.items():
+            if url is None:
+                continue
+            shared = (self.dispatch, self.counters, self.random)
+            poller = EndpointPoller(source, url, *shared)
+            poller.open()
+            self._pollers.append(poller)
 
     def _begin(self, incarnation: int) -> None:
         """Create the core of a new life of this process."""
@@ -130,6 +150,8 @@
 
     def close(self) -> None:
         """Close all sockets."""
+        for poller in self._pollers:
+            poller.close()
         self._listener.close()
         self._streams.close()
         self._data.close()
--- a/fulmarshore/daemons/batch_test.py
+++ b/fulmarshore/daemons/batch_test.py
@@ -168,6 +168,8 @@
         for caller in CALLERS[:2]:
             for core in (daemon.core, alone):
                 flow = make_flow(caller)
+                # One of them was handed over by its home.
+                flow.assignment = caller.port - 1
                 core.flows[flow.key] = flow
             daemon._upstreams[hash_flow("s", *caller)] = sock
         messages = []
@@ -182,7 +184,7 @@
                 0,
                 *caller,
                 "e",
-                0,
+                number % 3,
                 0,
                 bytes([number]),
             )
@@ -199,6 +201,8 @@
         self.assertEqual(sock.sent, upstream)
         self.assertEqual(daemon._data.sent, peers)
         self.assertEqual(+daemon.core.counters, +alone.counters)
+        ours, theirs = daemon.core.arbiter.detours, alone.arbiter.detours
+        self.assertEqual((ours.packets, ours.passed), (theirs.packets, theirs.passed))
 
     def test_flow_that_gets_a_new_socket_sends_on_it(self):
         caller = CALLERS[0]
--- a/fulmarshore/routing/delivery.py
+++ b/fulmarshore/routing/delivery.py
@@ -35,6 +35,7 @@
         self.state = state
         self.flows = state.flows
         self.counters = state.counters
+        self.detours = state.arbiter.detours
         self._silent_timeout = NEVER
         self._answered_at = float("-inf")
 
@@ -64,6 +65,8 @@
         flow.last_active = now
         if flow.entry != packet.entry or packet.assignment > flow.assignment:
             self._follow_packet(flow, packet)
+        if flow.assignment:
+            self._count_detour(packet)
         if flow.silent_at == NEVER and self._silent_timeout != NEVER:
             flow.silent_at = now + self._silent_timeout
         return flow
@@ -124,8 +127,15 @@
         if flow.silent_at == NEVER:
             flow.silent_at = now + self._silent_timeout
         self._follow_packet(flow, packet)
+        if flow.assignment:
+            self._count_detour(packet)
         self.counters["delivered"] += 1
 
+    def _count_detour(self, packet: Forward) -> None:
+        """Count a packet of a flow that a home handed over."""
+        self.detours.packets += 1
+        self.detours.passed += packet.hops > 0
+
     def _follow_packet(self, flow: Flow, packet: Forward) -> None:
         """Note by which entry host and assignment a flow's packet came."""
         if packet.assignment > flow.assignment:
--- a/fulmarshore/routing/lifetimes.py
+++ b/fulmarshore/routing/lifetimes.py
@@ -46,6 +46,7 @@
         bucket = find_bucket(key)
         if bucket in self.state.homes.settled:
             self.state.reporter.note_ended()
+            self.state.arbiter.churn.note_ended(self.state.member.name)
         if self.state.copier.note_ended(flow):
             return effects
         return effects + self.tell_home(flow)
--- a/fulmarshore/standins/work.py
+++ b/fulmarshore/standins/work.py
@@ -80,16 +80,29 @@
         self._strain = 0.0
         self._looked_at = 0.0
         self._down_until = 0.0
+        self._is_crashing = False
 
     def find_bearable(self) -> float:
         """Return the requests in work that it bears for long."""
         cold = self.model.cold_share
         return self.model.slots * (cold + (1.0 - cold) * self.warmth)
 
+    def is_down(self, now: float) -> bool:
+        """Return whether it is away after it fell over."""
+        return now < self._down_until
+
+    def find_load(self) -> float:
+        """Return the requests in work over those that it bears for long."""
+        return len(self._working) / self.find_bearable()
+
     def turn_cold(self) -> None:
         """Lose all warmth without a sign."""
         self.warmth = 0.0
 
+    def crash(self) -> None:
+        """Go away at the next look for a reason other than load."""
+        self._is_crashing = True
+
     def take(
         self, flow: bytes, payload: bytes, now: float
     ) -> list[tuple[float, Event]]:
@@ -159,9 +172,10 @@
         self._looked_at = now
         above = len(self._working) - self.find_bearable() * 1.05
         self._strain = max(self._strain + above * passed, 0.0)
-        if self._strain <= self._find_limit():
+        if self._strain <= self._find_limit() and not self._is_crashing:
             return []
-        self.overloads += 1
+        self.overloads += not self._is_crashing
+        self._is_crashing = False
         self._strain = 0.0
         self.warmth = 0.0
         self._down_until = now + self.model.restart_s
