--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -18,7 +18,6 @@
     Applied,
     Batch,
     Change,
-    ChangeReply,
     ChangeStatus,
     ControlMessage,
     Effect,
@@ -37,7 +36,6 @@
     Recovered,
     Relay,
     RelayReply,
-    ReplaceLink,
     ReplicaId,
     Restored,
     SendLink,
@@ -51,53 +49,21 @@
     Tick,
     TimelineEvent,
 )
+from fulmarshore.membership.peers import ControlPeers
 from fulmarshore.membership.registry import Leases, Registry
 from fulmarshore.membership.replicas import describe_replicas
+from fulmarshore.membership.stopping import PlannedStop
 from fulmarshore.membership.view import make_delta
+from fulmarshore.membership.waiting import Held, Origin, WaitingChanges
 
 EXPIRY_SCAN_INTERVAL_S = 0.25
 REPORT_INTERVAL_S = 0.5
-LINK_SILENCE_TIMEOUT_S = 1.5
-"""A link to another control host that brings no answer for this long is replaced."""
-HOLD_TIMEOUT_S = 1.0
-"""How long a change waits for a leader before it is answered."""
-MAX_HELD = 256
 STOP_TIMEOUT_S = 1.0
 """How long a planned stop waits for another host to take up the lead."""
-ANSWER_LINGER_S = 0.1
-"""How long a former leader stays for the answers of what it handed on."""
 SNAPSHOT_ENTRIES = 1024
 """Entries between two snapshots."""
 
 
-class Origin:
-    """Where the answer to a message goes: a peer, perhaps of another host."""
-
-    __slots__ = ("peer", "via")
-
-    def __init__(self, peer: str, via: str | None = None) -> None:
-        self.peer = peer
-        self.via = via
-
-    def answer(self, reply: ChangeReply | StatusReply) -> SendLink:
-        """Return the effect that sends an answer."""
-        if self.via is None:
-            return SendLink(self.peer, reply)
-        return SendLink(self.via, RelayReply(self.peer, reply))
-
-
-class Held:
-    """A change that waits for a leader, or for its entry to be committed."""
-
-    __slots__ = ("origin", "change", "term", "until")
-
-    def __init__(self, origin: Origin, change: Change, term: int, until: float) -> None:
-        self.origin = origin
-        self.change = change
-        self.term = term
-        self.until = until
-
-
 class ControlCore:
     """Decides what is accepted and tells the subscribers.
 
@@ -123,17 +89,14 @@
         self.state = State()
         self.registry = Registry(name)
         self.leases = Leases()
-        self._is_isolated = False
         self.counters: Counter[str] = Counter()
+        self._waiting = WaitingChanges(self.counters)
+        self._peers = ControlPeers(self.counters)
+        self._stop = PlannedStop(self.replica, STOP_TIMEOUT_S)
         self.required_voters = (len(self.replica.peers) + 1) // 2 + 1
-        self._pending: dict[int, Held] = {}
-        self._held: list[Held] = []
         self._leading_term = 0
         self._scanned_at = float("-inf")
         self._reported_at = float("-inf")
-        self._asked_at: dict[str, float] = {}
-        self._stop_at: float | None = None
-        self._is_handed_over = False
 
     @property
     def freshness(self) -> Freshness:
@@ -165,40 +128,27 @@
         effects += self._follow_lead(now)
         effects += self._compact(now)
         effects += self.registry.push(self.state.view, now)
-        if self._stop_at is not None:
-            effects += self._stop(now)
+        if self._stop.is_begun and self._stop.is_over(now):
+            effects += self._end()
         return effects
 
     def _begin_stop(self, now: float) -> list[Effect]:
-        if self._stop_at is not None:
-            return []
-        self._stop_at = now
-        if not self.replica.is_leader:
+        if not self._stop.begin(now):
             return []
-        self._stop_at = now + STOP_TIMEOUT_S
         return self._absorb(self.replica.hand_over(now), now)
 
-    def _stop(self, now: float) -> list[Effect]:
-        """End once another host leads, nobody can, or it takes too long."""
-        if self.replica.is_accepting:
-            self._stop_at = now
-        is_led = not self.replica.is_leader and self.replica.leader is not None
-        if is_led and not self._is_handed_over:
-            self._is_handed_over = True
-            self._stop_at = min(self._stop_at, now + ANSWER_LINGER_S)
-        if now < self._stop_at:
-            return []
-        effects = self._give_up(max(self._pending, default=0))
-        held, self._held = self._held, []
-        for entry in held:
-            effects.append(self._refuse(entry.origin, entry.change))
+    def _end(self) -> list[Effect]:
+        """Answer everybody who waits, and end."""
+        number = self.state.next_number
+        effects = self._waiting.give_up(number)
+        effects += self._waiting.refuse_held(number)
         return [*effects, Stopped()]
 
     def _handle_link(self, event: LinkMessage, now: float) -> list[Effect]:
         message = event.message
         if isinstance(message, REPLICA_REQUESTS + REPLICA_REPLIES):
             if isinstance(message, REPLICA_REPLIES):
-                self._asked_at.pop(message.sender.name, None)
+                self._peers.note_answered(message.sender.name)
             return self._absorb(self.replica.handle(event, now), now)
         match message:
             case Heartbeat():
@@ -212,7 +162,7 @@
                     self.leases.hear(beat, now)
                 return [SendLink(event.peer, HeardReply(self.name))]
             case HeardReply(control=control):
-                self._asked_at.pop(control, None)
+                self._peers.note_answered(control)
                 return []
             case Subscribe():
                 return self._subscribe(event.peer, message, now)
@@ -249,7 +199,7 @@
             message, Subscribe | Leave | Change | StatusRequest
         ):
             self.counters["relayed"] += 1
-            return self._ask(leader.name, Relay(origin.peer, message), now)
+            return self._peers.ask(leader.name, Relay(origin.peer, message), now)
         match message:
             case Change():
                 return self._hold(origin, message, now)
@@ -297,7 +247,8 @@
         if not self.is_ready or not self.replica.is_accepting:
             return self._hold(origin, change, now)
         entry, effects = self.replica.propose(change, now)
-        self._pending[entry.index] = Held(origin, change, entry.term, now)
+        held = Held(origin, change, entry.term, now)
+        self._waiting.note_proposed(entry.index, held)
         return self._absorb(effects, now)
 
     def _propose(self, commands: list[Join | Expire], now: float) -> list[Effect]:
@@ -319,10 +270,11 @@
                     state = decode_state(snapshot.state)
                     assert state.view.version >= self.state.view.version
                     self.state = state
-                    rest += self._give_up(snapshot.index)
+                    number = state.next_number
+                    rest += self._waiting.give_up(number, snapshot.index)
                 case SendLink(peer=peer, message=message):
                     if isinstance(message, REPLICA_REQUESTS):
-                        self._asked_at.setdefault(peer, now)
+                        self._peers.note_asked(peer, now)
                     rest.append(effect)
                 case _:
                     rest.append(effect)
@@ -332,7 +284,7 @@
         version = self.state.view.version
         self.state, reply = apply_command(self.state, entry.index, entry.command)
         assert self.state.view.version >= version, "versions only go up"
-        held = self._pending.pop(entry.index, None)
+        held = self._waiting.pop_proposed(entry.index)
         if held is None:
             return []
         if held.term != entry.term or reply is None:
@@ -347,34 +299,11 @@
             )
         return effects
 
-    def _give_up(self, index: int) -> list[Effect]:
-        """Tell that the outcome of changes up to an index is not known here."""
-        effects: list[Effect] = []
-        for held_index, held in list(self._pending.items()):
-            if held_index > index:
-                continue
-            del self._pending[held_index]
-            effects.append(self._refuse(held.origin, held.change))
-        return effects
-
     def _refuse(self, origin: Origin, change: Change) -> SendLink:
-        """Answer that the outcome is not known: the change is asked again."""
-        self.counters["changes_unavailable"] += 1
-        reply = ChangeReply(
-            change.number,
-            ChangeStatus.UNAVAILABLE,
-            0,
-            "",
-            [],
-            self.state.next_number,
-        )
-        return origin.answer(reply)
+        return self._waiting.refuse(origin, change, self.state.next_number)
 
     def _hold(self, origin: Origin, change: Change, now: float) -> list[Effect]:
-        if len(self._held) >= MAX_HELD:
-            return [self._refuse(origin, change)]
-        self._held.append(Held(origin, change, 0, now + HOLD_TIMEOUT_S))
-        return []
+        return self._waiting.hold(origin, change, self.state.next_number, now)
 
     def _follow_lead(self, now: float) -> list[Effect]:
         """Act on a change of the leader, and release what waited for one."""
@@ -382,19 +311,19 @@
         term = self.replica.term if self.replica.is_leader else 0
         if term != self._leading_term:
             self._leading_term = term
-            effects += self._give_up(max(self._pending, default=0))
+            effects += self._waiting.give_up(self.state.next_number)
             self.leases.reset(self.state.view, now)
         ready = self.replica.leader is not None
         if term:
             ready = self.is_ready and self.replica.is_accepting
-        if self._held and ready:
-            held, self._held = self._held, []
-            for entry in held:
-                if not term and entry.origin.via is not None:
-                    # Handed on twice, its answer would not find back.
-                    effects.append(self._refuse(entry.origin, entry.change))
-                    continue
-                effects += self._take(entry.origin, entry.change, now)
+        if not ready or not self._waiting.has_held:
+            return effects
+        for held in self._waiting.take_held():
+            if not term and held.origin.via is not None:
+                # Handed on twice, its answer would not find back.
+                effects.append(self._refuse(held.origin, held.change))
+                continue
+            effects += self._take(held.origin, held.change, now)
         return effects
 
     def _compact(self, now: float) -> list[Effect]:
@@ -408,11 +337,8 @@
         return self._absorb(effects, now)
 
     def _tick(self, now: float) -> list[Effect]:
-        effects = self._replace_silent(now)
-        for held in list(self._held):
-            if now >= held.until:
-                self._held.remove(held)
-                effects.append(self._refuse(held.origin, held.change))
+        effects = self._peers.replace_silent(now)
+        effects += self._waiting.refuse_late(self.state.next_number, now)
         if self.replica.is_accepting:
             joins = self.leases.list_joins(self.state.view)
             effects += self._propose(joins, now)
@@ -429,7 +355,8 @@
         if not self.replica.is_accepting:
             return []
         view = self.state.view
-        effects = self._note_isolation(now)
+        effects: list[Effect] = list(self.leases.note_isolation(now))
+        self.counters.update(effect.kind for effect in effects)
         self.leases.drop_gone(view, now)
         expired = self.leases.list_expired(view, self.state.index, now)
         effects += self._propose(expired, now)
@@ -437,17 +364,6 @@
             effects.append(TimelineEvent("lease_expired", peer=command.identity.name))
         return effects
 
-    def _note_isolation(self, now: float) -> list[Effect]:
-        """Tell when the last process has gone silent, and when one is heard."""
-        is_isolated = self.leases.is_isolated(now) and bool(self.leases.held)
-        if is_isolated == self._is_isolated:
-            return []
-        self._is_isolated = is_isolated
-        kind = "processes_silent" if is_isolated else "processes_heard"
-        self.counters[kind] += 1
-        detail = f"{len(self.leases.held)} leases"
-        return [TimelineEvent(kind, detail=detail)]
-
     def _report(self, now: float) -> list[Effect]:
         """Tell the leader who was heard and who is not yet a member."""
         unjoined = self.registry.list_unjoined(self.state.view)
@@ -459,24 +375,9 @@
         if leader is None:
             return []
         heard = self.registry.list_heard(now)
-        effects = self._ask(leader.name, HeardReport(self.name, heard), now)
+        effects = self._peers.ask(leader.name, HeardReport(self.name, heard), now)
         for message in unjoined:
-            effects += self._ask(leader.name, Relay("", message), now)
-        return effects
-
-    def _ask(self, name: str, message: ControlMessage, now: float) -> list[Effect]:
-        self._asked_at.setdefault(name, now)
-        return [SendLink(name, message)]
-
-    def _replace_silent(self, now: float) -> list[Effect]:
-        """Replace links to control hosts that bring no answers."""
-        effects: list[Effect] = []
-        for name, asked_at in list(self._asked_at.items()):
-            if now - asked_at < LINK_SILENCE_TIMEOUT_S:
-                continue
-            self._asked_at[name] = now
-            self.counters["links_replaced"] += 1
-            effects.append(ReplaceLink(name))
+            effects += self._peers.ask(leader.name, Relay("", message), now)
         return effects
 
     def _describe(self, now: float) -> StatusReply:
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -23,6 +23,7 @@
     ProcessStatus,
     SendLink,
     Subscribe,
+    TimelineEvent,
 )
 from fulmarshore.membership.view import View, get_key, make_delta
 
@@ -197,6 +198,7 @@
         self.held: dict[str, Lease] = {}
         self.wanted: dict[tuple[str, str], Subscribe] = {}
         self._proposed: dict[str, int] = {}
+        self._is_told_isolated = False
 
     def reset(self, view: View, now: float) -> None:
         """Give every member a full lease, as a new leader does."""
@@ -224,6 +226,15 @@
         """Return whether no process has been heard for long."""
         return now - self.heard_at >= ISOLATION_TIMEOUT_S
 
+    def note_isolation(self, now: float) -> list[TimelineEvent]:
+        """Tell when the last process has gone silent, and when one is heard."""
+        is_isolated = self.is_isolated(now) and bool(self.held)
+        if is_isolated == self._is_told_isolated:
+            return []
+        self._is_told_isolated = is_isolated
+        kind = "processes_silent" if is_isolated else "processes_heard"
+        return [TimelineEvent(kind, detail=f"{len(self.held)} leases")]
+
     def _renew_all(self, now: float) -> None:
         for lease in self.held.values():
             lease.heard_at = now
