--- a/fulmarshore/adapters/metrics.py
+++ b/fulmarshore/adapters/metrics.py
@@ -70,6 +70,7 @@
     "runs_unknown": "Requests whose end the executor did not see.",
     "retries": "Hand-overs repeated by the home.",
     "slots_closed": "Slots freed by closing the connection to a silent upstream.",
+    "region_refused": "Processes and control hosts of other regions refused.",
     "deltas_applied": "Newer views taken into force.",
     "control_moves": "Moves to another control host.",
     "local_ports_taken": "Flows whose former local port another socket has.",
--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -69,13 +69,17 @@
         return
     replica.joined_at = now
     for peer in replica.peers:
-        request = JoinRequest(replica.group, replica.identity, replica.bootstrap)
+        request = JoinRequest(
+            replica.group, replica.identity, replica.bootstrap, replica.region
+        )
         replica.emit(SendLink(peer, request))
 
 
 def answer_join(replica: Replica, peer: str, request: JoinRequest, now: float) -> None:
     """Take in a learner, and tell it which group there is."""
-    reply = JoinReply(replica.group, replica.identity, replica.bootstrap)
+    reply = JoinReply(
+        replica.group, replica.identity, replica.bootstrap, replica.region
+    )
     replica.emit(SendLink(peer, reply))
     if not replica.is_leader or request.group not in ("", replica.group):
         return
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -66,6 +66,8 @@
         Source of the election timeouts.
     bootstrap : bool
         Start the group if no peer belongs to one.
+    region : str
+        Name of the region; empty where it is not told.
     """
 
     def __init__(
@@ -74,8 +76,10 @@
         peers: list[str],
         random: Random,
         bootstrap: bool = False,
+        region: str = "",
     ) -> None:
         self.identity = recovered.replica
+        self.region = region
         self.peers = list(peers)
         self.random = random
         self.bootstrap = bootstrap and not recovered.term_vote.group
--- a/fulmarshore/commands/daemons.py
+++ b/fulmarshore/commands/daemons.py
@@ -26,6 +26,12 @@
     options = [
         click.option("--name", type=NAME, required=True, help="Name of this host."),
         click.option("--zone", type=NAME, required=True, help="Availability zone."),
+        click.option(
+            "--region",
+            type=NAME,
+            callback=_fill_region,
+            help="Region; control hosts and processes of another one are refused.",
+        ),
         click.option("--metrics", type=ADDRESS, help="Where metrics are served."),
         click.option("--seed", type=int, help="Seed of random choices."),
         click.option(
@@ -45,6 +51,11 @@
     return command
 
 
+def _fill_region(ctx: click.Context, param: click.Parameter, value: str | None) -> str:
+    """Return the region; empty where none is named."""
+    return value or ""
+
+
 def _secure(daemon: Daemon) -> None:
     """Read the keys; without them nothing may be open to strangers."""
     if daemon.settings.keys is None:
--- a/fulmarshore/commands/operators.py
+++ b/fulmarshore/commands/operators.py
@@ -209,6 +209,7 @@
     tables = list_tables(overview)
     if as_json:
         described: dict[str, Any] = {
+            "region": overview.region,
             "version": version,
             "stale": stale,
             "silent": list(overview.silent),
@@ -219,6 +220,8 @@
             described[name.replace(" ", "_")] = table
         print_json(described)
         return
+    if overview.region:
+        click.echo(f"region {overview.region}\n")
     for name, rows in tables.items():
         if not rows:
             continue
--- a/fulmarshore/commands/overview.py
+++ b/fulmarshore/commands/overview.py
@@ -47,6 +47,11 @@
     silent: tuple[str, ...]
     processes: dict[str, ProcessStatus]
 
+    @property
+    def region(self) -> str:
+        """Name of the region, as the control hosts tell it; may be empty."""
+        return next((reply.region for reply in self.replies if reply.region), "")
+
     def list_stale(self, version: int) -> list[str]:
         """Return live processes that are not known to have a version in force."""
         stale = []
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1005,13 +1005,33 @@
     """Announces a process and asks for everything after a version.
 
     ``revision`` grows with every announcement of one life of a process, so
-    that a late copy of an earlier one is told apart.
+    that a late copy of an earlier one is told apart. ``region`` is the region
+    that the process takes itself to be in; empty where it is not told.
     """
 
     identity: Identity
     announcement: Announcement
     version: int
     revision: int = 0
+    region: str = ""
+
+
+class RegionRefused(Record, frozen=True):
+    """Control's answer to a process of another region.
+
+    Parameters
+    ----------
+    control : str
+        Name of the control host.
+    region : str
+        The region that the process named.
+    allowed : str
+        The region of the control host.
+    """
+
+    control: str
+    region: str
+    allowed: str
 
 
 class Heartbeat(Record, frozen=True):
@@ -1220,6 +1240,7 @@
     term: int = 0
     commit: int = 0
     replicas: list[ReplicaStatus] = []
+    region: str = ""
 
 
 # --------------------------------------------------------------------------
@@ -1331,6 +1352,7 @@
     group: str
     sender: ReplicaId
     bootstrap: bool
+    region: str = ""
 
 
 class JoinReply(Record, frozen=True):
@@ -1339,6 +1361,7 @@
     group: str
     sender: ReplicaId
     bootstrap: bool
+    region: str = ""
 
 
 class Relay(Record, frozen=True):
@@ -1346,6 +1369,7 @@
 
     peer: str
     message: Subscribe | Leave | Change | StatusRequest
+    region: str = ""
 
 
 class RelayReply(Record, frozen=True):
@@ -1360,6 +1384,7 @@
 
     control: str
     heard: list[Heartbeat]
+    region: str = ""
 
 
 class HeardReply(Record, frozen=True):
@@ -1424,6 +1449,7 @@
     HeardReply,
     HistoryRequest,
     HistoryReply,
+    RegionRefused,
 ]
 
 
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -116,7 +116,8 @@
             stream_port=self._listener.address.port,
         )
         controls = [format_link(address) for address in settings.controls]
-        subscriber = Subscriber(identity, announcement, controls, self.random)
+        region = settings.region
+        subscriber = Subscriber(identity, announcement, controls, self.random, region)
         self.core = AgentCore(subscriber)
         self._streams = AgentStreams(
             self.core,
--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -88,7 +88,9 @@
             if refused is not None:
                 return refused
             recovered = self._recover()
-        replica = Replica(recovered, list(settings.peers), self.random, bootstrap)
+        replica = Replica(
+            recovered, list(settings.peers), self.random, bootstrap, settings.region
+        )
         self._notices.append(describe_log(replica))
         if settings.recover is not None and settings.recover == replica.group:
             recover_alone(replica)
@@ -166,6 +168,7 @@
         return {
             "version": self.core.state.view.version,
             "subscribers": len(self.core.registry.subscriptions),
+            "subscribers_without_region": self.core.registry.count_without_region(),
             "term": replica.term,
             "commit": replica.commit,
             "leader": int(replica.is_leader),
--- a/fulmarshore/daemons/entry.py
+++ b/fulmarshore/daemons/entry.py
@@ -120,7 +120,8 @@
             identity.name, identity.incarnation, self.settings.zone, *data
         )
         controls = [format_link(address) for address in self.settings.controls]
-        subscriber = Subscriber(identity, announcement, controls, self.random)
+        region = self.settings.region
+        subscriber = Subscriber(identity, announcement, controls, self.random, region)
         self.core = EntryCore(subscriber)
         self._streams = CallerStreams(
             self.core, self.dispatch, self.counters, self._is_direct, self.sealer
--- a/fulmarshore/daemons/process.py
+++ b/fulmarshore/daemons/process.py
@@ -58,6 +58,8 @@
     ----------
     name, zone : str
         Name of the host and its availability zone.
+    region : str
+        Name of the region; empty joins whichever the control hosts are in.
     controls : tuple of Address
         The control hosts' link addresses.
     metrics : Address or None
@@ -72,6 +74,7 @@
 
     name: str
     zone: str
+    region: str = ""
     controls: tuple[Address, ...]
     metrics: Address | None = None
     seed: int | None = None
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -50,6 +50,7 @@
     TimelineEvent,
 )
 from fulmarshore.membership.peers import ControlPeers
+from fulmarshore.membership.regions import RegionGuard
 from fulmarshore.membership.registry import Leases, Registry
 from fulmarshore.membership.replicas import describe_replicas
 from fulmarshore.membership.stopping import PlannedStop
@@ -92,6 +93,7 @@
         self.counters: Counter[str] = Counter()
         self._waiting = WaitingChanges(self.counters)
         self._peers = ControlPeers(self.counters)
+        self._guard = RegionGuard(name, self.replica.region, self.counters)
         self._stop = PlannedStop(self.replica, STOP_TIMEOUT_S)
         self.required_voters = (len(self.replica.peers) + 1) // 2 + 1
         self._leading_term = 0
@@ -106,6 +108,11 @@
         """
         return self.replica.freshness if self.is_ready else Freshness(0, 0)
 
+    @property
+    def region(self) -> str:
+        """Name of the region; empty where it is not told."""
+        return self._guard.region
+
     @property
     def is_ready(self) -> bool:
         """Whether enough disks vote for a change to be accepted."""
@@ -146,6 +153,9 @@
 
     def _handle_link(self, event: LinkMessage, now: float) -> list[Effect]:
         message = event.message
+        refused = self._guard.judge(event)
+        if refused is not None:
+            return refused
         if isinstance(message, REPLICA_REQUESTS + REPLICA_REPLIES):
             if isinstance(message, REPLICA_REPLIES):
                 self._peers.note_answered(message.sender.name)
@@ -199,7 +209,8 @@
             message, Subscribe | Leave | Change | StatusRequest
         ):
             self.counters["relayed"] += 1
-            return self._peers.ask(leader.name, Relay(origin.peer, message), now)
+            relay = Relay(origin.peer, message, self.region)
+            return self._peers.ask(leader.name, relay, now)
         match message:
             case Change():
                 return self._hold(origin, message, now)
@@ -375,9 +386,11 @@
         if leader is None:
             return []
         heard = self.registry.list_heard(now)
-        effects = self._peers.ask(leader.name, HeardReport(self.name, heard), now)
+        report = HeardReport(self.name, heard, self.region)
+        effects = self._peers.ask(leader.name, report, now)
         for message in unjoined:
-            effects += self._peers.ask(leader.name, Relay("", message), now)
+            relay = Relay("", message, self.region)
+            effects += self._peers.ask(leader.name, relay, now)
         return effects
 
     def _describe(self, now: float) -> StatusReply:
@@ -395,6 +408,7 @@
             self.replica.term,
             self.replica.commit,
             describe_replicas(self.replica, now),
+            self.region,
         )
 
 
--- /dev/null
+++ b/fulmarshore/membership/regions_test.py
@@ -0,0 +1,204 @@
+"""Processes and control hosts that a wrong address leads to another region."""
+
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+import msgspec
+
+from fulmarshore.agreement.joining import BOOTSTRAP_WAIT_S
+from fulmarshore.agreement.replica import Replica
+from fulmarshore.core.codec import decode_control, encode
+from fulmarshore.core.records import (
+    Change,
+    ChangeStatus,
+    HeardReport,
+    Heartbeat,
+    Identity,
+    JoinReply,
+    LinkMessage,
+    LogBase,
+    Member,
+    Recovered,
+    Relay,
+    ReplicaId,
+    Subscribe,
+    TermVote,
+    Tick,
+    Zone,
+)
+from fulmarshore.membership.control import ControlCore
+from fulmarshore.membership.regions import MAX_TOLD, RegionGuard
+from fulmarshore.membership.registry import LEASE_S
+from fulmarshore.membership.subscriber import Subscriber
+from fulmarshore.standins.region import Region
+
+JOIN_BOUND_S = 3.0
+OWN, OTHER = "khomas", "accra"
+MEMBER = Member("m", 1, "s", "a", "m", 1)
+
+
+class Process:
+    """A subscriber alone in its process, and what it told of."""
+
+    def __init__(self, controls, region, member=MEMBER):
+        identity = Identity(member.name, member.incarnation)
+        self.subscriber = Subscriber(identity, member, controls, Random(1), region)
+
+    def handle(self, event, now):
+        if isinstance(event, Tick):
+            return self.subscriber.tick(now)
+        return self.subscriber.handle(event, now)
+
+
+class Listener:
+    """Keeps the answers that it gets."""
+
+    def __init__(self):
+        self.answers = []
+
+    def handle(self, event, now):
+        if isinstance(event, LinkMessage):
+            self.answers.append(event.message)
+        return []
+
+
+def list_told(region, name):
+    """Return what a node told about refusals."""
+    told = []
+    for _, node, effect in region.network.outbox:
+        if node == name and getattr(effect, "kind", "") == "region_refused":
+            told.append((effect.peer, effect.detail))
+    return told
+
+
+class RegionsTest(TestCase):
+    def test_process_of_another_region_does_not_join(self):
+        cases = [
+            (OWN, OTHER, False),
+            (OWN, OWN, True),
+            (OWN, "", True),
+            ("", OWN, True),
+        ]
+        for named, stated, joins in cases:
+            with self.subTest(control=named, process=stated):
+                region = Region(1, region=named)
+                process = Process(region.names, stated)
+                region.network.add("m", process, observe=region._observe)
+                region.network.run(JOIN_BOUND_S)
+                self.assertEqual(process.subscriber.is_member, joins)
+                state = region.find_leader().state
+                self.assertEqual(("Member", "m") in state.view.items, joins)
+                refused = process.subscriber.counters["region_refused"]
+                self.assertEqual(refused > 0, not joins)
+                if joins:
+                    continue
+                allowed = f"--region {OTHER}: allowed is {OWN}"
+                for name in region.names:
+                    self.assertEqual(list_told(region, name), [("m", allowed)])
+                told = list_told(region, "m")
+                self.assertEqual(told, [(name, allowed) for name, _ in told])
+                self.assertEqual({name for name, _ in told}, set(region.names))
+                bound = JOIN_BOUND_S / 0.5 + 2 * len(region.names)
+                self.assertLessEqual(refused, bound, "it asks at its usual pace")
+
+    def test_one_wrong_address_costs_no_membership(self):
+        region = Region(1, region=OWN)
+        other = Region(2, network=region.network, region=OTHER, prefix="d")
+        process = Process(["d0", *region.names], OWN)
+        region.network.add("m", process, observe=region._observe)
+        for cut in (*region.names, ""):
+            region.network.run(JOIN_BOUND_S)
+            self.assertTrue(process.subscriber.is_member)
+            self.assertNotIn(("Member", "m"), other.find_leader().state.view.items)
+            region.network.heal()
+            if cut:
+                region.network.part([cut], ["m"])
+        # It keeps its one membership, wherever it had to look for control.
+        region.network.run(LEASE_S)
+        held = region.find_leader().state.view.items[("Member", "m")]
+        self.assertEqual(held.item, MEMBER)
+
+    def test_control_host_of_another_region_gets_no_vote(self):
+        for stated, votes in ((OTHER, False), (OWN, True), ("", True)):
+            with self.subTest(stated):
+                region = Region(1, region=OWN)
+                leader = region.find_leader().name
+                name = next(name for name in region.names if name != leader)
+                region.crash(name)
+                region.disks[name].wipe()
+                region.region = stated
+                region.start(name)
+                region.network.run(3 * JOIN_BOUND_S)
+                new = region.get(name).replica.identity
+                voters = region.find_leader().replica.current_voters
+                self.assertEqual(new in voters, votes)
+                told = f"--region {OTHER}: allowed is {OWN}"
+                self.assertEqual((name, told) in list_told(region, leader), not votes)
+
+    def test_first_start_does_not_wait_for_the_group_of_another_region(self):
+        for stated, starts in ((OTHER, True), (OWN, False), ("", False)):
+            with self.subTest(stated):
+                disk = ReplicaId("c0", "d")
+                vote = TermVote("", 0, None)
+                new = Recovered(disk, 0, vote, LogBase(0, 0), None, [], 0)
+                replica = Replica(new, ["c1"], Random(1), True, OWN)
+                core = ControlCore("c0", replica)
+                core.handle(Tick(), 0.0)
+                reply = JoinReply("g", ReplicaId("c1", "x"), False, stated)
+                core.handle(LinkMessage("c1", reply), 0.1)
+                core.handle(Tick(), BOOTSTRAP_WAIT_S + 0.1)
+                self.assertEqual(bool(replica.group), starts)
+
+    def test_control_host_of_another_region_is_not_believed(self):
+        """A wrong ``--peer`` leads a whole region's messages to another leader."""
+        region = Region(1, region=OWN)
+        process = Process(region.names, OWN)
+        region.network.add("m", process)
+        alive = Member("alive", 1, "s", "a", "alive", 1)
+        region.network.add("alive", Process(region.names, OWN, alive))
+        region.network.add("rival", Listener())
+        region.network.run(JOIN_BOUND_S)
+        leader = region.find_leader()
+        number = leader.state.next_number
+        region.network.stop("m")
+        rival = Identity("rival-member", 1)
+        member = Member(rival.name, rival.incarnation, "s", "a", "rival", 1)
+        messages = [
+            Relay("op", Change(number, "op", [Zone("a", True)], []), OTHER),
+            Relay("", Subscribe(rival, member, 0, region=OTHER)),
+            Relay("", Subscribe(rival, member, 0), OTHER),
+            HeardReport("c1", [Heartbeat(process.subscriber.identity, 0)], OTHER),
+        ]
+        for _ in range(10):
+            for message in messages:
+                region.network.inject(leader.name, LinkMessage("rival", message))
+            region.network.run(LEASE_S / 5)
+        items = region.find_leader().state.view.items
+        expected = [("Member", "alive")]
+        self.assertEqual(list(items), expected, "nothing kept, changed or let in")
+        answer = region.network.nodes["rival"].core.answers[0].message
+        self.assertEqual(answer.status, ChangeStatus.INVALID)
+        self.assertEqual(answer.errors, [f"--region {OTHER}: allowed is {OWN}"])
+
+    def test_each_sender_is_told_of_once_and_memory_is_bounded(self):
+        counters = Counter()
+        guard = RegionGuard("c0", OWN, counters)
+        told = 0
+        for number in [*range(MAX_TOLD + 8), MAX_TOLD, MAX_TOLD]:
+            identity = Identity(f"m{number}", 1)
+            message = Subscribe(identity, MEMBER, 0, region=OTHER)
+            answer, *events = guard.judge(LinkMessage("p", message))
+            self.assertEqual(answer.message.allowed, OWN)
+            told += len(events)
+        self.assertEqual(told, MAX_TOLD + 8)
+        self.assertEqual(counters["region_refused"], MAX_TOLD + 10)
+        self.assertLessEqual(len(guard._told), MAX_TOLD)
+
+    def test_records_of_releases_before_and_after_are_read(self):
+        subscribe = Subscribe(Identity("m", 1), MEMBER, 3, 4, OWN)
+        fields = msgspec.msgpack.decode(encode(subscribe))
+        before = msgspec.msgpack.encode(fields[:-1])
+        after = msgspec.msgpack.encode([*fields, "later"])
+        self.assertEqual(decode_control(before, "p").region, "")
+        self.assertEqual(decode_control(after, "p"), subscribe)
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -155,6 +155,11 @@
             heard.append(Heartbeat(subscription.identity, subscription.version))
         return heard
 
+    def count_without_region(self) -> int:
+        """Return how many subscribers do not tell their region."""
+        held = self.subscriptions.values()
+        return sum(not subscription.subscribe.region for subscription in held)
+
     def list_processes(self, now: float) -> list[ProcessStatus]:
         """Return what is known about every subscriber of this host."""
         found = []
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -16,6 +16,7 @@
     Leave,
     LinkMessage,
     Outdated,
+    RegionRefused,
     ReplaceLink,
     SendLink,
     Subscribe,
@@ -23,6 +24,7 @@
 )
 from fulmarshore.core.stalls import StallGuard
 from fulmarshore.membership.changes import describe_delta
+from fulmarshore.membership.regions import describe_refusal
 from fulmarshore.membership.view import View, apply_delta, get_key
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -45,6 +47,8 @@
         Names of the links to the control hosts, in the order of preference.
     random : Random
         Source of the choice of the next control host.
+    region : str
+        Name of the region that the process is in; empty where it is not told.
     """
 
     def __init__(
@@ -53,10 +57,12 @@
         announcement: Announcement,
         controls: list[str],
         random: Random,
+        region: str = "",
     ) -> None:
         assert controls, "a subscriber needs a control host"
         self.identity = identity
         self.announcement = announcement
+        self.region = region
         self.view = View()
         self.counters: Counter[str] = Counter()
         self.lease_renewed = float("-inf")
@@ -67,6 +73,8 @@
         self._freshness = Freshness(0, 0)
         self._fresh_at = float("-inf")
         self._sent_at = float("-inf")
+        self._moved_at = float("-inf")
+        self._refused_by: set[str] = set()
         self._subscribed = False
         self._revision = 0
         self._is_confirmed = False
@@ -104,7 +112,7 @@
         if now - self._fresh_at > SILENCE_TIMEOUT_S:
             effects += self._move(now)
         interval = HEARTBEAT_INTERVAL_S
-        if not self._is_confirmed:
+        if not self._is_confirmed and self.control not in self._refused_by:
             interval = CONFIRM_INTERVAL_S
         if now - self._sent_at < interval:
             return effects
@@ -125,7 +133,10 @@
             case Delta() as delta:
                 return self.apply(delta, event.peer)
             case HeartbeatReply() as reply:
+                self._refused_by.discard(event.peer)
                 return self._take_reply(event.peer, reply, is_stale, now)
+            case RegionRefused() as refusal:
+                return self._take_refusal(event.peer, refusal, now)
         self.counters["unexpected_link_message"] += 1
         return []
 
@@ -167,6 +178,20 @@
             effects.append(self._subscribe())
         return effects
 
+    def _take_refusal(
+        self, peer: str, refusal: RegionRefused, now: float
+    ) -> list[Effect]:
+        """Leave a control host of another region, and tell so once."""
+        self.counters["region_refused"] += 1
+        effects: list[Effect] = []
+        if peer not in self._refused_by:
+            self._refused_by.add(peer)
+            event = describe_refusal(peer, refusal.region, refusal.allowed)
+            effects.append(event)
+        if peer != self.control or now - self._moved_at < HEARTBEAT_INTERVAL_S:
+            return effects
+        return effects + self._move(now)
+
     def _keep(self, delta: Delta) -> list[Effect]:
         """Keep the first snapshot until control is seen to be fresh.
 
@@ -188,7 +213,11 @@
 
     def _subscribe(self) -> SendLink:
         message = Subscribe(
-            self.identity, self.announcement, self.view.version, self._revision
+            self.identity,
+            self.announcement,
+            self.view.version,
+            self._revision,
+            self.region,
         )
         return SendLink(self.control, message)
 
@@ -201,6 +230,7 @@
             self._freshness = Freshness(0, 0)
             self._unconfirmed = None
         self._fresh_at = now
+        self._moved_at = now
         self._sent_at = float("-inf")
         self.counters["control_moves"] += 1
         return [
--- a/fulmarshore/standins/cluster.py
+++ b/fulmarshore/standins/cluster.py
@@ -66,13 +66,14 @@
             security = load_security(self.keys, KeyRole.OPERATOR, OPERATOR)
         return Controls(self.controls, OPERATOR, security)
 
-    async def start_control(self) -> None:
+    async def start_control(self, *more: str) -> None:
         """Start the control host."""
         await self.processes.start(
             "control",
             *("control", "--name", "control", "--zone", ZONE),
             *("--listen", format_address(self.controls[0])),
             *self._list_key_flags(),
+            *more,
         )
 
     async def start_entry(
--- a/fulmarshore/standins/region.py
+++ b/fulmarshore/standins/region.py
@@ -125,6 +125,10 @@
         So many hosts start at first; None starts all and waits for them.
     network : FakeNetwork or None
         Where the hosts are; None makes one.
+    region : str
+        Name of the region.
+    prefix : str
+        What the names of the hosts begin with.
     """
 
     def __init__(
@@ -135,11 +139,14 @@
         snapshot_entries: int = SNAPSHOT_ENTRIES,
         running: int | None = None,
         network: FakeNetwork | None = None,
+        region: str = "",
+        prefix: str = "c",
     ) -> None:
+        self.region = region
         self.snapshot_entries = snapshot_entries
         self.network = network or FakeNetwork(seed, faults, TICK_INTERVAL_S)
         self.random = Random(seed)
-        self.names = [f"c{number}" for number in range(hosts)]
+        self.names = [f"{prefix}{number}" for number in range(hosts)]
         self.disks = {name: FakeDisk(name, self.random) for name in self.names}
         self.operators: list[Operator] = []
         self.leaders: dict[int, ReplicaId] = {}
@@ -180,7 +187,7 @@
             disk.wipe()
             recovered = self._make_new(name)
         peers = [peer for peer in self.names if peer != name]
-        replica = Replica(recovered, peers, self.random, bootstrap)
+        replica = Replica(recovered, peers, self.random, bootstrap, self.region)
         if recover:
             recover_alone(replica)
         replica.chunk_bytes = CHUNK_BYTES
