One command changes several regions and says which of them took it

Ruled out: agreement over regions (not accepted while one is cut off), a log for all regions, asking in turn (6 s for each silent one).

--- a/fulmarshore/adapters/parameters.py
+++ b/fulmarshore/adapters/parameters.py
@@ -95,6 +95,34 @@
         )
 
 
+class NamedRegion(NamedTuple):
+    """A region's name and the link addresses of its control hosts."""
+
+    name: str
+    addresses: tuple[Address, ...]
+
+
+class RegionType(click.ParamType):
+    """``NAME=HOST:PORT,HOST:PORT`` with numeric IP addresses."""
+
+    name = "name=host:port,..."
+
+    def convert(
+        self,
+        value: str | NamedRegion,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> NamedRegion:
+        """Return the region or fail with what is allowed."""
+        if isinstance(value, NamedRegion):
+            return value
+        name, _, listed = value.partition("=")
+        addresses = []
+        for address in listed.split(","):
+            addresses.append(ADDRESS.convert(address, param, ctx))
+        return NamedRegion(NAME.convert(name, param, ctx), tuple(addresses))
+
+
 def parse_address(text: str) -> Address | None:
     """Parse ``HOST:PORT``; None where it is no numeric IP address and port."""
     host, _, port = text.rpartition(":")
@@ -112,3 +140,4 @@
 HOST = HostType()
 NAME = NameType()
 PEER = PeerType()
+REGION = RegionType()
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -17,6 +17,7 @@
 from fulmarshore.bench import flows as flows_bench
 from fulmarshore.bench import forward as forward_bench
 from fulmarshore.bench import once as once_bench
+from fulmarshore.bench import regions as regions_bench
 from fulmarshore.bench import sealing as sealing_bench
 from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
@@ -146,6 +147,13 @@
     show_report(once_bench.run(seed, requests, fault_interval), as_json)
 
 
+@bench.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def regions(as_json: bool) -> None:
+    """Measure one command over several regions, one of them silent."""
+    show_report(regions_bench.run(), as_json)
+
+
 @bench.command()
 @click.option("--seed", type=int, default=1)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- a/fulmarshore/commands/declarations.py
+++ b/fulmarshore/commands/declarations.py
@@ -1,8 +1,10 @@
 """Declarations in TOML files kept under version control.
 
 A file holds ``[[profile]]``, ``[[service]]`` and ``[[zone]]`` tables, whose
-keys are the fields of the records. A folder is read as all its ``*.toml``
-files together. Every error is reported, not only the first one.
+keys are the fields of the records. A line ``region = "NAME"`` before them makes
+the file one of that region; other files belong to every region. A folder is
+read as all its ``*.toml`` files together. Every error is reported, not only
+the first one.
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 
 import msgspec
 
+from fulmarshore.adapters.parameters import NAME_PATTERN
 from fulmarshore.agreement.validation import check_change
 from fulmarshore.core.records import (
     Change,
@@ -57,9 +60,18 @@
     stateless_zones: frozenset[str]
 
 
-def load_declarations(paths: list[Path]) -> tuple[Declarations, list[InvalidItem]]:
+def load_declarations(
+    paths: list[Path], region: str | None = None
+) -> tuple[Declarations, list[InvalidItem]]:
     """Read files, or folders of files.
 
+    Parameters
+    ----------
+    paths : list of Path
+        The files and folders.
+    region : str, optional
+        Only files of this region and those that name none; None takes all.
+
     Returns
     -------
     declarations : Declarations
@@ -74,6 +86,10 @@
     for path in files:
         document, found = _read_document(path)
         errors += found
+        stated, found = _pop_region(path, document)
+        errors += found
+        if region is not None and stated not in ("", region):
+            continue
         for label, table, fields in _list_tables(document):
             if table is None:
                 errors.append(_describe_stray(path, label, fields))
@@ -94,6 +110,17 @@
     return Declarations(tuple(items), sources, frozenset(stateless)), errors
 
 
+def list_file_regions(paths: list[Path]) -> dict[str, str]:
+    """Return the regions that files name, each with its first file."""
+    regions: dict[str, str] = {}
+    for path in _list_files(paths)[0]:
+        document, _ = _read_document(path)
+        stated, _ = _pop_region(path, document)
+        if stated:
+            regions.setdefault(stated, str(path))
+    return regions
+
+
 def check_declarations(declarations: Declarations) -> list[InvalidItem]:
     """Return what control would refuse, were nothing else in force.
 
@@ -149,6 +176,15 @@
         return {}, [_error(path, "file", "content", str(error), "valid TOML")]
 
 
+def _pop_region(path: Path, document: dict[str, Any]) -> tuple[str, list[InvalidItem]]:
+    """Take the region out of a document; empty where it names none."""
+    stated = document.pop("region", "")
+    if stated == "" or (isinstance(stated, str) and NAME_PATTERN.match(stated)):
+        return stated, []
+    allowed = "lower-case letters, digits and '-', at most 63"
+    return "", [_error(path, "file", "region", _shorten(stated), allowed)]
+
+
 def _list_tables(document: dict[str, Any]) -> list[tuple[str, str | None, Any]]:
     """Return label, table name and fields; no table name for what is unknown."""
     found: list[tuple[str, str | None, Any]] = []
--- a/fulmarshore/commands/operator.py
+++ b/fulmarshore/commands/operator.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import zmq
 
 from fulmarshore.adapters.links import enable_family, format_endpoint
 from fulmarshore.adapters.security import LinkSecurity
+from fulmarshore.core.addresses import format_address
 from fulmarshore.core.codec import decode_control, encode
 from fulmarshore.core.records import (
     Address,
@@ -42,20 +44,33 @@
         Who asks.
     security : LinkSecurity, optional
         The operator's key.
+    region : str
+        Name of their region; empty where it is not told.
     """
 
-    __slots__ = ("addresses", "operator", "security")
+    __slots__ = ("addresses", "operator", "security", "region")
 
     def __init__(
         self,
         addresses: list[Address],
         operator: str = "",
         security: LinkSecurity | None = None,
+        region: str = "",
     ) -> None:
         self.addresses = addresses
+        self.region = region
         self.operator = operator
         self.security = security
 
+    def without(self, silent: Iterable[str]) -> Controls:
+        """Return them without those that did not answer, if any did.
+
+        Whoever has not told its region is sent no change.
+        """
+        left = [held for held in self.addresses if format_address(held) not in silent]
+        held = left or self.addresses
+        return Controls(held, self.operator, self.security, self.region)
+
     def connect(self, context: zmq.Context, address: Address) -> zmq.Socket:
         """Return a socket on its way to a control host."""
         sock = context.socket(zmq.DEALER)
@@ -101,7 +116,7 @@
             return reply
     finally:
         context.destroy(linger=0)
-    peers = ", ".join(f"{address.host}:{address.port}" for address in addresses)
+    peers = ", ".join(format_address(address) for address in addresses)
     return NoAnswer("ask", peers, ASK_ATTEMPTS)
 
 
@@ -136,15 +151,16 @@
             sock = reached.connect(context, address)
             sock.send(encode(StatusRequest(own=True)))
             poller.register(sock, zmq.POLLIN)
-            waiting[sock] = f"{address.host}:{address.port}"
+            waiting[sock] = format_address(address)
         while waiting and time.monotonic() < until:
             left_ms = max(0.0, (until - time.monotonic()) * 1000)
             for sock, _ in poller.poll(left_ms):
                 poller.unregister(sock)
-                peer = waiting.pop(sock)
-                reply = decode_control(sock.recv_multipart()[-1], peer)
-                if isinstance(reply, StatusReply):
-                    replies.append(reply)
+                reply = decode_control(sock.recv_multipart()[-1], waiting[sock])
+                if not isinstance(reply, StatusReply):
+                    continue
+                del waiting[sock]
+                replies.append(reply)
     finally:
         context.destroy(linger=0)
     return replies, sorted(waiting.values())
--- a/fulmarshore/commands/options.py
+++ b/fulmarshore/commands/options.py
@@ -11,15 +11,17 @@
 from typing import Any, NoReturn
 
 import click
+from click.core import ParameterSource
 from tabulate import tabulate
 
 from fulmarshore.adapters.keys import KeyFolder, KeyProblem, format_owner
-from fulmarshore.adapters.parameters import ADDRESS
+from fulmarshore.adapters.parameters import ADDRESS, NAME, REGION, NamedRegion
 from fulmarshore.adapters.security import find_exposed, load_security
 from fulmarshore.commands.declarations import format_error
 from fulmarshore.commands.operator import Controls
 from fulmarshore.core.records import Address, InvalidItem, KeyRole
 
+EXIT_DONE = 0
 EXIT_DIFFERS = 1
 """Accepted or in force, but not what the files or the operator asked for."""
 EXIT_INVALID = 2
@@ -30,6 +32,8 @@
 """No control host answered; the change may or may not be accepted."""
 EXIT_NOT_IN_FORCE = 5
 """Accepted, but not in force at every live process within the time given."""
+EXIT_PARTIAL = 6
+"""Done in some of the regions and not in others; the table says where."""
 
 DEFAULT_CONTROL = Address("127.0.0.1", 7100)
 
@@ -37,7 +41,10 @@
 
 
 def add_control(command: Command) -> Command:
-    """Add ``--control`` and ``--json``."""
+    """Add ``--control``, ``--region``, ``--keys``, ``--operator`` and ``--json``.
+
+    The command gets the control hosts of each region as ``regions``.
+    """
     options = [
         click.option(
             "--control",
@@ -49,6 +56,20 @@
             envvar="FULMARSHORE_CONTROL",
             help="Link address of a control host; repeat for each.",
         ),
+        click.option(
+            "--region",
+            "named",
+            type=REGION,
+            multiple=True,
+            envvar="FULMARSHORE_REGIONS",
+            help="A region and its control hosts, in place of --control; repeat.",
+        ),
+        click.option(
+            "--only",
+            type=NAME,
+            multiple=True,
+            help="Of the regions, only this one; repeat.",
+        ),
         click.option(
             "--keys",
             "keys_folder",
@@ -69,29 +90,64 @@
 
 
 def _join_controls(command: Command) -> Command:
-    """Give the command one object in place of addresses, keys and operator."""
+    """Give the command one object for each region in place of the flags."""
 
     @functools.wraps(command)
     def run(
         controls: tuple[Address, ...],
+        named: tuple[NamedRegion, ...],
+        only: tuple[str, ...],
         keys_folder: Path | None,
         operator: str,
         **options: Any,
     ) -> None:
-        return command(
-            controls=open_controls(list(controls), keys_folder, operator), **options
-        )
+        regions = []
+        for region in _choose_regions(controls, named, only):
+            addresses = list(region.addresses)
+            regions.append(open_controls(addresses, keys_folder, operator, region.name))
+        return command(regions=regions, **options)
 
     return run
 
 
+def _choose_regions(
+    controls: tuple[Address, ...],
+    named: tuple[NamedRegion, ...],
+    only: tuple[str, ...],
+) -> list[NamedRegion]:
+    """Return the regions that the flags ask for; a flag goes before a variable."""
+    if _is_flag("controls") and _is_flag("named"):
+        raise click.UsageError("--control and --region: allowed is one of them")
+    if not named or _is_flag("controls"):
+        if only:
+            raise click.UsageError("--only: allowed only with --region")
+        return [NamedRegion("", controls)]
+    names = [region.name for region in named]
+    for name in names:
+        if names.count(name) > 1:
+            raise click.UsageError(f"--region {name}: allowed is each name once")
+    for name in only:
+        if name not in names:
+            raise click.UsageError(f"--only {name}: allowed is {', '.join(names)}")
+    return [region for region in named if not only or region.name in only]
+
+
+def _is_flag(name: str) -> bool:
+    """Return whether a value was given on the command line itself."""
+    source = click.get_current_context().get_parameter_source(name)
+    return source == ParameterSource.COMMANDLINE
+
+
 def open_controls(
-    addresses: list[Address], keys_folder: Path | None, operator: str
+    addresses: list[Address],
+    keys_folder: Path | None,
+    operator: str,
+    region: str = "",
 ) -> Controls:
     """Return the control hosts, with the operator's key where there are keys."""
     if keys_folder is None:
         refuse_exposed(addresses)
-        return Controls(addresses, operator)
+        return Controls(addresses, operator, region=region)
     security = load_security(KeyFolder(keys_folder), KeyRole.OPERATOR, operator)
     if isinstance(security, KeyProblem):
         raise click.BadParameter(str(security), param_hint="--keys")
@@ -99,7 +155,7 @@
         public = security.folder.read_public(KeyRole.CONTROL, format_owner(address))
         if isinstance(public, KeyProblem):
             raise click.BadParameter(str(public), param_hint="--keys")
-    return Controls(addresses, operator, security)
+    return Controls(addresses, operator, security, region)
 
 
 def refuse_exposed(addresses: list[Address]) -> None:
--- a/fulmarshore/commands/overview.py
+++ b/fulmarshore/commands/overview.py
@@ -24,6 +24,16 @@
     "entry hosts": ("name", "zone", "address", "version", "heard"),
     "upstreams": ("name", "service", "zone", "address", "state", "version", "heard"),
 }
+SUMMARY_HEADERS = (
+    "region",
+    "leader",
+    "version",
+    "in force",
+    "entry hosts",
+    "upstreams",
+    "zones out",
+    "not well",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +126,33 @@
     return tables
 
 
+def summarise(overview: Overview) -> tuple[Any, ...]:
+    """Return the row of one region among others, without its name."""
+    counts = {EntryHost: 0, Member: 0}
+    zones_out = []
+    for held in overview.view.items.values():
+        if type(held.item) in counts:
+            counts[type(held.item)] += 1
+        if isinstance(held.item, Zone) and held.item.out:
+            zones_out.append(held.item.name)
+    newest = max(overview.replies, key=lambda reply: (reply.term, reply.commit))
+    version = overview.view.version
+    stale = overview.list_stale(version)
+    live = overview.count_live()
+    problems = [f"control host {peer} does not answer" for peer in overview.silent]
+    if stale:
+        problems.append(f"{len(stale)} stale")
+    return (
+        newest.leader or "none",
+        version,
+        f"{live - len(stale)} of {live}",
+        counts[EntryHost],
+        counts[Member],
+        ", ".join(sorted(zones_out)) or "none",
+        ", ".join(problems),
+    )
+
+
 def find_state(view: View, member: Member) -> str:
     """Return why an upstream gets new flows or not, in one word or two."""
     zone = view.items.get((Zone.__name__, member.zone))
