--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -19,6 +19,7 @@
 from fulmarshore.bench import once as once_bench
 from fulmarshore.bench import regions as regions_bench
 from fulmarshore.bench import sealing as sealing_bench
+from fulmarshore.bench import start as start_bench
 from fulmarshore.bench import surge as surge_bench
 from fulmarshore.bench import timeline as timeline_bench
 from fulmarshore.bench import zone as zone_bench
@@ -154,6 +155,14 @@
     show_report(regions_bench.run(), as_json)
 
 
+@bench.command()
+@click.option("--endpoints", type=click.IntRange(11), default=start_bench.ENDPOINTS)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def start(endpoints: int, as_json: bool) -> None:
+    """Measure what the start of a whole region costs a control host."""
+    show_report(start_bench.run(endpoints), as_json)
+
+
 @bench.command()
 @click.option("--seed", type=int, default=1)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -29,6 +29,8 @@
 
 PUSH_INTERVAL_S = 0.1
 """Shortest time between two deltas to one subscriber."""
+REPEAT_INTERVAL_S = 1.0
+"""What is under way to a subscriber is not sent again within this time."""
 LEASE_S = 3.0
 """A process that is not heard of for this long loses its membership."""
 ISOLATION_TIMEOUT_S = 1.5
@@ -67,6 +69,18 @@
         """What the process announces."""
         return self.subscribe.announcement
 
+    def is_under_way(self, newer: Subscription, now: float) -> bool:
+        """Return whether what a newer subscription asks for was sent just now.
+
+        A process asks again until it sees an answer. Were each copy answered
+        by a snapshot, a control host to which many come at once would send
+        nothing but copies, and never be done.
+        """
+        if self.peer != newer.peer or self.identity != newer.identity:
+            return False
+        is_recent = now - self.pushed_at < REPEAT_INTERVAL_S
+        return is_recent and self.sent > newer.version >= self.subscribe.version
+
 
 class Registry:
     """Subscriptions at one control host.
@@ -86,7 +100,11 @@
         held = self.subscriptions.get(message.identity.name)
         if held is not None and _get_order(held.subscribe) > _get_order(message):
             return False
-        self.subscriptions[message.identity.name] = Subscription(peer, message, now)
+        subscription = Subscription(peer, message, now)
+        if held is not None and held.is_under_way(subscription, now):
+            subscription.sent = held.sent
+            subscription.pushed_at = held.pushed_at
+        self.subscriptions[message.identity.name] = subscription
         return True
 
     def heartbeat(
--- /dev/null
+++ b/fulmarshore/membership/registry_test.py
@@ -0,0 +1,110 @@
+"""What is sent to subscribers that ask more than once, or all at once."""
+
+from random import Random
+from unittest import TestCase
+
+from fulmarshore.core.records import (
+    Delta,
+    EntryHost,
+    Freshness,
+    HeartbeatReply,
+    Identity,
+    LinkMessage,
+    Member,
+    Subscribe,
+    Zone,
+)
+from fulmarshore.membership.registry import REPEAT_INTERVAL_S, Registry
+from fulmarshore.membership.subscriber import HEARTBEAT_INTERVAL_S, Subscriber
+from fulmarshore.membership.view import View, change_view, make_delta
+
+VIEW = change_view(View(), 3, [Zone("a"), Zone("b")], [])
+
+
+def make_subscribe(name="m", incarnation=1, version=0, revision=0):
+    member = Member(name, incarnation, "s", "a", name, 1)
+    return Subscribe(Identity(name, incarnation), member, version, revision)
+
+
+def list_sent(effects):
+    return [(effect.peer, effect.message.since) for effect in effects]
+
+
+class RegistryTest(TestCase):
+    def test_what_is_under_way_is_not_sent_again(self):
+        first = make_subscribe()
+        late = REPEAT_INTERVAL_S + 0.1
+        table = [
+            ("a copy", "p", make_subscribe(), 0.2, []),
+            ("another state of the upstream", "p", make_subscribe(revision=1), 0.2, []),
+            ("a copy after a lost frame", "p", make_subscribe(), late, [("p", 0)]),
+            ("on a new link", "q", make_subscribe(), 0.2, [("q", 0)]),
+            ("a new life", "p", make_subscribe(incarnation=2), 0.2, [("p", 0)]),
+            ("of another name", "q", make_subscribe("n"), 0.2, [("q", 0)]),
+        ]
+        for case, peer, message, at, expected in table:
+            with self.subTest(case):
+                registry = Registry("c")
+                self.assertTrue(registry.subscribe("p", first, 0.0))
+                self.assertEqual(list_sent(registry.push(VIEW, 0.0)), [("p", 0)])
+                self.assertTrue(registry.subscribe(peer, message, at))
+                self.assertEqual(list_sent(registry.push(VIEW, at)), expected)
+                newer = change_view(VIEW, 4, [Zone("c")], [])
+                later = registry.push(newer, at + 0.2)
+                self.assertIn((peer, 3), list_sent(later), "what is new still comes")
+
+    def test_who_lost_what_it_had_gets_it_again(self):
+        registry = Registry("c")
+        registry.subscribe("p", make_subscribe(version=2), 0.0)
+        self.assertEqual(list_sent(registry.push(VIEW, 0.0)), [("p", 0)])
+        registry.subscribe("p", make_subscribe(version=0), 0.2)
+        self.assertEqual(list_sent(registry.push(VIEW, 0.2)), [("p", 0)])
+
+
+class SubscriberTest(TestCase):
+    def setUp(self):
+        host = EntryHost("e", 1, "a", "e", 1)
+        self.subscriber = Subscriber(Identity("e", 1), host, ["c"], Random(1))
+
+    def reply(self, stamp, version, known=True):
+        fresh = Freshness(1, stamp)
+        return LinkMessage("c", HeartbeatReply("c", fresh, version, known))
+
+    def test_answers_that_come_quickly_are_not_asked_about_each_time(self):
+        for known in (True, False):
+            with self.subTest(known=known):
+                self.setUp()
+                asked = 0
+                steps = 200
+                for step in range(steps):
+                    now = 2 * step * HEARTBEAT_INTERVAL_S / steps
+                    event = self.reply(step, 5, known)
+                    asked += len(self.subscriber.handle(event, now))
+                self.assertEqual(asked, 2)
+
+    def test_what_follows_the_first_snapshot_is_kept_with_it(self):
+        newer = change_view(VIEW, 4, [Zone("c")], [])
+        newest = change_view(newer, 5, [Zone("a", True)], [])
+        table = [
+            ("snapshot alone", [make_delta(VIEW, 0)], 3),
+            ("with more", [make_delta(VIEW, 0), make_delta(newer, 3)], 4),
+            (
+                "with two",
+                [make_delta(VIEW, 0), make_delta(newer, 3), make_delta(newest, 4)],
+                5,
+            ),
+            ("a newer snapshot", [make_delta(VIEW, 0), make_delta(newest, 0)], 5),
+            ("one was lost", [make_delta(VIEW, 0), make_delta(newest, 4)], 3),
+        ]
+        for case, deltas, version in table:
+            with self.subTest(case):
+                self.setUp()
+                for delta in deltas:
+                    assert isinstance(delta, Delta)
+                    self.assertEqual(
+                        self.subscriber.handle(LinkMessage("c", delta), 0.0), []
+                    )
+                self.assertEqual(self.subscriber.view.version, 0)
+                self.subscriber.handle(self.reply(0, 5), 0.1)
+                self.subscriber.handle(self.reply(1, 5), 0.2)
+                self.assertEqual(self.subscriber.view.version, version)
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -74,12 +74,13 @@
         self._fresh_at = float("-inf")
         self._sent_at = float("-inf")
         self._moved_at = float("-inf")
+        self._asked_at = float("-inf")
         self._refused_by: set[str] = set()
         self._subscribed = False
         self._revision = 0
         self._is_confirmed = False
         self._was_member = False
-        self._unconfirmed: Delta | None = None
+        self._unconfirmed: list[Delta] = []
 
     @property
     def control(self) -> str:
@@ -118,6 +119,7 @@
             return effects
         self._sent_at = now
         if not self._subscribed:
+            self._asked_at = now
             effects.append(self._subscribe())
             return effects
         beat = Heartbeat(self.identity, self.view.version)
@@ -172,9 +174,14 @@
         if reply.known:
             self._subscribed = True
         version = self.view.version
-        if self._unconfirmed is not None:
-            version = max(version, self._unconfirmed.version)
-        if not reply.known or reply.version > version:
+        if self._unconfirmed:
+            version = max(version, self._unconfirmed[-1].version)
+        if reply.known and reply.version <= version:
+            return effects
+        # The answer to an announcement overtakes what it asked for, so that
+        # asking again at once would go on at the pace of the link.
+        if now - self._asked_at >= HEARTBEAT_INTERVAL_S:
+            self._asked_at = now
             effects.append(self._subscribe())
         return effects
 
@@ -193,23 +200,27 @@
         return effects + self._move(now)
 
     def _keep(self, delta: Delta) -> list[Effect]:
-        """Keep the first snapshot until control is seen to be fresh.
+        """Keep a snapshot and what follows it until control is seen to be fresh.
 
         A process that has just started knows no stamp to compare with, so
         that a control host that is cut off could hand it what its former
         self had long left behind.
         """
-        if self._unconfirmed is None or delta.since == 0:
-            self._unconfirmed = delta
+        if delta.since == 0:
+            self._unconfirmed = []
+        self._unconfirmed.append(delta)
         return []
 
     def _confirm(self, peer: str) -> list[Effect]:
-        """Take the first snapshot once the stamp was seen to be renewed."""
+        """Take what was kept once the stamp was seen to be renewed."""
         if self._is_confirmed or self._freshness == Freshness(0, 0):
             return []
         self._is_confirmed = True
-        kept, self._unconfirmed = self._unconfirmed, None
-        return self.apply(kept, peer) if kept is not None else []
+        kept, self._unconfirmed = self._unconfirmed, []
+        effects: list[Effect] = []
+        for delta in kept:
+            effects += self.apply(delta, peer)
+        return effects
 
     def _subscribe(self) -> SendLink:
         message = Subscribe(
@@ -228,7 +239,7 @@
         self._subscribed = False
         if not self._is_confirmed:
             self._freshness = Freshness(0, 0)
-            self._unconfirmed = None
+            self._unconfirmed = []
         self._fresh_at = now
         self._moved_at = now
         self._sent_at = float("-inf")
