--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -10,6 +10,7 @@
 from fulmarshore.agreement.state import Holders, State, find_newer, list_holders
 from fulmarshore.core.records import (
     Announcement,
+    Delta,
     Effect,
     EntryHost,
     Expire,
@@ -31,6 +32,12 @@
 """Shortest time between two deltas to one subscriber."""
 REPEAT_INTERVAL_S = 1.0
 """What is under way to a subscriber is not sent again within this time."""
+SCAN_INTERVAL_S = 0.01
+"""Shortest time between two looks at all subscribers for what is new to them."""
+SNAPSHOT_ITEMS_PER_S = 400_000
+"""Items of snapshots that a control host sends in a second, over all processes."""
+SNAPSHOT_BURST_ITEMS = 20_000
+"""Items of snapshots that may go out at once after a pause."""
 LEASE_S = 3.0
 """A process that is not heard of for this long loses its membership."""
 ISOLATION_TIMEOUT_S = 1.5
@@ -82,6 +89,31 @@
         return is_recent and self.sent > newer.version >= self.subscribe.version
 
 
+class SnapshotBudget:
+    """Bounds the snapshots that a control host sends.
+
+    A process that starts has nothing to lose by waiting some seconds for the
+    view. Those that run have: snapshots for thousands at once would keep their
+    heartbeats and deltas back until they take control for silent.
+    """
+
+    def __init__(self) -> None:
+        self._left = float(SNAPSHOT_BURST_ITEMS)
+        self._filled_at = float("-inf")
+
+    def take(self, items: int, now: float) -> bool:
+        """Return whether a snapshot of some items may go out now."""
+        if self._filled_at == float("-inf"):
+            self._filled_at = now
+        gained = (now - self._filled_at) * SNAPSHOT_ITEMS_PER_S
+        self._left = min(SNAPSHOT_BURST_ITEMS, self._left + gained)
+        self._filled_at = now
+        if self._left <= 0:
+            return False
+        self._left -= items
+        return True
+
+
 class Registry:
     """Subscriptions at one control host.
 
@@ -94,6 +126,10 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.subscriptions: dict[str, Subscription] = {}
+        self._budget = SnapshotBudget()
+        self._scanned_at = float("-inf")
+        self._scanned_version = 0
+        self._is_waiting = False
         self._holders: Holders = {}
         self._holders_view: View | None = None
 
@@ -107,6 +143,7 @@
             subscription.sent = held.sent
             subscription.pushed_at = held.pushed_at
         self.subscriptions[message.identity.name] = subscription
+        self._is_waiting = True
         return True
 
     def heartbeat(
@@ -150,19 +187,31 @@
         """Send what is new to every subscriber.
 
         Changes that follow one another closely go out together, so that a
-        burst of them does not queue up before a slower subscriber.
+        burst of them does not queue up before a slower subscriber. Snapshots
+        keep to a budget, first come, first served.
         """
+        if self._scanned_version == view.version and not self._is_waiting:
+            return []
+        if now - self._scanned_at < SCAN_INTERVAL_S:
+            return []
+        self._scanned_at = now
+        self._scanned_version = view.version
+        self._is_waiting = False
         effects: list[Effect] = []
-        deltas = {}
+        deltas: dict[int, Delta] = {}
         for subscription in self.subscriptions.values():
             if subscription.sent >= view.version:
                 continue
             if now - subscription.pushed_at < PUSH_INTERVAL_S:
+                self._is_waiting = True
                 continue
-            subscription.pushed_at = now
             if subscription.sent not in deltas:
                 deltas[subscription.sent] = make_delta(view, subscription.sent)
             delta = deltas[subscription.sent]
+            if delta.since == 0 and not self._budget.take(len(delta.items), now):
+                self._is_waiting = True
+                continue
+            subscription.pushed_at = now
             subscription.sent = view.version
             effects.append(SendLink(subscription.peer, delta))
         return effects
--- a/fulmarshore/membership/registry_test.py
+++ b/fulmarshore/membership/registry_test.py
@@ -14,7 +14,14 @@
     Subscribe,
     Zone,
 )
-from fulmarshore.membership.registry import REPEAT_INTERVAL_S, Registry
+from fulmarshore.membership.registry import (
+    PUSH_INTERVAL_S,
+    REPEAT_INTERVAL_S,
+    SCAN_INTERVAL_S,
+    SNAPSHOT_BURST_ITEMS,
+    SNAPSHOT_ITEMS_PER_S,
+    Registry,
+)
 from fulmarshore.membership.subscriber import HEARTBEAT_INTERVAL_S, Subscriber
 from fulmarshore.membership.view import View, change_view, make_delta
 
@@ -60,6 +67,59 @@
         registry.subscribe("p", make_subscribe(version=0), 0.2)
         self.assertEqual(list_sent(registry.push(VIEW, 0.2)), [("p", 0)])
 
+    def test_snapshots_keep_to_a_budget_and_deltas_do_not_wait(self):
+        items = [Zone(f"z{number}") for number in range(1000)]
+        view = change_view(View(), 3, items, [])
+        registry = Registry("c")
+        names = [f"m{number}" for number in range(900)]
+        for name in names:
+            registry.subscribe(name, make_subscribe(name), 0.0)
+        running = make_subscribe("running", version=3)
+        registry.subscribe("running", running, 0.0)
+        sent = []
+        seconds = 2.0
+        steps = 100
+        delays = []
+        changed_at = 0.0
+        for step in range(steps):
+            now = step * seconds / steps
+            if step % 20 == 1:
+                view = change_view(view, view.version + 1, [Zone("a")], [])
+                changed_at = now
+            for effect in registry.push(view, now):
+                if effect.message.since == 0:
+                    sent.append(effect.peer)
+                elif effect.peer == "running":
+                    delays.append(now - changed_at)
+        allowed = SNAPSHOT_BURST_ITEMS + seconds * SNAPSHOT_ITEMS_PER_S
+        self.assertLessEqual(1000 * len(sent), allowed + 2000)
+        self.assertGreater(1000 * len(sent), allowed / 2)
+        self.assertEqual(sent, names[: len(sent)], "first come, first served")
+        self.assertEqual(delays, [0.0] * 5)
+        while len(sent) < len(names):
+            now += SCAN_INTERVAL_S
+            assert now < 10.0, "everybody gets a snapshot in time"
+            for effect in registry.push(view, now):
+                if effect.message.since == 0:
+                    sent.append(effect.peer)
+        self.assertEqual(sent, names)
+
+    def test_changes_in_a_burst_all_arrive(self):
+        registry = Registry("c")
+        registry.subscribe("p", make_subscribe(version=3), 0.0)
+        view = VIEW
+        reached = 3
+        for step in range(60):
+            now = step * SCAN_INTERVAL_S / 3
+            if step < 50:
+                view = change_view(view, view.version + 1, [Zone(f"z{step}")], [])
+            for effect in registry.push(view, now):
+                self.assertEqual(effect.message.since, reached)
+                reached = effect.message.version
+        for effect in registry.push(view, now + PUSH_INTERVAL_S):
+            reached = effect.message.version
+        self.assertEqual(reached, view.version)
+
 
 class SubscriberTest(TestCase):
     def setUp(self):
