Members of an availability zone that is out leave at a pace

Cause: 765 members that lose their leases at once are one delta of 24 KB to each process, where 5 KB a second are allowed. Settlement waits 3 s at most for such agents either way.

--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -25,6 +25,7 @@
     SendLink,
     Subscribe,
     TimelineEvent,
+    Zone,
 )
 from fulmarshore.membership.view import View, get_key, make_delta
 
@@ -40,6 +41,8 @@
 """Items of snapshots that may go out at once after a pause."""
 LEASE_S = 3.0
 """A process that is not heard of for this long loses its membership."""
+OUT_EXPIRIES_PER_S = 140
+"""Members of availability zones that are out whose memberships end in a second."""
 ISOLATION_TIMEOUT_S = 1.5
 """A leader that hears no process for this long takes itself for cut off."""
 
@@ -281,6 +284,8 @@
         self.wanted: dict[tuple[str, str], Subscribe] = {}
         self._proposed: dict[str, int] = {}
         self._is_told_isolated = False
+        self._out_counted_at = float("-inf")
+        self._out_expiries = 0
 
     def reset(self, view: View, now: float) -> None:
         """Give every member a full lease, as a new leader does."""
@@ -349,12 +354,14 @@
     def list_expired(self, view: View, applied: int, now: float) -> list[Expire]:
         """Return the commands that end memberships without a lease.
 
-        One that is under way is not proposed again.
+        One that is under way is not proposed again. Members of an availability
+        zone that is out get no packets, so that they need not leave at once:
+        a lost zone would use up what a process may get in several seconds.
         """
         if self.is_isolated(now):
             return []
         commands = []
-        for identity, _ in _list_members(view):
+        for identity, announcement in _list_members(view):
             lease = self.held.get(identity.name)
             if lease is None or lease.identity.incarnation < identity.incarnation:
                 self.held[identity.name] = Lease(identity, now, 0)
@@ -364,9 +371,21 @@
                 continue
             if self._proposed.get(identity.name, 0) > applied:
                 continue
+            if _is_out(view, announcement.zone) and not self._take_out_expiry(now):
+                continue
             commands.append(Expire(identity))
         return commands
 
+    def _take_out_expiry(self, now: float) -> bool:
+        """Return whether one more member of a zone that is out may go now."""
+        if now - self._out_counted_at >= 1.0:
+            self._out_counted_at = now
+            self._out_expiries = 0
+        if self._out_expiries >= OUT_EXPIRIES_PER_S:
+            return False
+        self._out_expiries += 1
+        return True
+
     def note_proposed(self, commands: list[Expire], index: int) -> None:
         """Remember under which index commands are under way."""
         for command in commands:
@@ -408,5 +427,10 @@
     return found
 
 
+def _is_out(view: View, zone: str) -> bool:
+    held = view.items.get((Zone.__name__, zone))
+    return held is not None and held.item.out
+
+
 def _get_order(message: Subscribe) -> tuple[int, int]:
     return message.identity.incarnation, message.revision
