--- a/fulmarshore/bench/config.py
+++ b/fulmarshore/bench/config.py
@@ -8,32 +8,25 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
-import math
 import signal
 import tempfile
 import time
 from pathlib import Path
 
-import msgspec
 import zmq.asyncio
 from msgspec import Struct
 
-from fulmarshore.adapters.links import LinkClient
+from fulmarshore.bench.client import WAIT_TIMEOUT_S, Client
+from fulmarshore.bench.readings import Readings, find_applied
 from fulmarshore.commands.operator import fetch_status
 from fulmarshore.core.clock import read_seconds
 from fulmarshore.core.records import (
-    Address,
-    Change,
     ChangeReply,
-    ChangeStatus,
-    ControlMessage,
     Declaration,
     Kind,
     Profile,
     Service,
     StatusReply,
-    TimelineEntry,
     Zone,
 )
 from fulmarshore.standins.cluster import find_address, format_address
@@ -48,13 +41,9 @@
 MISSED_CHANGES = 500
 FAILOVERS = 3
 PLANNED_STOPS = 5
-ASK_TIMEOUT_S = 0.3
 PAUSE_S = 0.02
-WAIT_TIMEOUT_S = 30.0
 ZONE = "zone-a"
 
-_decoder = msgspec.json.Decoder(TimelineEntry)
-
 
 class ConfigReport(Struct, frozen=True):
     """What the run measured; times in seconds.
@@ -97,54 +86,6 @@
     lost_changes: int
 
 
-class Client:
-    """An operator who keeps links to all control hosts."""
-
-    def __init__(self, context: zmq.asyncio.Context, addresses: list[Address]) -> None:
-        self.names = [format_address(address) for address in addresses]
-        controls = dict(zip(self.names, addresses, strict=True))
-        self._links = LinkClient(context, controls, self._take)
-        self._current = 0
-        self._number = 1
-        self._waiting: asyncio.Future[ChangeReply] | None = None
-        self.accepted: dict[int, int] = {}
-
-    async def submit(self, items: list[Declaration]) -> ChangeReply:
-        """Submit a change until its outcome is known."""
-        change = Change(self._number, "bench", items, [])
-        until = time.monotonic() + WAIT_TIMEOUT_S
-        while time.monotonic() < until:
-            reply = await self._ask(change)
-            if reply is None or reply.status == ChangeStatus.UNAVAILABLE:
-                self._current = (self._current + 1) % len(self.names)
-                continue
-            if reply.status != ChangeStatus.ACCEPTED:
-                raise RuntimeError(f"change not accepted: {reply!r}")
-            self._number += 1
-            self.accepted[change.number] = reply.version
-            return reply
-        raise TimeoutError("no control host accepts changes")
-
-    def close(self) -> None:
-        """Close the links."""
-        self._links.close()
-
-    async def _ask(self, change: Change) -> ChangeReply | None:
-        self._waiting = asyncio.get_running_loop().create_future()
-        self._links.send(self.names[self._current], change)
-        try:
-            return await asyncio.wait_for(self._waiting, ASK_TIMEOUT_S)
-        except TimeoutError:
-            self._links.replace(self.names[self._current])
-            return None
-
-    def _take(self, name: str, message: ControlMessage) -> None:
-        if not isinstance(message, ChangeReply) or message.number != self._number:
-            return
-        if self._waiting is not None and not self._waiting.done():
-            self._waiting.set_result(message)
-
-
 class ConfigBench:
     """One run over real daemons.
 
@@ -157,6 +98,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.processes = Processes(folder)
+        self.readings = Readings(folder)
         self.controls = [find_address() for _ in range(CONTROLS)]
         self.addresses = [format_address(address) for address in self.controls]
         self.names: list[str] = []
@@ -194,7 +136,7 @@
             round(control_catch_up, 3),
             failovers,
             stops,
-            self._list_gaps(PLANNED_STOPS),
+            self.readings.list_gaps(CONTROLS, PLANNED_STOPS),
             lost,
         )
 
@@ -259,10 +201,10 @@
             answered.append((reply.version, time.time()))
             await asyncio.sleep(SPACING_S)
         await self._wait_processes(answered[-1][0])
-        applied = [self._read_applied(name) for name in self.names]
+        applied = [self.readings.read_applied(name) for name in self.names]
         delays = []
         for version, at in answered:
-            last = max(_find_applied(times, version) for times in applied)
+            last = max(find_applied(times, version) for times in applied)
             delays.append(max(0.0, last - at))
         return delays
 
@@ -274,7 +216,7 @@
         resumed = time.time()
         self.processes.signal(name, signal.SIGCONT)
         await self._wait_processes(reply.version)
-        return _find_applied(self._read_applied(name), reply.version) - resumed
+        return find_applied(self.readings.read_applied(name), reply.version) - resumed
 
     async def _measure_control_catch_up(self) -> float:
         status = await self._wait_whole()
@@ -293,7 +235,7 @@
         """Wait for a restarted control host, and return how long it took."""
         until = time.time() + WAIT_TIMEOUT_S
         while time.time() < until:
-            events = {entry.kind: entry for entry in self._read_entries(name)}
+            events = {entry.kind: entry for entry in self.readings.read_entries(name)}
             started = read_seconds(events["started"].clock)
             in_step = events.get("replica_in_step")
             if in_step is not None and read_seconds(in_step.clock) > restarted:
@@ -314,20 +256,6 @@
         await self._wait_in_step(status.leader, restarted)
         return taken
 
-    def _list_gaps(self, count: int) -> list[float]:
-        """Return the newest times between two leaders, from the time lines."""
-        leads: list[tuple[float, str]] = []
-        for number in range(CONTROLS):
-            for entry in self._read_entries(f"control-{number}"):
-                if entry.kind in ("leader_elected", "leader_stepped_down"):
-                    leads.append((read_seconds(entry.clock), entry.kind))
-        leads.sort()
-        gaps = []
-        for (ended, former), (begun, kind) in itertools.pairwise(leads):
-            if former == "leader_stepped_down" and kind == "leader_elected":
-                gaps.append(round(begun - ended, 4))
-        return gaps[-count:]
-
     async def _count_lost(self) -> int:
         """Count accepted changes that another one has not followed in order."""
         status = await self._wait_whole()
@@ -350,7 +278,7 @@
     async def _wait_processes(self, version: int) -> None:
         until = time.monotonic() + WAIT_TIMEOUT_S
         while time.monotonic() < until:
-            times = [self._read_applied(name) for name in self.names]
+            times = [self.readings.read_applied(name) for name in self.names]
             if all(held and held[-1][0] >= version for held in times):
                 return
             await asyncio.sleep(PAUSE_S)
@@ -366,22 +294,6 @@
             await asyncio.sleep(PAUSE_S)
         raise TimeoutError("the control hosts are not whole")
 
-    def _read_entries(self, name: str) -> list[TimelineEntry]:
-        path = self.folder / f"{name}.jsonl"
-        if not path.exists():
-            return []
-        lines = path.read_bytes().split(b"\n")
-        return [_decoder.decode(line) for line in lines if line]
-
-    def _read_applied(self, name: str) -> list[tuple[int, float]]:
-        times = []
-        for entry in self._read_entries(name):
-            if entry.kind != "view_applied":
-                continue
-            version = int(entry.detail.split()[1])
-            times.append((version, read_seconds(entry.clock)))
-        return times
-
 
 def run() -> ConfigReport:
     """Run the measurement in a temporary folder."""
@@ -399,13 +311,6 @@
     )
 
 
-def _find_applied(times: list[tuple[int, float]], version: int) -> float:
-    for applied, at in times:
-        if applied >= version:
-            return at
-    return math.inf
-
-
 def _pick(values: list[float], share: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- a/fulmarshore/membership/control.py
+++ b/fulmarshore/membership/control.py
@@ -49,9 +49,10 @@
     Tick,
     TimelineEvent,
 )
+from fulmarshore.membership.leases import Leases
 from fulmarshore.membership.peers import ControlPeers
 from fulmarshore.membership.regions import RegionGuard
-from fulmarshore.membership.registry import Leases, Registry
+from fulmarshore.membership.registry import Registry
 from fulmarshore.membership.replicas import describe_replicas
 from fulmarshore.membership.stopping import PlannedStop
 from fulmarshore.membership.view import make_delta
--- a/fulmarshore/membership/control_test.py
+++ b/fulmarshore/membership/control_test.py
@@ -17,7 +17,7 @@
     Tick,
     Zone,
 )
-from fulmarshore.membership.registry import LEASE_S, Leases
+from fulmarshore.membership.leases import LEASE_S, Leases
 from fulmarshore.membership.subscriber import Subscriber
 from fulmarshore.membership.view import View, change_view
 from fulmarshore.standins.region import Region
--- a/fulmarshore/membership/lostzone_test.py
+++ b/fulmarshore/membership/lostzone_test.py
@@ -4,7 +4,7 @@
 
 from fulmarshore.core.codec import encode
 from fulmarshore.core.records import Heartbeat, Identity, Member, Removed, Zone
-from fulmarshore.membership.registry import LEASE_S, Leases
+from fulmarshore.membership.leases import LEASE_S, Leases
 from fulmarshore.membership.view import View, change_view, make_delta
 
 MEMBERS = 765
--- a/fulmarshore/membership/regions_test.py
+++ b/fulmarshore/membership/regions_test.py
@@ -28,6 +28,7 @@
     Zone,
 )
 from fulmarshore.membership.control import ControlCore
+from fulmarshore.membership.control_test import Listener
 from fulmarshore.membership.regions import MAX_TOLD, RegionGuard
 from fulmarshore.membership.registry import LEASE_S
 from fulmarshore.membership.subscriber import Subscriber
@@ -51,18 +52,6 @@
         return self.subscriber.handle(event, now)
 
 
-class Listener:
-    """Keeps the answers that it gets."""
-
-    def __init__(self):
-        self.answers = []
-
-    def handle(self, event, now):
-        if isinstance(event, LinkMessage):
-            self.answers.append(event.message)
-        return []
-
-
 def list_told(region, name):
     """Return what a node told about refusals."""
     told = []
