--- a/fulmarshore/admission/bequests.py
+++ b/fulmarshore/admission/bequests.py
@@ -53,7 +53,7 @@
     def tick(self, executor: Executor, now: float) -> list[Effect]:
         """Send what has not been taken, each claim to two peers."""
         if self._left is None:
-            if executor.count_used() or self._home.count_open():
+            if not self._may_begin(executor):
                 return []
             self._left = self._make(executor, now)
             self._began = now
@@ -70,6 +70,16 @@
             effects += [SendPeer(address, part) for part in parts.values()]
         return effects
 
+    def _may_begin(self, executor: Executor) -> bool:
+        """Return whether nothing can come any more that a peer must know.
+
+        While its own table still names this agent as a home, others send it new
+        requests. Their claims would be in no bequest.
+        """
+        if executor.count_used() or self._home.count_open():
+            return False
+        return not self._home.settlement.homes
+
     def _make(
         self, executor: Executor, now: float
     ) -> dict[Identity, dict[int, Bequest]]:
@@ -90,11 +100,14 @@
         bequests = {}
         for member in others:
             peer = Identity(member.name, member.incarnation)
-            bequests[peer] = self._split(shares[member.name], runs)
+            bequests[peer] = self._split(shares[member.name], runs, now)
         return bequests
 
-    def _split(self, claims: list[Claim], runs: list[Claim]) -> dict[int, Bequest]:
+    def _split(
+        self, claims: list[Claim], runs: list[Claim], now: float
+    ) -> dict[int, Bequest]:
         member: Member = self._home.member
+        settlement = self._home.settlement
         split = split_claims(claims, runs)
         parts = {}
         for part, (some_claims, some_runs) in enumerate(split):
@@ -107,6 +120,8 @@
                 len(split),
                 some_claims,
                 some_runs,
+                settlement.get_memory_age(now),
+                settlement.list_lost(now),
             )
         return parts
 
@@ -117,8 +132,7 @@
             merge_claim(home, claim, now)
         for claim in bequest.runs:
             merge_run(home, claim, now, only_known=True)
-        leaver = Identity(bequest.agent, bequest.incarnation)
-        home.settlement.note_bequest(leaver, bequest.part, bequest.parts)
+        home.settlement.take_bequest(bequest, now)
         reply = BequestReply(
             home.member.service,
             home.member.name,
--- a/fulmarshore/commands/operator.py
+++ b/fulmarshore/commands/operator.py
@@ -160,6 +160,7 @@
                 if not isinstance(reply, StatusReply):
                     continue
                 del waiting[sock]
+                sock.close(linger=0)
                 replies.append(reply)
     finally:
         context.destroy(linger=0)
