--- a/fulmarshore/bench/cold.py
+++ b/fulmarshore/bench/cold.py
@@ -150,9 +150,23 @@
 
 
 def run_policy(
-    upstream: str, name: str, policy: Policy, model: WorkModel, seed: int
+    upstream: str,
+    name: str,
+    policy: Policy,
+    model: WorkModel,
+    seed: int,
+    watch: Callable[[WorkUpstream, float], None] | None = None,
+    seconds: float = SECONDS,
 ) -> Outcome:
-    """Run one policy before one upstream under as much demand as it takes."""
+    """Run one policy before one upstream under as much demand as it takes.
+
+    Parameters
+    ----------
+    watch : callable or None
+        Looks at the upstream at each step.
+    seconds : float
+        How long to run.
+    """
     work = WorkUpstream(name, model, Random(seed))
     events: list[tuple[float, int, object]] = []
     running: dict[bytes, float] = {}
@@ -161,13 +175,15 @@
     turned = False
     full: list[float] = [-1.0, -1.0]
     capacity = model.slots / model.service_s
-    while now < SECONDS:
+    while now < seconds:
         step = now + STEP_S
         now = min(events[0][0], step) if events else step
         if now >= COLD_AT_S and not turned:
             turned = True
             work.turn_cold()
             answers.clear()
+        if watch is not None:
+            watch(work, now)
         while events and events[0][0] <= now:
             _, _, event = heapq.heappop(events)
             for seen in work.finish(event, now):
@@ -193,7 +209,7 @@
         work.overloads,
         round(full[0], 1),
         round(full[1], 1),
-        round(total / SECONDS, 2),
+        round(total / seconds, 2),
     )
 
 
--- a/fulmarshore/commands/benches.py
+++ b/fulmarshore/commands/benches.py
@@ -17,7 +17,9 @@
 from fulmarshore.bench import copies as copies_bench
 from fulmarshore.bench import flows as flows_bench
 from fulmarshore.bench import forward as forward_bench
+from fulmarshore.bench import hints as hints_bench
 from fulmarshore.bench import once as once_bench
+from fulmarshore.bench import pace as pace_bench
 from fulmarshore.bench import regions as regions_bench
 from fulmarshore.bench import sealing as sealing_bench
 from fulmarshore.bench import start as start_bench
@@ -179,6 +181,22 @@
     show_report(surge_bench.run(seed), as_json)
 
 
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def pace(seed: int, as_json: bool) -> None:
+    """Measure the growth of limits over hours of crashes and cold turns."""
+    show_report(pace_bench.run(seed), as_json)
+
+
+@bench.command()
+@click.option("--seed", type=int, default=1)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def hints(seed: int, as_json: bool) -> None:
+    """Measure limits beside health and load endpoints that mislead."""
+    show_report(hints_bench.run(seed), as_json)
+
+
 @bench.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def zone(as_json: bool) -> None:
--- a/fulmarshore/daemons/agent.py
+++ b/fulmarshore/daemons/agent.py
@@ -13,6 +13,7 @@
     DatagramSocket,
     ReceiveFrom,
 )
+from fulmarshore.adapters.endpoints import EndpointPoller
 from fulmarshore.adapters.linkends import LinkEnd
 from fulmarshore.adapters.listener import Listener
 from fulmarshore.adapters.metrics import Gauges
@@ -25,6 +26,7 @@
     Effect,
     Event,
     Forward,
+    HintSource,
     Identity,
     LocalPort,
     Member,
@@ -66,6 +68,8 @@
         Where the upstream listens.
     slots, connections : int
         What the warm upstream bears.
+    health, load : str or None
+        URLs of the upstream's own endpoints.
     """
 
     data: Address
@@ -73,6 +77,8 @@
     upstream: Address
     slots: int = 1
     connections: int = 2000
+    health: str | None = None
+    load: str | None = None
 
 
 class AgentDaemon(Daemon):
@@ -88,6 +94,7 @@
         self._listener: Listener | None = None
         self._table: Table | None = None
         self._serves_streams = False
+        self._pollers: list[EndpointPoller] = []
 
     def open(self) -> None:
         """Open the data socket and create the core."""
@@ -98,6 +105,19 @@
         loop.add_signal_handler(signal.SIGHUP, self._restart)
         self._data_address = data
         self._begin(draw_incarnation())
+        self._open_pollers()
+
+    def _open_pollers(self) -> None:
+        """Ask the endpoints of the upstream that are set."""
+        settings = self.settings
+        urls = {HintSource.HEALTH: settings.health, HintSource.LOAD: settings.load}
+        for source, url in urls.items():
+            if url is None:
+                continue
+            shared = (self.dispatch, self.counters, self.random)
+            poller = EndpointPoller(source, url, *shared)
+            poller.open()
+            self._pollers.append(poller)
 
     def _begin(self, incarnation: int) -> None:
         """Create the core of a new life of this process."""
@@ -136,6 +156,8 @@
 
     def close(self) -> None:
         """Close all sockets."""
+        for poller in self._pollers:
+            poller.close()
         self._listener.close()
         self._streams.close()
         self._data.close()
