--- a/fulmarshore/adapters/metrics.py
+++ b/fulmarshore/adapters/metrics.py
@@ -74,6 +74,7 @@
     "hints_contradicted": "Hints that work spoke against.",
     "hinted_drains": "Drains that the health endpoint asked for.",
     "slots_closed": "Slots freed by closing the connection to a silent upstream.",
+    "region_refused": "Processes and control hosts of other regions refused.",
     "deltas_applied": "Newer views taken into force.",
     "control_moves": "Moves to another control host.",
     "local_ports_taken": "Flows whose former local port another socket has.",
--- a/fulmarshore/membership/registry.py
+++ b/fulmarshore/membership/registry.py
@@ -1,37 +1,37 @@
-"""Control's side of the links: subscriptions, pushed deltas, and leases.
+"""Control's side of the links: subscriptions and pushed deltas.
 
-Every control host has the subscriptions of the processes that chose it. The
-leader alone has the leases: it hears from the other control hosts which
-processes they heard, and judges by its own clock.
+Every control host has the subscriptions of the processes that chose it.
 """
 
 from __future__ import annotations
 
-from fulmarshore.agreement.state import State, find_newer
+from fulmarshore.agreement.state import Holders, State, find_newer, list_holders
 from fulmarshore.core.records import (
     Announcement,
+    Delta,
     Effect,
-    EntryHost,
-    Expire,
     Freshness,
     Heartbeat,
     HeartbeatReply,
     Identity,
-    Join,
     Leave,
-    Member,
     ProcessStatus,
     SendLink,
     Subscribe,
 )
+from fulmarshore.membership.leases import LEASE_S, describe_process, get_order
 from fulmarshore.membership.view import View, get_key, make_delta
 
 PUSH_INTERVAL_S = 0.1
 """Shortest time between two deltas to one subscriber."""
-LEASE_S = 3.0
-"""A process that is not heard of for this long loses its membership."""
-ISOLATION_TIMEOUT_S = 1.5
-"""A leader that hears no process for this long takes itself for cut off."""
+REPEAT_INTERVAL_S = 1.0
+"""What is under way to a subscriber is not sent again within this time."""
+SCAN_INTERVAL_S = 0.01
+"""Shortest time between two looks at all subscribers for what is new to them."""
+SNAPSHOT_ITEMS_PER_S = 400_000
+"""Items of snapshots that a control host sends in a second, over all processes."""
+SNAPSHOT_BURST_ITEMS = 20_000
+"""Items of snapshots that may go out at once after a pause."""
 
 
 class Subscription:
@@ -66,6 +66,43 @@
         """What the process announces."""
         return self.subscribe.announcement
 
+    def is_under_way(self, newer: Subscription, now: float) -> bool:
+        """Return whether what a newer subscription asks for was sent just now.
+
+        A process asks again until it sees an answer. Were each copy answered
+        by a snapshot, a control host to which many come at once would send
+        nothing but copies, and never be done.
+        """
+        if self.peer != newer.peer or self.identity != newer.identity:
+            return False
+        is_recent = now - self.pushed_at < REPEAT_INTERVAL_S
+        return is_recent and self.sent > newer.version >= self.subscribe.version
+
+
+class SnapshotBudget:
+    """Bounds the snapshots that a control host sends.
+
+    A process that starts has nothing to lose by waiting some seconds for the
+    view. Those that run have: snapshots for thousands at once would keep their
+    heartbeats and deltas back until they take control for silent.
+    """
+
+    def __init__(self) -> None:
+        self._left = float(SNAPSHOT_BURST_ITEMS)
+        self._filled_at = float("-inf")
+
+    def take(self, items: int, now: float) -> bool:
+        """Return whether a snapshot of some items may go out now."""
+        if self._filled_at == float("-inf"):
+            self._filled_at = now
+        gained = (now - self._filled_at) * SNAPSHOT_ITEMS_PER_S
+        self._left = min(SNAPSHOT_BURST_ITEMS, self._left + gained)
+        self._filled_at = now
+        if self._left <= 0:
+            return False
+        self._left -= items
+        return True
+
 
 class Registry:
     """Subscriptions at one control host.
@@ -79,13 +116,24 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.subscriptions: dict[str, Subscription] = {}
+        self._budget = SnapshotBudget()
+        self._scanned_at = float("-inf")
+        self._scanned_version = 0
+        self._is_waiting = False
+        self._holders: Holders = {}
+        self._holders_view: View | None = None
 
     def subscribe(self, peer: str, message: Subscribe, now: float) -> bool:
         """Take in a subscriber; False for a late message of a former life."""
         held = self.subscriptions.get(message.identity.name)
-        if held is not None and _get_order(held.subscribe) > _get_order(message):
+        if held is not None and get_order(held.subscribe) > get_order(message):
             return False
-        self.subscriptions[message.identity.name] = Subscription(peer, message, now)
+        subscription = Subscription(peer, message, now)
+        if held is not None and held.is_under_way(subscription, now):
+            subscription.sent = held.sent
+            subscription.pushed_at = held.pushed_at
+        self.subscriptions[message.identity.name] = subscription
+        self._is_waiting = True
         return True
 
     def heartbeat(
@@ -104,7 +152,8 @@
             held.heard_at = now
             held.version = message.version
             held.peer = peer
-            newest = find_newer(state, held.announcement)
+            holders = self._find_holders(state.view)
+            newest = find_newer(state, held.announcement, holders)
             revision = held.subscribe.revision
         reply = HeartbeatReply(
             self.name,
@@ -116,6 +165,13 @@
         )
         return [SendLink(peer, reply)]
 
+    def _find_holders(self, view: View) -> Holders:
+        """Return who has which address, listed once for a view."""
+        if self._holders_view is not view:
+            self._holders = list_holders(view)
+            self._holders_view = view
+        return self._holders
+
     def leave(self, message: Leave) -> None:
         """Drop a subscriber that ended its membership."""
         held = self.subscriptions.get(message.identity.name)
@@ -126,19 +182,31 @@
         """Send what is new to every subscriber.
 
         Changes that follow one another closely go out together, so that a
-        burst of them does not queue up before a slower subscriber.
+        burst of them does not queue up before a slower subscriber. Snapshots
+        keep to a budget, first come, first served.
         """
+        if self._scanned_version == view.version and not self._is_waiting:
+            return []
+        if now - self._scanned_at < SCAN_INTERVAL_S:
+            return []
+        self._scanned_at = now
+        self._scanned_version = view.version
+        self._is_waiting = False
         effects: list[Effect] = []
-        deltas = {}
+        deltas: dict[int, Delta] = {}
         for subscription in self.subscriptions.values():
             if subscription.sent >= view.version:
                 continue
             if now - subscription.pushed_at < PUSH_INTERVAL_S:
+                self._is_waiting = True
                 continue
-            subscription.pushed_at = now
             if subscription.sent not in deltas:
                 deltas[subscription.sent] = make_delta(view, subscription.sent)
             delta = deltas[subscription.sent]
+            if delta.since == 0 and not self._budget.take(len(delta.items), now):
+                self._is_waiting = True
+                continue
+            subscription.pushed_at = now
             subscription.sent = view.version
             effects.append(SendLink(subscription.peer, delta))
         return effects
@@ -159,12 +227,19 @@
             heard.append(Heartbeat(subscription.identity, subscription.version))
         return heard
 
+    def count_without_region(self) -> int:
+        """Return how many subscribers do not tell their region."""
+        held = self.subscriptions.values()
+        return sum(not subscription.subscribe.region for subscription in held)
+
     def list_processes(self, now: float) -> list[ProcessStatus]:
         """Return what is known about every subscriber of this host."""
         found = []
         for held in self.subscriptions.values():
             age = now - held.heard_at
-            found.append(_describe(held.identity, held.announcement, held.version, age))
+            found.append(
+                describe_process(held.identity, held.announcement, held.version, age)
+            )
         return found
 
     def list_unjoined(self, view: View) -> list[Subscribe]:
@@ -176,149 +251,3 @@
                 continue
             found.append(subscription.subscribe)
         return found
-
-
-class Lease:
-    """When a process was last heard of, and the version it had in force."""
-
-    __slots__ = ("identity", "heard_at", "version")
-
-    def __init__(self, identity: Identity, heard_at: float, version: int) -> None:
-        self.identity = identity
-        self.heard_at = heard_at
-        self.version = version
-
-
-class Leases:
-    """The leases of all members, judged by the leader's clock.
-
-    No lease ends while the leader hears no process at all: then it is rather
-    cut off itself, and nobody is there to whom a smaller membership would be
-    of use. Whoever is heard first after that finds all leases full again.
-    """
-
-    def __init__(self) -> None:
-        self.heard_at = float("-inf")
-        self.held: dict[str, Lease] = {}
-        self.wanted: dict[tuple[str, str], Subscribe] = {}
-        self._proposed: dict[str, int] = {}
-
-    def reset(self, view: View, now: float) -> None:
-        """Give every member a full lease, as a new leader does."""
-        self.held = {}
-        self.wanted = {}
-        self._proposed = {}
-        self.heard_at = now
-        for identity, _ in _list_members(view):
-            self.held[identity.name] = Lease(identity, now, 0)
-
-    def hear(self, beat: Heartbeat, now: float) -> None:
-        """Renew the lease of a process."""
-        if self.is_isolated(now):
-            self._renew_all(now)
-        self.heard_at = now
-        lease = self.held.get(beat.identity.name)
-        if lease is None or lease.identity.incarnation < beat.identity.incarnation:
-            self.held[beat.identity.name] = Lease(beat.identity, now, beat.version)
-            return
-        if lease.identity == beat.identity:
-            lease.heard_at = now
-            lease.version = beat.version
-
-    def is_isolated(self, now: float) -> bool:
-        """Return whether no process has been heard for long."""
-        return now - self.heard_at >= ISOLATION_TIMEOUT_S
-
-    def _renew_all(self, now: float) -> None:
-        for lease in self.held.values():
-            lease.heard_at = now
-
-    def want(self, message: Subscribe, now: float) -> None:
-        """Take an announcement that shall get into the membership."""
-        key = get_key(message.announcement)
-        held = self.wanted.get(key)
-        if held is None or _get_order(held) <= _get_order(message):
-            self.wanted[key] = message
-        self.hear(Heartbeat(message.identity, message.version), now)
-
-    def leave(self, message: Leave) -> None:
-        """End the lease of a process that left."""
-        for key, held in list(self.wanted.items()):
-            if held.identity == message.identity:
-                del self.wanted[key]
-
-    def list_joins(self, view: View) -> list[Join]:
-        """Return the commands for announcements that the view does not have."""
-        commands = []
-        for message in self.wanted.values():
-            held = view.items.get(get_key(message.announcement))
-            if held is not None and held.item == message.announcement:
-                continue
-            commands.append(Join(message.announcement, message.revision))
-        self.wanted = {}
-        return commands
-
-    def list_expired(self, view: View, applied: int, now: float) -> list[Expire]:
-        """Return the commands that end memberships without a lease.
-
-        One that is under way is not proposed again.
-        """
-        if self.is_isolated(now):
-            return []
-        commands = []
-        for identity, _ in _list_members(view):
-            lease = self.held.get(identity.name)
-            if lease is None or lease.identity.incarnation < identity.incarnation:
-                self.held[identity.name] = Lease(identity, now, 0)
-                continue
-            newer = lease.identity.incarnation > identity.incarnation
-            if not newer and now - lease.heard_at < LEASE_S:
-                continue
-            if self._proposed.get(identity.name, 0) > applied:
-                continue
-            commands.append(Expire(identity))
-        return commands
-
-    def note_proposed(self, commands: list[Expire], index: int) -> None:
-        """Remember under which index commands are under way."""
-        for command in commands:
-            self._proposed[command.identity.name] = index
-
-    def drop_gone(self, view: View, now: float) -> None:
-        """Forget processes that are no longer members and silent."""
-        names = {identity.name for identity, _ in _list_members(view)}
-        for name, lease in list(self.held.items()):
-            if name not in names and now - lease.heard_at >= LEASE_S:
-                del self.held[name]
-                self._proposed.pop(name, None)
-
-    def list_processes(self, view: View, now: float) -> list[ProcessStatus]:
-        """Return what is known about every member."""
-        found = []
-        for identity, announcement in _list_members(view):
-            lease = self.held.get(identity.name)
-            if lease is None or lease.identity != identity:
-                continue
-            age = now - lease.heard_at
-            found.append(_describe(identity, announcement, lease.version, age))
-        return found
-
-
-def _describe(
-    identity: Identity, announcement: Announcement, version: int, age: float
-) -> ProcessStatus:
-    role = "agent" if isinstance(announcement, Member) else "entry"
-    return ProcessStatus(identity, role, announcement.zone, version, age)
-
-
-def _list_members(view: View) -> list[tuple[Identity, Announcement]]:
-    found = []
-    for stamped in view.items.values():
-        item = stamped.item
-        if isinstance(item, Member | EntryHost):
-            found.append((Identity(item.name, item.incarnation), item))
-    return found
-
-
-def _get_order(message: Subscribe) -> tuple[int, int]:
-    return message.identity.incarnation, message.revision
--- a/fulmarshore/membership/subscriber.py
+++ b/fulmarshore/membership/subscriber.py
@@ -16,6 +16,7 @@
     Leave,
     LinkMessage,
     Outdated,
+    RegionRefused,
     ReplaceLink,
     SendLink,
     Subscribe,
@@ -23,6 +24,7 @@
 )
 from fulmarshore.core.stalls import StallGuard
 from fulmarshore.membership.changes import describe_delta
+from fulmarshore.membership.regions import describe_refusal
 from fulmarshore.membership.view import View, apply_delta, get_key
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -45,6 +47,8 @@
         Names of the links to the control hosts, in the order of preference.
     random : Random
         Source of the choice of the next control host.
+    region : str
+        Name of the region that the process is in; empty where it is not told.
     """
 
     def __init__(
@@ -53,10 +57,12 @@
         announcement: Announcement,
         controls: list[str],
         random: Random,
+        region: str = "",
     ) -> None:
         assert controls, "a subscriber needs a control host"
         self.identity = identity
         self.announcement = announcement
+        self.region = region
         self.view = View()
         self.counters: Counter[str] = Counter()
         self.lease_renewed = float("-inf")
@@ -67,11 +73,14 @@
         self._freshness = Freshness(0, 0)
         self._fresh_at = float("-inf")
         self._sent_at = float("-inf")
+        self._moved_at = float("-inf")
+        self._asked_at = float("-inf")
+        self._refused_by: set[str] = set()
         self._subscribed = False
         self._revision = 0
         self._is_confirmed = False
         self._was_member = False
-        self._unconfirmed: Delta | None = None
+        self._unconfirmed: list[Delta] = []
 
     @property
     def control(self) -> str:
@@ -104,12 +113,13 @@
         if now - self._fresh_at > SILENCE_TIMEOUT_S:
             effects += self._move(now)
         interval = HEARTBEAT_INTERVAL_S
-        if not self._is_confirmed:
+        if not self._is_confirmed and self.control not in self._refused_by:
             interval = CONFIRM_INTERVAL_S
         if now - self._sent_at < interval:
             return effects
         self._sent_at = now
         if not self._subscribed:
+            self._asked_at = now
             effects.append(self._subscribe())
             return effects
         beat = Heartbeat(self.identity, self.view.version)
@@ -125,7 +135,10 @@
             case Delta() as delta:
                 return self.apply(delta, event.peer)
             case HeartbeatReply() as reply:
+                self._refused_by.discard(event.peer)
                 return self._take_reply(event.peer, reply, is_stale, now)
+            case RegionRefused() as refusal:
+                return self._take_refusal(event.peer, refusal, now)
         self.counters["unexpected_link_message"] += 1
         return []
 
@@ -163,34 +176,61 @@
         if reply.known and reply.revision == self._revision:
             self._subscribed = True
         version = self.view.version
-        if self._unconfirmed is not None:
-            version = max(version, self._unconfirmed.version)
-        if not reply.known or reply.version > version:
+        if self._unconfirmed:
+            version = max(version, self._unconfirmed[-1].version)
+        if reply.known and reply.version <= version:
+            return effects
+        # The answer to an announcement overtakes what it asked for, so that
+        # asking again at once would go on at the pace of the link.
+        if now - self._asked_at >= HEARTBEAT_INTERVAL_S:
+            self._asked_at = now
             effects.append(self._subscribe())
         return effects
 
+    def _take_refusal(
+        self, peer: str, refusal: RegionRefused, now: float
+    ) -> list[Effect]:
+        """Leave a control host of another region, and tell so once."""
+        self.counters["region_refused"] += 1
+        effects: list[Effect] = []
+        if peer not in self._refused_by:
+            self._refused_by.add(peer)
+            event = describe_refusal(peer, refusal.region, refusal.allowed)
+            effects.append(event)
+        if peer != self.control or now - self._moved_at < HEARTBEAT_INTERVAL_S:
+            return effects
+        return effects + self._move(now)
+
     def _keep(self, delta: Delta) -> list[Effect]:
-        """Keep the first snapshot until control is seen to be fresh.
+        """Keep a snapshot and what follows it until control is seen to be fresh.
 
         A process that has just started knows no stamp to compare with, so
         that a control host that is cut off could hand it what its former
         self had long left behind.
         """
-        if self._unconfirmed is None or delta.since == 0:
-            self._unconfirmed = delta
+        if delta.since == 0:
+            self._unconfirmed = []
+        self._unconfirmed.append(delta)
         return []
 
     def _confirm(self, peer: str) -> list[Effect]:
-        """Take the first snapshot once the stamp was seen to be renewed."""
+        """Take what was kept once the stamp was seen to be renewed."""
         if self._is_confirmed or self._freshness == Freshness(0, 0):
             return []
         self._is_confirmed = True
-        kept, self._unconfirmed = self._unconfirmed, None
-        return self.apply(kept, peer) if kept is not None else []
+        kept, self._unconfirmed = self._unconfirmed, []
+        effects: list[Effect] = []
+        for delta in kept:
+            effects += self.apply(delta, peer)
+        return effects
 
     def _subscribe(self) -> SendLink:
         message = Subscribe(
-            self.identity, self.announcement, self.view.version, self._revision
+            self.identity,
+            self.announcement,
+            self.view.version,
+            self._revision,
+            self.region,
         )
         return SendLink(self.control, message)
 
@@ -201,8 +241,9 @@
         self._subscribed = False
         if not self._is_confirmed:
             self._freshness = Freshness(0, 0)
-            self._unconfirmed = None
+            self._unconfirmed = []
         self._fresh_at = now
+        self._moved_at = now
         self._sent_at = float("-inf")
         self.counters["control_moves"] += 1
         return [
