--- a/fulmarshore/daemons/rolling_test.py
+++ b/fulmarshore/daemons/rolling_test.py
@@ -1,5 +1,6 @@
 """Every process of a region is restarted as planned, under orders and feeds."""
 
+import asyncio
 import signal
 
 from fulmarshore.callers.requests import Unknown
@@ -21,6 +22,12 @@
         await self.wait_answers(FEEDS)
         self.check()
 
+    async def test_agents_that_restart_at_once_take_turns(self):
+        await self.begin()
+        await asyncio.gather(*(self.restart_feeds(n) for n in range(AGENTS)))
+        await self.wait_answers(FEEDS)
+        self.check()
+
     async def restart_orders(self, number):
         """Stop an agent of orders and start it again."""
         name = f"o{number}"
