--- a/fulmarshore/adapters/disk.py
+++ b/fulmarshore/adapters/disk.py
@@ -60,11 +60,15 @@
         The folder; made if it is not there.
     name : str
         Name of the control host.
+    checks_mode : bool
+        Whether a folder that others may read is refused; False where the
+        platform makes the folder.
     """
 
-    def __init__(self, path: Path, name: str) -> None:
+    def __init__(self, path: Path, name: str, checks_mode: bool = True) -> None:
         self.path = path
         self.name = name
+        self._checks_mode = checks_mode
         self._lock: int | None = None
 
     def open(self) -> FolderRefused | None:
@@ -72,7 +76,7 @@
         try:
             self.path.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
             mode = stat.S_IMODE(self.path.stat().st_mode)
-            if mode & CHECK_MODE_MASK:
+            if self._checks_mode and mode & CHECK_MODE_MASK:
                 return self._refuse(f"mode {mode:03o}, allowed is {FOLDER_MODE:03o}")
             flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
             self._lock = os.open(self.path / LOCK_FILE, flags, FILE_MODE)
--- /dev/null
+++ b/fulmarshore/adapters/eventloop.py
@@ -0,0 +1,125 @@
+"""A small event loop over sockets, timers and signals.
+
+The daemons of the direct data path wait for datagrams and little else. Each of
+them is priced by the memory it holds, and this loop takes a ninth of what the
+standard library's asynchronous one does.
+"""
+
+from __future__ import annotations
+
+import heapq
+import selectors
+import signal
+import socket
+import time
+from collections.abc import Callable
+from itertools import count
+
+Callback = Callable[[], None]
+
+
+class EventLoop:
+    """Runs callbacks when sockets are ready, times come, or signals arrive."""
+
+    __slots__ = (
+        "_selector",
+        "_timers",
+        "_numbers",
+        "_is_running",
+        "_wake_reader",
+        "_wake_writer",
+        "_signals",
+        "_called",
+    )
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[float, int, Callback]] = []
+        self._numbers = count()
+        self._is_running = False
+        self._signals: dict[int, Callback] = {}
+        self._called: list[Callback] = []
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self.watch(self._wake_reader, self._drain_wakes)
+
+    def watch(self, watched: socket.socket, callback: Callback) -> None:
+        """Call back when a socket can be read."""
+        self._selector.register(watched, selectors.EVENT_READ, callback)
+
+    def watch_writing(
+        self, watched: socket.socket, callback: Callback, is_on: bool
+    ) -> None:
+        """Call back also when a watched socket can be written, or no longer."""
+        events = selectors.EVENT_READ
+        if is_on:
+            events |= selectors.EVENT_WRITE
+        self._selector.modify(watched, events, callback)
+
+    def forget(self, watched: socket.socket) -> None:
+        """Stop watching a socket."""
+        self._selector.unregister(watched)
+
+    def call_later(self, delay_s: float, callback: Callback) -> None:
+        """Call back once, after a time."""
+        entry = (time.monotonic() + delay_s, next(self._numbers), callback)
+        heapq.heappush(self._timers, entry)
+
+    def call_from_thread(self, callback: Callback) -> None:
+        """Call back on the loop's thread; may be called on any."""
+        self._called.append(callback)
+        self._wake()
+
+    def take_signal(self, number: int, callback: Callback) -> None:
+        """Call back when the process gets a signal."""
+        self._signals[number] = callback
+        signal.signal(number, self._note_signal)
+        signal.set_wakeup_fd(self._wake_writer.fileno(), warn_on_full_buffer=False)
+
+    def run(self) -> None:
+        """Run until ``stop``."""
+        self._is_running = True
+        while self._is_running:
+            for key, _ in self._selector.select(self._find_timeout()):
+                key.data()
+            self._run_timers()
+
+    def stop(self) -> None:
+        """End ``run`` after the present callback."""
+        self._is_running = False
+
+    def close(self) -> None:
+        """Close the loop's own sockets."""
+        self._selector.close()
+        self._wake_reader.close()
+        self._wake_writer.close()
+
+    def _find_timeout(self) -> float | None:
+        if not self._timers:
+            return None
+        return max(0.0, self._timers[0][0] - time.monotonic())
+
+    def _run_timers(self) -> None:
+        now = time.monotonic()
+        while self._timers and self._timers[0][0] <= now:
+            heapq.heappop(self._timers)[2]()
+
+    def _note_signal(self, number: int, _frame: object) -> None:
+        self._called.append(self._signals[number])
+
+    def _wake(self) -> None:
+        try:
+            self._wake_writer.send(b"\0")
+        except BlockingIOError:
+            # Bytes that wake the loop are already waiting.
+            return
+
+    def _drain_wakes(self) -> None:
+        try:
+            while self._wake_reader.recv(4096):
+                continue
+        except BlockingIOError:
+            pass
+        while self._called:
+            self._called.pop(0)()
--- /dev/null
+++ b/fulmarshore/adapters/httpserver.py
@@ -0,0 +1,268 @@
+"""An HTTP/1.1 server on the event loop, for orders, announcements and probes."""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httptools
+from msgspec import Struct
+
+from fulmarshore.adapters.eventloop import EventLoop
+
+BACKLOG = 256
+MAX_CONNECTIONS = 512
+READ_BYTES = 65_536
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""Sixteen times the largest configuration of the platforms known."""
+
+
+class HttpRequest(Struct, frozen=True):
+    """A whole request."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+class HttpResponse(Struct, frozen=True):
+    """A response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    body : bytes
+        Content, of the type given.
+    location : str
+        Where else to ask; empty if nowhere.
+    retry_after_s : int
+        When to ask again; 0 says nothing.
+    content_type : str
+        Type of the body.
+    """
+
+    status: int
+    body: bytes = b""
+    location: str = ""
+    retry_after_s: int = 0
+    content_type: str = "application/json"
+
+
+Respond = Callable[[HttpResponse], None]
+Handle = Callable[[HttpRequest, Respond], None]
+
+
+class HttpServer:
+    """Accepts connections and hands over requests.
+
+    Parameters
+    ----------
+    loop : EventLoop
+        The loop that watches the sockets.
+    host, port : str, int
+        Where to listen; port 0 lets the kernel choose.
+    handle : callable
+        Called with each request and what answers it, now or later.
+    counters : Counter
+        Counts what is refused.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        host: str,
+        port: int,
+        handle: Handle,
+        counters: Counter[str],
+    ) -> None:
+        self.loop = loop
+        self.handle = handle
+        self.counters = counters
+        self._connections: set[Connection] = set()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind((host, port))
+        self._socket.listen(BACKLOG)
+        self.port = self._socket.getsockname()[1]
+        loop.watch(self._socket, self._accept)
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        self.loop.forget(self._socket)
+        self._socket.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def discard(self, connection: Connection) -> None:
+        """Forget a connection that is closed."""
+        self._connections.discard(connection)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                accepted, _ = self._socket.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                self.counters["http_accept_errors"] += 1
+                return
+            if len(self._connections) >= MAX_CONNECTIONS:
+                self.counters["http_connections_refused"] += 1
+                accepted.close()
+                continue
+            accepted.setblocking(False)
+            self._connections.add(Connection(self, accepted))
+
+
+class Connection:
+    """One connection; its requests are answered in their order."""
+
+    __slots__ = (
+        "_server",
+        "_socket",
+        "_parser",
+        "_path",
+        "_body",
+        "_pending",
+        "_is_busy",
+        "_is_closing",
+        "_unsent",
+        "_is_closed",
+        "_is_too_large",
+    )
+
+    def __init__(self, server: HttpServer, accepted: socket.socket) -> None:
+        self._server = server
+        self._socket = accepted
+        self._parser = httptools.HttpRequestParser(self)
+        self._path = b""
+        self._body = bytearray()
+        self._pending: list[HttpRequest] = []
+        self._is_busy = False
+        self._is_closing = False
+        self._is_closed = False
+        self._is_too_large = False
+        self._unsent = b""
+        server.loop.watch(accepted, self._ready)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._server.loop.forget(self._socket)
+        self._socket.close()
+        self._server.discard(self)
+
+    # Called by the parser, under names that it prescribes.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._path = b""
+        self._body = bytearray()
+        self._is_too_large = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the path."""
+        self._path += url
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+        if len(self._body) + len(body) > MAX_BODY_BYTES:
+            self._is_too_large = True
+            return
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Take the whole request."""
+        method = self._parser.get_method().decode("ascii", "replace")
+        path = self._path.decode("utf-8", "replace")
+        if not self._parser.should_keep_alive():
+            self._is_closing = True
+        body = bytes(self._body)
+        if self._is_too_large:
+            method = "TOO-LARGE"
+        self._pending.append(HttpRequest(method, path, body))
+
+    def _ready(self) -> None:
+        if self._unsent:
+            self._flush()
+        if self._is_closed:
+            return
+        try:
+            data = self._socket.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+            return
+        if not data:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._server.counters["http_malformed"] += 1
+            self._is_closing = True
+            self._send(HttpResponse(HTTPStatus.BAD_REQUEST, b'{"error":"not HTTP"}'))
+            return
+        self._serve_next()
+
+    def _serve_next(self) -> None:
+        if self._is_busy or not self._pending or self._is_closed:
+            return
+        request = self._pending.pop(0)
+        if request.method == "TOO-LARGE":
+            self._send(HttpResponse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE))
+            return
+        self._is_busy = True
+        is_answered = False
+
+        def respond(response: HttpResponse) -> None:
+            nonlocal is_answered
+            assert not is_answered, "a request has one answer"
+            is_answered = True
+            self._is_busy = False
+            self._send(response)
+
+        self._server.handle(request, respond)
+
+    def _send(self, response: HttpResponse) -> None:
+        if self._is_closed:
+            return
+        self._unsent += encode_response(response, self._is_closing)
+        self._flush()
+        self._serve_next()
+
+    def _flush(self) -> None:
+        try:
+            sent = self._socket.send(self._unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        self._unsent = self._unsent[sent:]
+        self._server.loop.watch_writing(self._socket, self._ready, bool(self._unsent))
+        if not self._unsent and self._is_closing and not self._pending:
+            self.close()
+
+
+def encode_response(response: HttpResponse, is_closing: bool) -> bytes:
+    """Return the bytes of a response."""
+    status = HTTPStatus(response.status)
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
+    if response.body:
+        lines.append(f"Content-Type: {response.content_type}")
+    lines.append(f"Content-Length: {len(response.body)}")
+    if response.location:
+        lines.append(f"Location: {response.location}")
+    if response.retry_after_s:
+        lines.append(f"Retry-After: {response.retry_after_s}")
+    if is_closing:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode("ascii") + response.body
--- /dev/null
+++ b/fulmarshore/adapters/logs.py
@@ -0,0 +1,90 @@
+"""Structured lines on standard output, bounded, never blocking.
+
+A reader that has stopped reading costs lines, which are counted, and nothing
+else. Lines that refuse or lose something have a budget of their own, so that
+those about what went well never crowd them out.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import time
+from collections import Counter
+
+import msgspec
+
+from fulmarshore.direct.records import Decision
+
+LINES_PER_S = 20
+"""Budget of lines a second of each kind."""
+WINDOW_S = 1.0
+
+
+class LineLog:
+    """Writes decisions as JSON lines.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where the lines go.
+    role, name : str
+        The process.
+    counters : Counter
+        Counts lines by kind, and what was left out.
+    """
+
+    __slots__ = ("_descriptor", "_role", "_name", "_counters", "_used", "_window_at")
+
+    def __init__(
+        self, descriptor: int, role: str, name: str, counters: Counter[str]
+    ) -> None:
+        self._descriptor = descriptor
+        self._role = role
+        self._name = name
+        self._counters = counters
+        self._used: Counter[str] = Counter()
+        self._window_at = float("-inf")
+        os.set_blocking(descriptor, False)
+
+    def write(self, decision: Decision, now: float) -> None:
+        """Write one line, or count it as left out."""
+        if now - self._window_at >= WINDOW_S:
+            self._start_window(now)
+        self._counters[f"decisions_{decision.kind}"] += 1
+        self._used[decision.kind] += 1
+        if self._used[decision.kind] > LINES_PER_S:
+            return
+        fields = {"at": round(time.time(), 4), "role": self._role, "host": self._name}
+        fields["kind"] = decision.kind
+        if decision.flow:
+            fields["flow"] = format_flow(decision.flow)
+        if decision.detail:
+            fields["detail"] = decision.detail
+        self._put(fields)
+
+    def _start_window(self, now: float) -> None:
+        left_out = {
+            kind: used - LINES_PER_S
+            for kind, used in self._used.items()
+            if used > LINES_PER_S
+        }
+        self._used.clear()
+        self._window_at = now
+        if left_out:
+            self._counters["lines_left_out"] += sum(left_out.values())
+            self._put(
+                {"kind": "lines_left_out", "role": self._role, "counts": left_out}
+            )
+
+    def _put(self, fields: dict) -> None:
+        try:
+            os.write(self._descriptor, msgspec.json.encode(fields) + b"\n")
+        except OSError:
+            self._counters["lines_lost"] += 1
+
+
+def format_flow(flow: bytes) -> str:
+    """Return the key of a flow as text: caller, then service."""
+    caller = f"{socket.inet_ntoa(flow[:4])}:{int.from_bytes(flow[4:6])}"
+    return f"{caller}>{socket.inet_ntoa(flow[6:10])}:{int.from_bytes(flow[10:12])}"
--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -33,6 +33,10 @@
 REPLACED_SILENCE_S = 1.5
 """A disk that was heard of within this time is not replaced by a new one."""
 LEARNER_SILENCE_S = 10.0
+LEADERLESS_S = 1.0
+"""A voter that heard no leader for this long asks whether it was removed."""
+LOST_SILENCE_S = 3.0
+"""A voter beyond the fewest that are wanted is removed after this silence."""
 RECOVERY_ENTRIES = 10_000
 """Entries by which a recovered group is ahead of its former self."""
 
@@ -60,7 +64,7 @@
 
 def tick(replica: Replica, now: float) -> None:
     """Ask for a place in the group, or start the group."""
-    if replica.is_voter:
+    if replica.is_voter and not _may_be_removed(replica, now):
         return
     if replica.bootstrap and _may_bootstrap(replica, now):
         _start_group(replica, now)
@@ -117,6 +121,8 @@
         if not _may_change(replica, learner):
             continue
         former = _find_former(replica, learner)
+        if former is None:
+            former = _find_lost(replica, replica.fewest_voters, now)
         if former is None:
             _change_voters(replica, [*replica.current_voters, learner])
             replica.note("voter_added", peer=learner.name, detail=learner.disk)
@@ -125,21 +131,62 @@
         if held is not None and now - held.heard_at < REPLACED_SILENCE_S:
             replica.counters["learners_refused_name_in_use"] += 1
             continue
-        voters = [voter for voter in replica.current_voters if voter != former]
-        _change_voters(replica, voters)
-        replica.progress.pop(former, None)
-        replica.note("voter_removed", peer=former.name, detail=former.disk)
+        _remove(replica, former)
         return
+    lost = _find_lost(replica, replica.fewest_voters, now, LOST_SILENCE_S, spare=1)
+    if lost is not None and _is_settled(replica):
+        _remove(replica, lost)
+
+
+def _remove(replica: Replica, former: ReplicaId) -> None:
+    voters = [voter for voter in replica.current_voters if voter != former]
+    _change_voters(replica, voters)
+    replica.progress.pop(former, None)
+    replica.note("voter_removed", peer=former.name, detail=former.disk)
 
 
 def _may_change(replica: Replica, learner: ReplicaId) -> bool:
+    if not _is_settled(replica):
+        return False
+    progress = replica.progress[learner]
+    return progress.is_known and progress.match >= replica.commit
+
+
+def _is_settled(replica: Replica) -> bool:
     """One change at a time, after an entry of the leader's own term."""
     if replica.voters[-1][0] > replica.commit:
         return False
-    if replica.log.find_term(replica.commit) != replica.term:
+    return replica.log.find_term(replica.commit) == replica.term
+
+
+def _may_be_removed(replica: Replica, now: float) -> bool:
+    """Whether a voter should ask for its place again.
+
+    A group that removes lost voters may have removed this one, which cannot
+    hear of it: the leader does not send to those that it removed.
+    """
+    if replica.fewest_voters is None or replica.is_leader:
         return False
-    progress = replica.progress[learner]
-    return progress.is_known and progress.match >= replica.commit
+    return now - max(replica.leader_heard_at, replica.started_at) > LEADERLESS_S
+
+
+def _find_lost(
+    replica: Replica,
+    fewest: int | None,
+    now: float,
+    silence: float = REPLACED_SILENCE_S,
+    spare: int = 0,
+) -> ReplicaId | None:
+    """Return a voter that is silent and can be spared, where such may go."""
+    if fewest is None or len(replica.current_voters) < fewest + spare:
+        return None
+    for voter in replica.current_voters:
+        held = replica.progress.get(voter)
+        if voter == replica.identity or held is None:
+            continue
+        if now - held.heard_at > silence:
+            return voter
+    return None
 
 
 def _change_voters(replica: Replica, voters: list[ReplicaId]) -> None:
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -68,6 +68,9 @@
         Start the group if no peer belongs to one.
     region : str
         Name of the region; empty where it is not told.
+    fewest_voters : int or None
+        A group of at least that many replaces a silent voter by a new host of
+        another name, and a larger one removes it; None never does.
     """
 
     def __init__(
@@ -77,9 +80,11 @@
         random: Random,
         bootstrap: bool = False,
         region: str = "",
+        fewest_voters: int | None = None,
     ) -> None:
         self.identity = recovered.replica
         self.region = region
+        self.fewest_voters = fewest_voters
         self.peers = list(peers)
         self.random = random
         self.bootstrap = bootstrap and not recovered.term_vote.group
--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -19,6 +19,7 @@
     Freshness,
     LogEntry,
     Noop,
+    PutConfiguration,
     ReplicaId,
     SendLink,
 )
@@ -28,6 +29,8 @@
 
 MAX_ENTRIES = 256
 """Entries in one message."""
+MAX_ENTRIES_BYTES = 256 * 1024
+"""Configurations in one message, unless the first one alone is larger."""
 
 
 def start_leading(replica: Replica, now: float) -> None:
@@ -202,7 +205,7 @@
         replica.term,
         previous,
         replica.log.find_term(previous),
-        replica.log.list_from(progress.next_index, MAX_ENTRIES),
+        _list_entries(replica, progress.next_index),
         replica.commit,
         replica.freshness.stamp if replica.freshness.term == replica.term else 0,
         replica.beat,
@@ -210,6 +213,19 @@
     replica.emit(SendLink(target.name, request))
 
 
+def _list_entries(replica: Replica, index: int) -> list[LogEntry]:
+    """Return the entries of one message."""
+    entries = []
+    size = 0
+    for entry in replica.log.list_from(index, MAX_ENTRIES):
+        if isinstance(entry.command, PutConfiguration):
+            size += len(entry.command.content)
+        if entries and size > MAX_ENTRIES_BYTES:
+            break
+        entries.append(entry)
+    return entries
+
+
 def _advance(replica: Replica, now: float) -> None:
     """Commit what a majority has synced, if it is of this term."""
     matches = []
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1604,7 +1604,29 @@
     replicas: list[ReplicaId]
 
 
-Command = Union[Change, Join, Expire, Batch, Noop, Voters]
+class PutConfiguration(Record, frozen=True):
+    """A whole configuration; the highest version is in force.
+
+    Parameters
+    ----------
+    version : int
+        The operator's number.
+    content : bytes
+        The configuration as the operator sent it, compressed.
+    """
+
+    version: int
+    content: bytes
+
+
+class PutZone(Record, frozen=True):
+    """An availability zone goes out of service, or back."""
+
+    zone: str
+    is_out: bool
+
+
+Command = Union[Change, Join, Expire, Batch, Noop, Voters, PutConfiguration, PutZone]
 
 
 class LogEntry(Record, frozen=True):
--- /dev/null
+++ b/fulmarshore/daemons/direct.py
@@ -0,0 +1,226 @@
+"""What the daemons of the direct data path share: loop, sockets, signals, logs."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import socket
+import sys
+import time
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from fulmarshore.adapters.eventloop import EventLoop
+from fulmarshore.adapters.httpserver import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    Respond,
+)
+from fulmarshore.adapters.logs import LineLog
+from fulmarshore.adapters.messages import MessageSocket, open_datagram_socket
+from fulmarshore.direct.packets import MAX_PACKET_BYTES
+from fulmarshore.direct.records import (
+    Decision,
+    Ended,
+    SendPoll,
+    Stopping,
+    Ticked,
+    Told,
+    Update,
+)
+from fulmarshore.direct.settings import (
+    CONTROL_OFFSET,
+    HostSettings,
+    SettingsProblem,
+)
+
+TICK_INTERVAL_S = 0.1
+RELOAD_INTERVAL_S = 1.0
+"""How often the settings are looked at: they may change without a signal."""
+PACKET_BATCH = 128
+"""Packets taken before timers and other sockets get their turn."""
+
+encode = msgspec.msgpack.Encoder().encode
+_update_decoder = msgspec.msgpack.Decoder(Update)
+
+Load = Callable[[], "HostSettings | list[SettingsProblem] | None"]
+
+
+class DirectDaemon(ABC):
+    """Runs a core: events in, effects out, until it has stopped.
+
+    Parameters
+    ----------
+    role : str
+        entry, agent or control.
+    settings : HostSettings
+        Settings of the process.
+    load : callable
+        Returns new settings, what is wrong with them, or None where they have
+        not changed.
+    tick_s : float
+        Interval of ticks, seconds.
+    """
+
+    def __init__(
+        self,
+        role: str,
+        settings: HostSettings,
+        load: Load,
+        tick_s: float = TICK_INTERVAL_S,
+    ) -> None:
+        self.settings = settings
+        self.counters: Counter[str] = Counter()
+        self.loop = EventLoop()
+        self.random = Random(secrets.randbits(64))
+        self.exit_code = 0
+        self._load = load
+        self._tick_s = tick_s
+        self._log = LineLog(sys.stdout.fileno(), role, settings.name, self.counters)
+        self._servers: list[HttpServer] = []
+
+    @abstractmethod
+    def handle(self, event: object, now: float) -> list:
+        """Hand an event to the core."""
+
+    @abstractmethod
+    def carry_out(self, effect: object) -> None:
+        """Carry out an effect that is the role's own."""
+
+    @abstractmethod
+    def open(self) -> None:
+        """Open the sockets of the role."""
+
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Whether probes are told that the host may be used."""
+
+    def use_settings(self, settings: HostSettings) -> None:
+        """Take settings that have changed."""
+        self.settings = settings
+
+    def answer_http(self, request: HttpRequest, respond: Respond) -> None:
+        """Answer a request that is no probe."""
+        respond(HttpResponse(404))
+
+    def run(self) -> int:
+        """Run until a planned stop is complete; return the exit code."""
+        self.open()
+        self.loop.take_signal(signal.SIGTERM, lambda: self.dispatch(Stopping()))
+        self.loop.take_signal(signal.SIGINT, lambda: self.dispatch(Stopping()))
+        self.loop.take_signal(signal.SIGHUP, self._reload)
+        self.note(Decision("started", f"host {self.settings.host}"))
+        self._tick()
+        self.loop.call_later(RELOAD_INTERVAL_S, self._reload_regularly)
+        self.loop.run()
+        self.note(Decision("stopped", f"exit code {self.exit_code}"))
+        for server in self._servers:
+            server.close()
+        return self.exit_code
+
+    def dispatch(self, event: object) -> None:
+        """Hand an event to the core and carry out what it returns."""
+        for effect in self.handle(event, time.monotonic()):
+            match effect:
+                case Decision():
+                    self.note(effect)
+                case Ended():
+                    self.loop.stop()
+                case _:
+                    self.carry_out(effect)
+
+    def note(self, decision: Decision) -> None:
+        """Write a line of the log."""
+        self._log.write(decision, time.monotonic())
+
+    def serve(self, host: str, port: int) -> None:
+        """Answer HTTP requests on an address."""
+        server = HttpServer(self.loop, host, port, self._answer, self.counters)
+        self._servers.append(server)
+
+    def read_packets(self, reader: socket.socket, make: Callable) -> Callable:
+        """Return a callback that hands over the packets that wait."""
+
+        def read() -> None:
+            for _ in range(PACKET_BATCH):
+                try:
+                    content = reader.recv(MAX_PACKET_BYTES + 1)
+                except BlockingIOError:
+                    return
+                except OSError:
+                    self.counters["packets_read_errors"] += 1
+                    return
+                self.dispatch(make(content))
+
+        return read
+
+    def open_packets(self, host: str, port: int, make: Callable) -> socket.socket:
+        """Return a socket whose packets become events of the core."""
+        opened = open_datagram_socket(host, port)
+        self.loop.watch(opened, self.read_packets(opened, make))
+        return opened
+
+    def send_packet(
+        self, sender: socket.socket, content: bytes, host: str, port: int
+    ) -> None:
+        """Send a packet; what the kernel does not take is lost and counted."""
+        try:
+            sender.sendto(content, (host, port))
+        except OSError:
+            self.counters["packets_unsent"] += 1
+
+    def _answer(self, request: HttpRequest, respond: Respond) -> None:
+        if request.method == "GET" and request.path == "/v1/ready":
+            respond(HttpResponse(200 if self.is_ready() else 503))
+            return
+        self.answer_http(request, respond)
+
+    def _tick(self) -> None:
+        self.dispatch(Ticked())
+        self.loop.call_later(self._tick_s, self._tick)
+
+    def _reload_regularly(self) -> None:
+        self._reload()
+        self.loop.call_later(RELOAD_INTERVAL_S, self._reload_regularly)
+
+    def _reload(self) -> None:
+        loaded = self._load()
+        if loaded is None:
+            return
+        if isinstance(loaded, list):
+            detail = "; ".join(str(problem) for problem in loaded)
+            self.note(Decision("settings_refused", detail))
+            return
+        self.note(Decision("settings_taken", f"seeds {', '.join(loaded.seeds)}"))
+        self.use_settings(loaded)
+
+
+class SubscribedDaemon(DirectDaemon):
+    """A daemon that learns from control hosts what is in force."""
+
+    port_offset = 0
+
+    def open_messages(self) -> None:
+        """Open the socket for control messages."""
+        port = self.settings.internal_port + self.port_offset
+        self._messages = MessageSocket(
+            self.loop, self.settings.host, port, self._take_message, self.counters
+        )
+
+    def send_poll(self, effect: SendPoll) -> None:
+        """Ask a control host what is new."""
+        port = self.settings.internal_port + CONTROL_OFFSET
+        self._messages.send(encode(effect.poll), effect.host, port)
+
+    def _take_message(self, content: bytes, host: str, port: int) -> None:
+        try:
+            update = _update_decoder.decode(content)
+        except (msgspec.MsgspecError, ValueError):
+            self.counters["messages_malformed"] += 1
+            return
+        self.dispatch(Told(host, update))
--- /dev/null
+++ b/fulmarshore/daemons/directcontrol.py
@@ -0,0 +1,253 @@
+"""The daemon of a control host of the direct data path."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+from typing import Union
+
+import msgspec
+
+from fulmarshore.adapters.disk import (
+    DataFolder,
+    FileDisk,
+    FolderRefused,
+    make_new_replica,
+)
+from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse, Respond
+from fulmarshore.adapters.messages import MessageSocket
+from fulmarshore.agreement.replica import Replica
+from fulmarshore.core.records import (
+    AppendReply,
+    AppendRequest,
+    ChunkReply,
+    Command,
+    DamagedFile,
+    JoinReply,
+    JoinRequest,
+    LinkMessage,
+    Recovered,
+    SendLink,
+    SnapshotChunk,
+    StandNow,
+    Store,
+    Stored,
+    VoteReply,
+    VoteRequest,
+)
+from fulmarshore.daemons.direct import DirectDaemon, Load, encode
+from fulmarshore.direct.control import (
+    Accepted,
+    ControlCore,
+    Elsewhere,
+    Newest,
+    Order,
+    Polled,
+    Read,
+    SendUpdate,
+)
+from fulmarshore.direct.orders import OrderState
+from fulmarshore.direct.records import Decision, Poll, Table
+from fulmarshore.direct.settings import CONTROL_OFFSET, HostSettings
+
+TICK_INTERVAL_S = 0.05
+"""Half of the interval of the log's heartbeats."""
+RETRY_AFTER_S = 1
+
+Message = Union[
+    Poll,
+    VoteRequest,
+    VoteReply,
+    StandNow,
+    AppendRequest,
+    AppendReply,
+    SnapshotChunk,
+    ChunkReply,
+    JoinRequest,
+    JoinReply,
+]
+_decoder = msgspec.msgpack.Decoder(Message)
+
+ReadOrder = Callable[[HttpRequest], "Command | ReadNewest | HttpResponse"]
+
+
+class ReadNewest(msgspec.Struct, frozen=True):
+    """A request for the newest configuration."""
+
+
+class ControlDaemon(DirectDaemon):
+    """Takes orders, keeps the replicated log, and tells the other hosts.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Settings of the process.
+    load : callable
+        Returns settings that have changed.
+    read_order : callable
+        Reads an order from an HTTP request, or says what is wrong with it.
+    make_table : callable
+        Makes the table of a state.
+    format_newest : callable
+        Returns the body that a read is answered with.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        load: Load,
+        read_order: ReadOrder,
+        make_table: Callable[[OrderState, int], Table],
+        format_newest: Callable[[OrderState], bytes],
+    ) -> None:
+        super().__init__("control", settings, load, TICK_INTERVAL_S)
+        self.core: ControlCore | None = None
+        self._read_order = read_order
+        self._make_table = make_table
+        self._format_newest = format_newest
+        self._responses: dict[int, tuple[Respond, str]] = {}
+        self._requests = 0
+        self._disk: FileDisk | None = None
+
+    def open(self) -> None:
+        """Read the log, and open the sockets for hosts and operators."""
+        settings = self.settings
+        folder = DataFolder(
+            Path(settings.data_folder), settings.host, checks_mode=False
+        )
+        refused = folder.open()
+        if isinstance(refused, FolderRefused):
+            raise SystemExit(f"{refused.folder}: {refused.detail}")
+        recovered = self._recover(folder)
+        starter = min(settings.seeds, default=settings.host)
+        replica = Replica(
+            recovered,
+            [seed for seed in settings.seeds if seed != settings.host],
+            self.random,
+            settings.bootstrap and settings.host == starter,
+            fewest_voters=2 * settings.lost_disks + 1,
+        )
+        self.core = ControlCore(
+            replica, secrets.randbits(63), settings.lost_disks, self._make_table
+        )
+        detail = (
+            f"group {replica.group or 'none'}, disk {replica.identity.disk}, "
+            f"term {replica.term}, entries up to {replica.log.last_index}"
+        )
+        self.note(Decision("log_opened", detail))
+        self._disk = FileDisk(folder.path, recovered, self._note_stored, self._fail)
+        self._messages = MessageSocket(
+            self.loop,
+            settings.host,
+            settings.internal_port + CONTROL_OFFSET,
+            self._take_message,
+            self.counters,
+        )
+        if settings.orders is not None:
+            self.serve(settings.orders.host, settings.orders.port)
+
+    def handle(self, event: object, now: float) -> list:
+        """Hand an event to the core."""
+        return self.core.handle(event, now)
+
+    def is_ready(self) -> bool:
+        """Whether a leader is known."""
+        return self.core.is_ready
+
+    def use_settings(self, settings: HostSettings) -> None:
+        """Take new seeds."""
+        super().use_settings(settings)
+        peers = self.core.replica.peers
+        for seed in settings.seeds:
+            if seed != settings.host and seed not in peers:
+                peers.append(seed)
+
+    def answer_http(self, request: HttpRequest, respond: Respond) -> None:
+        """Take an order or a read."""
+        found = self._read_order(request)
+        if isinstance(found, HttpResponse):
+            self.counters[f"orders_answered_{found.status}"] += 1
+            if found.status >= 400:
+                detail = f"{request.method} {request.path}: {found.body[:300].decode()}"
+                self.note(Decision("order_refused", detail))
+            respond(found)
+            return
+        self._requests += 1
+        self._responses[self._requests] = (respond, request.path)
+        if isinstance(found, ReadNewest):
+            self.dispatch(Read(self._requests))
+            return
+        self.dispatch(Order(self._requests, found))
+
+    def carry_out(self, effect: object) -> None:
+        """Send, write to the disk, or answer an operator."""
+        internal_port = self.settings.internal_port + CONTROL_OFFSET
+        match effect:
+            case SendLink(peer=peer, message=message):
+                self._messages.send(encode(message), peer, internal_port)
+            case SendUpdate(update=update, host=host, port=port):
+                self._messages.send(encode(update), host, port)
+            case Store():
+                self._disk.submit(effect)
+            case Accepted(request=request):
+                self._respond(request, HttpResponse(200, b"{}"))
+            case Newest(request=request, state=state):
+                self._respond_newest(request, state)
+            case Elsewhere(request=request, leader=leader):
+                self._redirect(request, leader)
+            case _:
+                raise TypeError(f"unexpected effect {effect!r}")
+
+    def _respond(self, request: int, response: HttpResponse) -> None:
+        respond, path = self._responses.pop(request)
+        self.counters[f"orders_answered_{response.status}"] += 1
+        respond(response)
+
+    def _respond_newest(self, request: int, state: OrderState) -> None:
+        if not state.version:
+            self._respond(request, HttpResponse(503, b'{"error":"none yet"}'))
+            return
+        self._respond(request, HttpResponse(200, self._format_newest(state)))
+
+    def _redirect(self, request: int, leader: str) -> None:
+        _, path = self._responses[request]
+        if not leader or leader == self.settings.host:
+            body = b'{"error":"no leader is known"}'
+            response = HttpResponse(503, body, retry_after_s=RETRY_AFTER_S)
+            self.note(Decision("order_unanswered", path))
+            self._respond(request, response)
+            return
+        location = f"http://{leader}:{self.settings.control_port}{path}"
+        self._respond(request, HttpResponse(307, b"{}", location))
+
+    def _take_message(self, content: bytes, host: str, port: int) -> None:
+        try:
+            message = _decoder.decode(content)
+        except (msgspec.MsgspecError, ValueError):
+            self.counters["messages_malformed"] += 1
+            return
+        if isinstance(message, Poll):
+            self.dispatch(Polled(host, port, message))
+            return
+        self.dispatch(LinkMessage(host, message))
+
+    def _recover(self, folder: DataFolder) -> Recovered:
+        outcome = folder.read()
+        if isinstance(outcome, DamagedFile):
+            suffix = folder.put_aside()
+            detail = f"{outcome.file} at byte {outcome.offset}: {outcome.detail}"
+            self.note(Decision("log_damaged", f"{detail}; put aside as {suffix}"))
+            return make_new_replica(self.settings.host)
+        return outcome
+
+    def _note_stored(self, sequence: int) -> None:
+        self.loop.call_from_thread(lambda: self.dispatch(Stored(sequence)))
+
+    def _fail(self, error: OSError) -> None:
+        self.loop.call_from_thread(lambda: self._stop_failed(error))
+
+    def _stop_failed(self, error: OSError) -> None:
+        self.note(Decision("disk_failed", str(error)))
+        self.exit_code = 1
+        self.loop.stop()
--- /dev/null
+++ b/fulmarshore/daemons/directentry.py
@@ -0,0 +1,91 @@
+"""The daemon of an entry host of the direct data path."""
+
+from __future__ import annotations
+
+import socket
+
+from fulmarshore.daemons.direct import Load, SubscribedDaemon
+from fulmarshore.direct.entry import EntryCore
+from fulmarshore.direct.packets import MAX_PACKET_BYTES
+from fulmarshore.direct.records import (
+    CallerPacket,
+    ReturnedPacket,
+    SendPoll,
+    SendToAgent,
+    SendToCaller,
+)
+from fulmarshore.direct.settings import ENTRY_OFFSET, RETURN_OFFSET, HostSettings
+
+
+class EntryDaemon(SubscribedDaemon):
+    """Forwards callers' packets to agents."""
+
+    port_offset = ENTRY_OFFSET
+
+    def __init__(self, settings: HostSettings, load: Load) -> None:
+        super().__init__("entry", settings, load)
+        self.core = EntryCore(
+            settings.host, settings.zone, list(settings.seeds), self.random
+        )
+
+    def open(self) -> None:
+        """Open the sockets for callers, agents, control hosts and probes."""
+        settings = self.settings
+        self._packets = self.open_packets(
+            settings.host, settings.packet_port, CallerPacket
+        )
+        self._returned = self._open_returned()
+        self.open_messages()
+        if settings.readiness is not None:
+            self.serve(settings.readiness.host, settings.readiness.port)
+
+    def handle(self, event: object, now: float) -> list:
+        """Hand an event to the core."""
+        return self.core.handle(event, now)
+
+    def is_ready(self) -> bool:
+        """Whether callers' packets should come here."""
+        return self.core.is_ready
+
+    def use_settings(self, settings: HostSettings) -> None:
+        """Take new seeds."""
+        super().use_settings(settings)
+        self.core.subscription.replace_seeds(list(settings.seeds))
+
+    def carry_out(self, effect: object) -> None:
+        """Send a packet or a poll."""
+        port = self.settings.packet_port
+        match effect:
+            case SendToAgent(content=content, host=host):
+                self.send_packet(self._packets, content, host, port)
+            case SendToCaller(content=content, host=host):
+                caller = socket.inet_ntoa(host)
+                self.send_packet(self._packets, content, caller, port)
+            case SendPoll():
+                self.send_poll(effect)
+            case _:
+                raise TypeError(f"unexpected effect {effect!r}")
+
+    def _open_returned(self) -> socket.socket:
+        port = self.settings.internal_port + RETURN_OFFSET
+        return self.open_sourced(self.settings.host, port)
+
+    def open_sourced(self, host: str, port: int) -> socket.socket:
+        """Return a socket whose packets come with their senders."""
+        from fulmarshore.adapters.messages import open_datagram_socket
+
+        opened = open_datagram_socket(host, port)
+
+        def read() -> None:
+            while True:
+                try:
+                    content, sender = opened.recvfrom(MAX_PACKET_BYTES + 1)
+                except BlockingIOError:
+                    return
+                except OSError:
+                    self.counters["packets_read_errors"] += 1
+                    return
+                self.dispatch(ReturnedPacket(content, sender[0]))
+
+        self.loop.watch(opened, read)
+        return opened
--- /dev/null
+++ b/fulmarshore/direct/agent.py
@@ -0,0 +1,389 @@
+"""The core of an agent: the gate in front of one upstream.
+
+Packets of both directions pass here. The truth about a flow is with the
+upstream: an agent that has lost its memory asks by delivering, and a packet
+that the upstream returns goes back to the entry host that sent it.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+
+from fulmarshore.direct.gate import Gate
+from fulmarshore.direct.packets import (
+    ACK,
+    FIN,
+    MARK_HELD,
+    MARK_NOT_HELD,
+    MARK_REFUSED,
+    MARK_REFUSED_CLOSED,
+    MARK_SEEKING,
+    NO_HOST,
+    RST,
+    SYN,
+    Packet,
+    make_note,
+    make_reset,
+    mark_packet,
+    parse_answer,
+    parse_packet,
+)
+from fulmarshore.direct.records import (
+    AgentReport,
+    Announced,
+    CallerPacket,
+    Decision,
+    Departed,
+    Ended,
+    Poll,
+    SendPoll,
+    SendToCaller,
+    SendToEntry,
+    SendToUpstream,
+    Stopping,
+    Ticked,
+    Told,
+    UpstreamClosed,
+    UpstreamPacket,
+)
+from fulmarshore.direct.subscription import Subscription
+from fulmarshore.direct.tables import TableView
+
+SWEEP_INTERVAL_S = 1.0
+ENDED_LINGER_S = 3.0
+"""How long a flow that ended is remembered for packets sent again."""
+STOP_WAIT_S = 4.0
+"""How long a planned stop waits at most for requests under way; the shortest
+grace period known is 6 s."""
+STOP_NOTICE_S = 0.3
+"""How long a planned stop goes on serving what was offered before entry hosts
+heard of it."""
+
+Effects = list
+
+
+class AgentFlow:
+    """What an agent remembers of a flow.
+
+    Parameters
+    ----------
+    now : float
+        Time of its first packet here.
+    is_open : bool
+        Whether the upstream is known to hold it.
+    """
+
+    __slots__ = ("seen_at", "is_open", "is_busy", "ends", "asker", "acknowledged")
+
+    def __init__(self, now: float, is_open: bool) -> None:
+        self.seen_at = now
+        self.is_open = is_open
+        self.is_busy = False
+        self.ends = 0
+        self.asker = NO_HOST
+        self.acknowledged = 0
+
+
+class AgentCore:
+    """Admits flows to its upstream and carries their packets.
+
+    Parameters
+    ----------
+    host, zone : str
+        This host's address and availability zone.
+    seeds : list of str
+        Control hosts from the settings.
+    process : int
+        Random number of this process.
+    """
+
+    def __init__(self, host: str, zone: str, seeds: list[str], process: int) -> None:
+        self.host = host
+        self.counters: Counter[str] = Counter()
+        self.tables = TableView()
+        self.gate = Gate(self.tables)
+        self.subscription = Subscription(seeds)
+        self._zone = zone
+        self._process = process
+        self._own_host = socket.inet_aton(host)
+        self._flows: dict[bytes, AgentFlow] = {}
+        self._busy = 0
+        self._revision = 0
+        self._reported: tuple = ()
+        self._swept_at = float("-inf")
+        self._stop_at: float | None = None
+        self._stopping_since = float("inf")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the agent knows the configuration and its upstream."""
+        return self.tables.is_known and self.gate.upstream is not None
+
+    @property
+    def flow_count(self) -> int:
+        """Flows that are remembered."""
+        return len(self._flows)
+
+    @property
+    def busy(self) -> int:
+        """Flows with a request under way."""
+        return self._busy
+
+    def handle(self, event: object, now: float) -> Effects:
+        """Take one event and return what is to be done."""
+        match event:
+            case CallerPacket(content=content):
+                return self._take_caller(content, now)
+            case UpstreamPacket(content=content):
+                return self._take_upstream(content, now)
+            case Announced():
+                return self._take_announcement(event, now)
+            case Departed(upstream=upstream):
+                return self._take_departure(upstream, now)
+            case Ticked():
+                return self._tick(now)
+            case Told(host=host, update=update):
+                return self._learn(host, update, now)
+            case UpstreamClosed():
+                return self._note_closed(now)
+            case Stopping():
+                return self._stop(now)
+        raise TypeError(f"unexpected event {event!r}")
+
+    # From callers.
+
+    def _take_caller(self, content: bytes, now: float) -> Effects:
+        packet = parse_packet(content)
+        if packet is None:
+            self.counters["packets_malformed"] += 1
+            return []
+        flow = self._flows.get(packet.flow)
+        if packet.is_opening:
+            return self._open(packet, flow, now)
+        if flow is None:
+            # The agent may have lost its memory: only the upstream knows.
+            self.counters["flows_asked_for"] += 1
+            flow = self._flows[packet.flow] = AgentFlow(now, False)
+        flow.seen_at = now
+        flow.acknowledged = packet.acknowledged
+        effects: Effects = [SendToUpstream(packet.content)]
+        if packet.mark == MARK_SEEKING:
+            if flow.is_open:
+                effects.append(self._tell_held(packet))
+            else:
+                flow.asker = packet.return_host
+        if packet.length and not flow.is_busy and flow.ends == 0:
+            flow.is_busy = True
+            self._busy += 1
+        if packet.flags & RST:
+            self._forget(packet.flow)
+        elif packet.flags & FIN:
+            flow.ends |= 1
+            self._rest(flow)
+        return effects
+
+    def _open(self, packet: Packet, flow: AgentFlow | None, now: float) -> Effects:
+        if flow is not None:
+            return [SendToUpstream(packet.content)]
+        reason = self.gate.admit(packet.service_address, len(self._flows), now)
+        if reason is not None:
+            return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
+        self._flows[packet.flow] = AgentFlow(now, False)
+        self.counters["flows_admitted"] += 1
+        return [SendToUpstream(packet.content)]
+
+    def _refuse(self, packet: Packet, reason: str, mark: int) -> Effects:
+        self.counters[f"refused_{reason}"] += 1
+        returned = mark_packet(packet, mark, self._own_host)
+        return [
+            SendToEntry(returned, packet.return_host),
+            Decision("flow_refused", reason, packet.flow),
+        ]
+
+    def _tell_held(self, packet: Packet) -> SendToEntry:
+        note = make_note(packet, MARK_HELD, self._own_host)
+        return SendToEntry(note, packet.return_host)
+
+    # From the upstream.
+
+    def _take_upstream(self, content: bytes, now: float) -> Effects:
+        packet = parse_packet(content)
+        if packet is None:
+            self.counters["packets_malformed"] += 1
+            return []
+        if packet.is_bounced:
+            return self._take_bounced(packet, now)
+        packet = parse_answer(content)
+        flow = self._flows.get(packet.flow)
+        effects: Effects = [SendToCaller(content, packet.caller_host)]
+        if flow is None:
+            flow = self._flows[packet.flow] = AgentFlow(now, True)
+        flow.seen_at = now
+        if packet.flags & (SYN | ACK) == SYN | ACK:
+            return effects
+        if packet.flags & RST:
+            self._forget(packet.flow)
+            return effects
+        flow.is_open = True
+        if flow.asker != NO_HOST:
+            note = make_note(packet, MARK_HELD, self._own_host)
+            effects.append(SendToEntry(note, flow.asker))
+            flow.asker = NO_HOST
+        if packet.length:
+            self._rest(flow)
+        if packet.flags & FIN:
+            flow.ends |= 2
+        return effects
+
+    def _take_bounced(self, packet: Packet, now: float) -> Effects:
+        """The upstream returned a packet: the entry host goes on with it."""
+        flow = self._flows.get(packet.flow)
+        if packet.is_opening:
+            if flow is not None and not flow.is_open:
+                self._forget(packet.flow)
+            return self._refuse(packet, "returned_by_upstream", MARK_REFUSED)
+        self.counters["packets_returned"] += 1
+        if flow is not None:
+            self._forget(packet.flow)
+            if flow.is_open:
+                # The upstream held it and does not any more, so nobody does.
+                self.counters["flows_reset_lost"] += 1
+                reset = make_reset(packet.flow, packet.acknowledged)
+                return [
+                    SendToCaller(reset, packet.caller_host),
+                    Decision("flow_reset", "upstream lost it", packet.flow),
+                ]
+        if packet.return_host == NO_HOST:
+            return []
+        returned = mark_packet(packet, MARK_NOT_HELD, self._own_host)
+        return [SendToEntry(returned, packet.return_host)]
+
+    def _note_closed(self, now: float) -> Effects:
+        """Nobody listens at the upstream's address: its flows are gone."""
+        self.counters["upstream_closed"] += 1
+        if self.gate.explain(now) == "upstream_gone" and not self._flows:
+            return []
+        self.gate.close()
+        effects = self._reset_all()
+        effects.append(Decision("upstream_closed", f"{len(effects)} flows reset"))
+        return effects + self._report(now)
+
+    def _reset_all(self) -> Effects:
+        effects: Effects = []
+        for key, flow in self._flows.items():
+            if flow.ends == 3:
+                continue
+            reset = make_reset(key, flow.acknowledged)
+            effects.append(SendToCaller(reset, key[:4]))
+        self._flows.clear()
+        self._busy = 0
+        return effects
+
+    # What the upstream says of itself.
+
+    def _take_announcement(self, announced: Announced, now: float) -> Effects:
+        was_ready = self.gate.explain(now)
+        outcome = self.gate.take(announced, now)
+        if outcome == "late":
+            self.counters["announcements_late"] += 1
+            return []
+        effects: Effects = []
+        reason = self.gate.explain(now)
+        if outcome == "new" or reason != was_ready:
+            detail = (
+                f"{announced.upstream} of {announced.service}, "
+                f"{reason or 'accepting'}, cold {announced.cold_s:.3f} s"
+            )
+            effects.append(Decision("upstream_announced", detail))
+            effects += self._report(now)
+        return effects
+
+    def _take_departure(self, upstream: str, now: float) -> Effects:
+        if not self.gate.depart(upstream):
+            self.counters["departures_late"] += 1
+            return []
+        return [Decision("upstream_departed", upstream), *self._report(now)]
+
+    # Control and time.
+
+    def _learn(self, host: str, update: object, now: float) -> Effects:
+        effects: Effects = []
+        if self.subscription.hear(host, update, now):
+            effects.append(Decision("control_heard", host))
+        if update.table is not None and self.tables.replace(update.table):
+            table = update.table
+            detail = f"version {table.version}, index {table.index}, from {host}"
+            effects.append(Decision("table_taken", detail))
+            if self._describe(now) != self._reported:
+                effects += self._report(now)
+        return effects
+
+    def _stop(self, now: float) -> Effects:
+        if self._stop_at is not None:
+            return []
+        self.gate.stop()
+        self._stop_at = now + STOP_WAIT_S
+        self._stopping_since = now
+        detail = f"{len(self._flows)} flows, {self._busy} busy"
+        return [Decision("stopping", detail), *self._report(now)]
+
+    def _tick(self, now: float) -> Effects:
+        effects: Effects = []
+        if self.subscription.is_due(now) or self._describe(now) != self._reported:
+            for host in self.subscription.list_silent(now):
+                effects.append(Decision("control_silent", host))
+            effects += self._report(now)
+        if now - self._swept_at >= SWEEP_INTERVAL_S:
+            self._swept_at = now
+            self._sweep(now)
+        if self._stop_at is not None and self._may_end(now):
+            effects.append(Ended())
+        return effects
+
+    def _may_end(self, now: float) -> bool:
+        if now - self._stopping_since < STOP_NOTICE_S:
+            return False
+        return now >= self._stop_at or self._busy == 0
+
+    def _report(self, now: float) -> Effects:
+        self._revision += 1
+        self._reported = self._describe(now)
+        upstream = self.gate.upstream
+        report = AgentReport(
+            self.host,
+            self._process,
+            self._revision,
+            upstream.zone if upstream is not None else self._zone,
+            self.gate.service,
+            self.gate.is_accepting(now),
+            self.gate.is_cold(now),
+            upstream.slots if upstream is not None else 1,
+            len(self._flows),
+            self._busy,
+        )
+        poll = Poll(self.tables.table.index, 0, 0, False, report)
+        self.subscription.note_polled(now)
+        return [SendPoll(poll, host) for host in self.subscription.hosts]
+
+    def _describe(self, now: float) -> tuple:
+        """Return what control hosts have to hear of at once."""
+        accepting = self.gate.is_accepting(now)
+        return (self.gate.service, accepting, self.gate.is_cold(now))
+
+    def _rest(self, flow: AgentFlow) -> None:
+        if flow.is_busy:
+            flow.is_busy = False
+            self._busy -= 1
+
+    def _forget(self, key: bytes) -> None:
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            self._rest(flow)
+
+    def _sweep(self, now: float) -> None:
+        idle_s = self.tables.table.idle_timeout_s
+        for key, flow in list(self._flows.items()):
+            limit = ENDED_LINGER_S if flow.ends == 3 or not flow.is_open else idle_s
+            if now - flow.seen_at > limit:
+                self._forget(key)
--- /dev/null
+++ b/fulmarshore/direct/control.py
@@ -0,0 +1,422 @@
+"""The core of a control host: orders, the replicated log, and who is told.
+
+Orders are answered by the leader once they are committed. A read is answered
+by a leader that has heard a majority after the read came: no lease, since a
+host may freeze and wake without noticing.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from fulmarshore.agreement import replication
+from fulmarshore.agreement.replica import REPLICA_REPLIES, REPLICA_REQUESTS, Replica
+from fulmarshore.core.records import (
+    Applied,
+    Command,
+    Effect,
+    LinkMessage,
+    PutConfiguration,
+    Restored,
+    SendLink,
+    Store,
+    Stored,
+    Tick,
+    TimelineEvent,
+)
+from fulmarshore.direct.directory import Directory
+from fulmarshore.direct.orders import (
+    OrderState,
+    apply_order,
+    decode_state,
+    encode_state,
+)
+from fulmarshore.direct.records import (
+    Decision,
+    Ended,
+    Poll,
+    Stopping,
+    Table,
+    Ticked,
+    Update,
+)
+
+REPLICA_MESSAGES = REPLICA_REQUESTS + REPLICA_REPLIES
+SNAPSHOT_ENTRIES = 64
+"""Entries between two snapshots: a configuration takes up to 256 KB before it
+is compressed, and a disk holds 64 MB."""
+KEPT_ENTRIES = 32
+"""Entries kept below a snapshot, for hosts that are a little behind."""
+ORDER_TIMEOUT_S = 0.9
+"""An order without an answer by then is told as unknown: operators wait 1 s."""
+SUBSCRIBER_SILENCE_S = 3.0
+PUSH_INTERVAL_S = 0.1
+"""Least time between two tables pushed to one subscriber."""
+STOP_TIMEOUT_S = 1.5
+"""How long a planned stop waits for another host to take up the lead."""
+
+
+class Order(Struct, frozen=True):
+    """Event: an operator's order that is valid."""
+
+    request: int
+    command: Command
+
+
+class Read(Struct, frozen=True):
+    """Event: somebody asks for the newest configuration."""
+
+    request: int
+
+
+class Polled(Struct, frozen=True):
+    """Event: a process asks what is new."""
+
+    host: str
+    port: int
+    poll: Poll
+
+
+class Accepted(Struct, frozen=True):
+    """Effect: the order is in force and survives what the settings bear."""
+
+    request: int
+
+
+class Newest(Struct, frozen=True):
+    """Effect: the state that a read is answered with."""
+
+    request: int
+    state: OrderState
+
+
+class Elsewhere(Struct, frozen=True):
+    """Effect: another control host leads; empty if none is known."""
+
+    request: int
+    leader: str
+
+
+class SendUpdate(Struct, frozen=True):
+    """Effect: answer a poll or tell the news."""
+
+    update: Update
+    host: str
+    port: int
+
+
+class Subscriber(Struct):
+    """A process that polls this host."""
+
+    host: str
+    port: int
+    poll: Poll
+    heard_at: float
+    pushed_at: float = float("-inf")
+    index: int = 0
+
+
+class Waiting(Struct):
+    """An order or a read that has no answer yet.
+
+    Parameters
+    ----------
+    request : int
+        Number of the request at the adapter.
+    term : int
+        Term in which it was taken.
+    index : int
+        Entry of the order; 0 for a read.
+    beat : int
+        Heartbeat that a majority has to answer, for a read.
+    until : float
+        When it is given up.
+    command : Command or None
+        The order.
+    """
+
+    request: int
+    term: int
+    index: int
+    beat: int
+    until: float
+    command: Command | None = None
+
+
+class ControlCore:
+    """Decides what is accepted and tells everybody.
+
+    Parameters
+    ----------
+    replica : Replica
+        This host's part of the replicated log.
+    process : int
+        Random number of this process.
+    lost_disks : int
+        Disks that may be lost at once; an order is accepted only by a group
+        whose majority is larger.
+    make_table : callable
+        Makes the table of a state at a log index.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        process: int,
+        lost_disks: int,
+        make_table: Callable[[OrderState, int], Table],
+    ) -> None:
+        self.replica = replica
+        self.state = OrderState()
+        self.counters: Counter[str] = Counter()
+        self.directory = Directory(process)
+        self._lost_disks = lost_disks
+        self._make_table = make_table
+        self._table = Table()
+        self._subscribers: dict[tuple[str, int], Subscriber] = {}
+        self._waiting: list[Waiting] = []
+        self._stop_at: float | None = None
+        self._expired_at = float("-inf")
+        self._is_table_due = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host knows a leader."""
+        return self.replica.leader is not None
+
+    @property
+    def table(self) -> Table:
+        """The newest table of this host."""
+        return self._table
+
+    def handle(self, event: object, now: float) -> list:
+        """Take one event and return what is to be done."""
+        match event:
+            case Polled():
+                return self._answer_poll(event, now)
+            case LinkMessage(peer=peer, message=message):
+                self._meet(peer)
+                return self._run(self.replica.handle(event, now), now)
+            case Stored():
+                return self._run(self.replica.handle(event, now), now)
+            case Ticked():
+                return self._tick(now)
+            case Order():
+                return self._take_order(event, now)
+            case Read(request=request):
+                return self._take_read(request, now)
+            case Stopping():
+                if self._stop_at is not None:
+                    return []
+                self._stop_at = now + STOP_TIMEOUT_S
+                effects = self._run(self.replica.hand_over(now), now)
+                return [Decision("stopping"), *effects]
+        raise TypeError(f"unexpected event {event!r}")
+
+    # Orders and reads.
+
+    def _take_order(self, order: Order, now: float) -> list:
+        if not self._may_accept():
+            return [self._redirect(order.request)]
+        command = order.command
+        if isinstance(command, PutConfiguration):
+            if command.version <= self.state.version:
+                return self._confirm(order.request, now, command)
+        entry, effects = self.replica.propose(command, now)
+        waiting = Waiting(
+            order.request, entry.term, entry.index, 0, now + ORDER_TIMEOUT_S, command
+        )
+        self._waiting.append(waiting)
+        return self._run(effects, now)
+
+    def _take_read(self, request: int, now: float) -> list:
+        if not self.replica.is_accepting:
+            return [self._redirect(request)]
+        return self._confirm(request, now, None)
+
+    def _confirm(self, request: int, now: float, command: Command | None) -> list:
+        """Answer once a majority has said that this host still leads."""
+        replica = self.replica
+        replication.broadcast(replica, now)
+        waiting = Waiting(
+            request, replica.term, 0, replica.beat, now + ORDER_TIMEOUT_S, command
+        )
+        self._waiting.append(waiting)
+        return self._run(replica.drain(now), now)
+
+    def _may_accept(self) -> bool:
+        replica = self.replica
+        return replica.is_accepting and replica.majority > self._lost_disks
+
+    def _redirect(self, request: int) -> Elsewhere:
+        leader = self.replica.leader
+        if leader is None or leader == self.replica.identity:
+            self.counters["orders_without_leader"] += 1
+            return Elsewhere(request, "")
+        self.counters["orders_redirected"] += 1
+        return Elsewhere(request, leader.name)
+
+    def _answer_waiting(self, now: float) -> list:
+        effects: list = []
+        kept = []
+        replica = self.replica
+        for waiting in self._waiting:
+            if not replica.is_leader or replica.term != waiting.term:
+                effects.append(self._redirect(waiting.request))
+                continue
+            if now >= waiting.until:
+                self.counters["orders_timed_out"] += 1
+                effects.append(Elsewhere(waiting.request, ""))
+                continue
+            if not self._is_done(waiting):
+                kept.append(waiting)
+                continue
+            if waiting.command is None:
+                effects.append(Newest(waiting.request, self.state))
+            else:
+                effects.append(Accepted(waiting.request))
+        self._waiting = kept
+        return effects
+
+    def _is_done(self, waiting: Waiting) -> bool:
+        replica = self.replica
+        if waiting.index:
+            return replica.applied >= waiting.index
+        if replica.log.find_term(replica.commit) != replica.term:
+            return False
+        fresh = replica.freshness
+        return fresh.term == waiting.term and fresh.stamp >= waiting.beat
+
+    # The replicated log.
+
+    def _run(self, effects: list[Effect], now: float) -> list:
+        """Take what the replica wants done, and answer who waits for it."""
+        out: list = []
+        for effect in effects:
+            match effect:
+                case Applied(entry=entry):
+                    state = apply_order(self.state, entry.command)
+                    if state is not self.state:
+                        self.state = state
+                        self._is_table_due = True
+                case Restored(snapshot=snapshot):
+                    self.state = decode_state(snapshot.state)
+                    self._is_table_due = self.state.version > 0
+                case TimelineEvent(kind=kind, peer=peer, detail=detail):
+                    out.append(Decision(kind, f"{peer} {detail}".strip()))
+                case SendLink() | Store():
+                    out.append(effect)
+                case _:
+                    raise TypeError(f"unexpected effect {effect!r}")
+        if self._waiting:
+            out += self._answer_waiting(now)
+        out += self._publish(now)
+        if self.replica.commit - self._snapshot_index() >= SNAPSHOT_ENTRIES:
+            state = encode_state(self.state)
+            out += self._run(self.replica.compact(state, KEPT_ENTRIES, now), now)
+        return out
+
+    def _snapshot_index(self) -> int:
+        snapshot = self.replica.snapshot
+        return snapshot.index if snapshot is not None else 0
+
+    def _meet(self, peer: str) -> None:
+        """Take in a control host that is not known yet."""
+        if peer not in self.replica.peers:
+            self.replica.peers.append(peer)
+
+    # Processes that poll.
+
+    def _publish(self, now: float) -> list:
+        if not self._is_table_due:
+            return []
+        self._is_table_due = False
+        index = self.replica.applied
+        if index <= self._table.index:
+            return []
+        self._table = self._make_table(self.state, index)
+        table = self._table
+        detail = f"version {table.version}, index {index}, out {table.zones_out}"
+        effects: list = [Decision("table_made", detail)]
+        return effects + self._push(now)
+
+    def _push(self, now: float) -> list:
+        effects = []
+        for subscriber in self._subscribers.values():
+            if subscriber.index >= self._table.index:
+                continue
+            if now - subscriber.pushed_at < PUSH_INTERVAL_S:
+                continue
+            effects.append(self._make_update(subscriber, now))
+        return effects
+
+    def _push_directory(self, now: float) -> list:
+        return [
+            self._make_update(subscriber, now)
+            for subscriber in self._subscribers.values()
+            if subscriber.poll.wants_directory
+        ]
+
+    def _answer_poll(self, polled: Polled, now: float) -> list:
+        poll = polled.poll
+        key = (polled.host, polled.port)
+        subscriber = self._subscribers.get(key)
+        if subscriber is None:
+            subscriber = Subscriber(polled.host, polled.port, poll, now)
+            self._subscribers[key] = subscriber
+        subscriber.poll = poll
+        subscriber.heard_at = now
+        subscriber.index = poll.index
+        effects: list = [self._make_update(subscriber, now)]
+        if poll.report is not None and self.directory.take(poll.report, now):
+            report = poll.report
+            detail = (
+                f"{report.host}, service {report.service or 'unknown'}, "
+                f"accepting {report.is_accepting}, cold {report.is_cold}"
+            )
+            effects.append(Decision("agent_reported", detail))
+            effects += self._push_directory(now)
+        return effects
+
+    def _make_update(self, subscriber: Subscriber, now: float) -> SendUpdate:
+        poll = subscriber.poll
+        table = None
+        if subscriber.index < self._table.index:
+            table = self._table
+            subscriber.pushed_at = now
+        voters = tuple(voter.name for voter in self.replica.current_voters)
+        directory = self.directory
+        update = Update(voters, table, directory.process, directory.revision)
+        if poll.wants_directory:
+            found = directory.list_since(poll.directory, poll.revision)
+            update = Update(
+                voters, table, directory.process, directory.revision, *found
+            )
+        return SendUpdate(update, subscriber.host, subscriber.port)
+
+    def _tick(self, now: float) -> list:
+        effects = self._run(self.replica.handle(Tick(), now), now)
+        effects += self._push(now)
+        if now - self._expired_at >= 0.25:
+            self._expired_at = now
+            silent = self.directory.expire(now)
+            effects += [Decision("agent_silent", host) for host in silent]
+            if silent:
+                effects += self._push_directory(now)
+            self._expire_subscribers(now)
+        if self._stop_at is not None and self._may_end(now):
+            effects.append(Ended())
+        return effects
+
+    def _expire_subscribers(self, now: float) -> None:
+        for key, subscriber in list(self._subscribers.items()):
+            if now - subscriber.heard_at > SUBSCRIBER_SILENCE_S:
+                del self._subscribers[key]
+
+    def _may_end(self, now: float) -> bool:
+        if now >= self._stop_at:
+            return True
+        return not self.replica.is_leader and not self._waiting
--- /dev/null
+++ b/fulmarshore/direct/directory.py
@@ -0,0 +1,174 @@
+"""Which agents there are: what a control host heard, and what entry hosts know.
+
+Nothing of this is stored. Agents report to every control host they know, and
+each control host tells the entry hosts what changed since they last asked.
+"""
+
+from __future__ import annotations
+
+from fulmarshore.direct.records import AgentReport, Update
+
+AGENT_SILENCE_S = 2.5
+"""An agent that was not heard of for this long, five reports, is gone."""
+KEPT_CHANGES = 4096
+"""Changes after which an entry host gets the whole list."""
+
+
+class Directory:
+    """The agents that a control host hears.
+
+    Parameters
+    ----------
+    process : int
+        Random number of the control host's process: revisions of another
+        process mean nothing.
+    """
+
+    __slots__ = ("process", "revision", "_reports", "_heard_at", "_changed", "_gone")
+
+    def __init__(self, process: int) -> None:
+        self.process = process
+        self.revision = 0
+        self._reports: dict[str, AgentReport] = {}
+        self._heard_at: dict[str, float] = {}
+        self._changed: dict[str, int] = {}
+        self._gone: dict[str, int] = {}
+
+    def take(self, report: AgentReport, now: float) -> bool:
+        """Take an agent's report; whether entry hosts should hear of it."""
+        held = self._reports.get(report.host)
+        if held is not None and held.process == report.process:
+            if report.revision < held.revision:
+                return False
+        self._heard_at[report.host] = now
+        self._reports[report.host] = report
+        if held is not None and not is_news(held, report):
+            return False
+        self.revision += 1
+        self._changed[report.host] = self.revision
+        self._gone.pop(report.host, None)
+        return True
+
+    def expire(self, now: float) -> list[str]:
+        """Forget the agents that went silent, unless none is heard at all."""
+        newest = max(self._heard_at.values(), default=now)
+        if now - newest > AGENT_SILENCE_S:
+            return []
+        silent = [
+            host
+            for host, heard_at in self._heard_at.items()
+            if now - heard_at > AGENT_SILENCE_S
+        ]
+        for host in silent:
+            del self._heard_at[host], self._reports[host], self._changed[host]
+            self.revision += 1
+            self._gone[host] = self.revision
+        while len(self._gone) > KEPT_CHANGES:
+            del self._gone[next(iter(self._gone))]
+        return silent
+
+    def list_since(
+        self, process: int, revision: int
+    ) -> tuple[bool, tuple[AgentReport, ...], tuple[str, ...]]:
+        """Return whether the list is whole, what changed, and who is gone."""
+        if process != self.process or self.revision - revision > KEPT_CHANGES:
+            return True, tuple(self._reports.values()), ()
+        if revision >= self.revision:
+            return False, (), ()
+        changed = tuple(
+            self._reports[host] for host, at in self._changed.items() if at > revision
+        )
+        gone = tuple(host for host, at in self._gone.items() if at > revision)
+        return False, changed, gone
+
+
+def is_news(held: AgentReport, report: AgentReport) -> bool:
+    """Whether a report differs from the former one in more than its load."""
+    return (
+        held.process != report.process
+        or held.service != report.service
+        or held.zone != report.zone
+        or held.is_accepting != report.is_accepting
+        or held.is_cold != report.is_cold
+        or held.slots != report.slots
+    )
+
+
+class KnownAgents:
+    """What an entry host was told by all control hosts together.
+
+    An agent is there as long as one control host hears it.
+    """
+
+    __slots__ = ("_reports", "_sources", "_revisions")
+
+    def __init__(self) -> None:
+        self._reports: dict[str, AgentReport] = {}
+        self._sources: dict[str, set[str]] = {}
+        self._revisions: dict[str, tuple[int, int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._reports)
+
+    def list_all(self) -> list[AgentReport]:
+        """Return the newest report of each agent."""
+        return list(self._reports.values())
+
+    def get_position(self, control: str) -> tuple[int, int]:
+        """Return process and revision last heard from a control host."""
+        return self._revisions.get(control, (0, 0))
+
+    def take(self, control: str, update: Update) -> list[AgentReport | str]:
+        """Take a control host's update.
+
+        Returns
+        -------
+        news : list of AgentReport or str
+            Reports that are new, and hosts whose agents are gone.
+        """
+        news: list[AgentReport | str] = []
+        held = self._revisions.get(control)
+        if held == (update.directory, update.revision) and not update.is_whole:
+            return news
+        if not update.is_whole and (held is None or held[0] != update.directory):
+            return news
+        if held is not None and held[0] == update.directory:
+            if update.revision < held[1]:
+                return news
+        self._revisions[control] = (update.directory, update.revision)
+        if update.is_whole:
+            told = {report.host for report in update.reports}
+            for host in self._list_from(control) - told:
+                news += self._drop(control, host)
+        for report in update.reports:
+            self._sources.setdefault(report.host, set()).add(control)
+            former = self._reports.get(report.host)
+            if former is not None and former.process == report.process:
+                if former.revision >= report.revision:
+                    continue
+            self._reports[report.host] = report
+            news.append(report)
+        for host in update.gone:
+            news += self._drop(control, host)
+        return news
+
+    def forget_control(self, control: str) -> list[AgentReport | str]:
+        """Drop what only a control host told that is silent itself."""
+        news: list[AgentReport | str] = []
+        self._revisions.pop(control, None)
+        if not self._revisions:
+            return news
+        for host in self._list_from(control):
+            news += self._drop(control, host)
+        return news
+
+    def _list_from(self, control: str) -> set[str]:
+        return {host for host, held in self._sources.items() if control in held}
+
+    def _drop(self, control: str, host: str) -> list[AgentReport | str]:
+        sources = self._sources.get(host, set())
+        sources.discard(control)
+        if sources or host not in self._reports:
+            return []
+        del self._sources[host], self._reports[host]
+        return [host]
--- /dev/null
+++ b/fulmarshore/direct/entry.py
@@ -0,0 +1,364 @@
+"""The core of an entry host: where each packet of a caller goes.
+
+An entry host sees one direction of a flow only and keeps no truth about it. It
+remembers the agent that it offered a flow to. For a flow that it does not
+remember, it asks all agents of the route's services at once, with the packet
+itself, and the one that holds the flow says so.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+from random import Random
+
+from xxhash import xxh3_64_intdigest
+
+from fulmarshore.direct.directory import KnownAgents
+from fulmarshore.direct.packets import (
+    MARK_HELD,
+    MARK_NOT_HELD,
+    MARK_REFUSED,
+    MARK_REFUSED_CLOSED,
+    MARK_SEEKING,
+    NO_MARK,
+    RST,
+    Packet,
+    make_reset,
+    mark_packet,
+    parse_packet,
+)
+from fulmarshore.direct.placement import Placement
+from fulmarshore.direct.records import (
+    AgentReport,
+    CallerPacket,
+    Decision,
+    Ended,
+    Poll,
+    ReturnedPacket,
+    Route,
+    SendPoll,
+    SendToAgent,
+    SendToCaller,
+    Stopping,
+    Ticked,
+    Told,
+)
+from fulmarshore.direct.subscription import Subscription
+from fulmarshore.direct.tables import TableView
+
+MAX_OFFERS = 3
+"""Agents that hold an offer of one flow at a time."""
+SWEEP_INTERVAL_S = 1.0
+ENDED_LINGER_S = 3.0
+"""How long a flow that ended is remembered for packets sent again: longer than
+two of the protocol's longest intervals between them, 1.6 s."""
+STOP_WAIT_S = 3.0
+"""How long packets are taken after readiness is withdrawn: two misses of a
+probe sent twice a second, and as much again."""
+
+Effects = list
+
+
+class Flow:
+    """What an entry host remembers of a flow.
+
+    Parameters
+    ----------
+    agents : list of str
+        The agents that may hold it; one of them if that is known.
+    now : float
+        Time of its first packet here.
+    """
+
+    __slots__ = ("agents", "tried", "seen_at", "is_opening", "is_ended", "counted")
+
+    def __init__(self, agents: list[str], is_opening: bool, now: float) -> None:
+        self.agents = agents
+        self.tried = list(agents) if is_opening else []
+        self.seen_at = now
+        self.is_opening = is_opening
+        self.is_ended = False
+        self.counted: str | None = None
+
+
+class EntryCore:
+    """Forwards callers' packets to agents.
+
+    Parameters
+    ----------
+    host : str
+        This host's address.
+    zone : str
+        Its availability zone.
+    seeds : list of str
+        Control hosts from the settings.
+    random : Random
+        Source of random choices.
+    """
+
+    def __init__(self, host: str, zone: str, seeds: list[str], random: Random) -> None:
+        self.host = host
+        self.counters: Counter[str] = Counter()
+        self.tables = TableView()
+        self.agents = KnownAgents()
+        self.subscription = Subscription(seeds)
+        self._return_host = socket.inet_aton(host)
+        self._placement = Placement(zone, random)
+        self._flows: dict[bytes, Flow] = {}
+        self._swept_at = float("-inf")
+        self._stop_at: float | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers' packets should come to this host."""
+        return self._stop_at is None and self.tables.is_known and len(self.agents) > 0
+
+    @property
+    def flow_count(self) -> int:
+        """Flows that are remembered."""
+        return len(self._flows)
+
+    def handle(self, event: object, now: float) -> Effects:
+        """Take one event and return what is to be done."""
+        match event:
+            case CallerPacket(content=content):
+                return self._forward(content, now)
+            case ReturnedPacket(content=content, host=host):
+                return self._take_returned(content, host, now)
+            case Ticked():
+                return self._tick(now)
+            case Told(host=host, update=update):
+                return self._learn(host, update, now)
+            case Stopping():
+                if self._stop_at is None:
+                    self._stop_at = now + STOP_WAIT_S
+                return [Decision("stopping", f"{len(self._flows)} flows")]
+        raise TypeError(f"unexpected event {event!r}")
+
+    # Callers' packets.
+
+    def _forward(self, content: bytes, now: float) -> Effects:
+        packet = parse_packet(content)
+        if packet is None:
+            self.counters["packets_malformed"] += 1
+            return []
+        flow = self._flows.get(packet.flow)
+        if packet.is_opening:
+            return self._open(packet, flow, now)
+        if flow is None or not flow.agents:
+            return self._seek(packet, now)
+        flow.seen_at = now
+        if packet.is_ending:
+            self._end(flow)
+        mark = NO_MARK if len(flow.agents) == 1 else MARK_SEEKING
+        marked = mark_packet(packet, mark, self._return_host)
+        return [SendToAgent(marked, host) for host in flow.agents]
+
+    def _open(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
+        route = self.tables.find_route(packet.service_address)
+        if route is None:
+            return self._reject(packet, "no_route")
+        if flow is None:
+            flow = self._flows[packet.flow] = Flow([], True, now)
+            return self._offer(packet, flow, route, now)
+        flow.seen_at = now
+        marked = mark_packet(packet, NO_MARK, self._return_host)
+        effects: Effects = [SendToAgent(marked, host) for host in flow.agents]
+        if not flow.is_opening or packet.acknowledged == 0:
+            return effects
+        # The caller heard no answer: its packet was lost, or the agent was.
+        self.counters["openings_repeated"] += 1
+        for host in flow.agents:
+            self._placement.suspect(host, now)
+        if len(flow.agents) < MAX_OFFERS:
+            effects += self._offer(packet, flow, route, now)
+        return effects
+
+    def _offer(self, packet: Packet, flow: Flow, route: Route, now: float) -> Effects:
+        """Offer a flow to one more agent."""
+        service = choose_service(route, packet.flow)
+        host = None
+        if service is not None:
+            host = self._placement.choose(
+                service, flow.tried, now, self.tables.is_zone_out
+            )
+        if host is None:
+            if flow.agents:
+                return []
+            del self._flows[packet.flow]
+            self._uncount(flow)
+            return self._reject(packet, "no_agent")
+        flow.agents.append(host)
+        flow.tried.append(host)
+        if flow.counted is None:
+            flow.counted = host
+            self._placement.note_opened(host)
+        self.counters["flows_offered"] += 1
+        return [SendToAgent(mark_packet(packet, NO_MARK, self._return_host), host)]
+
+    def _seek(self, packet: Packet, now: float) -> Effects:
+        """Ask all agents that a flow may be with."""
+        if packet.flags & RST:
+            return []
+        route = self.tables.find_route(packet.service_address)
+        if route is None:
+            if not self.tables.is_known:
+                return []
+            return self._reject(packet, "no_route")
+        hosts = []
+        for backend in route.backends:
+            hosts += self._placement.list_hosts(backend.service)
+        self.counters["flows_sought"] += 1
+        self._flows[packet.flow] = Flow(hosts, False, now)
+        marked = mark_packet(packet, MARK_SEEKING, self._return_host)
+        return [SendToAgent(marked, host) for host in hosts]
+
+    def _reject(self, packet: Packet, reason: str) -> Effects:
+        self.counters[f"rejected_{reason}"] += 1
+        reset = make_reset(packet.flow, packet.acknowledged)
+        return [
+            SendToCaller(reset, packet.caller_host),
+            Decision("flow_rejected", reason, packet.flow),
+        ]
+
+    # What agents hand back.
+
+    def _take_returned(self, content: bytes, host: str, now: float) -> Effects:
+        packet = parse_packet(content)
+        if packet is None:
+            self.counters["packets_malformed"] += 1
+            return []
+        flow = self._flows.get(packet.flow)
+        if flow is None:
+            return []
+        if packet.mark == MARK_HELD:
+            return self._settle(flow, host)
+        if packet.mark == MARK_NOT_HELD:
+            return self._miss(packet, flow, host, now)
+        if packet.mark not in (MARK_REFUSED, MARK_REFUSED_CLOSED):
+            self.counters["packets_malformed"] += 1
+            return []
+        if packet.mark == MARK_REFUSED_CLOSED:
+            self._placement.close(host, now)
+        return self._reoffer(packet, flow, host, now)
+
+    def _settle(self, flow: Flow, host: str) -> Effects:
+        flow.agents = [host]
+        flow.is_opening = False
+        if flow.counted != host:
+            self._uncount(flow)
+            if not flow.is_ended:
+                flow.counted = host
+                self._placement.note_opened(host)
+        return []
+
+    def _miss(self, packet: Packet, flow: Flow, host: str, now: float) -> Effects:
+        """An agent does not hold a flow: the others are asked."""
+        self.counters["flows_missed"] += 1
+        if host not in flow.agents:
+            return []
+        flow.agents.remove(host)
+        if flow.agents:
+            return []
+        self._uncount(flow)
+        del self._flows[packet.flow]
+        effects = self._seek(packet, now)
+        sought = self._flows.get(packet.flow)
+        if sought is not None and host in sought.agents:
+            sought.agents.remove(host)
+        return [
+            effect
+            for effect in effects
+            if not isinstance(effect, SendToAgent) or effect.host != host
+        ]
+
+    def _reoffer(self, packet: Packet, flow: Flow, host: str, now: float) -> Effects:
+        """An agent refused an opening: the next one gets it."""
+        self.counters["offers_refused"] += 1
+        if host in flow.agents:
+            flow.agents.remove(host)
+        if not flow.is_opening:
+            return []
+        self._uncount(flow)
+        route = self.tables.find_route(packet.service_address)
+        if route is None:
+            return self._reject(packet, "no_route")
+        return self._offer(packet, flow, route, now)
+
+    def _end(self, flow: Flow) -> None:
+        flow.is_ended = True
+        flow.is_opening = False
+        self._uncount(flow)
+
+    def _uncount(self, flow: Flow) -> None:
+        if flow.counted is not None:
+            self._placement.note_ended(flow.counted)
+            flow.counted = None
+
+    # Control and time.
+
+    def _learn(self, host: str, update: object, now: float) -> Effects:
+        effects: Effects = []
+        if self.subscription.hear(host, update, now):
+            effects.append(Decision("control_heard", host))
+        if update.table is not None and self.tables.replace(update.table):
+            table = update.table
+            detail = f"version {table.version}, index {table.index}, from {host}"
+            effects.append(Decision("table_taken", detail))
+        for item in self.agents.take(host, update):
+            effects += self._note_agent(item)
+        return effects
+
+    def _note_agent(self, item: AgentReport | str) -> Effects:
+        if isinstance(item, str):
+            self._placement.drop(item)
+            return [Decision("agent_gone", item)]
+        self._placement.take(item)
+        detail = (
+            f"{item.host}, service {item.service or 'unknown'}, "
+            f"accepting {item.is_accepting}, cold {item.is_cold}"
+        )
+        return [Decision("agent_known", detail)]
+
+    def _tick(self, now: float) -> Effects:
+        effects: Effects = []
+        if self.subscription.is_due(now):
+            for host in self.subscription.list_silent(now):
+                effects.append(Decision("control_silent", host))
+                for item in self.agents.forget_control(host):
+                    effects += self._note_agent(item)
+            effects += [self._make_poll(host) for host in self.subscription.hosts]
+            self.subscription.note_polled(now)
+        if now - self._swept_at >= SWEEP_INTERVAL_S:
+            self._swept_at = now
+            self._sweep(now)
+        if self._stop_at is not None and now >= self._stop_at:
+            effects.append(Ended())
+        return effects
+
+    def _make_poll(self, host: str) -> SendPoll:
+        directory, revision = self.agents.get_position(host)
+        poll = Poll(self.tables.table.index, directory, revision, True)
+        return SendPoll(poll, host)
+
+    def _sweep(self, now: float) -> None:
+        idle_s = self.tables.table.idle_timeout_s
+        for key, flow in list(self._flows.items()):
+            limit = ENDED_LINGER_S if flow.is_ended else idle_s
+            if now - flow.seen_at > limit:
+                self._uncount(flow)
+                del self._flows[key]
+
+
+def choose_service(route: Route, flow: bytes) -> str | None:
+    """Return the service that a new flow goes to, by weight."""
+    total = sum(backend.weight for backend in route.backends)
+    if total <= 0:
+        return None
+    point = xxh3_64_intdigest(flow) % total
+    for backend in route.backends:
+        if point < backend.weight:
+            return backend.service
+        point -= backend.weight
+    raise AssertionError("the weights add up to the total")
--- /dev/null
+++ b/fulmarshore/direct/gate.py
@@ -0,0 +1,158 @@
+"""Whether an agent lets a new flow pass to its upstream.
+
+The agent is the only way to its upstream, so whatever entry hosts believe,
+nothing passes a gate that knows better.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from fulmarshore.direct.records import Announced
+from fulmarshore.direct.tables import TableView
+
+ANNOUNCEMENT_SILENCE_S = 4.0
+"""An upstream that did not announce itself for this long, three intervals of
+the platforms known, gets nothing new."""
+COLD_WINDOW_S = 1.05
+"""Window in which flows to a cold upstream are counted: a second, and the
+spread of delays on one host."""
+COLD_FLOWS = 2
+"""Flows a window that any cold upstream gets: it has to warm up somehow."""
+
+
+class Gate:
+    """What is known of the upstream, and whether it takes a new flow."""
+
+    __slots__ = (
+        "_tables",
+        "_upstream",
+        "_announced_at",
+        "_cold_until",
+        "_cold_flows",
+        "_is_gone",
+        "_is_stopping",
+    )
+
+    def __init__(self, tables: TableView) -> None:
+        self._tables = tables
+        self._upstream: Announced | None = None
+        self._announced_at = float("-inf")
+        self._cold_until = float("-inf")
+        self._cold_flows: deque[float] = deque()
+        self._is_gone = False
+        self._is_stopping = False
+
+    @property
+    def upstream(self) -> Announced | None:
+        """The newest announcement of the present incarnation."""
+        return self._upstream
+
+    @property
+    def service(self) -> str:
+        """Service of the present incarnation; empty if unknown."""
+        return self._upstream.service if self._upstream is not None else ""
+
+    def take(self, announced: Announced, now: float) -> str:
+        """Take an announcement.
+
+        Returns
+        -------
+        outcome : str
+            ``new`` for another incarnation, ``newer`` for news of the present
+            one, ``late`` for what is older than what is known.
+        """
+        outcome = self._compare(announced)
+        if outcome == "late":
+            return outcome
+        if outcome == "new":
+            self._cold_flows.clear()
+        self._is_gone = False
+        self._upstream = announced
+        self._announced_at = now
+        self._cold_until = now + announced.cold_s
+        return outcome
+
+    def depart(self, upstream: str) -> bool:
+        """Take the word of an upstream that it ends; whether it is present."""
+        if self._upstream is None or self._upstream.upstream != upstream:
+            return False
+        self._is_gone = True
+        return True
+
+    def close(self) -> None:
+        """Let nothing new pass: the upstream is gone or silent."""
+        self._is_gone = True
+
+    def stop(self) -> None:
+        """Let nothing new pass: the agent is about to stop."""
+        self._is_stopping = True
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the upstream bears only a little."""
+        return now < self._cold_until
+
+    def is_accepting(self, now: float) -> bool:
+        """Whether new flows of any route may pass."""
+        return self.explain(now) is None
+
+    def explain(self, now: float) -> str | None:
+        """Return why nothing new passes; None if it does."""
+        upstream = self._upstream
+        if self._is_stopping:
+            return "agent_stopping"
+        if not self._tables.is_known:
+            return "no_configuration"
+        if upstream is None:
+            return "no_upstream"
+        if self._is_gone:
+            return "upstream_gone"
+        if not upstream.is_ready:
+            return "upstream_draining"
+        if now - self._announced_at > ANNOUNCEMENT_SILENCE_S:
+            return "upstream_silent"
+        if self._tables.is_zone_out(upstream.zone):
+            return "zone_out"
+        return None
+
+    def admit(self, address: bytes, flows: int, now: float) -> str | None:
+        """Return why a new flow does not pass; None lets it pass and counts it.
+
+        Parameters
+        ----------
+        address : bytes
+            Address and port of the service that the caller asks for.
+        flows : int
+            Flows that the upstream holds.
+        now : float
+            Steady time, seconds.
+        """
+        reason = self.explain(now)
+        if reason is not None:
+            return reason
+        if not self._tables.leads_to(address, self.service):
+            return "other_service"
+        policy = self._tables.find_service(self.service)
+        if policy is not None and flows >= policy.max_flows > 0:
+            return "upstream_full"
+        if not self.is_cold(now):
+            return None
+        allowed = COLD_FLOWS
+        if policy is not None:
+            allowed = max(allowed, int(policy.cold_per_s))
+        while self._cold_flows and now - self._cold_flows[0] >= COLD_WINDOW_S:
+            self._cold_flows.popleft()
+        if len(self._cold_flows) >= allowed:
+            return "upstream_cold"
+        self._cold_flows.append(now)
+        return None
+
+    def _compare(self, announced: Announced) -> str:
+        held = self._upstream
+        if held is None:
+            return "new"
+        if announced.born_ms < held.born_ms:
+            return "late"
+        if announced.upstream != held.upstream or announced.born_ms > held.born_ms:
+            return "new"
+        return "newer" if announced.sequence > held.sequence else "late"
--- /dev/null
+++ b/fulmarshore/direct/placement.py
@@ -0,0 +1,155 @@
+"""Which agent an entry host offers a new flow to.
+
+Answers go straight to the caller, so an entry host sees no response. It knows
+what it placed itself, what agents report, and which of them did not help a
+caller in time.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from fulmarshore.direct.records import AgentReport
+
+SUSPICION_S = 1.0
+"""An agent that left an opening unanswered is tried last for this long."""
+CLOSED_S = 0.5
+"""An agent that refused is tried last until its next report is due."""
+REMOTE_LOAD = 0.4
+"""Flows for each slot that another availability zone weighs as: placing in the
+caller's zone saves a hop, but less than a request's wait for a slot."""
+
+
+class Candidate:
+    """An agent as an entry host sees it.
+
+    Parameters
+    ----------
+    report : AgentReport
+        Its newest report.
+    """
+
+    __slots__ = ("report", "open_flows", "suspect_until", "closed_until")
+
+    def __init__(self, report: AgentReport) -> None:
+        self.report = report
+        self.open_flows = 0
+        self.suspect_until = float("-inf")
+        self.closed_until = float("-inf")
+
+
+class Placement:
+    """The agents of all services, and how many flows each got from here.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of the entry host.
+    random : Random
+        Breaks ties.
+    """
+
+    __slots__ = ("_zone", "_random", "_candidates", "_services")
+
+    def __init__(self, zone: str, random: Random) -> None:
+        self._zone = zone
+        self._random = random
+        self._candidates: dict[str, Candidate] = {}
+        self._services: dict[str, dict[str, Candidate]] = {}
+
+    def take(self, report: AgentReport) -> None:
+        """Take an agent's report."""
+        held = self._candidates.get(report.host)
+        if held is None:
+            held = self._candidates[report.host] = Candidate(report)
+        elif held.report.service != report.service:
+            self._services.get(held.report.service, {}).pop(report.host, None)
+        held.report = report
+        if report.is_accepting:
+            held.closed_until = float("-inf")
+        self._services.setdefault(report.service, {})[report.host] = held
+
+    def drop(self, host: str) -> None:
+        """Forget an agent that is gone."""
+        held = self._candidates.pop(host, None)
+        if held is not None:
+            self._services.get(held.report.service, {}).pop(host, None)
+
+    def list_hosts(self, service: str) -> list[str]:
+        """Return every agent of a service, accepting or not."""
+        return list(self._services.get(service, ()))
+
+    def choose(
+        self,
+        service: str,
+        tried: list[str],
+        now: float,
+        is_zone_out: object,
+    ) -> str | None:
+        """Return the agent to offer a new flow to; None if there is none.
+
+        Parameters
+        ----------
+        service : str
+            The service that the route leads to.
+        tried : list of str
+            Agents that it was offered to before.
+        now : float
+            Steady time, seconds.
+        is_zone_out : callable
+            Whether an availability zone is out of service.
+        """
+        best: str | None = None
+        best_rank = (float("inf"), 0.0)
+        for host, candidate in self._services.get(service, {}).items():
+            report = candidate.report
+            if host in tried or is_zone_out(report.zone):
+                continue
+            rank = (self._weigh(candidate, now), self._random.random())
+            if rank < best_rank:
+                best, best_rank = host, rank
+        return best
+
+    def note_opened(self, host: str) -> None:
+        """Count a flow that was placed."""
+        candidate = self._candidates.get(host)
+        if candidate is not None:
+            candidate.open_flows += 1
+
+    def note_ended(self, host: str) -> None:
+        """Count a flow that has ended or left."""
+        candidate = self._candidates.get(host)
+        if candidate is not None and candidate.open_flows > 0:
+            candidate.open_flows -= 1
+
+    def suspect(self, host: str, now: float) -> None:
+        """Note that an agent left an opening unanswered."""
+        candidate = self._candidates.get(host)
+        if candidate is not None:
+            candidate.suspect_until = now + SUSPICION_S
+
+    def close(self, host: str, now: float) -> None:
+        """Note that an agent refuses openings for now."""
+        candidate = self._candidates.get(host)
+        if candidate is not None:
+            candidate.closed_until = now + CLOSED_S
+
+    def _weigh(self, candidate: Candidate, now: float) -> float:
+        """Return how undesirable an agent is.
+
+        Agents that do not accept or did not answer come after all others: what
+        is known of them may be late, and an offer costs little.
+        """
+        report = candidate.report
+        load = (candidate.open_flows + report.busy) / max(1, report.slots)
+        if report.zone != self._zone:
+            load += REMOTE_LOAD
+        if report.is_cold:
+            load += 100.0
+        if candidate.suspect_until > now:
+            load += 1_000.0
+        if candidate.closed_until > now:
+            load += 10_000.0
+        if not report.is_accepting:
+            load += 100_000.0
+        return load
--- /dev/null
+++ b/fulmarshore/direct/subscription.py
@@ -0,0 +1,77 @@
+"""How a process without a disk learns from control hosts what is in force.
+
+It polls every control host it knows: the seeds of its settings and those that
+the control hosts name as voters. Of several answers the newest counts, so one
+that is cut off from the others can be late but never misleads.
+"""
+
+from __future__ import annotations
+
+from fulmarshore.direct.records import Update
+
+POLL_INTERVAL_S = 0.5
+"""Five polls fit into the shortest bound of the settings for what is new."""
+CONTROL_SILENCE_S = 2.5
+"""A control host that did not answer for this long does not count as heard."""
+CONTROL_FORGOTTEN_S = 30.0
+"""A control host that is no seed is not polled any more after this silence."""
+
+
+class Subscription:
+    """Which control hosts are polled, and when.
+
+    Parameters
+    ----------
+    seeds : list of str
+        Addresses of control hosts from the settings.
+    """
+
+    __slots__ = ("_seeds", "_controls", "_heard_at", "_known_at", "_polled_at")
+
+    def __init__(self, seeds: list[str]) -> None:
+        self._seeds = list(seeds)
+        self._controls: list[str] = []
+        self._heard_at: dict[str, float] = {}
+        self._known_at: dict[str, float] = {}
+        self._polled_at = float("-inf")
+
+    def replace_seeds(self, seeds: list[str]) -> None:
+        """Take the seeds of settings that have changed."""
+        self._seeds = list(seeds)
+        self._polled_at = float("-inf")
+
+    @property
+    def hosts(self) -> list[str]:
+        """All control hosts that are polled."""
+        return list(dict.fromkeys([*self._seeds, *self._known_at]))
+
+    def is_due(self, now: float) -> bool:
+        """Whether it is time to poll."""
+        return now - self._polled_at >= POLL_INTERVAL_S
+
+    def note_polled(self, now: float) -> None:
+        """Note that all control hosts were polled."""
+        self._polled_at = now
+        for host, known_at in list(self._known_at.items()):
+            heard_at = max(known_at, self._heard_at.get(host, known_at))
+            if now - heard_at > CONTROL_FORGOTTEN_S:
+                del self._known_at[host]
+
+    def hear(self, host: str, update: Update, now: float) -> bool:
+        """Note an answer; whether the host had been silent before."""
+        for control in update.controls:
+            self._known_at[control] = now
+        heard_at = self._heard_at.get(host, float("-inf"))
+        self._heard_at[host] = now
+        return now - heard_at > CONTROL_SILENCE_S
+
+    def list_silent(self, now: float) -> list[str]:
+        """Return hosts that were heard once and are silent now."""
+        silent = [
+            host
+            for host, heard_at in self._heard_at.items()
+            if now - heard_at > CONTROL_SILENCE_S
+        ]
+        for host in silent:
+            del self._heard_at[host]
+        return silent
--- /dev/null
+++ b/fulmarshore/direct/tables.py
@@ -0,0 +1,55 @@
+"""Lookups over the newest table that a process has been told."""
+
+from __future__ import annotations
+
+from fulmarshore.direct.records import Route, ServicePolicy, Table
+
+
+class TableView:
+    """The newest table and what is found in it by name."""
+
+    __slots__ = ("table", "_routes", "_services", "_zones_out")
+
+    def __init__(self) -> None:
+        self.table = Table()
+        self._routes: dict[bytes, Route] = {}
+        self._services: dict[str, ServicePolicy] = {}
+        self._zones_out: frozenset[str] = frozenset()
+
+    def replace(self, table: Table) -> bool:
+        """Take a table if it is newer; nothing ever goes back to an older one."""
+        if table.index <= self.table.index:
+            return False
+        assert table.version >= self.table.version, "versions only go up"
+        self.table = table
+        self._routes = {route.address: route for route in table.routes}
+        self._services = {service.name: service for service in table.services}
+        self._zones_out = frozenset(table.zones_out)
+        return True
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a configuration has been told at all."""
+        return self.table.version > 0
+
+    def find_route(self, address: bytes) -> Route | None:
+        """Return the route of an address and port."""
+        return self._routes.get(address)
+
+    def find_service(self, name: str) -> ServicePolicy | None:
+        """Return the policy of a service."""
+        return self._services.get(name)
+
+    def is_zone_out(self, zone: str) -> bool:
+        """Whether an availability zone is out of service."""
+        return zone in self._zones_out
+
+    def leads_to(self, address: bytes, service: str) -> bool:
+        """Whether a route's new flows may go to a service."""
+        route = self._routes.get(address)
+        if route is None:
+            return False
+        return any(
+            backend.service == service and backend.weight > 0
+            for backend in route.backends
+        )
--- /dev/null
+++ b/fulmarshore/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/fulmarshore/platform/calls.py
@@ -0,0 +1,65 @@
+"""The platform's HTTP calls: operators' orders and upstreams' heartbeats."""
+
+from __future__ import annotations
+
+from urllib.parse import unquote
+
+import msgspec
+
+from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse
+from fulmarshore.core.records import Command, PutZone
+from fulmarshore.daemons.directcontrol import ReadNewest
+from fulmarshore.platform.configuration import read_configuration
+
+CONFIGURATION_PATH = "/v1/config"
+ZONE_PATH = "/v1/evacuate/"
+
+
+class OrderReader:
+    """Reads operators' orders.
+
+    Parameters
+    ----------
+    zones : tuple of str
+        Availability zones that an order may name.
+    """
+
+    __slots__ = ("_zones",)
+
+    def __init__(self, zones: tuple[str, ...]) -> None:
+        self._zones = zones
+
+    def read(self, request: HttpRequest) -> Command | ReadNewest | HttpResponse:
+        """Return the order of a request, or the answer to one that is wrong."""
+        path = request.path.partition("?")[0]
+        if path == CONFIGURATION_PATH:
+            return self._read_configuration(request)
+        if path.startswith(ZONE_PATH):
+            return self._read_zone(request.method, unquote(path[len(ZONE_PATH) :]))
+        return make_error(404, f"path: {path} is not known")
+
+    def _read_configuration(
+        self, request: HttpRequest
+    ) -> Command | ReadNewest | HttpResponse:
+        if request.method == "GET":
+            return ReadNewest()
+        if request.method != "PUT":
+            return make_error(405, f"method: {request.method}, needs GET or PUT")
+        found = read_configuration(request.body)
+        if isinstance(found, list):
+            return make_error(400, "; ".join(found[:5]))
+        return found
+
+    def _read_zone(self, method: str, zone: str) -> Command | HttpResponse:
+        if zone not in self._zones:
+            return make_error(404, f"zone: {zone} is not known")
+        if method == "POST":
+            return PutZone(zone, True)
+        if method == "DELETE":
+            return PutZone(zone, False)
+        return make_error(405, f"method: {method}, needs POST or DELETE")
+
+
+def make_error(status: int, detail: str) -> HttpResponse:
+    """Return a response that says what is wrong."""
+    return HttpResponse(status, msgspec.json.encode({"error": detail}))
--- /dev/null
+++ b/fulmarshore/platform/heartbeats.py
@@ -0,0 +1,57 @@
+"""The platform's heartbeats of an upstream, translated into announcements."""
+
+from __future__ import annotations
+
+from typing import Literal
+from urllib.parse import unquote
+
+import msgspec
+from msgspec import Struct, field
+
+from fulmarshore.adapters.httpserver import HttpRequest
+from fulmarshore.direct.records import Announced, Departed
+
+UPSTREAM_PATH = "/v1/instances/"
+
+
+class Heartbeat(Struct, frozen=True):
+    """What an upstream says of itself; ``born`` is missing on old platforms."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    sequence: int
+    cold_ms: float = field(default=0.0, name="coldRemainingMs")
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(Heartbeat)
+
+
+def read_heartbeat(request: HttpRequest) -> Announced | Departed | str | None:
+    """Return the event of a request, what is wrong, or None for another path."""
+    if not request.path.startswith(UPSTREAM_PATH):
+        return None
+    upstream = unquote(request.path[len(UPSTREAM_PATH) :])
+    if not upstream:
+        return '{"error":"no id in the path"}'
+    if request.method == "DELETE":
+        return Departed(upstream)
+    if request.method != "PUT":
+        return '{"error":"method is not PUT or DELETE"}'
+    try:
+        found = _decoder.decode(request.body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return msgspec.json.encode({"error": str(error)}).decode()
+    return Announced(
+        upstream,
+        found.born,
+        found.sequence,
+        found.service,
+        found.zone,
+        found.slots,
+        found.state == "ready",
+        max(0.0, found.cold_ms / 1000),
+    )
--- /dev/null
+++ b/fulmarshore/platform/settings.py
@@ -0,0 +1,134 @@
+"""The platform's settings file, translated into our own settings."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec import Struct, field
+
+from fulmarshore.direct.settings import (
+    INTERNAL_PORTS,
+    Endpoint,
+    HostSettings,
+    SettingsProblem,
+)
+
+PATH_VARIABLE = "FULMARSHORE_CONFIG"
+DEFAULT_PATH = "/etc/fulmarshore/local.json"
+
+
+class Listen(Struct, frozen=True):
+    """Addresses that the process listens on."""
+
+    packets: str = field(default="", name="udpListen")
+    readiness: str = ""
+    control: str = ""
+    outbound: str = ""
+
+
+class Tolerance(Struct, frozen=True):
+    """What may be lost at once."""
+
+    machines: int = 0
+
+
+class SettingsFile(Struct, frozen=True):
+    """The fields of the settings file that are used."""
+
+    node: str
+    ip: str
+    zone: str
+    listen: Listen
+    seeds: list[str]
+    internal_ports: tuple[int, int] = field(name="internalPorts")
+    zones: dict[str, str] = {}
+    bootstrap: bool = False
+    data_dir: str | None = field(default=None, name="dataDir")
+    app: str | None = None
+    tolerance: Tolerance = field(default=Tolerance(), name="faultTolerance")
+
+
+class SettingsReader:
+    """Reads the settings file, and reads it again when it has changed."""
+
+    __slots__ = ("_path", "_content")
+
+    def __init__(self) -> None:
+        self._path = Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+        self._content = b""
+
+    def load(self) -> HostSettings | list[SettingsProblem] | None:
+        """Return the settings, what is wrong, or None where nothing changed."""
+        try:
+            content = self._path.read_bytes()
+        except OSError as error:
+            return [SettingsProblem(str(self._path), str(error), "a readable file")]
+        if content == self._content:
+            return None
+        self._content = content
+        return parse_settings(content)
+
+
+def parse_settings(content: bytes) -> HostSettings | list[SettingsProblem]:
+    """Translate the content of a settings file."""
+    try:
+        found = msgspec.json.decode(content, type=SettingsFile)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return [SettingsProblem("settings", str(error), "the documented fields")]
+    problems: list[SettingsProblem] = []
+    packets = _parse_endpoint("listen.udpListen", found.listen.packets, problems)
+    control = _parse_endpoint("listen.control", found.listen.control, problems)
+    readiness = _parse_endpoint("listen.readiness", found.listen.readiness, problems)
+    outbound = _parse_endpoint("listen.outbound", found.listen.outbound, problems)
+    upstream = _parse_endpoint("app", found.app or "", problems)
+    seeds = [_parse_endpoint("seeds", seed, problems) for seed in found.seeds]
+    first, last = found.internal_ports
+    if last - first + 1 < INTERNAL_PORTS:
+        allowed = f"{INTERNAL_PORTS} ports or more"
+        problems.append(SettingsProblem("internalPorts", f"{first} to {last}", allowed))
+    if problems:
+        return problems
+    known = [seed for seed in seeds if seed is not None]
+    return HostSettings(
+        name=found.node,
+        host=found.ip,
+        zone=found.zone,
+        zones=tuple(found.zones),
+        packet_port=packets.port if packets is not None else 0,
+        internal_port=first,
+        control_port=_find_control_port(control, known),
+        seeds=tuple(seed.host for seed in known),
+        readiness=readiness,
+        orders=control,
+        outbound=outbound,
+        upstream=upstream,
+        data_folder=found.data_dir or "",
+        bootstrap=found.bootstrap,
+        lost_disks=found.tolerance.machines,
+    )
+
+
+def _find_control_port(control: Endpoint | None, seeds: list[Endpoint]) -> int:
+    if control is not None:
+        return control.port
+    return seeds[0].port if seeds else 0
+
+
+def _parse_endpoint(
+    name: str, text: str, problems: list[SettingsProblem]
+) -> Endpoint | None:
+    """Parse ``address:port``; an empty text is no endpoint."""
+    if not text:
+        return None
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        problems.append(SettingsProblem(name, _quote(text), "ADDRESS:PORT"))
+        return None
+    return Endpoint(host, int(port))
+
+
+def _quote(value: Any) -> str:
+    return repr(value)
