Denied flows are asked for once a packet; openings wait for agents that start

Openings in the second before agents knew the configuration were rejected, which used up callers' retries; the election took 0.6 s of that second.

Now: a flow is sought once for each packet of the caller, first among the route's services, then among all; one that every agent denies is reset, if the entry host has long known all agents. An agent that heard its upstream's first word denies without asking it. Openings without an agent wait 0.6 s.

--- a/fulmarshore/agreement/election.py
+++ b/fulmarshore/agreement/election.py
@@ -8,6 +8,7 @@
 from fulmarshore.agreement.progress import (
     MAX_ELECTION_TIMEOUT_S,
     MIN_ELECTION_TIMEOUT_S,
+    START_TIMEOUTS_S,
     OwnVote,
     Role,
 )
@@ -19,8 +20,10 @@
 
 def reset_timeout(replica: Replica, now: float) -> None:
     """Draw the time at which the replica stands for election."""
-    timeout = replica.random.uniform(MIN_ELECTION_TIMEOUT_S, MAX_ELECTION_TIMEOUT_S)
-    replica.election_at = now + timeout
+    shortest, longest = MIN_ELECTION_TIMEOUT_S, MAX_ELECTION_TIMEOUT_S
+    if replica.starts_fast and replica.leader_heard_at == float("-inf"):
+        shortest, longest = START_TIMEOUTS_S
+    replica.election_at = now + replica.random.uniform(shortest, longest)
 
 
 def tick(replica: Replica, now: float) -> None:
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -71,6 +71,8 @@
     fewest_voters : int or None
         A group of at least that many replaces a silent voter by a new host of
         another name, and a larger one removes it; None never does.
+    starts_fast : bool
+        Whether timeouts are short until a leader is heard.
     """
 
     def __init__(
@@ -81,10 +83,12 @@
         bootstrap: bool = False,
         region: str = "",
         fewest_voters: int | None = None,
+        starts_fast: bool = False,
     ) -> None:
         self.identity = recovered.replica
         self.region = region
         self.fewest_voters = fewest_voters
+        self.starts_fast = starts_fast
         self.peers = list(peers)
         self.random = random
         self.bootstrap = bootstrap and not recovered.term_vote.group
--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -49,7 +49,7 @@
         super().__init__("agent", settings, load)
         process = secrets.randbits(63)
         self.core = AgentCore(
-            settings.host, settings.zone, list(settings.seeds), process
+            settings.host, settings.zone, list(settings.seeds), process, settings.cold
         )
         self._read_announcement = read_announcement
         self._upstream: socket.socket | None = None
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -127,6 +127,7 @@
             self.random,
             settings.bootstrap and settings.host == starter,
             fewest_voters=2 * settings.lost_disks + 1,
+            starts_fast=True,
         )
         self.core = ControlCore(
             replica, secrets.randbits(63), settings.lost_disks, self._make_table
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -10,7 +10,7 @@
 import socket
 from collections import Counter
 
-from fulmarshore.direct.gate import Gate
+from fulmarshore.direct.gate import ColdBounds, Gate
 from fulmarshore.direct.packets import (
     ACK,
     FIN,
@@ -50,6 +50,8 @@
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
 
+FIRST_SEQUENCE = 1
+"""Number of an upstream's first announcement."""
 SWEEP_INTERVAL_S = 1.0
 ENDED_LINGER_S = 3.0
 """How long a flow that ended is remembered for packets sent again."""
@@ -96,19 +98,29 @@
         Control hosts from the settings.
     process : int
         Random number of this process.
+    cold : ColdBounds
+        What a cold upstream bears.
     """
 
-    def __init__(self, host: str, zone: str, seeds: list[str], process: int) -> None:
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        seeds: list[str],
+        process: int,
+        cold: ColdBounds,
+    ) -> None:
         self.host = host
         self.counters: Counter[str] = Counter()
         self.tables = TableView()
-        self.gate = Gate(self.tables)
+        self.gate = Gate(self.tables, cold)
         self.subscription = Subscription(seeds)
         self._zone = zone
         self._process = process
         self._own_host = socket.inet_aton(host)
         self._flows: dict[bytes, AgentFlow] = {}
         self._busy = 0
+        self._remembers_all = False
         self._revision = 0
         self._reported: tuple = ()
         self._swept_at = float("-inf")
@@ -162,6 +174,8 @@
         if packet.is_opening:
             return self._open(packet, flow, now)
         if flow is None:
+            if self._remembers_all:
+                return self._tell_not_held(packet)
             # The agent may have lost its memory: only the upstream knows.
             self.counters["flows_asked_for"] += 1
             flow = self._flows[packet.flow] = AgentFlow(now, False)
@@ -205,6 +219,13 @@
         note = make_note(packet, MARK_HELD, self._own_host)
         return SendToEntry(note, packet.return_host)
 
+    def _tell_not_held(self, packet: Packet) -> Effects:
+        self.counters["packets_not_held"] += 1
+        if packet.return_host == NO_HOST:
+            return []
+        returned = mark_packet(packet, MARK_NOT_HELD, self._own_host)
+        return [SendToEntry(returned, packet.return_host)]
+
     # From the upstream.
 
     def _take_upstream(self, content: bytes, now: float) -> Effects:
@@ -237,13 +258,13 @@
         return effects
 
     def _take_bounced(self, packet: Packet, now: float) -> Effects:
-        """The upstream returned a packet: the entry host goes on with it."""
+        """Hand a packet that the upstream returned back to the entry host."""
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
             if flow is not None and not flow.is_open:
                 self._forget(packet.flow)
             return self._refuse(packet, "returned_by_upstream", MARK_REFUSED)
-        self.counters["packets_returned"] += 1
+        self.counters["packets_bounced"] += 1
         if flow is not None:
             self._forget(packet.flow)
             if flow.is_open:
@@ -254,13 +275,10 @@
                     SendToCaller(reset, packet.caller_host),
                     Decision("flow_reset", "upstream lost it", packet.flow),
                 ]
-        if packet.return_host == NO_HOST:
-            return []
-        returned = mark_packet(packet, MARK_NOT_HELD, self._own_host)
-        return [SendToEntry(returned, packet.return_host)]
+        return self._tell_not_held(packet)
 
     def _note_closed(self, now: float) -> Effects:
-        """Nobody listens at the upstream's address: its flows are gone."""
+        """Give up the flows of an upstream that nobody listens for."""
         self.counters["upstream_closed"] += 1
         if self.gate.explain(now) == "upstream_gone" and not self._flows:
             return []
@@ -284,15 +302,22 @@
 
     def _take_announcement(self, announced: Announced, now: float) -> Effects:
         was_ready = self.gate.explain(now)
+        former = self.gate.upstream
         outcome = self.gate.take(announced, now)
         if outcome == "late":
             self.counters["announcements_late"] += 1
             return []
         effects: Effects = []
+        if outcome == "new":
+            # An upstream takes flows only once the gate has heard of it, so
+            # whoever hears its first word knows all its flows.
+            is_first = announced.sequence <= FIRST_SEQUENCE
+            self._remembers_all = former is not None or is_first
         reason = self.gate.explain(now)
         if outcome == "new" or reason != was_ready:
             detail = (
                 f"{announced.upstream} of {announced.service}, "
+                f"word {announced.sequence}, "
                 f"{reason or 'accepting'}, cold {announced.cold_s:.3f} s"
             )
             effects.append(Decision("upstream_announced", detail))
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -197,7 +197,7 @@
         match event:
             case Polled():
                 return self._answer_poll(event, now)
-            case LinkMessage(peer=peer, message=message):
+            case LinkMessage(peer=peer):
                 self._meet(peer)
                 return self._run(self.replica.handle(event, now), now)
             case Stored():
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+import enum
 import socket
 from collections import Counter
 from random import Random
 
+from msgspec import Struct
 from xxhash import xxh3_64_intdigest
 
 from fulmarshore.direct.directory import KnownAgents
@@ -53,6 +55,15 @@
 ENDED_LINGER_S = 3.0
 """How long a flow that ended is remembered for packets sent again: longer than
 two of the protocol's longest intervals between them, 1.6 s."""
+PARK_S = 0.6
+"""How long an opening that no agent takes waits for one, then it is rejected:
+less than half of what a caller waits for an answer to it, 1.4 s."""
+MAX_PARKED = 2000
+SETTLED_S = 3.0
+"""An entry host that has been told of agents for this long, more than the
+silence after which one is gone, knows all that are there."""
+MISSING_S = 10.0
+"""An agent that went missing less than this ago may hold flows and return."""
 STOP_WAIT_S = 3.0
 """How long packets are taken after readiness is withdrawn: two misses of a
 probe sent twice a second, and as much again."""
@@ -60,28 +71,52 @@
 Effects = list
 
 
+class Stage(enum.Enum):
+    """What an entry host knows of a flow."""
+
+    OPENING = "opening"
+    SETTLED = "settled"
+    SOUGHT = "sought"
+
+
 class Flow:
     """What an entry host remembers of a flow.
 
     Parameters
     ----------
-    agents : list of str
-        The agents that may hold it; one of them if that is known.
+    stage : Stage
+        What is known of it.
     now : float
         Time of its first packet here.
+
+    Attributes
+    ----------
+    agents : list of str
+        The agents that may hold it; one of them if that is known.
+    asked : list of str
+        Agents that got its opening, or were asked for it.
+    counted : str or None
+        The agent whose load it counts for.
     """
 
-    __slots__ = ("agents", "tried", "seen_at", "is_opening", "is_ended", "counted")
+    __slots__ = ("agents", "asked", "seen_at", "stage", "is_ended", "counted")
 
-    def __init__(self, agents: list[str], is_opening: bool, now: float) -> None:
-        self.agents = agents
-        self.tried = list(agents) if is_opening else []
+    def __init__(self, stage: Stage, now: float) -> None:
+        self.agents: list[str] = []
+        self.asked: list[str] = []
         self.seen_at = now
-        self.is_opening = is_opening
+        self.stage = stage
         self.is_ended = False
         self.counted: str | None = None
 
 
+class Parked(Struct):
+    """An opening that waits for an agent that takes it."""
+
+    packet: Packet
+    until: float
+
+
 class EntryCore:
     """Forwards callers' packets to agents.
 
@@ -106,6 +141,9 @@
         self._return_host = socket.inet_aton(host)
         self._placement = Placement(zone, random)
         self._flows: dict[bytes, Flow] = {}
+        self._parked: dict[bytes, Parked] = {}
+        self._told_at = float("inf")
+        self._missing_at = float("-inf")
         self._swept_at = float("-inf")
         self._stop_at: float | None = None
 
@@ -147,7 +185,7 @@
         if packet.is_opening:
             return self._open(packet, flow, now)
         if flow is None or not flow.agents:
-            return self._seek(packet, now)
+            return self._seek(packet, flow, now)
         flow.seen_at = now
         if packet.is_ending:
             self._end(flow)
@@ -158,14 +196,16 @@
     def _open(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
         route = self.tables.find_route(packet.service_address)
         if route is None:
+            if not self.tables.is_known:
+                return []
             return self._reject(packet, "no_route")
         if flow is None:
-            flow = self._flows[packet.flow] = Flow([], True, now)
+            flow = self._flows[packet.flow] = Flow(Stage.OPENING, now)
             return self._offer(packet, flow, route, now)
         flow.seen_at = now
         marked = mark_packet(packet, NO_MARK, self._return_host)
         effects: Effects = [SendToAgent(marked, host) for host in flow.agents]
-        if not flow.is_opening or packet.acknowledged == 0:
+        if flow.stage is not Stage.OPENING or packet.acknowledged == 0:
             return effects
         # The caller heard no answer: its packet was lost, or the agent was.
         self.counters["openings_repeated"] += 1
@@ -176,29 +216,63 @@
         return effects
 
     def _offer(self, packet: Packet, flow: Flow, route: Route, now: float) -> Effects:
-        """Offer a flow to one more agent."""
+        """Offer a flow to one more agent; without one, it waits."""
         service = choose_service(route, packet.flow)
         host = None
         if service is not None:
             host = self._placement.choose(
-                service, flow.tried, now, self.tables.is_zone_out
+                service, flow.asked, now, self.tables.is_zone_out
             )
         if host is None:
-            if flow.agents:
-                return []
-            del self._flows[packet.flow]
-            self._uncount(flow)
-            return self._reject(packet, "no_agent")
+            return [] if flow.agents else self._park(packet, flow, now)
+        self._parked.pop(packet.flow, None)
         flow.agents.append(host)
-        flow.tried.append(host)
+        flow.asked.append(host)
         if flow.counted is None:
             flow.counted = host
             self._placement.note_opened(host)
         self.counters["flows_offered"] += 1
         return [SendToAgent(mark_packet(packet, NO_MARK, self._return_host), host)]
 
-    def _seek(self, packet: Packet, now: float) -> Effects:
-        """Ask all agents that a flow may be with."""
+    def _park(self, packet: Packet, flow: Flow, now: float) -> Effects:
+        """Let an opening wait for an agent: one may be about to be back."""
+        if packet.flow in self._parked:
+            return []
+        if len(self._parked) >= MAX_PARKED:
+            return self._give_up(packet, flow)
+        self.counters["openings_parked"] += 1
+        self._parked[packet.flow] = Parked(packet, now + PARK_S)
+        return []
+
+    def _retry_parked(self, now: float) -> Effects:
+        """Offer what waits once more, and reject what waited long enough."""
+        effects: Effects = []
+        for key, parked in list(self._parked.items()):
+            flow = self._flows.get(key)
+            if flow is None or flow.agents or flow.stage is not Stage.OPENING:
+                # It was offered meanwhile; a refusal parks it again.
+                if flow is None or flow.stage is not Stage.OPENING:
+                    del self._parked[key]
+                continue
+            route = self.tables.find_route(parked.packet.service_address)
+            if route is None or now >= parked.until:
+                del self._parked[key]
+                effects += self._give_up(parked.packet, flow)
+                continue
+            flow.asked.clear()
+            until = parked.until
+            effects += self._offer(parked.packet, flow, route, now)
+            if flow.agents:
+                self._parked[key] = Parked(parked.packet, until)
+        return effects
+
+    def _give_up(self, packet: Packet, flow: Flow) -> Effects:
+        del self._flows[packet.flow]
+        self._uncount(flow)
+        return self._reject(packet, "no_agent")
+
+    def _seek(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
+        """Ask the agents that a flow may be with, those of its route first."""
         if packet.flags & RST:
             return []
         route = self.tables.find_route(packet.service_address)
@@ -206,13 +280,19 @@
             if not self.tables.is_known:
                 return []
             return self._reject(packet, "no_route")
-        hosts = []
+        if flow is None or flow.stage is not Stage.SOUGHT or not flow.agents:
+            flow = self._flows[packet.flow] = Flow(Stage.SOUGHT, now)
+            self.counters["flows_sought"] += 1
+        hosts: list[str] = []
         for backend in route.backends:
             hosts += self._placement.list_hosts(backend.service)
-        self.counters["flows_sought"] += 1
-        self._flows[packet.flow] = Flow(hosts, False, now)
+        return self._ask(packet, flow, hosts)
+
+    def _ask(self, packet: Packet, flow: Flow, hosts: list[str]) -> Effects:
+        flow.agents = [host for host in hosts if host not in flow.asked]
+        flow.asked += flow.agents
         marked = mark_packet(packet, MARK_SEEKING, self._return_host)
-        return [SendToAgent(marked, host) for host in hosts]
+        return [SendToAgent(marked, host) for host in flow.agents]
 
     def _reject(self, packet: Packet, reason: str) -> Effects:
         self.counters[f"rejected_{reason}"] += 1
@@ -245,7 +325,7 @@
 
     def _settle(self, flow: Flow, host: str) -> Effects:
         flow.agents = [host]
-        flow.is_opening = False
+        flow.stage = Stage.SETTLED
         if flow.counted != host:
             self._uncount(flow)
             if not flow.is_ended:
@@ -254,31 +334,39 @@
         return []
 
     def _miss(self, packet: Packet, flow: Flow, host: str, now: float) -> Effects:
-        """An agent does not hold a flow: the others are asked."""
+        """Go on without an agent that does not hold a flow."""
         self.counters["flows_missed"] += 1
         if host not in flow.agents:
             return []
         flow.agents.remove(host)
         if flow.agents:
             return []
-        self._uncount(flow)
+        if flow.stage is not Stage.SOUGHT:
+            self._uncount(flow)
+            sought = self._flows[packet.flow] = Flow(Stage.SOUGHT, now)
+            sought.asked.append(host)
+            self.counters["flows_sought"] += 1
+            return self._seek(packet, sought, now) or self._ask_others(packet, sought)
+        return self._ask_others(packet, flow) or self._conclude(packet, now)
+
+    def _ask_others(self, packet: Packet, flow: Flow) -> Effects:
+        """Ask agents of other services: a route may have led there before."""
+        return self._ask(packet, flow, self._placement.list_all_hosts())
+
+    def _conclude(self, packet: Packet, now: float) -> Effects:
+        """Reset a flow that every agent there is has denied."""
         del self._flows[packet.flow]
-        effects = self._seek(packet, now)
-        sought = self._flows.get(packet.flow)
-        if sought is not None and host in sought.agents:
-            sought.agents.remove(host)
-        return [
-            effect
-            for effect in effects
-            if not isinstance(effect, SendToAgent) or effect.host != host
-        ]
+        if now - self._told_at < SETTLED_S or now - self._missing_at < MISSING_S:
+            self.counters["flows_not_found"] += 1
+            return []
+        return self._reject(packet, "not_held")
 
     def _reoffer(self, packet: Packet, flow: Flow, host: str, now: float) -> Effects:
-        """An agent refused an opening: the next one gets it."""
+        """Offer an opening that an agent refused to the next one."""
         self.counters["offers_refused"] += 1
         if host in flow.agents:
             flow.agents.remove(host)
-        if not flow.is_opening:
+        if flow.stage is not Stage.OPENING:
             return []
         self._uncount(flow)
         route = self.tables.find_route(packet.service_address)
@@ -288,7 +376,6 @@
 
     def _end(self, flow: Flow) -> None:
         flow.is_ended = True
-        flow.is_opening = False
         self._uncount(flow)
 
     def _uncount(self, flow: Flow) -> None:
@@ -307,11 +394,16 @@
             detail = f"version {table.version}, index {table.index}, from {host}"
             effects.append(Decision("table_taken", detail))
         for item in self.agents.take(host, update):
-            effects += self._note_agent(item)
+            effects += self._note_agent(item, now)
+        if self._told_at > now and len(self.agents) > 0:
+            self._told_at = now
+        if self._parked:
+            effects += self._retry_parked(now)
         return effects
 
-    def _note_agent(self, item: AgentReport | str) -> Effects:
+    def _note_agent(self, item: AgentReport | str, now: float) -> Effects:
         if isinstance(item, str):
+            self._missing_at = now
             self._placement.drop(item)
             return [Decision("agent_gone", item)]
         self._placement.take(item)
@@ -327,9 +419,11 @@
             for host in self.subscription.list_silent(now):
                 effects.append(Decision("control_silent", host))
                 for item in self.agents.forget_control(host):
-                    effects += self._note_agent(item)
+                    effects += self._note_agent(item, now)
             effects += [self._make_poll(host) for host in self.subscription.hosts]
             self.subscription.note_polled(now)
+        if self._parked:
+            effects += self._retry_parked(now)
         if now - self._swept_at >= SWEEP_INTERVAL_S:
             self._swept_at = now
             self._sweep(now)
--- a/fulmarshore/direct/gate.py
+++ b/fulmarshore/direct/gate.py
@@ -8,6 +8,8 @@
 
 from collections import deque
 
+from msgspec import Struct
+
 from fulmarshore.direct.records import Announced
 from fulmarshore.direct.tables import TableView
 
@@ -17,15 +19,43 @@
 COLD_WINDOW_S = 1.05
 """Window in which flows to a cold upstream are counted: a second, and the
 spread of delays on one host."""
-COLD_FLOWS = 2
-"""Flows a window that any cold upstream gets: it has to warm up somehow."""
+COLD_MARGIN = 1
+"""Flows a window that a cold upstream gets less than it bears."""
+
+
+class ColdBounds(Struct, frozen=True):
+    """What a cold upstream bears beyond the rate of its service.
+
+    Parameters
+    ----------
+    overshoot : float
+        Factor on the rate of the service.
+    slack : float
+        Requests a second on top.
+    """
+
+    overshoot: float = 1.0
+    slack: float = 2.0
+
+    def count_flows(self, cold_per_s: float) -> int:
+        """Return the flows that may pass in one window."""
+        return max(1, int(cold_per_s * self.overshoot + self.slack) - COLD_MARGIN)
 
 
 class Gate:
-    """What is known of the upstream, and whether it takes a new flow."""
+    """What is known of the upstream, and whether it takes a new flow.
+
+    Parameters
+    ----------
+    tables : TableView
+        The newest table of the agent.
+    cold : ColdBounds
+        What a cold upstream bears.
+    """
 
     __slots__ = (
         "_tables",
+        "_cold",
         "_upstream",
         "_announced_at",
         "_cold_until",
@@ -34,8 +64,9 @@
         "_is_stopping",
     )
 
-    def __init__(self, tables: TableView) -> None:
+    def __init__(self, tables: TableView, cold: ColdBounds) -> None:
         self._tables = tables
+        self._cold = cold
         self._upstream: Announced | None = None
         self._announced_at = float("-inf")
         self._cold_until = float("-inf")
@@ -137,9 +168,7 @@
             return "upstream_full"
         if not self.is_cold(now):
             return None
-        allowed = COLD_FLOWS
-        if policy is not None:
-            allowed = max(allowed, int(policy.cold_per_s))
+        allowed = self._cold.count_flows(policy.cold_per_s if policy else 0.0)
         while self._cold_flows and now - self._cold_flows[0] >= COLD_WINDOW_S:
             self._cold_flows.popleft()
         if len(self._cold_flows) >= allowed:
--- a/fulmarshore/direct/placement.py
+++ b/fulmarshore/direct/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 from fulmarshore.direct.records import AgentReport
@@ -79,12 +80,16 @@
         """Return every agent of a service, accepting or not."""
         return list(self._services.get(service, ()))
 
+    def list_all_hosts(self) -> list[str]:
+        """Return every agent."""
+        return list(self._candidates)
+
     def choose(
         self,
         service: str,
         tried: list[str],
         now: float,
-        is_zone_out: object,
+        is_zone_out: Callable[[str], bool],
     ) -> str | None:
         """Return the agent to offer a new flow to; None if there is none.
 
@@ -103,7 +108,7 @@
         best_rank = (float("inf"), 0.0)
         for host, candidate in self._services.get(service, {}).items():
             report = candidate.report
-            if host in tried or is_zone_out(report.zone):
+            if host in tried or not report.is_accepting or is_zone_out(report.zone):
                 continue
             rank = (self._weigh(candidate, now), self._random.random())
             if rank < best_rank:
@@ -137,8 +142,8 @@
     def _weigh(self, candidate: Candidate, now: float) -> float:
         """Return how undesirable an agent is.
 
-        Agents that do not accept or did not answer come after all others: what
-        is known of them may be late, and an offer costs little.
+        Agents that refused or did not answer come after all others: what is
+        known of them may be late, and an offer costs little.
         """
         report = candidate.report
         load = (candidate.open_flows + report.busy) / max(1, report.slots)
@@ -150,6 +155,4 @@
             load += 1_000.0
         if candidate.closed_until > now:
             load += 10_000.0
-        if not report.is_accepting:
-            load += 100_000.0
         return load
--- a/fulmarshore/direct/settings.py
+++ b/fulmarshore/direct/settings.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from fulmarshore.direct.gate import ColdBounds
+
 CONTROL_OFFSET = 0
 ENTRY_OFFSET = 1
 AGENT_OFFSET = 2
@@ -49,6 +51,8 @@
         Whether the whole system starts for the first time.
     lost_disks : int
         Disks that may be lost at once.
+    cold : ColdBounds
+        What a cold upstream bears beyond the rate of its service.
     """
 
     name: str
@@ -66,6 +70,7 @@
     data_folder: str = ""
     bootstrap: bool = False
     lost_disks: int = 0
+    cold: ColdBounds = ColdBounds()
 
 
 class SettingsProblem(Struct, frozen=True):
--- a/fulmarshore/platform/settings.py
+++ b/fulmarshore/platform/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from fulmarshore.direct.gate import ColdBounds
 from fulmarshore.direct.settings import (
     INTERNAL_PORTS,
     Endpoint,
@@ -35,6 +36,13 @@
     machines: int = 0
 
 
+class Bounds(Struct, frozen=True):
+    """Bounds of the rules that the gate of an upstream keeps."""
+
+    cold_overshoot: float = field(default=1.0, name="coldOvershoot")
+    cold_slack: float = field(default=2.0, name="coldSlack")
+
+
 class SettingsFile(Struct, frozen=True):
     """The fields of the settings file that are used."""
 
@@ -49,6 +57,7 @@
     data_dir: str | None = field(default=None, name="dataDir")
     app: str | None = None
     tolerance: Tolerance = field(default=Tolerance(), name="faultTolerance")
+    bounds: Bounds = Bounds()
 
 
 class SettingsReader:
@@ -108,6 +117,7 @@
         data_folder=found.data_dir or "",
         bootstrap=found.bootstrap,
         lost_disks=found.tolerance.machines,
+        cold=ColdBounds(found.bounds.cold_overshoot, found.bounds.cold_slack),
     )
 
 
