Cold upstreams without a stated rate are bounded by their slots

Now such an upstream gets two requests a slot, openings counted. Also: an entry host takes 1.2 s instead of 3 s until it knows all agents and may reset a flow that all of them deny.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -187,9 +187,8 @@
                 effects.append(self._tell_held(packet))
             else:
                 flow.asker = packet.return_host
-        if packet.length and not flow.is_busy and flow.ends == 0:
-            flow.is_busy = True
-            self._busy += 1
+        if packet.length and flow.ends == 0:
+            self._work(flow)
         if packet.flags & RST:
             self._forget(packet.flow)
         elif packet.flags & FIN:
@@ -200,10 +199,13 @@
     def _open(self, packet: Packet, flow: AgentFlow | None, now: float) -> Effects:
         if flow is not None:
             return [SendToUpstream(packet.content)]
-        reason = self.gate.admit(packet.service_address, len(self._flows), now)
+        reason = self.gate.admit(
+            packet.service_address, len(self._flows), self._busy, now
+        )
         if reason is not None:
             return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
-        self._flows[packet.flow] = AgentFlow(now, False)
+        flow = self._flows[packet.flow] = AgentFlow(now, False)
+        self._work(flow)
         self.counters["flows_admitted"] += 1
         return [SendToUpstream(packet.content)]
 
@@ -396,6 +398,11 @@
         accepting = self.gate.is_accepting(now)
         return (self.gate.service, accepting, self.gate.is_cold(now))
 
+    def _work(self, flow: AgentFlow) -> None:
+        if not flow.is_busy:
+            flow.is_busy = True
+            self._busy += 1
+
     def _rest(self, flow: AgentFlow) -> None:
         if flow.is_busy:
             flow.is_busy = False
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -59,9 +59,9 @@
 """How long an opening that no agent takes waits for one, then it is rejected:
 less than half of what a caller waits for an answer to it, 1.4 s."""
 MAX_PARKED = 2000
-SETTLED_S = 3.0
-"""An entry host that has been told of agents for this long, more than the
-silence after which one is gone, knows all that are there."""
+SETTLED_S = 1.2
+"""An entry host that has been told of agents for this long, more than two
+intervals of their reports, knows all that are there."""
 MISSING_S = 10.0
 """An agent that went missing less than this ago may hold flows and return."""
 STOP_WAIT_S = 3.0
--- a/fulmarshore/direct/gate.py
+++ b/fulmarshore/direct/gate.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from fulmarshore.direct.records import Announced
+from fulmarshore.direct.records import Announced, ServicePolicy
 from fulmarshore.direct.tables import TableView
 
 ANNOUNCEMENT_SILENCE_S = 4.0
@@ -21,6 +21,9 @@
 spread of delays on one host."""
 COLD_MARGIN = 1
 """Flows a window that a cold upstream gets less than it bears."""
+COLD_BUSY = 2
+"""Requests for each slot that a cold upstream has under way at most, where its
+service states no rate: one at work and one that waits."""
 
 
 class ColdBounds(Struct, frozen=True):
@@ -146,15 +149,15 @@
             return "zone_out"
         return None
 
-    def admit(self, address: bytes, flows: int, now: float) -> str | None:
+    def admit(self, address: bytes, flows: int, busy: int, now: float) -> str | None:
         """Return why a new flow does not pass; None lets it pass and counts it.
 
         Parameters
         ----------
         address : bytes
             Address and port of the service that the caller asks for.
-        flows : int
-            Flows that the upstream holds.
+        flows, busy : int
+            Flows that the upstream holds, and those with a request under way.
         now : float
             Steady time, seconds.
         """
@@ -166,12 +169,20 @@
         policy = self._tables.find_service(self.service)
         if policy is not None and flows >= policy.max_flows > 0:
             return "upstream_full"
-        if not self.is_cold(now):
-            return None
-        allowed = self._cold.count_flows(policy.cold_per_s if policy else 0.0)
+        if self.is_cold(now):
+            return self._admit_cold(policy, busy, now)
+        return None
+
+    def _admit_cold(
+        self, policy: ServicePolicy | None, busy: int, now: float
+    ) -> str | None:
+        """Let a cold upstream get what its service states, or its slots bear."""
+        if policy is None or not policy.cold_per_s:
+            is_full = busy >= self._upstream.slots * COLD_BUSY
+            return "upstream_cold" if is_full else None
         while self._cold_flows and now - self._cold_flows[0] >= COLD_WINDOW_S:
             self._cold_flows.popleft()
-        if len(self._cold_flows) >= allowed:
+        if len(self._cold_flows) >= self._cold.count_flows(policy.cold_per_s):
             return "upstream_cold"
         self._cold_flows.append(now)
         return None
