--- /dev/null
+++ b/fulmarshore/direct/world_test.py
@@ -0,0 +1,448 @@
+"""Whole deployments of the direct data path, with faults, in simulated time."""
+
+import socket
+import unittest
+from dataclasses import dataclass, field
+
+from fulmarshore.direct.control import ControlCore
+from fulmarshore.standins.directworld import World
+
+DESK = 443
+STORE = 80
+ROUTES = {DESK: [("desk", 1)], STORE: [("store", 1)]}
+
+
+def make_world(**options):
+    """Return a world that has a configuration and is in step."""
+    world = World(**options)
+    call = world.put(1, ROUTES)
+    assert world.run_until(lambda: call.is_accepted, 5.0), "first configuration"
+    world.run(2.5)
+    return world
+
+
+def count_outcomes(world):
+    """Return how the requests of all callers ended."""
+    outcomes = {}
+    for caller in world.callers.values():
+        for call in caller.calls:
+            outcomes[call.outcome] = outcomes.get(call.outcome, 0) + 1
+    return outcomes
+
+
+def list_upstreams(world):
+    """Return all upstreams there ever were."""
+    return [*world.upstreams.values(), *world.past_upstreams]
+
+
+class PathTest(unittest.TestCase):
+    def check(self, world):
+        """Check what holds on any day."""
+        ran = [run for upstream in list_upstreams(world) for run in upstream.runs]
+        self.assertEqual(len(ran), len(set(ran)), "a request ran twice")
+        for upstream in list_upstreams(world):
+            self.assertEqual(upstream.forged, [])
+            for _, address in upstream.opened:
+                port = int.from_bytes(address[4:])
+                allowed = {name for name, _ in ROUTES[port]}
+                self.assertIn(upstream.service, allowed)
+        for caller in world.callers.values():
+            self.assertEqual(caller.forged, [])
+
+    def test_calm_day_serves_every_caller(self):
+        world = make_world()
+        for number in range(40):
+            world.call(number, DESK if number % 2 else STORE)
+            world.run(0.02)
+        world.run(3.0)
+        self.assertEqual(count_outcomes(world), {"answered": 40})
+        self.check(world)
+
+    def test_lost_packets_cost_time_and_no_second_run(self):
+        world = make_world(loss=0.05, seed=5)
+        for number in range(60):
+            world.call(number, DESK)
+            world.run(0.03)
+        world.run(4.0)
+        self.assertGreater(count_outcomes(world)["answered"], 57)
+        self.check(world)
+
+    def test_first_configuration_is_accepted_soon_after_the_start(self):
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                world = World(seed=seed)
+                call = world.put(1, ROUTES)
+                self.assertTrue(world.run_until(lambda: call.is_accepted, 3.0))
+
+
+@dataclass
+class FlowCase:
+    """A change while flows are open, and what callers see of it."""
+
+    name: str
+    change: list = field(default_factory=list)
+    kept: bool = True
+
+
+FLOW_CASES = [
+    FlowCase("entry host restarts as planned", [("stop_entry", 0)]),
+    FlowCase(
+        "all entry hosts restart as planned", [("stop_entry", 0), ("stop_entry", 1)]
+    ),
+    FlowCase("entry host crashes", [("crash_entry", 0)]),
+    FlowCase("agents restart as planned", [("stop_agents", 0)]),
+    FlowCase("agents crash", [("crash_agents", 0)]),
+    FlowCase("entry hosts and agents crash", [("crash_agents", 0), ("crash_entry", 0)]),
+    FlowCase("control hosts lose power", [("power_controls", 0)]),
+    FlowCase("upstreams drain", [("drain", 0)]),
+    FlowCase("zones go out", [("zones_out", 0)]),
+    FlowCase("the route's service changes", [("move_route", 0)]),
+    FlowCase(
+        "the route's service changes and entry hosts restart",
+        [("move_route", 0), ("stop_entry", 0), ("stop_entry", 1)],
+    ),
+]
+
+
+def apply_change(world, change, number):
+    """Carry out one step of a case."""
+    if change in ("stop_entry", "crash_entry"):
+        host = world.entry_hosts[number]
+        if change == "stop_entry":
+            world.stop(host)
+            world.run_until(lambda: host not in world.cores, 5.0)
+        else:
+            world.crash(host)
+        world.call_later(0.3, lambda: world.start_entry(host))
+    if change in ("stop_agents", "crash_agents"):
+        for host in world.upstreams:
+            if change == "stop_agents":
+                world.stop(host)
+            else:
+                world.crash(host)
+        world.run(0.5)
+        for host in world.upstreams:
+            if host not in world.cores:
+                world.start_agent(host)
+    if change == "power_controls":
+        for host in world.control_hosts:
+            world.crash(host, loses_power=True)
+        for host in world.control_hosts:
+            world.call_later(0.5, lambda host=host: world.start_control(host))
+    if change == "drain":
+        world.draining |= set(world.upstreams)
+    if change == "zones_out":
+        for zone in ("zone-0", "zone-1", "zone-2"):
+            world.put_zone(zone, True)
+    if change == "move_route":
+        world.put(2, {DESK: [("store", 1)], STORE: [("store", 1)]})
+
+
+class OpenFlowTest(unittest.TestCase):
+    def test_open_flows_outlive_changes(self):
+        for case in FLOW_CASES:
+            with self.subTest(case.name):
+                world = make_world(seed=3)
+                callers = [world.call(number, DESK) for number in range(20)]
+                world.run(1.0)
+                self.assertEqual(count_outcomes(world), {"answered": 20})
+                for change, number in case.change:
+                    apply_change(world, change, number)
+                world.run(4.0)
+                for number, caller in enumerate(callers):
+                    caller.request(b"request-%d-1" % number)
+                world.run(4.0)
+                self.assertEqual([c.is_reset for c in callers], [False] * 20)
+                self.assertEqual(count_outcomes(world), {"answered": 40})
+
+    def test_flows_of_an_upstream_that_restarted_are_reset_at_once(self):
+        world = make_world()
+        callers = [world.call(number, STORE) for number in range(6)]
+        world.run(1.0)
+        for host, upstream in list(world.upstreams.items()):
+            upstream.crash()
+            world.start_upstream(host, upstream.service)
+        world.run(1.5)
+        calls = [c.request(b"again-%d" % n) for n, c in enumerate(callers)]
+        world.run(0.3)
+        self.assertEqual({call.outcome for call in calls}, {"reset"})
+
+    def test_dead_flows_after_a_loss_of_everything_do_not_circulate(self):
+        world = make_world()
+        callers = [world.call(number, DESK) for number in range(10)]
+        world.run(1.0)
+        for host in list(world.cores):
+            world.crash(host, loses_power=True)
+        for host, upstream in list(world.upstreams.items()):
+            upstream.crash()
+            world.start_upstream(host, upstream.service)
+        world.run(0.5)
+        for host in world.control_hosts:
+            world.start_control(host)
+        for host in world.entry_hosts:
+            world.start_entry(host)
+        for host in world.upstreams:
+            world.start_agent(host)
+        world.run(0.2)
+        calls = [c.request(b"again-%d" % n) for n, c in enumerate(callers)]
+        before = world.packets_sent
+        world.run(1.0)
+        self.assertLess(world.packets_sent - before, 1500)
+        world.run(2.5)
+        self.assertEqual({call.outcome for call in calls}, {"reset"})
+
+    def test_flow_of_a_dropped_route_ends(self):
+        world = make_world()
+        caller = world.call(1, DESK)
+        world.run(1.0)
+        world.put(2, {STORE: [("store", 1)]})
+        world.run(1.0)
+        world.call(2, DESK)
+        world.run(1.0)
+        self.assertTrue(world.callers[caller.flow].is_open)
+        outcomes = [c.calls[0].outcome for c in world.callers.values()]
+        self.assertEqual(outcomes, ["answered", "reset"])
+
+
+class GateTest(unittest.TestCase):
+    def test_nothing_new_reaches_what_has_left(self):
+        cases = [
+            ("draining", lambda world, host: world.draining.add(host)),
+            ("zone out", lambda world, host: world.put_zone("zone-0", True)),
+            ("departed", lambda world, host: world.depart(host)),
+        ]
+        for name, leave in cases:
+            with self.subTest(name):
+                world = make_world(agents={"desk": 3, "store": 3})
+                host = next(iter(world.upstreams))
+                leave(world, host)
+                world.run(1.5)
+                before = len(world.upstreams[host].opened)
+                for number in range(30):
+                    world.call(number, DESK)
+                    world.run(0.02)
+                world.run(2.0)
+                self.assertEqual(len(world.upstreams[host].opened), before)
+                self.assertEqual(count_outcomes(world), {"answered": 30})
+
+    def test_address_of_another_service_gets_no_flow_of_the_former_one(self):
+        world = make_world()
+        host = next(iter(world.upstreams))
+        world.upstreams[host].crash()
+        for number in range(20):
+            world.call(number, DESK)
+            world.run(0.02)
+        world.start_upstream(host, "store")
+        for number in range(20, 60):
+            world.call(number, DESK)
+            world.run(0.05)
+        world.run(3.0)
+        for upstream in world.upstreams.values():
+            ports = {int.from_bytes(address[4:]) for _, address in upstream.opened}
+            expected = {DESK} if upstream.service == "desk" else set()
+            self.assertLessEqual(ports, expected)
+
+    def test_late_announcement_of_a_former_incarnation_changes_nothing(self):
+        world = make_world()
+        host = next(iter(world.upstreams))
+        former = world.upstreams[host]
+        former.crash()
+        world.start_upstream(host, "store")
+        world.run(1.0)
+        current = world.upstreams[host]
+        world.upstreams[host] = former
+        world.announce(host)
+        world.upstreams[host] = current
+        self.assertEqual(world.cores[host].gate.service, "store")
+
+    def test_openings_wait_for_agents_that_start(self):
+        world = make_world()
+        for host in world.upstreams:
+            world.crash(host)
+            world.call_later(0.2, lambda host=host: world.start_agent(host))
+        world.run(0.1)
+        for host in world.upstreams:
+            world.call_later(0.3, lambda host=host: world.announce(host))
+        caller = world.call(1, DESK)
+        world.run(1.5)
+        self.assertEqual(caller.calls[0].outcome, "answered")
+
+    def test_without_any_agent_a_caller_is_rejected(self):
+        world = make_world()
+        for host in world.upstreams:
+            world.depart(host)
+        world.run(1.0)
+        caller = world.call(1, DESK)
+        world.run(0.9)
+        self.assertEqual(caller.calls[0].outcome, "reset")
+
+
+class OrdersTest(unittest.TestCase):
+    def read_version(self, world):
+        """Return the version that is read back once a host answers."""
+        found = []
+
+        def ask():
+            if found and found[-1] is not None:
+                return True
+            for host in world.control_hosts:
+                world.read(host, found.append)
+            world.run(0.5)
+            return any(state is not None for state in found)
+
+        self.assertTrue(world.run_until(ask, 15.0), "nobody answers")
+        return next(state for state in found if state is not None)
+
+    def test_accepted_orders_survive(self):
+        cases = [
+            ("every host loses power", [], 0.0),
+            ("one disk is lost, the others lose power", [0], 0.0),
+            ("the leader's disk is lost, the others lose power", ["leader"], 0.0),
+            ("a disk is lost and answers are lost", [1], 0.6),
+        ]
+        for name, wiped, loss in cases:
+            for seed in range(4):
+                with self.subTest(name, seed=seed):
+                    world = make_world(seed=seed)
+                    world.answer_loss = loss
+                    call = world.put(7, ROUTES)
+                    out = world.put_zone("zone-1", True)
+                    done = lambda call=call, out=out: (  # noqa: E731
+                        call.is_accepted and out.is_accepted
+                    )
+                    self.assertTrue(world.run_until(done, 20.0))
+                    world.answer_loss = 0.0
+                    leader = world.find_leader()
+                    for host in world.control_hosts:
+                        world.crash(host, loses_power=True)
+                    for item in wiped:
+                        host = leader if item == "leader" else world.control_hosts[item]
+                        world.disks[host].wipe()
+                    world.run(0.4)
+                    for host in world.control_hosts:
+                        world.start_control(host)
+                    state = self.read_version(world)
+                    self.assertEqual(state.version, 7)
+                    self.assertEqual(state.zones_out, ("zone-1",))
+
+    def test_one_content_wins_a_race_of_equal_versions(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                world = make_world(seed=seed)
+                first = world.put(5, ROUTES, world.control_hosts[seed % 3])
+                other = {DESK: [("desk", 3)], STORE: [("store", 1)]}
+                second = world.put(5, other, world.control_hosts[(seed + 1) % 3])
+                both = lambda a=first, b=second: (  # noqa: E731
+                    a.is_accepted and b.is_accepted
+                )
+                self.assertTrue(world.run_until(both))
+                held = self.read_version(world).content
+                world.put(5, ROUTES)
+                world.put(4, ROUTES)
+                world.run(2.0)
+                self.assertEqual(self.read_version(world).content, held)
+
+    def test_host_cut_off_answers_no_read_and_accepts_nothing(self):
+        world = make_world()
+        leader = world.find_leader()
+        others = [host for host in world.control_hosts if host != leader]
+        world.cut([leader], others)
+        stale = []
+        call = world.put(9, ROUTES, others[0])
+        self.assertTrue(world.run_until(lambda: call.is_accepted, 10.0))
+        for _ in range(10):
+            world.read(leader, stale.append)
+            world.run(0.3)
+        versions = {state.version for state in stale if state is not None}
+        self.assertEqual(versions, set())
+
+    def test_frozen_leader_that_wakes_answers_no_read_with_an_older_state(self):
+        world = make_world()
+        leader = world.find_leader()
+        others = [host for host in world.control_hosts if host != leader]
+        world.freeze(leader, 4.0)
+        call = world.put(9, ROUTES, others[0])
+        answers = []
+        world.run(1.0)
+        world.read(leader, answers.append)
+        self.assertTrue(world.run_until(lambda: call.is_accepted, 10.0))
+        world.run(4.0)
+        versions = {state.version for state in answers if state is not None}
+        self.assertLessEqual(versions, {9})
+
+    def test_replaced_host_takes_its_part_and_another_may_go(self):
+        world = make_world()
+        lost = world.control_hosts[0]
+        world.crash(lost, loses_power=True)
+        world.control_hosts.remove(lost)
+        world.control_hosts.append("10.0.0.9")
+        world.start_control("10.0.0.9")
+        world.run(4.0)
+        call = world.put(3, ROUTES)
+        self.assertTrue(world.run_until(lambda: call.is_accepted, 5.0))
+        second = world.control_hosts[0]
+        world.wipe(second)
+        world.control_hosts.remove(second)
+        again = world.put(4, ROUTES)
+        self.assertTrue(world.run_until(lambda: again.is_accepted, 5.0))
+        names = {voter.name for voter in self.list_voters(world)}
+        self.assertIn("10.0.0.9", names)
+        self.assertNotIn(lost, names)
+
+    def test_planned_replacement_leaves_no_lost_voter_behind(self):
+        world = make_world()
+        world.control_hosts.append("10.0.0.9")
+        world.start_control("10.0.0.9")
+        world.run(1.5)
+        lost = world.control_hosts.pop(0)
+        world.stop(lost)
+        world.run(6.0)
+        names = {voter.name for voter in self.list_voters(world)}
+        self.assertEqual(names, set(world.control_hosts))
+
+    def test_minority_that_missed_changes_does_not_undo_them(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world = make_world(seed=seed)
+                behind, wiped, third = world.control_hosts
+                world.cut([behind], [wiped, third])
+                call = world.put(8, ROUTES, third)
+                self.assertTrue(
+                    world.run_until(lambda call=call: call.is_accepted, 10.0)
+                )
+                world.wipe(wiped)
+                world.crash(third, loses_power=True)
+                world.run(1.0)
+                world.heal()
+                world.start_control(wiped)
+                world.run(1.5)
+                world.start_control(third)
+                self.assertEqual(self.read_version(world).version, 8)
+
+    def list_voters(self, world):
+        """Return the voters that the leader knows."""
+        core = world.cores[world.find_leader()]
+        assert isinstance(core, ControlCore)
+        return core.replica.current_voters
+
+
+class SplitTest(unittest.TestCase):
+    def test_agent_of_the_far_side_learns_from_any_control_host(self):
+        world = make_world()
+        leader = world.find_leader()
+        host = next(iter(world.upstreams))
+        world.cut([host], [leader])
+        world.put(2, {DESK: [("store", 1)], STORE: [("store", 1)]})
+        world.run(2.0)
+        self.assertEqual(world.cores[host].tables.table.version, 2)
+
+    def test_reset_needs_the_callers_position(self):
+        world = make_world()
+        caller = world.call(1, 81)
+        world.run(0.5)
+        self.assertEqual(caller.calls[0].outcome, "reset")
+        self.assertEqual(socket.inet_ntoa(caller.flow[:4]), "100.64.0.1")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/fulmarshore/standins/directends.py
@@ -0,0 +1,297 @@
+"""The two ends of direct flows: a caller, and an upstream beside its agent.
+
+Both seal what the other end relies on, as the users' platform does, so that a
+test sees every packet that somebody on the way has changed.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from xxhash import xxh32_intdigest
+
+from fulmarshore.direct.packets import (
+    ACK,
+    BOUNCED,
+    FIN,
+    RST,
+    SYN,
+    Packet,
+    parse_answer,
+    parse_packet,
+)
+
+SYN_COPIES_S = (0.2, 0.6)
+"""When a caller repeats an opening that got no answer."""
+SYN_LIMIT_S = 1.4
+FIRST_REPEAT_S = 0.2
+LONGEST_REPEAT_S = 1.6
+SUM_SEED = 77
+
+CallLater = Callable[[float, Callable[[], None]], None]
+
+
+def make_packet(
+    source: bytes,
+    destination: bytes,
+    flags: int,
+    sequence: int,
+    acknowledged: int,
+    data: bytes = b"",
+) -> bytes:
+    """Return a sealed packet of an end."""
+    head = source + destination + len(data).to_bytes(2)
+    tail = sequence.to_bytes(4) + acknowledged.to_bytes(4)
+    seal = xxh32_intdigest(head + bytes([flags]) + tail + data, SUM_SEED).to_bytes(4)
+    return head + seal + bytes([flags]) + bytes(7) + tail + data
+
+
+def is_sealed(content: bytes) -> bool:
+    """Whether a packet is as its sender wrote it, but for the marks."""
+    flags = content[18] & ~BOUNCED
+    covered = content[:14] + bytes([flags]) + content[26:]
+    return content[14:18] == xxh32_intdigest(covered, SUM_SEED).to_bytes(4)
+
+
+class Upstream:
+    """An upstream that accepts, answers and returns packets.
+
+    Parameters
+    ----------
+    name, service : str
+        Its identity and its service.
+    send : callable
+        Takes its packets, at the agent.
+    call_later : callable
+        The world's clock.
+    work_s : float
+        Time of work for a request.
+    born_ms : int
+        Time of its start.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        send: Callable[[bytes], None],
+        call_later: CallLater,
+        work_s: float = 0.02,
+        born_ms: int = 0,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.work_s = work_s
+        self.born_ms = born_ms
+        self.is_alive = True
+        self.flows: dict[bytes, int] = {}
+        self.half_open: dict[bytes, int] = {}
+        self.runs: list[bytes] = []
+        self.opened: list[tuple[bytes, bytes]] = []
+        self.forged: list[bytes] = []
+        self.asked: int = 0
+        self._send = send
+        self._call_later = call_later
+        self._numbers = 0
+
+    def take(self, content: bytes) -> None:
+        """Take a packet that the agent delivered."""
+        if not self.is_alive:
+            return
+        if not is_sealed(content) or content[18] & BOUNCED:
+            self.forged.append(content)
+            return
+        packet = parse_packet(content)
+        if packet.is_opening:
+            self._accept(packet)
+            return
+        opened = self.half_open.get(packet.flow)
+        if opened is not None and packet.acknowledged == opened + 1:
+            self.flows[packet.flow] = self.half_open.pop(packet.flow) + 1
+            self.opened.append((packet.flow, packet.service_address))
+        if packet.flow not in self.flows:
+            self._return(content)
+            return
+        if packet.flags & RST:
+            del self.flows[packet.flow]
+            return
+        if packet.length:
+            self._run(packet)
+        if packet.flags & FIN:
+            self._answer(packet.flow, FIN | ACK, packet.sequence + 1, b"")
+            del self.flows[packet.flow]
+
+    def crash(self) -> None:
+        """End without a word; its flows are gone."""
+        self.is_alive = False
+        self.flows.clear()
+
+    def _accept(self, packet: Packet) -> None:
+        self._numbers += 1
+        sequence = int.from_bytes(self.name.encode()[-2:]) * 65536 + self._numbers
+        held = self.half_open.setdefault(packet.flow, sequence)
+        source, destination = packet.flow[6:], packet.flow[:6]
+        answer = make_packet(source, destination, SYN | ACK, held, packet.sequence + 1)
+        self._send(answer)
+
+    def _return(self, content: bytes) -> None:
+        self.asked += 1
+        flags = bytes([content[18] | BOUNCED])
+        self._send(content[:18] + flags + bytes(3) + content[22:])
+
+    def _run(self, packet: Packet) -> None:
+        request = packet.content[-packet.length :]
+        acknowledged = packet.sequence + packet.length
+        if request in self.runs:
+            self._answer(packet.flow, ACK, acknowledged, b"A" + request)
+            return
+        self.runs.append(request)
+
+        def finish() -> None:
+            if self.is_alive and packet.flow in self.flows:
+                self._answer(packet.flow, ACK, acknowledged, b"A" + request)
+
+        self._call_later(self.work_s, finish)
+
+    def _answer(self, flow: bytes, flags: int, acknowledged: int, data: bytes) -> None:
+        sequence = self.flows.get(flow, 0)
+        self._send(make_packet(flow[6:], flow[:6], flags, sequence, acknowledged, data))
+
+
+class Call:
+    """What a caller learned of one request."""
+
+    __slots__ = ("request", "sent_at", "outcome", "ended_at")
+
+    def __init__(self, request: bytes, sent_at: float) -> None:
+        self.request = request
+        self.sent_at = sent_at
+        self.outcome = ""
+        self.ended_at: float | None = None
+
+
+class Caller:
+    """One flow of a caller, with one request at a time.
+
+    Parameters
+    ----------
+    flow : bytes
+        Key of the flow.
+    send : callable
+        Takes its packets, at the fabric.
+    call_later : callable
+        The world's clock.
+    now : callable
+        Steady time.
+    """
+
+    def __init__(
+        self,
+        flow: bytes,
+        send: Callable[[bytes], None],
+        call_later: CallLater,
+        now: Callable[[], float],
+    ) -> None:
+        self.flow = flow
+        self.calls: list[Call] = []
+        self.forged: list[bytes] = []
+        self.is_open = False
+        self.is_reset = False
+        self._send = send
+        self._call_later = call_later
+        self._now = now
+        self._sequence = 1000
+        self._acknowledged = 0
+        self._waiting: Call | None = None
+
+    def request(self, request: bytes, deadline_s: float = 3.0) -> Call:
+        """Send a request, opening the flow first where it is not open."""
+        call = Call(request, self._now())
+        self.calls.append(call)
+        self._waiting = call
+        self._call_later(deadline_s, lambda: self._end(call, "deadline"))
+        if self.is_open:
+            self._send_request(call, FIRST_REPEAT_S)
+            return call
+        self._send(self._make(SYN, self._sequence, 0))
+        for number, delay in enumerate(SYN_COPIES_S, 1):
+            self._call_later(delay, lambda number=number: self._copy(number))
+        self._call_later(SYN_LIMIT_S, self._give_up_opening)
+        return call
+
+    def finish(self) -> None:
+        """Close the flow."""
+        self._send(self._make(FIN | ACK, self._sequence, self._acknowledged))
+        self.is_open = False
+
+    def take(self, content: bytes) -> None:
+        """Take a packet."""
+        packet = parse_answer(content)
+        if packet is None or packet.flow != self.flow:
+            self.forged.append(content)
+            return
+        if packet.flags & RST:
+            self.is_reset = True
+            self.is_open = False
+            if self._waiting is not None:
+                self._end(self._waiting, "reset")
+            return
+        if not is_sealed(content):
+            self.forged.append(content)
+            return
+        if packet.flags & (SYN | ACK) == SYN | ACK:
+            self._open(packet)
+            return
+        call = self._waiting
+        if call is not None and content[34:] == b"A" + call.request:
+            self._end(call, "answered")
+
+    def _open(self, packet: Packet) -> None:
+        if self.is_open or self.is_reset:
+            return
+        self.is_open = True
+        self._sequence += 1
+        self._acknowledged = packet.sequence + 1
+        if self._waiting is not None:
+            self._send_request(self._waiting, FIRST_REPEAT_S)
+
+    def _send_request(self, call: Call, delay: float) -> None:
+        if call.outcome or not self.is_open:
+            return
+        content = self._make(ACK, self._sequence, self._acknowledged, call.request)
+        self._send(content)
+        longer = min(delay * 2, LONGEST_REPEAT_S)
+        self._call_later(delay, lambda: self._send_request(call, longer))
+
+    def _copy(self, number: int) -> None:
+        if not self.is_open and not self.is_reset:
+            self._send(self._make(SYN, self._sequence, number))
+
+    def _give_up_opening(self) -> None:
+        if not self.is_open and self._waiting is not None:
+            self.is_reset = True
+            self._end(self._waiting, "not opened")
+
+    def _end(self, call: Call, outcome: str) -> None:
+        if call.outcome:
+            return
+        call.outcome = outcome
+        call.ended_at = self._now()
+        if call is self._waiting:
+            self._waiting = None
+        if outcome == "answered":
+            self._sequence += len(call.request)
+
+    def _make(
+        self, flags: int, sequence: int, acknowledged: int, data: bytes = b""
+    ) -> bytes:
+        return make_packet(
+            self.flow[:6], self.flow[6:], flags, sequence, acknowledged, data
+        )
+
+
+def make_flow(number: int, service_port: int) -> bytes:
+    """Return the key of a caller's flow to a service's address."""
+    caller = socket.inet_aton("100.64.0.1") + (20_000 + number).to_bytes(2)
+    return caller + socket.inet_aton("198.18.0.1") + service_port.to_bytes(2)
--- /dev/null
+++ b/fulmarshore/standins/directworld.py
@@ -0,0 +1,531 @@
+"""The cores of the direct data path in one simulated network.
+
+Time, delays and losses come from a seed. Hosts crash, lose their disks, freeze
+and are cut off from one another; operators race and lose answers.
+"""
+
+from __future__ import annotations
+
+import heapq
+import socket
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from fulmarshore.adapters.disk import make_new_replica
+from fulmarshore.agreement.replica import Replica
+from fulmarshore.core.records import (
+    Command,
+    DamagedFile,
+    LinkMessage,
+    PutConfiguration,
+    PutZone,
+    SendLink,
+    Store,
+    Stored,
+)
+from fulmarshore.direct.agent import AgentCore
+from fulmarshore.direct.control import (
+    Accepted,
+    ControlCore,
+    Elsewhere,
+    Newest,
+    Order,
+    Polled,
+    Read,
+    SendUpdate,
+)
+from fulmarshore.direct.entry import EntryCore
+from fulmarshore.direct.gate import ColdBounds
+from fulmarshore.direct.orders import OrderState
+from fulmarshore.direct.records import (
+    Announced,
+    Backend,
+    CallerPacket,
+    Decision,
+    Departed,
+    Ended,
+    ReturnedPacket,
+    Route,
+    SendPoll,
+    SendToAgent,
+    SendToCaller,
+    SendToEntry,
+    SendToUpstream,
+    ServicePolicy,
+    Stopping,
+    Table,
+    Ticked,
+    Told,
+    UpstreamPacket,
+)
+from fulmarshore.standins.directends import Caller, Upstream, make_flow
+from fulmarshore.standins.disk import FakeDisk
+
+DELAY_S = (0.0003, 0.002)
+SYNC_S = 0.002
+TICK_S = 0.05
+ANNOUNCE_S = 1.0
+ORDER_WAIT_S = 1.0
+"""How long an operator waits for an answer before it asks another host."""
+MAX_REDIRECTS = 2
+
+
+def encode_routes(routes: dict[int, list[tuple[str, int]]]) -> bytes:
+    """Encode the routes of a test: port to services and weights."""
+    return msgspec.json.encode(sorted(routes.items()))
+
+
+def make_table(state: OrderState, index: int) -> Table:
+    """Make the table of what ``encode_routes`` encoded."""
+    if not state.version:
+        return Table(index=index, zones_out=state.zones_out)
+    found = msgspec.json.decode(state.content)
+    routes = []
+    services: dict[str, None] = {}
+    for port, backends in found:
+        address = socket.inet_aton("198.18.0.1") + port.to_bytes(2)
+        routes.append(Route(address, tuple(Backend(*held) for held in backends)))
+        services.update(dict.fromkeys(name for name, _ in backends))
+    policies = tuple(ServicePolicy(name, 2000, 0.0) for name in services)
+    return Table(index, state.version, tuple(routes), policies, 15.0, state.zones_out)
+
+
+class OrderCall:
+    """An operator's order until it is clear."""
+
+    def __init__(self, command: Command, host: str) -> None:
+        self.command = command
+        self.host = host
+        self.is_accepted = False
+        self.accepted_at: float | None = None
+        self.attempt = 0
+        self.redirects = 0
+
+
+class World:
+    """Hosts, network, callers and operators of one deployment.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of everything.
+    controls, entries : int
+        Hosts of each role; they are in availability zones in turn.
+    agents : dict of str to int
+        Upstreams by service, each with its agent.
+    loss : float
+        Share of datagrams that is lost.
+    """
+
+    def __init__(
+        self,
+        seed: int = 1,
+        controls: int = 3,
+        entries: int = 2,
+        agents: dict[str, int] | None = None,
+        loss: float = 0.0,
+        lost_disks: int = 1,
+    ) -> None:
+        self.random = Random(seed)
+        self.now = 0.0
+        self.loss = loss
+        self.lost_disks = lost_disks
+        self.cores: dict[str, EntryCore | AgentCore | ControlCore] = {}
+        self.disks: dict[str, FakeDisk] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.past_upstreams: list[Upstream] = []
+        self.callers: dict[bytes, Caller] = {}
+        self.frozen: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.decisions: list[tuple[float, str, Decision]] = []
+        self.reads: list[tuple[float, float, int]] = []
+        self.draining: set[str] = set()
+        self.answer_loss = 0.0
+        self.packets_sent = 0
+        self._zones: dict[str, str] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count()
+        self._lives: dict[str, int] = {}
+        self._requests: dict[int, OrderCall | tuple[float, Callable]] = {}
+        self._announced: dict[str, int] = {}
+        self.control_hosts = [f"10.0.0.{number + 1}" for number in range(controls)]
+        self.entry_hosts = [f"10.0.1.{number + 1}" for number in range(entries)]
+        for number, host in enumerate(self.control_hosts):
+            self._zones[host] = f"zone-{number % 3}"
+            self.start_control(host, bootstrap=number == 0)
+        for number, host in enumerate(self.entry_hosts):
+            self._zones[host] = f"zone-{number % 3}"
+            self.start_entry(host)
+        number = 0
+        for service, amount in (agents or {"desk": 3, "store": 2}).items():
+            for _ in range(amount):
+                host = f"10.0.2.{number + 1}"
+                self._zones[host] = f"zone-{number % 3}"
+                self.start_agent(host)
+                self.start_upstream(host, service)
+                number += 1
+
+    # Time.
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> None:
+        """Call back after a time."""
+        heapq.heappush(self._events, (self.now + delay, next(self._numbers), callback))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            self.now, _, callback = heapq.heappop(self._events)
+            callback()
+        self.now = until
+
+    def run_until(self, reached: Callable[[], bool], limit: float = 20.0) -> bool:
+        """Let time pass until something holds; whether it does."""
+        until = self.now + limit
+        while not reached():
+            if self.now >= until:
+                return False
+            self.run(0.02)
+        return True
+
+    # Hosts.
+
+    def start_control(self, host: str, bootstrap: bool = False) -> None:
+        """Start a control host from its disk."""
+        disk = self.disks.setdefault(host, FakeDisk(host, self.random))
+        recovered = self._new_replica(host) if disk.is_empty else disk.read()
+        if isinstance(recovered, DamagedFile):
+            disk.wipe()
+            recovered = self._new_replica(host)
+        peers = [peer for peer in self.control_hosts if peer != host]
+        replica = Replica(
+            recovered,
+            peers,
+            self.random,
+            bootstrap,
+            fewest_voters=2 * self.lost_disks + 1,
+            starts_fast=True,
+        )
+        process = self.random.getrandbits(63)
+        core = ControlCore(replica, process, self.lost_disks, make_table)
+        self._start(host, core)
+
+    def start_entry(self, host: str) -> None:
+        """Start an entry host."""
+        zone = self._zones.setdefault(host, "zone-0")
+        core = EntryCore(host, zone, list(self.control_hosts[:3]), self.random)
+        self._start(host, core)
+
+    def start_agent(self, host: str) -> None:
+        """Start an agent."""
+        zone = self._zones.setdefault(host, "zone-0")
+        process = self.random.getrandbits(63)
+        core = AgentCore(
+            host, zone, list(self.control_hosts[:3]), process, ColdBounds(1.5, 5)
+        )
+        self._start(host, core)
+
+    def start_upstream(
+        self, host: str, service: str, work_s: float = 0.02, cold_s: float = 0.0
+    ) -> Upstream:
+        """Start an upstream beside the agent on a host."""
+        former = self.upstreams.get(host)
+        if former is not None:
+            self.past_upstreams.append(former)
+        number = next(self._numbers)
+        upstream = Upstream(
+            f"u-{number}",
+            service,
+            lambda content: self._deliver_outbound(host, content),
+            self.call_later,
+            work_s,
+            born_ms=int(self.now * 1000) + 1,
+        )
+        self.upstreams[host] = upstream
+        self._announced[host] = 0
+        ends_cold_at = self.now + cold_s
+
+        def announce() -> None:
+            if self.upstreams.get(host) is not upstream or not upstream.is_alive:
+                return
+            self.announce(host, max(0.0, ends_cold_at - self.now))
+            self.call_later(ANNOUNCE_S, announce)
+
+        self.call_later(0.1, announce)
+        return upstream
+
+    def announce(self, host: str, cold_s: float = 0.0) -> None:
+        """Let an upstream tell its agent of itself."""
+        upstream = self.upstreams[host]
+        if host not in self.cores or host in self.frozen:
+            return
+        self._announced[host] += 1
+        announced = Announced(
+            upstream.name,
+            upstream.born_ms,
+            self._announced[host],
+            upstream.service,
+            self._zones[host],
+            1,
+            host not in self.draining,
+            cold_s,
+        )
+        self.dispatch(host, announced)
+
+    def depart(self, host: str) -> None:
+        """Let an upstream end with a word."""
+        upstream = self.upstreams[host]
+        upstream.crash()
+        self.dispatch(host, Departed(upstream.name))
+
+    def crash(self, host: str, loses_power: bool = False) -> None:
+        """End a process without a word."""
+        self.cores.pop(host, None)
+        self._lives[host] = self._lives.get(host, 0) + 1
+        disk = self.disks.get(host)
+        if disk is None:
+            return
+        if loses_power:
+            disk.crash()
+            return
+        while disk.sync() is not None:
+            continue
+
+    def wipe(self, host: str) -> None:
+        """End a control host and empty its disk."""
+        self.crash(host, loses_power=True)
+        self.disks[host].wipe()
+
+    def stop(self, host: str) -> None:
+        """Begin a planned stop."""
+        if host in self.cores:
+            self.dispatch(host, Stopping())
+
+    def freeze(self, host: str, seconds: float) -> None:
+        """Let a host stand still; what arrives waits."""
+        self.frozen.add(host)
+        self.call_later(seconds, lambda: self.frozen.discard(host))
+
+    def cut(self, first: list[str], second: list[str]) -> None:
+        """Lose everything between two groups of hosts."""
+        for one in first:
+            for other in second:
+                self.cuts |= {(one, other), (other, one)}
+
+    def heal(self) -> None:
+        """Connect all hosts again."""
+        self.cuts.clear()
+
+    def find_leader(self) -> str | None:
+        """Return the control host that leads in the newest term."""
+        found = [
+            (core.replica.term, host)
+            for host, core in self.cores.items()
+            if isinstance(core, ControlCore) and core.replica.is_leader
+        ]
+        return max(found)[1] if found else None
+
+    # Callers.
+
+    def call(self, number: int, port: int, deadline_s: float = 3.0) -> Caller:
+        """Let a caller open a flow and send a request."""
+        flow = make_flow(number, port)
+        caller = Caller(
+            flow,
+            lambda content: self._route(flow, content),
+            self.call_later,
+            lambda: self.now,
+        )
+        self.callers[flow] = caller
+        caller.request(b"request-%d-0" % number, deadline_s)
+        return caller
+
+    def _route(self, flow: bytes, content: bytes) -> None:
+        """Hand a caller's packet to an entry host in rotation."""
+        ready = [host for host in self.entry_hosts if self._is_ready(host)]
+        hosts = ready or [host for host in self.entry_hosts if host in self.cores]
+        if not hosts:
+            return
+        ranked = sorted(hosts, key=lambda host: hash_steady(flow, host))
+        self._deliver("fabric", ranked[0], CallerPacket(content))
+
+    def _is_ready(self, host: str) -> bool:
+        core = self.cores.get(host)
+        return core is not None and host not in self.frozen and core.is_ready
+
+    # Operators.
+
+    def put(self, version: int, routes: dict, host: str | None = None) -> OrderCall:
+        """Let an operator send a configuration until it is accepted."""
+        return self._order(PutConfiguration(version, encode_routes(routes)), host)
+
+    def put_zone(self, zone: str, is_out: bool, host: str | None = None) -> OrderCall:
+        """Let an operator take an availability zone out, or back."""
+        return self._order(PutZone(zone, is_out), host)
+
+    def read(self, host: str, respond: Callable[[OrderState | None], None]) -> None:
+        """Ask a control host for the newest configuration."""
+        if host not in self.cores:
+            respond(None)
+            return
+        number = next(self._numbers)
+        self._requests[number] = (self.now, respond)
+        self._deliver("operator", host, Read(number))
+
+    def _order(self, command: Command, host: str | None) -> OrderCall:
+        call = OrderCall(command, host or self.random.choice(self.control_hosts))
+        self._attempt(call)
+        return call
+
+    def _attempt(self, call: OrderCall) -> None:
+        if call.is_accepted:
+            return
+        call.attempt += 1
+        attempt = call.attempt
+
+        def move_on() -> None:
+            if call.attempt == attempt and not call.is_accepted:
+                call.redirects = 0
+                call.host = self.random.choice(self.control_hosts)
+                self._attempt(call)
+
+        self.call_later(ORDER_WAIT_S, move_on)
+        if call.host in self.cores:
+            number = next(self._numbers)
+            self._requests[number] = call
+            self._deliver("operator", call.host, Order(number, call.command))
+
+    def _take_answer(self, answer: Accepted | Newest | Elsewhere) -> None:
+        waiting = self._requests.pop(answer.request, None)
+        if waiting is None:
+            return
+        if self.random.random() < self.answer_loss:
+            return
+        if isinstance(waiting, tuple):
+            state = answer.state if isinstance(answer, Newest) else None
+            waiting[1](state)
+            return
+        if isinstance(answer, Accepted):
+            if not waiting.is_accepted:
+                waiting.is_accepted = True
+                waiting.accepted_at = self.now
+            return
+        if answer.leader and waiting.redirects < MAX_REDIRECTS:
+            waiting.redirects += 1
+            waiting.host = answer.leader
+            self._attempt(waiting)
+
+    # Effects.
+
+    def dispatch(self, host: str, event: object) -> None:
+        """Hand an event to the core on a host and carry out what it returns."""
+        core = self.cores.get(host)
+        if core is None:
+            return
+        for effect in core.handle(event, self.now):
+            self._carry_out(host, effect)
+
+    def _carry_out(self, host: str, effect: object) -> None:
+        match effect:
+            case SendToAgent(content=content, host=agent):
+                self._deliver(host, agent, CallerPacket(content))
+            case SendToEntry(content=content, host=entry):
+                target = socket.inet_ntoa(entry)
+                self._deliver(host, target, ReturnedPacket(content, host))
+            case SendToCaller(content=content):
+                self._deliver_caller(content)
+            case SendToUpstream(content=content):
+                upstream = self.upstreams.get(host)
+                if upstream is not None:
+                    self.call_later(0.0001, lambda: upstream.take(content))
+            case SendPoll(poll=poll, host=control):
+                self._deliver(host, control, Polled(host, 1, poll))
+            case SendUpdate(update=update, host=subscriber):
+                self._deliver(host, subscriber, Told(host, update))
+            case SendLink(peer=peer, message=message):
+                self._deliver(host, peer, LinkMessage(host, message))
+            case Store():
+                self._store(host, effect)
+            case Accepted() | Newest() | Elsewhere():
+                delay = self.random.uniform(*DELAY_S)
+                self.call_later(delay, lambda: self._take_answer(effect))
+            case Decision():
+                self.decisions.append((self.now, host, effect))
+            case Ended():
+                self.crash(host)
+            case _:
+                raise TypeError(f"unexpected effect {effect!r}")
+
+    def _deliver(self, source: str, target: str, event: object) -> None:
+        if (source, target) in self.cuts or self.random.random() < self.loss:
+            return
+        self.packets_sent += 1
+        life = self._lives.get(target, 0)
+
+        def arrive() -> None:
+            if self._lives.get(target, 0) != life:
+                return
+            if target in self.frozen:
+                self.call_later(0.05, arrive)
+                return
+            self.dispatch(target, event)
+
+        self.call_later(self.random.uniform(*DELAY_S), arrive)
+
+    def _deliver_caller(self, content: bytes) -> None:
+        flow = content[6:12] + content[:6]
+        caller = self.callers.get(flow)
+        if caller is not None and self.random.random() >= self.loss:
+            self.call_later(self.random.uniform(*DELAY_S), lambda: caller.take(content))
+
+    def _deliver_outbound(self, host: str, content: bytes) -> None:
+        if host in self.cores and host not in self.frozen:
+            self.dispatch(host, UpstreamPacket(content))
+
+    def _store(self, host: str, store: Store) -> None:
+        disk = self.disks[host]
+        disk.submit(store)
+        life = self._lives.get(host, 0)
+
+        def sync() -> None:
+            if self._lives.get(host, 0) != life:
+                return
+            if host in self.frozen:
+                self.call_later(0.05, sync)
+                return
+            sequence = disk.sync()
+            if sequence is not None:
+                self.dispatch(host, Stored(sequence))
+
+        self.call_later(SYNC_S, sync)
+
+    def _start(self, host: str, core: EntryCore | AgentCore | ControlCore) -> None:
+        self.cores[host] = core
+        self._lives[host] = self._lives.get(host, 0) + 1
+        life = self._lives[host]
+
+        def tick() -> None:
+            if self._lives[host] != life:
+                return
+            if host not in self.frozen:
+                self.dispatch(host, Ticked())
+            self.call_later(TICK_S, tick)
+
+        self.call_later(self.random.uniform(0, TICK_S), tick)
+
+    def _new_replica(self, host: str) -> object:
+        recovered = make_new_replica(host)
+        disk = f"{self.random.getrandbits(64):016x}"
+        identity = type(recovered.replica)(host, disk)
+        return type(recovered)(
+            identity, 0, recovered.term_vote, recovered.base, None, [], 0
+        )
+
+
+def hash_steady(flow: bytes, host: str) -> int:
+    """Rank a host for a flow: only flows of a host that leaves move."""
+    return xxh3_64_intdigest(flow + host.encode())
