--- /dev/null
+++ b/fulmarshore/direct/gate_test.py
@@ -0,0 +1,144 @@
+"""What passes the gate of an upstream, and why the rest does not."""
+
+import socket
+import unittest
+from dataclasses import dataclass
+
+from fulmarshore.direct.gate import ColdBounds, Gate
+from fulmarshore.direct.records import (
+    Announced,
+    Backend,
+    Route,
+    ServicePolicy,
+    Table,
+)
+from fulmarshore.direct.tables import TableView
+
+ADDRESS = socket.inet_aton("198.18.0.1") + (443).to_bytes(2)
+OTHER = socket.inet_aton("198.18.0.1") + (80).to_bytes(2)
+
+
+def make_gate(zones_out=(), cold_per_s=0.0, has_table=True):
+    """Return a gate with a table of two services."""
+    tables = TableView()
+    routes = (
+        Route(ADDRESS, (Backend("desk", 1), Backend("idle", 0))),
+        Route(OTHER, (Backend("store", 1),)),
+    )
+    services = (
+        ServicePolicy("desk", 10, cold_per_s),
+        ServicePolicy("store", 10, cold_per_s),
+    )
+    if has_table:
+        tables.replace(Table(1, 1, routes, services, 15.0, tuple(zones_out)))
+    return Gate(tables, ColdBounds(1.5, 5))
+
+
+def announce(**changes):
+    """Return an announcement."""
+    fields = {
+        "upstream": "u-1",
+        "born_ms": 1000,
+        "sequence": 1,
+        "service": "desk",
+        "zone": "a",
+        "slots": 1,
+        "is_ready": True,
+        "cold_s": 0.0,
+    }
+    return Announced(**{**fields, **changes})
+
+
+@dataclass
+class Case:
+    """An announcement, a request for a flow, and why it does not pass."""
+
+    name: str
+    reason: str | None
+    announced: dict | None = None
+    address: bytes = ADDRESS
+    flows: int = 0
+    busy: int = 0
+    at: float = 1.0
+    zones_out: tuple = ()
+    has_table: bool = True
+
+
+CASES = [
+    Case("ready upstream", None, {}),
+    Case("no word of an upstream", "no_upstream"),
+    Case("no configuration", "no_configuration", {}, has_table=False),
+    Case("draining upstream", "upstream_draining", {"is_ready": False}),
+    Case("silent upstream", "upstream_silent", {}, at=5.1),
+    Case("zone out", "zone_out", {}, zones_out=("a",)),
+    Case("another zone out", None, {}, zones_out=("b",)),
+    Case("route of another service", "other_service", {}, address=OTHER),
+    Case("service without weight", "other_service", {"service": "idle"}),
+    Case("unknown route", "other_service", {}, address=bytes(6)),
+    Case("last flow that it holds", None, {}, flows=9),
+    Case("more flows than it holds", "upstream_full", {}, flows=10),
+    Case("cold with a request waiting", None, {"cold_s": 9.0}, busy=1),
+    Case("cold and busy", "upstream_cold", {"cold_s": 9.0}, busy=2),
+    Case("cold, more slots", None, {"cold_s": 9.0, "slots": 2}, busy=3),
+    Case("warm and busy", None, {}, busy=9),
+    Case("cold no longer", None, {"cold_s": 0.5}, busy=9),
+]
+
+
+class GateTest(unittest.TestCase):
+    def test_reasons(self):
+        for case in CASES:
+            with self.subTest(case.name):
+                gate = make_gate(case.zones_out, has_table=case.has_table)
+                if case.announced is not None:
+                    gate.take(announce(**case.announced), 0.0)
+                found = gate.admit(case.address, case.flows, case.busy, case.at)
+                self.assertEqual(found, case.reason)
+
+    def test_cold_upstream_gets_no_more_than_its_service_states(self):
+        for rate, most in ((1.0, 5), (4.0, 10), (20.0, 34)):
+            with self.subTest(rate=rate):
+                gate = make_gate(cold_per_s=rate)
+                gate.take(announce(cold_s=60.0), 0.0)
+                times = []
+                for step in range(400):
+                    now = step * 0.01
+                    if gate.admit(ADDRESS, 0, 0, now) is None:
+                        times.append(now)
+                    gate.take(announce(cold_s=60.0, sequence=step + 2), now)
+                for start in times:
+                    inside = [at for at in times if start <= at <= start + 1.0]
+                    self.assertLessEqual(len(inside), most)
+                    self.assertLessEqual(len(inside), rate * 1.5 + 5)
+                self.assertGreaterEqual(len(times), 2 * most)
+
+    def test_only_newer_words_count(self):
+        cases = [
+            ("next word", {"sequence": 6}, "newer"),
+            ("same word again", {"sequence": 5}, "late"),
+            ("earlier word", {"sequence": 2}, "late"),
+            ("next incarnation", {"upstream": "u-2", "born_ms": 2000}, "new"),
+            ("same name, born later", {"born_ms": 2000, "sequence": 1}, "new"),
+            ("former incarnation", {"upstream": "u-0", "born_ms": 500}, "late"),
+            ("former of the same name", {"born_ms": 500, "sequence": 99}, "late"),
+        ]
+        for name, changes, expected in cases:
+            with self.subTest(name):
+                gate = make_gate()
+                gate.take(announce(sequence=5), 0.0)
+                changed = announce(**{"service": "store", "sequence": 1, **changes})
+                self.assertEqual(gate.take(changed, 1.0), expected)
+                service = "desk" if expected == "late" else "store"
+                self.assertEqual(gate.service, service)
+
+    def test_departure_of_another_incarnation_changes_nothing(self):
+        gate = make_gate()
+        gate.take(announce(), 0.0)
+        self.assertFalse(gate.depart("u-0"))
+        self.assertIsNone(gate.explain(0.1))
+        self.assertTrue(gate.depart("u-1"))
+        self.assertEqual(gate.explain(0.1), "upstream_gone")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/fulmarshore/direct/orders_test.py
@@ -0,0 +1,39 @@
+"""The state that orders add up to."""
+
+import unittest
+
+from fulmarshore.core.records import Noop, PutConfiguration, PutZone
+from fulmarshore.direct.orders import (
+    OrderState,
+    apply_order,
+    decode_state,
+    encode_state,
+)
+
+HELD = OrderState(5, b"five", ("a",))
+
+
+class OrdersTest(unittest.TestCase):
+    def test_orders(self):
+        cases = [
+            ("higher version", PutConfiguration(9, b"x"), OrderState(9, b"x", ("a",))),
+            ("version held, other content", PutConfiguration(5, b"x"), HELD),
+            ("older version", PutConfiguration(4, b"x"), HELD),
+            ("zone out", PutZone("b", True), OrderState(5, b"five", ("a", "b"))),
+            ("zone that is out already", PutZone("a", True), HELD),
+            ("zone back", PutZone("a", False), OrderState(5, b"five", ())),
+            ("zone back that was in", PutZone("c", False), HELD),
+            ("start of a term", Noop(), HELD),
+        ]
+        for name, command, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(apply_order(HELD, command), expected)
+
+    def test_snapshot_holds_everything(self):
+        for state in (OrderState(), HELD):
+            self.assertEqual(decode_state(encode_state(state)), state)
+        self.assertEqual(decode_state(b""), OrderState())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -159,12 +159,14 @@
         world = make_world()
         callers = [world.call(number, STORE) for number in range(6)]
         world.run(1.0)
-        for host, upstream in list(world.upstreams.items()):
+        world.crash(next(iter(world.upstreams)))  # It may hold flows, for all
+        world.run(3.0)  # that entry hosts know, so only the holder can tell.
+        for host, upstream in list(world.upstreams.items())[1:]:
             upstream.crash()
             world.start_upstream(host, upstream.service)
         world.run(1.5)
         calls = [c.request(b"again-%d" % n) for n, c in enumerate(callers)]
-        world.run(0.3)
+        world.run(0.05)
         self.assertEqual({call.outcome for call in calls}, {"reset"})
 
     def test_dead_flows_after_a_loss_of_everything_do_not_circulate(self):
@@ -191,6 +193,25 @@
         world.run(2.5)
         self.assertEqual({call.outcome for call in calls}, {"reset"})
 
+    def test_young_entry_host_resets_no_flow_that_it_cannot_place(self):
+        world = make_world(entries=1)
+        caller = world.call(1, DESK)
+        world.run(1.0)
+        holder = next(
+            host for host, held in world.upstreams.items() if caller.flow in held.flows
+        )
+        world.crash(world.entry_hosts[0])
+        world.crash(holder)
+        world.run(3.0)
+        world.start_entry(world.entry_hosts[0])
+        world.run_until(lambda: world.cores[world.entry_hosts[0]].is_ready)
+        call = caller.request(b"again")
+        world.run(0.5)
+        world.start_agent(holder)
+        world.run(2.0)
+        self.assertFalse(caller.is_reset)
+        self.assertEqual(call.outcome, "answered")
+
     def test_flow_of_a_dropped_route_ends(self):
         world = make_world()
         caller = world.call(1, DESK)
@@ -419,6 +440,47 @@
                 world.start_control(third)
                 self.assertEqual(self.read_version(world).version, 8)
 
+    def test_group_too_small_for_the_loss_it_must_bear_accepts_nothing(self):
+        world = World(controls=1, lost_disks=1)
+        call = world.put(1, ROUTES)
+        world.run(5.0)
+        self.assertFalse(call.is_accepted)
+        world = World(controls=1, lost_disks=0)
+        call = world.put(1, ROUTES)
+        self.assertTrue(world.run_until(lambda: call.is_accepted, 5.0))
+
+    def test_leader_that_was_cut_off_acknowledges_nothing_that_is_lost(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                world = make_world(seed=seed)
+                leader = world.find_leader()
+                others = [host for host in world.control_hosts if host != leader]
+                world.cut([leader], others)
+                lost = world.put(20, {DESK: [("desk", 7)]}, leader)
+                lost.attempt = 10**6  # It is not sent again.
+                world.run(0.1)
+                world.run_until(lambda: world.find_leader() in others)
+                call = world.put(15, ROUTES, others[0])
+                world.run_until(lambda call=call: call.is_accepted)
+                world.heal()
+                world.run(3.0)
+                version = self.read_version(world).version
+                self.assertEqual(version, 20 if lost.is_accepted else 15)
+
+    def test_voter_that_was_removed_while_cut_off_comes_back(self):
+        world = make_world()
+        cut_off = world.control_hosts[2]
+        world.cut([cut_off], world.control_hosts[:2])
+        world.control_hosts.append("10.0.0.9")
+        world.start_control("10.0.0.9")
+        world.run(4.0)
+        names = {voter.name for voter in self.list_voters(world)}
+        self.assertEqual(names, {*world.control_hosts[:2], "10.0.0.9"})
+        world.heal()
+        world.run(4.0)
+        names = {voter.name for voter in self.list_voters(world)}
+        self.assertEqual(names, set(world.control_hosts))
+
     def list_voters(self, world):
         """Return the voters that the leader knows."""
         core = world.cores[world.find_leader()]
