A disk that refuses writes for a while costs time and no process

Now a refused write is tried again from the last synced byte until the disk takes it; nothing is reported synced before. The test fails on the former code with the error told and the process stopped.

--- a/fulmarshore/adapters/disk.py
+++ b/fulmarshore/adapters/disk.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 import queue
 import secrets
 import stat
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from fulmarshore.agreement.storage import (
@@ -36,6 +39,10 @@
 FILE_MODE = 0o600
 DISK_ID_BYTES = 8
 CHECK_MODE_MASK = 0o077
+RETRIED_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
+"""What a disk that is full or faulty for a while answers to a write."""
+RETRY_S = 0.1
+"""Pause before a write is tried again."""
 
 Done = Callable[[int], None]
 Fail = Callable[[OSError], None]
@@ -141,14 +148,24 @@
         Called on the thread with the sequence of the newest write synced.
     fail : callable
         Called on the thread with the error; nothing is written after it.
+    refuse : callable, optional
+        Called on the thread with the error of a write that is tried again:
+        nothing is reported synced until it succeeds.
     """
 
     def __init__(
-        self, folder: Path, recovered: Recovered, done: Done, fail: Fail
+        self,
+        folder: Path,
+        recovered: Recovered,
+        done: Done,
+        fail: Fail,
+        refuse: Fail | None = None,
     ) -> None:
         self._folder = folder
         self._done = done
         self._fail = fail
+        self._refuse = refuse
+        self._is_closing = False
         self._generation = recovered.generation
         self._size = recovered.size
         self._slot = 0
@@ -163,7 +180,8 @@
         self._queue.put(store)
 
     def close(self) -> None:
-        """Finish all writes and end the thread."""
+        """Finish all writes that the disk takes and end the thread."""
+        self._is_closing = True
         self._queue.put(None)
         self._thread.join()
         for descriptor in (self._log, self._mark):
@@ -172,7 +190,7 @@
 
     def _run(self) -> None:
         try:
-            self._open_mark()
+            self._persist(self._open_mark)
             if self._generation:
                 self._log = self._open(LOG_FILE, os.O_APPEND)
             while True:
@@ -204,12 +222,31 @@
                 frames += content
                 continue
             frames = b""
-            self._replace(store, content)
+            self._persist(partial(self._replace, store, content))
         if frames:
-            _write_all(self._log, frames)
-            os.fdatasync(self._log)
+            self._persist(partial(self._append, frames))
             self._size += len(frames)
-        self._write_mark()
+        self._persist(self._write_mark)
+
+    def _persist(self, step: Callable[[], None]) -> None:
+        """Carry out a step that can be repeated until the disk takes it."""
+        while True:
+            try:
+                step()
+                return
+            except OSError as error:
+                if self._is_closing or error.errno not in RETRIED_ERRORS:
+                    raise
+                if self._refuse is not None:
+                    self._refuse(error)
+            time.sleep(RETRY_S)
+
+    def _append(self, frames: bytes) -> None:
+        """Append frames after what is synced, in place of an earlier try."""
+        if os.fstat(self._log).st_size != self._size:
+            os.ftruncate(self._log, self._size)
+        _write_all(self._log, frames)
+        os.fdatasync(self._log)
 
     def _replace(self, store: Store, content: bytes) -> None:
         header = store.records[0]
@@ -226,7 +263,6 @@
         self._log = self._open(LOG_FILE, os.O_APPEND)
         self._generation = header.generation
         self._size = len(content)
-        self._write_mark()
 
     def _write_mark(self) -> None:
         slot = encode_mark(self._generation, self._size)
--- a/fulmarshore/adapters/disk_test.py
+++ b/fulmarshore/adapters/disk_test.py
@@ -1,7 +1,10 @@
+import errno
+import os
 import threading
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import TestCase
+from unittest.mock import patch
 
 from fulmarshore.adapters.disk import DataFolder, FileDisk
 from fulmarshore.agreement.storage import MARK_SLOT_BYTES, read_mark
@@ -98,6 +101,32 @@
         self.assertEqual(self.folder.read().generation, 0)
         self.assertEqual(len(list(self.path.glob("*.damaged-*"))), 2)
 
+    def test_write_that_a_full_disk_refuses_is_tried_again(self):
+        write = os.write
+        for refused in (errno.ENOSPC, errno.EIO):
+            with self.subTest(refused=errno.errorcode[refused]):
+                tries = []
+
+                def fail_at_first(descriptor, content, refused=refused, tries=tries):
+                    tries.append(len(content))
+                    if len(tries) > 3:
+                        return write(descriptor, content)
+                    write(descriptor, bytes(content[: len(content) // 2]))
+                    raise OSError(refused, "refused")
+
+                with patch("fulmarshore.adapters.disk.os.write", fail_at_first):
+                    index = self.folder.read().base.index + len(
+                        self.folder.read().entries
+                    )
+                    if index == 0:
+                        self.write((self.start(), True))
+                    self.write(([LogEntry(index + 1, 1, Noop())], False))
+                self.assertEqual(self.errors, [])
+                self.assertGreater(len(tries), 3)
+                recovered = self.folder.read()
+                self.assertEqual(len(recovered.entries), index + 1)
+                self.assertEqual(recovered.cut, 0)
+
     def test_failed_write_is_told_and_nothing_follows(self):
         (self.path / "log.new").mkdir()
         self.write((self.start(), True))
--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -121,8 +121,6 @@
         if not _may_change(replica, learner):
             continue
         former = _find_former(replica, learner)
-        if former is None:
-            former = _find_lost(replica, replica.fewest_voters, now)
         if former is None:
             _change_voters(replica, [*replica.current_voters, learner])
             replica.note("voter_added", peer=learner.name, detail=learner.disk)
@@ -133,7 +131,7 @@
             continue
         _remove(replica, former)
         return
-    lost = _find_lost(replica, replica.fewest_voters, now, LOST_SILENCE_S, spare=1)
+    lost = _find_lost(replica, now)
     if lost is not None and _is_settled(replica):
         _remove(replica, lost)
 
@@ -170,21 +168,16 @@
     return now - max(replica.leader_heard_at, replica.started_at) > LEADERLESS_S
 
 
-def _find_lost(
-    replica: Replica,
-    fewest: int | None,
-    now: float,
-    silence: float = REPLACED_SILENCE_S,
-    spare: int = 0,
-) -> ReplicaId | None:
-    """Return a voter that is silent and can be spared, where such may go."""
-    if fewest is None or len(replica.current_voters) < fewest + spare:
+def _find_lost(replica: Replica, now: float) -> ReplicaId | None:
+    """Return a silent voter that a group larger than it has to be can spare."""
+    fewest = replica.fewest_voters
+    if fewest is None or len(replica.current_voters) <= fewest:
         return None
     for voter in replica.current_voters:
         held = replica.progress.get(voter)
         if voter == replica.identity or held is None:
             continue
-        if now - held.heard_at > silence:
+        if now - held.heard_at > LOST_SILENCE_S:
             return voter
     return None
 
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -69,8 +69,8 @@
     region : str
         Name of the region; empty where it is not told.
     fewest_voters : int or None
-        A group of at least that many replaces a silent voter by a new host of
-        another name, and a larger one removes it; None never does.
+        A larger group removes a voter that is silent, as one that a new host
+        of another name has replaced; None never does.
     starts_fast : bool
         Whether timeouts are short until a leader is heard.
     """
--- a/fulmarshore/daemons/control.py
+++ b/fulmarshore/daemons/control.py
@@ -114,7 +114,12 @@
             def fail(error: OSError) -> None:
                 loop.call_soon_threadsafe(self._fail_disk, error)
 
-            self._disk = FileDisk(self._folder.path, self._recovered, done, fail)
+            def refuse(error: OSError) -> None:
+                loop.call_soon_threadsafe(self._note_refused, error)
+
+            self._disk = FileDisk(
+                self._folder.path, self._recovered, done, fail, refuse
+            )
 
     def get_bound(self) -> tuple[str, Address]:
         """Return the flag and the address that this host listens on."""
@@ -199,6 +204,10 @@
             self.counters["log_tail_cut"] += 1
         return outcome
 
+    def _note_refused(self, error: OSError) -> None:
+        self.counters["disk_writes_refused"] += 1
+        log.warning("disk of {} refuses a write: {}", self.settings.name, error)
+
     def _fail_disk(self, error: OSError) -> None:
         """Stop at once: what the disk holds is not known any more."""
         log.error("disk of {} failed: {}", self.settings.name, error)
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -137,7 +137,9 @@
             f"term {replica.term}, entries up to {replica.log.last_index}"
         )
         self.note(Decision("log_opened", detail))
-        self._disk = FileDisk(folder.path, recovered, self._note_stored, self._fail)
+        self._disk = FileDisk(
+            folder.path, recovered, self._note_stored, self._fail, self._note_refused
+        )
         self._messages = MessageSocket(
             self.loop,
             settings.host,
@@ -245,6 +247,10 @@
     def _note_stored(self, sequence: int) -> None:
         self.loop.call_from_thread(lambda: self.dispatch(Stored(sequence)))
 
+    def _note_refused(self, error: OSError) -> None:
+        decision = Decision("disk_refused_write", str(error))
+        self.loop.call_from_thread(lambda: self.note(decision))
+
     def _fail(self, error: OSError) -> None:
         self.loop.call_from_thread(lambda: self._stop_failed(error))
 
