Dead flows are reset as soon as a control host knows all agents

A control host now says how long it has listened and when an agent last went silent; 0.6 s of listening covers every agent that reports twice a second. Polls without an answer are repeated after 0.1 s instead of 0.5 s, so that a control host that has just started hears everybody.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -357,12 +357,12 @@
 
     def _tick(self, now: float) -> Effects:
         effects: Effects = []
-        if self.subscription.is_due(now) or self._describe(now) != self._reported:
-            for host in self.subscription.list_silent(now):
-                effects.append(Decision("control_silent", host))
-            effects += self._report(now)
+        effects += self._report(now, all_at_once=self._describe(now) != self._reported)
+        for host in self.subscription.list_silent(now):
+            effects.append(Decision("control_silent", host))
         if now - self._swept_at >= SWEEP_INTERVAL_S:
             self._swept_at = now
+            self.subscription.forget_lost(now)
             self._sweep(now)
         if self._stop_at is not None and self._may_end(now):
             effects.append(Ended())
@@ -373,7 +373,11 @@
             return False
         return now >= self._stop_at or self._busy == 0
 
-    def _report(self, now: float) -> Effects:
+    def _report(self, now: float, all_at_once: bool = True) -> Effects:
+        """Poll the control hosts that are due, with a report."""
+        due = self.subscription.take_due(now, all_at_once)
+        if not due:
+            return []
         self._revision += 1
         self._reported = self._describe(now)
         upstream = self.gate.upstream
@@ -390,8 +394,7 @@
             self._busy,
         )
         poll = Poll(self.tables.table.index, 0, 0, False, report)
-        self.subscription.note_polled(now)
-        return [SendPoll(poll, host) for host in self.subscription.hosts]
+        return [SendPoll(poll, host) for host in due]
 
     def _describe(self, now: float) -> tuple:
         """Return what control hosts have to hear of at once."""
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -181,6 +181,7 @@
         self._stop_at: float | None = None
         self._expired_at = float("-inf")
         self._is_table_due = False
+        self._started_at = float("inf")
 
     @property
     def is_ready(self) -> bool:
@@ -194,6 +195,7 @@
 
     def handle(self, event: object, now: float) -> list:
         """Take one event and return what is to be done."""
+        self._started_at = min(self._started_at, now)
         match event:
             case Polled():
                 return self._answer_poll(event, now)
@@ -389,12 +391,19 @@
             subscriber.pushed_at = now
         voters = tuple(voter.name for voter in self.replica.current_voters)
         directory = self.directory
-        update = Update(voters, table, directory.process, directory.revision)
+        found: tuple = ()
         if poll.wants_directory:
             found = directory.list_since(poll.directory, poll.revision)
-            update = Update(
-                voters, table, directory.process, directory.revision, *found
-            )
+        age_s = now - self._started_at
+        update = Update(
+            voters,
+            table,
+            directory.process,
+            directory.revision,
+            age_s,
+            now - directory.missing_at,
+            *found,
+        )
         return SendUpdate(update, subscriber.host, subscriber.port)
 
     def _tick(self, now: float) -> list:
--- a/fulmarshore/direct/directory.py
+++ b/fulmarshore/direct/directory.py
@@ -22,13 +22,27 @@
     process : int
         Random number of the control host's process: revisions of another
         process mean nothing.
+
+    Attributes
+    ----------
+    missing_at : float
+        When an agent went silent last; it may be back with its flows.
     """
 
-    __slots__ = ("process", "revision", "_reports", "_heard_at", "_changed", "_gone")
+    __slots__ = (
+        "process",
+        "revision",
+        "missing_at",
+        "_reports",
+        "_heard_at",
+        "_changed",
+        "_gone",
+    )
 
     def __init__(self, process: int) -> None:
         self.process = process
         self.revision = 0
+        self.missing_at = float("-inf")
         self._reports: dict[str, AgentReport] = {}
         self._heard_at: dict[str, float] = {}
         self._changed: dict[str, int] = {}
@@ -62,6 +76,7 @@
         for host in silent:
             del self._heard_at[host], self._reports[host], self._changed[host]
             self.revision += 1
+            self.missing_at = now
             self._gone[host] = self.revision
         while len(self._gone) > KEPT_CHANGES:
             del self._gone[next(iter(self._gone))]
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -59,9 +59,9 @@
 """How long an opening that no agent takes waits for one, then it is rejected:
 less than half of what a caller waits for an answer to it, 1.4 s."""
 MAX_PARKED = 2000
-SETTLED_S = 1.2
-"""An entry host that has been told of agents for this long, more than two
-intervals of their reports, knows all that are there."""
+SETTLED_S = 0.6
+"""A control host that has listened to agents for this long, more than the
+interval of their reports, knows all that are there."""
 MISSING_S = 10.0
 """An agent that went missing less than this ago may hold flows and return."""
 STOP_WAIT_S = 3.0
@@ -142,7 +142,7 @@
         self._placement = Placement(zone, random)
         self._flows: dict[bytes, Flow] = {}
         self._parked: dict[bytes, Parked] = {}
-        self._told_at = float("inf")
+        self._knows_all = False
         self._missing_at = float("-inf")
         self._swept_at = float("-inf")
         self._stop_at: float | None = None
@@ -356,9 +356,13 @@
     def _conclude(self, packet: Packet, now: float) -> Effects:
         """Reset a flow that every agent there is has denied."""
         del self._flows[packet.flow]
-        if now - self._told_at < SETTLED_S or now - self._missing_at < MISSING_S:
+        if not self._knows_all or now - self._missing_at < MISSING_S:
             self.counters["flows_not_found"] += 1
-            return []
+            detail = (
+                f"denied by all agents known, are these all: {self._knows_all}, "
+                f"one missing for {now - self._missing_at:.1f} s"
+            )
+            return [Decision("flow_not_found", detail, packet.flow)]
         return self._reject(packet, "not_held")
 
     def _reoffer(self, packet: Packet, flow: Flow, host: str, now: float) -> Effects:
@@ -395,15 +399,15 @@
             effects.append(Decision("table_taken", detail))
         for item in self.agents.take(host, update):
             effects += self._note_agent(item, now)
-        if self._told_at > now and len(self.agents) > 0:
-            self._told_at = now
+        self._missing_at = max(self._missing_at, now - update.missing_s)
+        if update.age_s >= SETTLED_S:
+            self._knows_all = True
         if self._parked:
             effects += self._retry_parked(now)
         return effects
 
     def _note_agent(self, item: AgentReport | str, now: float) -> Effects:
         if isinstance(item, str):
-            self._missing_at = now
             self._placement.drop(item)
             return [Decision("agent_gone", item)]
         self._placement.take(item)
@@ -415,17 +419,17 @@
 
     def _tick(self, now: float) -> Effects:
         effects: Effects = []
-        if self.subscription.is_due(now):
-            for host in self.subscription.list_silent(now):
-                effects.append(Decision("control_silent", host))
-                for item in self.agents.forget_control(host):
-                    effects += self._note_agent(item, now)
-            effects += [self._make_poll(host) for host in self.subscription.hosts]
-            self.subscription.note_polled(now)
+        for host in self.subscription.take_due(now):
+            effects.append(self._make_poll(host))
+        for host in self.subscription.list_silent(now):
+            effects.append(Decision("control_silent", host))
+            for item in self.agents.forget_control(host):
+                effects += self._note_agent(item, now)
         if self._parked:
             effects += self._retry_parked(now)
         if now - self._swept_at >= SWEEP_INTERVAL_S:
             self._swept_at = now
+            self.subscription.forget_lost(now)
             self._sweep(now)
         if self._stop_at is not None and now >= self._stop_at:
             effects.append(Ended())
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -146,6 +146,10 @@
         The newest table, where it is newer.
     directory, revision : int
         The control host's process and the revision of its directory.
+    age_s : float
+        How long that process has listened to agents.
+    missing_s : float
+        How long ago an agent went silent that may still hold flows.
     is_whole : bool
         Whether the reports are all there are, not only the changes.
     reports : tuple of AgentReport
@@ -158,6 +162,8 @@
     table: Table | None
     directory: int
     revision: int
+    age_s: float
+    missing_s: float
     is_whole: bool = False
     reports: tuple[AgentReport, ...] = ()
     gone: tuple[str, ...] = ()
--- a/fulmarshore/direct/subscription.py
+++ b/fulmarshore/direct/subscription.py
@@ -11,6 +11,9 @@
 
 POLL_INTERVAL_S = 0.5
 """Five polls fit into the shortest bound of the settings for what is new."""
+REPOLL_INTERVAL_S = 0.1
+"""After this a control host that did not answer is polled again: it may have
+started meanwhile, and then needs to know of this process at once."""
 CONTROL_SILENCE_S = 2.5
 """A control host that did not answer for this long does not count as heard."""
 CONTROL_FORGOTTEN_S = 30.0
@@ -26,32 +29,48 @@
         Addresses of control hosts from the settings.
     """
 
-    __slots__ = ("_seeds", "_controls", "_heard_at", "_known_at", "_polled_at")
+    __slots__ = ("_seeds", "_heard_at", "_known_at", "_polled_at")
 
     def __init__(self, seeds: list[str]) -> None:
         self._seeds = list(seeds)
-        self._controls: list[str] = []
         self._heard_at: dict[str, float] = {}
         self._known_at: dict[str, float] = {}
-        self._polled_at = float("-inf")
+        self._polled_at: dict[str, float] = {}
 
     def replace_seeds(self, seeds: list[str]) -> None:
         """Take the seeds of settings that have changed."""
         self._seeds = list(seeds)
-        self._polled_at = float("-inf")
+        self._polled_at.clear()
 
     @property
     def hosts(self) -> list[str]:
         """All control hosts that are polled."""
         return list(dict.fromkeys([*self._seeds, *self._known_at]))
 
-    def is_due(self, now: float) -> bool:
-        """Whether it is time to poll."""
-        return now - self._polled_at >= POLL_INTERVAL_S
+    def take_due(self, now: float, all_at_once: bool = False) -> list[str]:
+        """Return the control hosts to poll now, and count them as polled.
 
-    def note_polled(self, now: float) -> None:
-        """Note that all control hosts were polled."""
-        self._polled_at = now
+        Parameters
+        ----------
+        now : float
+            Steady time, seconds.
+        all_at_once : bool
+            Whether there are news that cannot wait.
+        """
+        due = []
+        for host in self.hosts:
+            polled_at = self._polled_at.get(host, float("-inf"))
+            heard_at = self._heard_at.get(host, float("-inf"))
+            is_answered = heard_at >= polled_at
+            interval = POLL_INTERVAL_S if is_answered else REPOLL_INTERVAL_S
+            if not all_at_once and now - polled_at < interval:
+                continue
+            self._polled_at[host] = now
+            due.append(host)
+        return due
+
+    def forget_lost(self, now: float) -> None:
+        """Poll no more what has long been silent and is no seed."""
         for host, known_at in list(self._known_at.items()):
             heard_at = max(known_at, self._heard_at.get(host, known_at))
             if now - heard_at > CONTROL_FORGOTTEN_S:
