--- /dev/null
+++ b/fulmarshore/adapters/eventloop_test.py
@@ -0,0 +1,228 @@
+"""The event loop, its messages and its HTTP server, over real sockets."""
+
+import os
+import signal
+import socket
+import threading
+import unittest
+from collections import Counter
+from unittest.mock import patch
+
+from fulmarshore.adapters.eventloop import EventLoop
+from fulmarshore.adapters.httpserver import HttpResponse, HttpServer
+from fulmarshore.adapters.logs import LINES_PER_S, LineLog, format_flow
+from fulmarshore.adapters.messages import MAX_PARTS, PART_BYTES, MessageSocket
+from fulmarshore.direct.records import Decision
+
+LIMIT_S = 10.0
+HOST = "127.0.0.1"
+
+
+class LoopTest(unittest.TestCase):
+    def setUp(self):
+        self.loop = EventLoop()
+        self.addCleanup(self.loop.close)
+        self.counters = Counter()
+
+    def run_until(self, reached):
+        """Run the loop until something holds."""
+
+        def check():
+            if reached():
+                self.loop.stop()
+                return
+            self.loop.call_later(0.005, check)
+
+        def fail():
+            self.loop.stop()
+
+        self.loop.call_later(0.0, check)
+        self.loop.call_later(LIMIT_S, fail)
+        self.loop.run()
+        self.assertTrue(reached())
+
+
+class EventLoopTest(LoopTest):
+    def test_timers_run_in_the_order_of_their_times(self):
+        ran = []
+        for delay in (0.03, 0.01, 0.02):
+            self.loop.call_later(delay, lambda delay=delay: ran.append(delay))
+        self.run_until(lambda: len(ran) == 3)
+        self.assertEqual(ran, [0.01, 0.02, 0.03])
+
+    def test_threads_and_signals_wake_the_loop(self):
+        ran = []
+        former = signal.getsignal(signal.SIGUSR1)
+        self.addCleanup(signal.signal, signal.SIGUSR1, former)
+        self.addCleanup(signal.set_wakeup_fd, -1)
+        self.loop.take_signal(signal.SIGUSR1, lambda: ran.append("signal"))
+        thread = threading.Thread(
+            target=self.loop.call_from_thread, args=(lambda: ran.append("thread"),)
+        )
+        thread.start()
+        os.kill(os.getpid(), signal.SIGUSR1)
+        self.run_until(lambda: len(ran) == 2)
+        thread.join()
+        self.assertEqual(sorted(ran), ["signal", "thread"])
+
+
+class MessagesTest(LoopTest):
+    def setUp(self):
+        super().setUp()
+        self.received = []
+        self.sender = self.open()
+        self.receiver = self.open()
+
+    def open(self):
+        def take(message, host, port):
+            self.received.append(message)
+
+        opened = MessageSocket(self.loop, HOST, 0, take, self.counters)
+        self.addCleanup(opened.close)
+        return opened
+
+    def test_messages_of_any_size_arrive_whole(self):
+        for size in (0, 1, PART_BYTES, PART_BYTES + 1, 10 * PART_BYTES + 7):
+            with self.subTest(size=size):
+                self.received.clear()
+                message = os.urandom(size)
+                self.sender.send(message, HOST, self.receiver.port)
+                self.run_until(lambda: self.received)
+                self.assertEqual(self.received, [message])
+
+    def test_message_beyond_the_limit_is_counted_and_not_sent(self):
+        self.sender.send(bytes(PART_BYTES * MAX_PARTS + 1), HOST, self.receiver.port)
+        self.assertEqual(self.counters["messages_too_large"], 1)
+
+    def test_bad_datagrams_are_counted_and_the_next_message_arrives(self):
+        raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(raw.close)
+        bad = [b"", b"short", b"\0\0\0\1\0\5\0\2x", b"\0\0\0\1\0\0\0\0x"]
+        bad.append(b"\0\0\0\1\0\0\xff\xffx")
+        for content in bad:
+            raw.sendto(content, (HOST, self.receiver.port))
+        # The first part of a message whose second one is lost.
+        raw.sendto(b"\0\0\0\1\0\0\0\2x", (HOST, self.receiver.port))
+        self.sender.send(b"whole", HOST, self.receiver.port)
+        self.run_until(lambda: self.received)
+        self.assertEqual(self.received, [b"whole"])
+        self.assertEqual(self.counters["messages_malformed"], len(bad))
+
+
+class HttpTest(LoopTest):
+    def setUp(self):
+        super().setUp()
+        self.requests = []
+        self.held = []
+        self.server = HttpServer(self.loop, HOST, 0, self.handle, self.counters)
+        self.addCleanup(self.server.close)
+
+    def handle(self, request, respond):
+        self.requests.append(request)
+        if request.path == "/later":
+            self.held.append(respond)
+            return
+        respond(HttpResponse(200, request.path.encode()))
+
+    def exchange(self, *pieces, closes=True):
+        """Send pieces one after the other and return all that comes back."""
+        found = bytearray()
+        caller = socket.create_connection((HOST, self.server.port))
+        self.addCleanup(caller.close)
+
+        def talk():
+            for piece in pieces:
+                caller.sendall(piece)
+            if closes:
+                caller.shutdown(socket.SHUT_WR)
+            while data := caller.recv(65536):
+                found.extend(data)
+            ended.set()
+
+        ended = threading.Event()
+        thread = threading.Thread(target=talk, daemon=True)
+        thread.start()
+        return found, ended
+
+    def test_requests_in_pieces_and_in_a_row(self):
+        request = b"PUT /one HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
+        pieces = [bytes([byte]) for byte in request]
+        last = b"GET /two HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        found, ended = self.exchange(*pieces, request + last, closes=False)
+        self.run_until(ended.is_set)
+        self.assertEqual(found.count(b"HTTP/1.1 200 OK"), 3)
+        self.assertTrue(found.endswith(b"/two"))
+        self.assertEqual([held.body for held in self.requests], [b"hello"] * 2 + [b""])
+
+    def test_answers_keep_the_order_of_the_requests(self):
+        first = b"GET /later HTTP/1.1\r\nHost: x\r\n\r\n"
+        second = b"GET /now HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        found, ended = self.exchange(first + second, closes=False)
+        self.run_until(lambda: self.held)
+        self.assertEqual(len(self.requests), 1)
+        self.held[0](HttpResponse(307, b"", "http://x/later"))
+        self.run_until(ended.is_set)
+        self.assertLess(found.index(b"307"), found.index(b"/now"))
+        self.assertIn(b"Location: http://x/later\r\n", found)
+
+    def test_bytes_that_are_no_http_get_an_answer_and_an_end(self):
+        for content in (b"\x16\x03\x01\x02\x00", b"HELLO\r\n\r\n", b"\0" * 64):
+            with self.subTest(content):
+                found, ended = self.exchange(content, closes=False)
+                self.run_until(ended.is_set)
+                self.assertTrue(found.startswith(b"HTTP/1.1 400"))
+        self.assertEqual(self.counters["http_malformed"], 3)
+
+    def test_body_beyond_the_limit_is_refused(self):
+        with patch("fulmarshore.adapters.httpserver.MAX_BODY_BYTES", 100):
+            head = b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n"
+            content = head + b"Connection: close\r\n\r\n" + bytes(101)
+            found, ended = self.exchange(content, closes=False)
+            self.run_until(ended.is_set)
+        self.assertTrue(found.startswith(b"HTTP/1.1 413"))
+        self.assertEqual(self.requests, [])
+
+    def test_caller_that_leaves_before_its_answer_harms_nobody(self):
+        found, ended = self.exchange(b"GET /later HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.run_until(ended.is_set)
+        self.held[0](HttpResponse(200))
+        found, ended = self.exchange(
+            b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", closes=False
+        )
+        self.run_until(ended.is_set)
+        self.assertTrue(found.startswith(b"HTTP/1.1 200"))
+
+
+class LineLogTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.counters = Counter()
+        self.log = LineLog(self.writer, "entry", "e-1", self.counters)
+
+    def test_flood_of_one_kind_leaves_room_for_another(self):
+        for _ in range(500):
+            self.log.write(Decision("flow_offered"), 1.0)
+        self.log.write(Decision("flow_rejected", "no_agent", bytes(12)), 1.0)
+        self.log.write(Decision("stopping"), 2.5)
+        lines = os.read(self.reader, 1 << 20).decode().splitlines()
+        self.assertEqual(len(lines), LINES_PER_S + 3)
+        self.assertIn('"reason"', lines[LINES_PER_S].replace("detail", "reason"))
+        self.assertIn(f'"flow_offered":{500 - LINES_PER_S}', lines[LINES_PER_S + 1])
+        self.assertEqual(self.counters["decisions_flow_offered"], 500)
+        self.assertEqual(self.counters["lines_left_out"], 500 - LINES_PER_S)
+
+    def test_reader_that_has_stopped_costs_lines_and_nothing_else(self):
+        for number in range(40_000):
+            self.log.write(Decision("flow_reset", "x" * 200), float(number))
+        self.assertGreater(self.counters["lines_lost"], 0)
+        self.assertEqual(self.counters["decisions_flow_reset"], 40_000)
+
+    def test_flow_is_written_as_caller_and_service(self):
+        flow = bytes([100, 64, 0, 7, 0x9C, 0x41, 198, 18, 0, 1, 1, 187])
+        self.assertEqual(format_flow(flow), "100.64.0.7:40001>198.18.0.1:443")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/fulmarshore/direct/directory_test.py
@@ -0,0 +1,109 @@
+"""What control hosts and entry hosts know of agents."""
+
+import unittest
+
+from fulmarshore.direct.directory import (
+    AGENT_SILENCE_S,
+    Directory,
+    KnownAgents,
+)
+from fulmarshore.direct.records import AgentReport, Update
+
+
+def report(host="h1", process=1, revision=1, **changes):
+    """Return a report."""
+    fields = {
+        "zone": "a",
+        "service": "desk",
+        "is_accepting": True,
+        "is_cold": False,
+        "slots": 1,
+        "flows": 0,
+        "busy": 0,
+    }
+    return AgentReport(host, process, revision, **{**fields, **changes})
+
+
+def make_update(directory, known, control="c"):
+    """Return what a control host tells somebody who knows that much."""
+    found = directory.list_since(*known.get_position(control))
+    return Update(
+        (), None, directory.process, directory.revision, 9.0, float("inf"), *found
+    )
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_only_news_count(self):
+        cases = [
+            ("first word", None, report(), True),
+            ("the same", report(), report(revision=2), False),
+            ("only its load", report(), report(revision=2, busy=3), False),
+            ("stops accepting", report(), report(revision=2, is_accepting=False), True),
+            ("turns cold", report(), report(revision=2, is_cold=True), True),
+            ("other service", report(), report(revision=2, service="store"), True),
+            ("late word", report(revision=5), report(revision=4, service="x"), False),
+            ("new process", report(revision=5), report(process=2, service="x"), True),
+        ]
+        for name, held, new, expected in cases:
+            with self.subTest(name):
+                directory = Directory(1)
+                if held is not None:
+                    directory.take(held, 0.0)
+                self.assertEqual(directory.take(new, 1.0), expected)
+
+    def test_silent_agent_is_gone_but_silence_of_all_is_no_loss(self):
+        directory = Directory(1)
+        directory.take(report("h1"), 0.0)
+        directory.take(report("h2"), 0.0)
+        directory.take(report("h2", revision=2), AGENT_SILENCE_S)
+        self.assertEqual(directory.expire(AGENT_SILENCE_S + 0.1), ["h1"])
+        self.assertEqual(directory.missing_at, AGENT_SILENCE_S + 0.1)
+        self.assertEqual(directory.expire(60.0), [])
+
+    def test_agent_is_known_as_long_as_one_control_host_hears_it(self):
+        first, second, known = Directory(1), Directory(2), KnownAgents()
+        for directory in (first, second):
+            directory.take(report("h1"), 0.0)
+            directory.take(report("h2"), 0.0)
+        known.take("c1", make_update(first, known, "c1"))
+        known.take("c2", make_update(second, known, "c2"))
+        first.take(report("h2", revision=2), 5.0)
+        first.expire(5.0)
+        self.assertEqual(known.take("c1", make_update(first, known, "c1")), [])
+        second.take(report("h2", revision=3), 5.0)
+        second.expire(5.0)
+        self.assertEqual(known.take("c2", make_update(second, known, "c2")), ["h1"])
+        self.assertEqual([held.host for held in known.list_all()], ["h2"])
+
+    def test_updates_that_are_lost_late_or_of_another_process(self):
+        directory, known = Directory(1), KnownAgents()
+        directory.take(report("h1"), 0.0)
+        early = make_update(directory, known)
+        known.take("c", early)
+        directory.take(report("h2"), 0.1)
+        lost = make_update(directory, known)
+        directory.take(report("h3"), 0.2)
+        known.take("c", make_update(directory, known))
+        self.assertEqual(len(known), 3)
+        self.assertEqual(known.take("c", lost), [])
+        self.assertEqual(len(known), 3)
+        restarted = Directory(2)
+        restarted.take(report("h1", revision=7), 0.3)
+        news = known.take("c", make_update(restarted, known))
+        self.assertEqual({str(item) for item in news if item != "h1"} >= {"h2"}, True)
+        self.assertEqual(len(known), 1)
+
+    def test_control_host_that_falls_silent_takes_only_its_own_word_along(self):
+        first, second, known = Directory(1), Directory(2), KnownAgents()
+        first.take(report("h1"), 0.0)
+        first.take(report("h2"), 0.0)
+        second.take(report("h2"), 0.0)
+        known.take("c1", make_update(first, known, "c1"))
+        known.take("c2", make_update(second, known, "c2"))
+        self.assertEqual(known.forget_control("c1"), ["h1"])
+        self.assertEqual(known.forget_control("c2"), [])
+        self.assertEqual(len(known), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/fulmarshore/platform/calls_test.py
@@ -0,0 +1,94 @@
+"""Operators' orders and upstreams' heartbeats."""
+
+import json
+import unittest
+
+from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse
+from fulmarshore.core.records import PutConfiguration, PutZone
+from fulmarshore.daemons.directcontrol import ReadNewest
+from fulmarshore.direct.records import Announced, Departed
+from fulmarshore.platform.calls import OrderReader
+from fulmarshore.platform.configuration_test import VALID
+from fulmarshore.platform.heartbeats import read_heartbeat
+
+BODY = json.dumps(VALID).encode()
+HEARTBEAT = {
+    "service": "desk",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "sequence": 4,
+    "born": 1777688762335,
+}
+
+
+class OrdersTest(unittest.TestCase):
+    def test_orders(self):
+        cases = [
+            ("PUT", "/v1/config", BODY, PutConfiguration),
+            ("GET", "/v1/config", b"", ReadNewest),
+            ("POST", "/v1/evacuate/a", b"", PutZone("a", True)),
+            ("DELETE", "/v1/evacuate/a", b"", PutZone("a", False)),
+            ("POST", "/v1/evacuate/a?x=1", b"", PutZone("a", True)),
+            ("PUT", "/v1/config", b"{}", 400),
+            ("PUT", "/v1/config", b"\xff", 400),
+            ("PATCH", "/v1/config", BODY, 405),
+            ("POST", "/v1/evacuate/nowhere", b"", 404),
+            ("PUT", "/v1/evacuate/a", b"", 405),
+            ("GET", "/", b"", 404),
+        ]
+        reader = OrderReader(("a", "b"))
+        for method, path, body, expected in cases:
+            with self.subTest(f"{method} {path}"):
+                found = reader.read(HttpRequest(method, path, body))
+                if isinstance(expected, int):
+                    self.assertIsInstance(found, HttpResponse)
+                    self.assertEqual(found.status, expected)
+                    self.assertIn("error", json.loads(found.body))
+                elif isinstance(expected, type):
+                    self.assertIsInstance(found, expected)
+                else:
+                    self.assertEqual(found, expected)
+
+
+class HeartbeatTest(unittest.TestCase):
+    def read(self, method="PUT", path="/v1/instances/i-1", **changes):
+        fields = {**HEARTBEAT, **changes}
+        present = {name: value for name, value in fields.items() if value != "gone"}
+        return read_heartbeat(HttpRequest(method, path, json.dumps(present).encode()))
+
+    def test_heartbeat_is_translated(self):
+        found = self.read()
+        expected = Announced("i-1", 1777688762335, 4, "desk", "a", 3, True, 1.5)
+        self.assertEqual(found, expected)
+        self.assertFalse(self.read(state="draining").is_ready)
+        self.assertEqual(self.read("DELETE"), Departed("i-1"))
+        self.assertIsNone(self.read(path="/elsewhere"))
+
+    def test_words_of_another_writer_name_no_upstream(self):
+        cases = [
+            {"service": "gone"},
+            {"service": 7},
+            {"state": "resting"},
+            {"slots": "three"},
+            {"sequence": 1.5},
+            {"zone": None},
+            {"born": "today"},
+            {"coldRemainingMs": "long"},
+            {"address": "gone"},
+        ]
+        for changes in cases:
+            with self.subTest(changes):
+                self.assertIsInstance(self.read(**changes), str)
+        for body in (b"", b"{", b"\xff\x00", b"[]", b"null", b"[" * 5000):
+            request = HttpRequest("PUT", "/v1/instances/i-1", body)
+            self.assertIsInstance(read_heartbeat(request), str)
+        self.assertIsInstance(self.read(path="/v1/instances/"), str)
+        self.assertIsInstance(self.read("POST"), str)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/fulmarshore/platform/configuration_test.py
@@ -0,0 +1,121 @@
+"""The platform's configuration body."""
+
+import copy
+import json
+import unittest
+
+from fulmarshore.core.records import PutConfiguration
+from fulmarshore.direct.orders import OrderState
+from fulmarshore.platform.configuration import (
+    format_newest,
+    make_table,
+    read_configuration,
+)
+
+VALID = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "hostname": "198.18.0.1",
+            "pathPrefix": "/8443/",
+            "type": "safe",
+            "timeoutMs": 1500,
+            "backends": [
+                {"service": "desk", "weight": 90},
+                {"service": "store", "weight": 10},
+            ],
+        },
+        {
+            "name": "r-2",
+            "hostname": "198.18.0.1",
+            "pathPrefix": "/8080/",
+            "type": "non_idempotent",
+            "timeoutMs": 2000,
+            "service": "desk",
+        },
+    ],
+    "services": [
+        {"name": "desk", "maxConnections": 2000, "coldPerS": 4.5},
+        {"name": "store", "maxConnections": 10},
+    ],
+    "limits": {"idleTimeoutMs": 15000},
+}
+
+
+def change(path, value):
+    """Return the valid configuration with one field changed."""
+    changed = copy.deepcopy(VALID)
+    held = changed
+    for step in path[:-1]:
+        held = held[step]
+    held[path[-1]] = value
+    return changed
+
+
+INVALID = [
+    ("unknown service", ("routes", 1, "service"), "nobody", "nobody"),
+    ("same place", ("routes", 1, "pathPrefix"), "/8443/", "r-1"),
+    ("no weight", ("routes", 0, "backends", 0, "weight"), "much", "not readable"),
+    ("negative weight", ("routes", 0, "backends", 0, "weight"), -1, "-1"),
+    ("no timeout", ("routes", 0, "timeoutMs"), 0, "timeoutMs: 0"),
+    ("no service", ("routes", 1, "service"), None, "no service"),
+    ("host is a name", ("routes", 0, "hostname"), "desk.example", "desk.example"),
+    ("prefix is no port", ("routes", 0, "pathPrefix"), "/all/", "all"),
+    ("port too high", ("routes", 0, "pathPrefix"), "/70000/", "70000"),
+    ("version 0", ("version",), 0, "version: 0"),
+    ("version is text", ("version",), "8", "not readable"),
+    ("routes are missing", ("routes",), None, "not readable"),
+    ("a service twice", ("services", 1, "name"), "desk", "same name"),
+]
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_valid_body_becomes_a_table_and_is_read_back_as_sent(self):
+        body = json.dumps(VALID).encode()
+        command = read_configuration(body)
+        self.assertIsInstance(command, PutConfiguration)
+        state = OrderState(command.version, command.content, ("b",))
+        self.assertEqual(format_newest(state), body)
+        table = make_table(state, 12)
+        self.assertEqual((table.index, table.version), (12, 7))
+        self.assertEqual(table.zones_out, ("b",))
+        self.assertEqual(table.idle_timeout_s, 15.0)
+        address = bytes([198, 18, 0, 1]) + (8443).to_bytes(2)
+        self.assertEqual(table.routes[0].address, address)
+        backends = [(held.service, held.weight) for held in table.routes[0].backends]
+        self.assertEqual(backends, [("desk", 90), ("store", 10)])
+        self.assertEqual(table.services[0].cold_per_s, 4.5)
+        self.assertEqual(table.services[1].max_flows, 10)
+
+    def test_invalid_bodies_are_refused_with_field_and_value(self):
+        for name, path, value, expected in INVALID:
+            with self.subTest(name):
+                body = json.dumps(change(path, value)).encode()
+                problems = read_configuration(body)
+                self.assertIsInstance(problems, list)
+                self.assertIn(expected, "; ".join(problems))
+
+    def test_no_weight_at_all_is_refused(self):
+        changed = change(("routes", 0, "backends", 0, "weight"), 0)
+        changed["routes"][0]["backends"][1]["weight"] = 0
+        self.assertIsInstance(read_configuration(json.dumps(changed).encode()), list)
+
+    def test_body_cut_short_anywhere_is_refused(self):
+        body = json.dumps(VALID).encode()
+        for size in range(len(body)):
+            self.assertIsInstance(read_configuration(body[:size]), list)
+
+    def test_large_configuration_becomes_a_table(self):
+        changed = copy.deepcopy(VALID)
+        for port in range(1, 1200):
+            route = copy.deepcopy(VALID["routes"][1])
+            route.update(name=f"r-x{port}", pathPrefix=f"/{port}/")
+            changed["routes"].append(route)
+        command = read_configuration(json.dumps(changed).encode())
+        state = OrderState(command.version, command.content, ())
+        self.assertEqual(len(make_table(state, 1).routes), 1201)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/fulmarshore/platform/settings_test.py
@@ -0,0 +1,92 @@
+"""The platform's settings file."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from unittest.mock import patch
+
+from fulmarshore.direct.settings import Endpoint, HostSettings
+from fulmarshore.platform.settings import (
+    PATH_VARIABLE,
+    SettingsReader,
+    parse_settings,
+)
+
+VALID = {
+    "node": "edge-1",
+    "ip": "10.1.0.10",
+    "zone": "a",
+    "zones": {"a": "r", "b": "r"},
+    "listen": {
+        "udpListen": "10.1.0.10:8172",
+        "readiness": "10.1.0.10:8167",
+        "control": "10.1.0.10:8166",
+    },
+    "internalPorts": [7720, 7735],
+    "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+    "bootstrap": True,
+    "dataDir": None,
+    "faultTolerance": {"machines": 2, "zones": 1},
+    "bounds": {"coldOvershoot": 1.5, "coldSlack": 5},
+    "unknownField": {"later": 1},
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def parse(self, **changes):
+        fields = {**VALID, **changes}
+        present = {name: value for name, value in fields.items() if value != "gone"}
+        return parse_settings(json.dumps(present).encode())
+
+    def test_valid_file_is_translated(self):
+        found = self.parse()
+        self.assertIsInstance(found, HostSettings)
+        self.assertEqual(found.host, "10.1.0.10")
+        self.assertEqual(found.packet_port, 8172)
+        self.assertEqual(found.control_port, 8166)
+        self.assertEqual(found.seeds, ("10.1.0.10", "10.2.0.40"))
+        self.assertEqual(found.orders, Endpoint("10.1.0.10", 8166))
+        self.assertEqual(found.lost_disks, 2)
+        self.assertEqual(found.cold.count_flows(2.0), 7)
+        self.assertEqual(found.data_folder, "")
+
+    def test_problems_name_field_value_and_what_is_allowed(self):
+        cases = [
+            ({"seeds": ["10.1.0.10"]}, "seeds: '10.1.0.10'"),
+            ({"seeds": ["10.1.0.10:99999"]}, "seeds: '10.1.0.10:99999'"),
+            ({"internalPorts": [7720, 7721]}, "internalPorts: 7720 to 7721"),
+            ({"listen": {"udpListen": "x"}}, "listen.udpListen: 'x'"),
+            ({"app": "here"}, "app: 'here'"),
+            ({"ip": 7}, "ip"),
+            ({"zone": "gone"}, "zone"),
+            ({"faultTolerance": {"machines": "two"}}, "faultTolerance"),
+        ]
+        for changes, expected in cases:
+            with self.subTest(changes):
+                problems = self.parse(**changes)
+                self.assertIsInstance(problems, list)
+                self.assertIn(expected, str(problems[0]))
+                self.assertIn("needs", str(problems[0]))
+
+    def test_bytes_that_are_no_settings(self):
+        for content in (b"", b"{", b"\xff\xfe", b"[]", b"7"):
+            self.assertIsInstance(parse_settings(content), list)
+
+    def test_file_is_read_again_when_it_has_changed(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "local.json"
+            path.write_text(json.dumps(VALID))
+            with patch.dict("os.environ", {PATH_VARIABLE: str(path)}):
+                reader = SettingsReader()
+            self.assertIsInstance(reader.load(), HostSettings)
+            self.assertIsNone(reader.load())
+            path.write_text("{")
+            self.assertIsInstance(reader.load(), list)
+            self.assertIsNone(reader.load())
+            path.write_text(json.dumps({**VALID, "seeds": ["10.9.0.1:1"]}))
+            self.assertEqual(reader.load().seeds, ("10.9.0.1",))
+
+
+if __name__ == "__main__":
+    unittest.main()
