--- /dev/null
+++ b/fulmarshore/platform/processes_test.py
@@ -0,0 +1,245 @@
+"""The programs themselves, as processes on loopback addresses."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from fulmarshore.direct.packets import ACK, SYN, parse_answer, parse_packet
+from fulmarshore.platform.configuration_test import VALID
+from fulmarshore.platform.settings import PATH_VARIABLE
+from fulmarshore.standins.directends import make_packet
+
+LIMIT_S = 30.0
+CONTROLS = ["127.1.0.1", "127.1.0.2", "127.1.0.3"]
+ENTRY = "127.1.1.1"
+AGENT = "127.1.2.1"
+CALLER = "127.1.3.1"
+SERVICE = "198.18.0.1"
+
+
+def find_ports(count):
+    """Return port numbers that are free on an address of these tests."""
+    held = []
+    for _ in range(count):
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.bind((CONTROLS[0], 0))
+        held.append(opened)
+    ports = [opened.getsockname()[1] for opened in held]
+    for opened in held:
+        opened.close()
+    return ports
+
+
+class ProcessesTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        ports = find_ports(5)
+        self.packet_port, self.http_port, self.control_port = ports[:3]
+        self.outbound_port, self.upstream_port = ports[3:]
+        self.internal_port = max(find_ports(1)[0] - 8, 1024)
+        self.processes = {}
+        self.addCleanup(self.end_all)
+
+    def start(self, role, host, **changes):
+        """Start a process with a settings file of its own."""
+        settings = {
+            "node": f"{role}-{host}",
+            "ip": host,
+            "zone": "a",
+            "zones": {"a": "r", "b": "r"},
+            "listen": {"udpListen": f"{host}:{self.packet_port}"},
+            "internalPorts": [self.internal_port, self.internal_port + 7],
+            "seeds": [f"{seed}:{self.control_port}" for seed in CONTROLS],
+            "bootstrap": True,
+            "faultTolerance": {"machines": 1},
+            "dataDir": None,
+        }
+        if role == "control":
+            data = self.folder / f"data-{host}"
+            data.mkdir(exist_ok=True)
+            settings["dataDir"] = str(data)
+            settings["listen"] = {"control": f"{host}:{self.control_port}"}
+        if role == "entry":
+            settings["listen"]["readiness"] = f"{host}:{self.http_port}"
+        if role == "agent":
+            settings["listen"]["control"] = f"{host}:{self.control_port}"
+            settings["listen"]["outbound"] = f"{host}:{self.outbound_port}"
+            settings["app"] = f"{host}:{self.upstream_port}"
+        settings.update(changes)
+        path = self.folder / f"{role}-{host}.json"
+        path.write_text(json.dumps(settings))
+        environment = {**os.environ, PATH_VARIABLE: str(path)}
+        log = (self.folder / f"{role}-{host}.log").open("ab")
+        self.addCleanup(log.close)
+        command = [sys.executable, "-m", "fulmarshore.platform", role]
+        self.processes[host] = subprocess.Popen(command, env=environment, stdout=log)
+
+    def end_all(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def ask(self, host, port, method, path, body=b"", redirects=2):
+        """Ask over HTTP and return status and body; 0 where nobody answers."""
+        connection = http.client.HTTPConnection(host, port, timeout=2)
+        try:
+            connection.request(method, path, body)
+            response = connection.getresponse()
+            content = response.read()
+            if response.status == 307 and redirects:
+                target = response.getheader("Location").split("/")[2]
+                other, _, number = target.partition(":")
+                return self.ask(other, int(number), method, path, body, redirects - 1)
+            return response.status, content
+        except OSError:
+            return 0, b""
+        finally:
+            connection.close()
+
+    def wait_for(self, reached):
+        """Wait until something holds; the result of it."""
+        until = time.monotonic() + LIMIT_S
+        while time.monotonic() < until:
+            found = reached()
+            if found:
+                return found
+            time.sleep(0.05)
+        logs = [path.read_text()[-600:] for path in self.folder.glob("*.log")]
+        self.fail("not reached; logs: " + "\n".join(logs))
+
+    def put(self, version):
+        """Send a configuration until some control host accepts it."""
+        body = json.dumps({**VALID, "version": version}).encode()
+
+        def attempt():
+            statuses = [
+                self.ask(host, self.control_port, "PUT", "/v1/config", body)[0]
+                for host in CONTROLS
+            ]
+            return 200 in statuses
+
+        self.wait_for(attempt)
+
+    def read(self):
+        """Return the version that any control host reads back."""
+        for host in CONTROLS:
+            status, body = self.ask(host, self.control_port, "GET", "/v1/config")
+            if status == 200:
+                return json.loads(body)["version"]
+        return 0
+
+    def open_udp(self, host, port=0):
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.bind((host, port))
+        opened.settimeout(1.0)
+        self.addCleanup(opened.close)
+        return opened
+
+    def receive(self, reader, send):
+        """Send until something arrives."""
+
+        def attempt():
+            send()
+            try:
+                return reader.recv(2000)
+            except TimeoutError:
+                return None
+
+        return self.wait_for(attempt)
+
+    def test_accepted_configuration_outlives_the_kill_of_all_and_a_full_stop(self):
+        for host in CONTROLS:
+            self.start("control", host)
+        self.put(7)
+        for host in CONTROLS:
+            self.processes[host].kill()
+            self.processes[host].wait()
+        for host in CONTROLS:
+            self.start("control", host, bootstrap=False)
+        self.wait_for(lambda: self.read() == 7)
+        self.put(9)
+        for host in CONTROLS:
+            self.processes[host].send_signal(signal.SIGTERM)
+        for host in CONTROLS:
+            self.assertEqual(self.processes[host].wait(LIMIT_S), 0)
+        for host in CONTROLS:
+            self.start("control", host, bootstrap=False)
+        self.wait_for(lambda: self.read() == 9)
+
+    def test_packets_reach_the_upstream_and_answers_the_caller(self):
+        for host in CONTROLS:
+            self.start("control", host)
+        self.start("entry", ENTRY)
+        self.start("agent", AGENT)
+        self.put(7)
+        upstream = self.open_udp(AGENT, self.upstream_port)
+        caller = self.open_udp(CALLER, self.packet_port)
+        heartbeat = {
+            "service": "desk",
+            "address": f"{AGENT}:{self.upstream_port}",
+            "zone": "a",
+            "slots": 1,
+            "state": "ready",
+            "sequence": 1,
+            "born": 5,
+        }
+        body = json.dumps(heartbeat).encode()
+        path = "/v1/instances/i-1"
+        self.wait_for(
+            lambda: self.ask(AGENT, self.control_port, "PUT", path, body)[0] == 200
+        )
+        self.assertEqual(self.ask(AGENT, self.control_port, "PUT", path, b"{")[0], 400)
+        self.wait_for(
+            lambda: self.ask(ENTRY, self.http_port, "GET", "/v1/ready")[0] == 200
+        )
+        source = socket.inet_aton(CALLER) + (40001).to_bytes(2)
+        address = socket.inet_aton(SERVICE) + (8080).to_bytes(2)
+        opening = make_packet(source, address, SYN, 1, 0)
+        delivered = self.receive(
+            upstream, lambda: caller.sendto(opening, (ENTRY, self.packet_port))
+        )
+        self.assertEqual(delivered[:14], opening[:14])
+        answer = make_packet(address, source, SYN | ACK, 5, 2)
+        returned = self.receive(
+            caller, lambda: upstream.sendto(answer, (AGENT, self.outbound_port))
+        )
+        self.assertEqual(returned, answer)
+        self.assertEqual(parse_answer(returned).flow, parse_packet(opening).flow)
+        for host in (ENTRY, AGENT):
+            caller.sendto(b"no packet", (host, self.packet_port))
+            self.processes[host].send_signal(signal.SIGTERM)
+            self.assertEqual(self.processes[host].wait(LIMIT_S), 0)
+
+    def test_bad_settings_are_named_and_a_bad_reload_keeps_the_last_good_ones(self):
+        path = self.folder / "bad.json"
+        path.write_text(json.dumps({"node": 7}))
+        environment = {**os.environ, PATH_VARIABLE: str(path)}
+        command = [sys.executable, "-m", "fulmarshore.platform"]
+        ended = subprocess.run(
+            [*command, "entry"], env=environment, capture_output=True, text=True
+        )
+        self.assertEqual(ended.returncode, 1)
+        self.assertIn("node", ended.stderr)
+        self.start("entry", ENTRY)
+        probe = lambda: self.ask(ENTRY, self.http_port, "GET", "/v1/ready")[0]  # noqa: E731
+        self.wait_for(probe)
+        log = self.folder / f"entry-{ENTRY}.log"
+        (self.folder / f"entry-{ENTRY}.json").write_text("{")
+        self.processes[ENTRY].send_signal(signal.SIGHUP)
+        self.wait_for(lambda: "settings_refused" in log.read_text())
+        self.assertEqual(probe(), 503)
+
+
+if __name__ == "__main__":
+    unittest.main()
