--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -200,7 +200,7 @@
 
 
 def _may_bootstrap(replica: Replica, now: float) -> bool:
-    waited = now - replica.started_at >= BOOTSTRAP_WAIT_S
+    waited = now - replica.started_at >= replica.bootstrap_wait_s
     return waited or not replica.peers
 
 
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -89,6 +89,7 @@
         self.region = region
         self.fewest_voters = fewest_voters
         self.starts_fast = starts_fast
+        self.bootstrap_wait_s = joining.BOOTSTRAP_WAIT_S
         self.peers = list(peers)
         self.random = random
         self.bootstrap = bootstrap and not recovered.term_vote.group
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -38,6 +38,7 @@
 )
 from fulmarshore.daemons.direct import DirectDaemon, Load, encode
 from fulmarshore.direct.control import (
+    CONTROL_PORT,
     Accepted,
     ControlCore,
     Elsewhere,
@@ -48,15 +49,20 @@
     SendUpdate,
 )
 from fulmarshore.direct.orders import OrderState
-from fulmarshore.direct.records import Decision, Poll, Table
+from fulmarshore.direct.records import Decision, Poll, SendPoll, Table, Told, Update
+from fulmarshore.direct.relay import RelayCore
 from fulmarshore.direct.settings import CONTROL_OFFSET, HostSettings
 
 TICK_INTERVAL_S = 0.05
 """Half of the interval of the log's heartbeats."""
 RETRY_AFTER_S = 1
+NO_SEED_WAIT_S = 3.0
+"""How long a host that is no seed waits for a group at the first start: three
+times as long as seeds do, since one of them may have no disk."""
 
 Message = Union[
     Poll,
+    Update,
     VoteRequest,
     VoteReply,
     StandNow,
@@ -102,7 +108,7 @@
         format_newest: Callable[[OrderState], bytes],
     ) -> None:
         super().__init__("control", settings, load, TICK_INTERVAL_S)
-        self.core: ControlCore | None = None
+        self.core: ControlCore | RelayCore | None = None
         self._read_order = read_order
         self._make_table = make_table
         self._format_newest = format_newest
@@ -113,6 +119,24 @@
     def open(self) -> None:
         """Read the log, and open the sockets for hosts and operators."""
         settings = self.settings
+        self._messages = MessageSocket(
+            self.loop,
+            settings.host,
+            settings.internal_port + CONTROL_OFFSET,
+            self._take_message,
+            self.counters,
+        )
+        if settings.data_folder:
+            self.core = self._open_log()
+        else:
+            self.core = RelayCore(settings.host, list(settings.seeds), self.random)
+            self.note(Decision("no_disk", "orders are sent on to other hosts"))
+        if settings.orders is not None:
+            self.serve(settings.orders.host, settings.orders.port)
+
+    def _open_log(self) -> ControlCore:
+        """Read the log of this host's disk and take part in the group."""
+        settings = self.settings
         folder = DataFolder(
             Path(settings.data_folder), settings.host, checks_mode=False
         )
@@ -120,16 +144,17 @@
         if isinstance(refused, FolderRefused):
             raise SystemExit(f"{refused.folder}: {refused.detail}")
         recovered = self._recover(folder)
-        starter = min(settings.seeds, default=settings.host)
         replica = Replica(
             recovered,
             [seed for seed in settings.seeds if seed != settings.host],
             self.random,
-            settings.bootstrap and settings.host == starter,
+            settings.bootstrap,
             fewest_voters=2 * settings.lost_disks + 1,
             starts_fast=True,
         )
-        self.core = ControlCore(
+        if settings.host not in settings.seeds:
+            replica.bootstrap_wait_s = NO_SEED_WAIT_S
+        core = ControlCore(
             replica, secrets.randbits(63), settings.lost_disks, self._make_table
         )
         detail = (
@@ -140,15 +165,7 @@
         self._disk = FileDisk(
             folder.path, recovered, self._note_stored, self._fail, self._note_refused
         )
-        self._messages = MessageSocket(
-            self.loop,
-            settings.host,
-            settings.internal_port + CONTROL_OFFSET,
-            self._take_message,
-            self.counters,
-        )
-        if settings.orders is not None:
-            self.serve(settings.orders.host, settings.orders.port)
+        return core
 
     def handle(self, event: object, now: float) -> list:
         """Hand an event to the core."""
@@ -161,10 +178,7 @@
     def use_settings(self, settings: HostSettings) -> None:
         """Take new seeds."""
         super().use_settings(settings)
-        peers = self.core.replica.peers
-        for seed in settings.seeds:
-            if seed != settings.host and seed not in peers:
-                peers.append(seed)
+        self.core.replace_seeds(list(settings.seeds))
 
     def answer_http(self, request: HttpRequest, respond: Respond) -> None:
         """Take an order or a read."""
@@ -190,7 +204,10 @@
             case SendLink(peer=peer, message=message):
                 self._messages.send(encode(message), peer, internal_port)
             case SendUpdate(update=update, host=host, port=port):
-                self._messages.send(encode(update), host, port)
+                target = internal_port if port == CONTROL_PORT else port
+                self._messages.send(encode(update), host, target)
+            case SendPoll(poll=poll, host=host):
+                self._messages.send(encode(poll), host, internal_port)
             case Store():
                 self._disk.submit(effect)
             case Accepted(request=request):
@@ -233,6 +250,9 @@
         if isinstance(message, Poll):
             self.dispatch(Polled(host, port, message))
             return
+        if isinstance(message, Update):
+            self.dispatch(Told(host, message))
+            return
         self.dispatch(LinkMessage(host, message))
 
     def _recover(self, folder: DataFolder) -> Recovered:
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -41,6 +41,7 @@
     Stopping,
     Table,
     Ticked,
+    Told,
     Update,
 )
 
@@ -59,6 +60,10 @@
 """How long a planned stop waits for another host to take up the lead."""
 
 
+CONTROL_PORT = 0
+"""Stands for the port of control hosts, in place of a subscriber's own."""
+
+
 class Order(Struct, frozen=True):
     """Event: an operator's order that is valid."""
 
@@ -101,7 +106,7 @@
 
 
 class SendUpdate(Struct, frozen=True):
-    """Effect: answer a poll or tell the news."""
+    """Effect: answer a poll or tell the news; ``port`` may be CONTROL_PORT."""
 
     update: Update
     host: str
@@ -193,6 +198,11 @@
         """The newest table of this host."""
         return self._table
 
+    def replace_seeds(self, seeds: list[str]) -> None:
+        """Get to know the seeds of settings that have changed."""
+        for seed in seeds:
+            self._meet(seed)
+
     def handle(self, event: object, now: float) -> list:
         """Take one event and return what is to be done."""
         self._started_at = min(self._started_at, now)
@@ -204,6 +214,10 @@
                 return self._run(self.replica.handle(event, now), now)
             case Stored():
                 return self._run(self.replica.handle(event, now), now)
+            case Told(update=update):
+                for host in update.controls:
+                    self._meet(host)
+                return []
             case Ticked():
                 return self._tick(now)
             case Order():
@@ -327,7 +341,7 @@
 
     def _meet(self, peer: str) -> None:
         """Take in a control host that is not known yet."""
-        if peer not in self.replica.peers:
+        if peer not in (self.replica.identity.name, *self.replica.peers):
             self.replica.peers.append(peer)
 
     # Processes that poll.
--- /dev/null
+++ b/fulmarshore/direct/relay.py
@@ -0,0 +1,103 @@
+"""A control host without a disk: it knows who has one, and votes on nothing.
+
+Where more hosts are told to run control than have disks, this one sends
+operators to those that do, and tells processes and control hosts that ask it
+which ones these are.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from fulmarshore.core.records import JoinRequest, LinkMessage
+from fulmarshore.direct.control import (
+    CONTROL_PORT,
+    Elsewhere,
+    Order,
+    Polled,
+    Read,
+    SendUpdate,
+)
+from fulmarshore.direct.records import (
+    Decision,
+    Ended,
+    Poll,
+    SendPoll,
+    Stopping,
+    Ticked,
+    Told,
+    Update,
+)
+from fulmarshore.direct.subscription import Subscription
+
+
+class RelayCore:
+    """Sends operators and processes on to the control hosts with disks.
+
+    Parameters
+    ----------
+    host : str
+        This host's address.
+    seeds : list of str
+        Control hosts from the settings.
+    random : Random
+        Chooses among the control hosts.
+    """
+
+    def __init__(self, host: str, seeds: list[str], random: Random) -> None:
+        self.host = host
+        self.counters: Counter[str] = Counter()
+        self.subscription = Subscription([seed for seed in seeds if seed != host])
+        self._random = random
+        self._voters: list[str] = []
+        self._asking: list[str] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a control host with a disk is known."""
+        return bool(self._voters)
+
+    def replace_seeds(self, seeds: list[str]) -> None:
+        """Take the seeds of settings that have changed."""
+        others = [seed for seed in seeds if seed != self.host]
+        self.subscription.replace_seeds(others)
+
+    def handle(self, event: object, now: float) -> list:
+        """Take one event and return what is to be done."""
+        match event:
+            case Polled(host=host, port=port):
+                return [SendUpdate(self._make_update(), host, port)]
+            case Order(request=request) | Read(request=request):
+                self.counters["orders_redirected"] += 1
+                return [Elsewhere(request, self._choose())]
+            case Told(host=host, update=update):
+                return self._learn(host, update, now)
+            case LinkMessage(peer=peer, message=JoinRequest()):
+                return self._introduce(peer)
+            case Ticked():
+                due = self.subscription.take_due(now)
+                poll = Poll(0, 0, 0, False)
+                return [SendPoll(poll, host) for host in due]
+            case Stopping():
+                return [Decision("stopping"), Ended()]
+        return []
+
+    def _choose(self) -> str:
+        return self._random.choice(self._voters) if self._voters else ""
+
+    def _learn(self, host: str, update: Update, now: float) -> list:
+        heard_again = self.subscription.hear(host, update, now)
+        if update.directory and update.controls:
+            self._voters = list(update.controls)
+        return [Decision("control_heard", host)] if heard_again else []
+
+    def _introduce(self, peer: str) -> list:
+        """Tell a control host that looks for others who else does."""
+        if peer not in self._asking:
+            self._asking.append(peer)
+        return [SendUpdate(self._make_update(), peer, CONTROL_PORT)]
+
+    def _make_update(self) -> Update:
+        known = tuple(dict.fromkeys([*self._voters, *self._asking]))
+        return Update(known, None, 0, 0, 0.0, float("inf"))
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -68,11 +68,34 @@
         self.check(world)
 
     def test_first_configuration_is_accepted_soon_after_the_start(self):
-        for seed in range(5):
-            with self.subTest(seed=seed):
-                world = World(seed=seed)
-                call = world.put(1, ROUTES)
-                self.assertTrue(world.run_until(lambda: call.is_accepted, 3.0))
+        cases = [
+            ("three control hosts", {}, 3.0),
+            ("six", {"controls": 6, "lost_disks": 2}, 5.0),
+            (
+                "eight, none of the last five a seed",
+                {"controls": 8, "lost_disks": 2},
+                5,
+            ),
+            ("a seed has no disk", {"controls": 4, "diskless": 1}, 5.0),
+            ("no seed has a disk", {"controls": 6, "diskless": 3}, 8.0),
+        ]
+        for name, options, limit in cases:
+            for seed in range(5):
+                with self.subTest(name, seed=seed):
+                    world = World(seed=seed, **options)
+                    call = world.put(1, ROUTES)
+                    reached = lambda call=call: call.is_accepted  # noqa: E731
+                    self.assertTrue(world.run_until(reached, limit))
+                    world.run(3.0)
+                    groups = {
+                        core.replica.group
+                        for core in world.cores.values()
+                        if isinstance(core, ControlCore)
+                    }
+                    self.assertEqual(len(groups), 1)
+                    caller = world.call(1, DESK)
+                    world.run(1.0)
+                    self.assertEqual(caller.calls[0].outcome, "answered")
 
 
 @dataclass
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -9,6 +9,7 @@
 import heapq
 import socket
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -62,12 +63,15 @@
     Told,
     UpstreamPacket,
 )
+from fulmarshore.direct.relay import RelayCore
 from fulmarshore.standins.directends import Caller, Upstream, make_flow
 from fulmarshore.standins.disk import FakeDisk
 
 DELAY_S = (0.0003, 0.002)
 SYNC_S = 0.002
 TICK_S = 0.05
+START_SPREAD_S = 0.3
+NO_SEED_WAIT_S = 3.0
 ANNOUNCE_S = 1.0
 ORDER_WAIT_S = 1.0
 """How long an operator waits for an answer before it asks another host."""
@@ -119,6 +123,12 @@
         Upstreams by service, each with its agent.
     loss : float
         Share of datagrams that is lost.
+    lost_disks : int
+        Disks that may be lost at once.
+    diskless : int
+        Control hosts, the first ones, that have no disk.
+    seeds : list of int
+        Which control hosts are seeds; the first three by default.
     """
 
     def __init__(
@@ -129,6 +139,8 @@
         agents: dict[str, int] | None = None,
         loss: float = 0.0,
         lost_disks: int = 1,
+        diskless: int = 0,
+        seeds: list[int] | None = None,
     ) -> None:
         self.random = Random(seed)
         self.now = 0.0
@@ -154,9 +166,14 @@
         self._announced: dict[str, int] = {}
         self.control_hosts = [f"10.0.0.{number + 1}" for number in range(controls)]
         self.entry_hosts = [f"10.0.1.{number + 1}" for number in range(entries)]
+        self.seeds = [self.control_hosts[n] for n in seeds or range(min(3, controls))]
         for number, host in enumerate(self.control_hosts):
             self._zones[host] = f"zone-{number % 3}"
-            self.start_control(host, bootstrap=number == 0)
+            if number < diskless:
+                self._start(host, RelayCore(host, self.seeds, self.random))
+                continue
+            delay = self.random.uniform(0, START_SPREAD_S)
+            self.call_later(delay, partial(self.start_control, host, True))
         for number, host in enumerate(self.entry_hosts):
             self._zones[host] = f"zone-{number % 3}"
             self.start_entry(host)
@@ -201,7 +218,7 @@
         if isinstance(recovered, DamagedFile):
             disk.wipe()
             recovered = self._new_replica(host)
-        peers = [peer for peer in self.control_hosts if peer != host]
+        peers = [peer for peer in self.seeds if peer != host]
         replica = Replica(
             recovered,
             peers,
@@ -210,6 +227,8 @@
             fewest_voters=2 * self.lost_disks + 1,
             starts_fast=True,
         )
+        if host not in self.seeds:
+            replica.bootstrap_wait_s = NO_SEED_WAIT_S
         process = self.random.getrandbits(63)
         core = ControlCore(replica, process, self.lost_disks, make_table)
         self._start(host, core)
@@ -217,16 +236,14 @@
     def start_entry(self, host: str) -> None:
         """Start an entry host."""
         zone = self._zones.setdefault(host, "zone-0")
-        core = EntryCore(host, zone, list(self.control_hosts[:3]), self.random)
+        core = EntryCore(host, zone, list(self.seeds), self.random)
         self._start(host, core)
 
     def start_agent(self, host: str) -> None:
         """Start an agent."""
         zone = self._zones.setdefault(host, "zone-0")
         process = self.random.getrandbits(63)
-        core = AgentCore(
-            host, zone, list(self.control_hosts[:3]), process, UpstreamBounds(1.5, 5)
-        )
+        core = AgentCore(host, zone, list(self.seeds), process, UpstreamBounds(1.5, 5))
         self._start(host, core)
 
     def start_upstream(
