Flows of upstreams that left are reset by their agents

The platform stops an agent after its upstream, so an agent that is stopped when its upstream has departed resets what that one held, and its last report says so: control hosts drop it at once, not counted as missing, and entry hosts reset the flows of hosts that ended so.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -319,7 +319,7 @@
     def _reset_all(self) -> Effects:
         effects: Effects = []
         for key, flow in self._flows.items():
-            if flow.ends == 3:
+            if flow.ends == 3 or not flow.is_open:
                 continue
             reset = make_reset(key, flow.acknowledged)
             effects.append(SendToCaller(reset, key[:4]))
@@ -380,7 +380,11 @@
         self._stop_at = now + self._stop_wait_s
         self._stopping_since = now
         detail = f"{len(self._flows)} flows, {self._busy} busy"
-        return [Decision("stopping", detail), *self._report(now)]
+        effects: Effects = [Decision("stopping", detail)]
+        if self.gate.is_gone:
+            # The platform stops an agent after its upstream: nobody holds these.
+            effects += self._reset_all()
+        return effects + self._report(now)
 
     def _tick(self, now: float) -> Effects:
         effects: Effects = []
@@ -419,6 +423,7 @@
             upstream.slots if upstream is not None else 1,
             len(self._flows),
             self._busy,
+            self._stop_at is not None and self.gate.is_gone,
         )
         poll = Poll(self.tables.table.index, 0, 0, False, report)
         return [SendPoll(poll, host) for host in due]
--- a/fulmarshore/direct/directory.py
+++ b/fulmarshore/direct/directory.py
@@ -37,6 +37,7 @@
         "_heard_at",
         "_changed",
         "_gone",
+        "_ended",
     )
 
     def __init__(self, process: int) -> None:
@@ -47,6 +48,7 @@
         self._heard_at: dict[str, float] = {}
         self._changed: dict[str, int] = {}
         self._gone: dict[str, int] = {}
+        self._ended: set[str] = set()
 
     def take(self, report: AgentReport, now: float) -> bool:
         """Take an agent's report; whether entry hosts should hear of it."""
@@ -54,6 +56,8 @@
         if held is not None and held.process == report.process:
             if report.revision < held.revision:
                 return False
+        if report.is_ended:
+            return self._end(report.host)
         self._heard_at[report.host] = now
         self._reports[report.host] = report
         if held is not None and not is_news(held, report):
@@ -61,6 +65,7 @@
         self.revision += 1
         self._changed[report.host] = self.revision
         self._gone.pop(report.host, None)
+        self._ended.discard(report.host)
         return True
 
     def expire(self, now: float) -> list[str]:
@@ -74,27 +79,40 @@
             if now - heard_at > AGENT_SILENCE_S
         ]
         for host in silent:
-            del self._heard_at[host], self._reports[host], self._changed[host]
-            self.revision += 1
+            self._drop(host)
             self.missing_at = now
-            self._gone[host] = self.revision
-        while len(self._gone) > KEPT_CHANGES:
-            del self._gone[next(iter(self._gone))]
         return silent
 
+    def _end(self, host: str) -> bool:
+        """Take an agent's last word; whether it is news."""
+        if host not in self._reports:
+            return False
+        self._drop(host)
+        self._ended.add(host)
+        return True
+
+    def _drop(self, host: str) -> None:
+        del self._heard_at[host], self._reports[host], self._changed[host]
+        self.revision += 1
+        self._gone[host] = self.revision
+        while len(self._gone) > KEPT_CHANGES:
+            oldest = next(iter(self._gone))
+            del self._gone[oldest]
+            self._ended.discard(oldest)
+
     def list_since(
         self, process: int, revision: int
-    ) -> tuple[bool, tuple[AgentReport, ...], tuple[str, ...]]:
-        """Return whether the list is whole, what changed, and who is gone."""
+    ) -> tuple[bool, tuple[AgentReport, ...], tuple[str, ...], tuple[str, ...]]:
+        """Return whether the list is whole, what changed, who is gone or ended."""
         if process != self.process or self.revision - revision > KEPT_CHANGES:
-            return True, tuple(self._reports.values()), ()
+            return True, tuple(self._reports.values()), (), ()
         if revision >= self.revision:
-            return False, (), ()
+            return False, (), (), ()
         changed = tuple(
             self._reports[host] for host, at in self._changed.items() if at > revision
         )
         gone = tuple(host for host, at in self._gone.items() if at > revision)
-        return False, changed, gone
+        return False, changed, gone, tuple(self._ended.intersection(gone))
 
 
 def is_news(held: AgentReport, report: AgentReport) -> bool:
@@ -165,6 +183,9 @@
             news.append(report)
         for host in update.gone:
             news += self._drop(control, host)
+        for host in update.ended:
+            self._sources.get(host, set()).clear()
+            news += self._drop(control, host)
         return news
 
     def forget_control(self, control: str) -> list[AgentReport | str]:
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -153,6 +153,7 @@
         self._flows: dict[bytes, Flow] = {}
         self._parked: dict[bytes, Parked] = {}
         self._knows_all = False
+        self._ended: set[str] = set()
         self._missing_at = float("-inf")
         self._swept_at = float("-inf")
         self._stop_at: float | None = None
@@ -199,6 +200,10 @@
         flow.seen_at = now
         if packet.is_ending:
             self._end(flow)
+        if len(flow.agents) == 1 and flow.agents[0] in self._ended:
+            del self._flows[packet.flow]
+            self._uncount(flow)
+            return self._reject(packet, "upstream_ended")
         mark = NO_MARK if len(flow.agents) == 1 else MARK_SEEKING
         marked = mark_packet(packet, mark, self._return_host)
         return [SendToAgent(marked, host) for host in flow.agents]
@@ -409,6 +414,7 @@
             effects.append(Decision("table_taken", detail))
         for item in self.agents.take(host, update):
             effects += self._note_agent(item, now)
+        self._ended.update(update.ended)
         self._missing_at = max(self._missing_at, now - update.missing_s)
         if update.age_s >= SETTLED_S:
             self._knows_all = True
@@ -421,6 +427,7 @@
             self._placement.drop(item)
             return [Decision("agent_gone", item)]
         self._placement.take(item)
+        self._ended.discard(item.host)
         detail = (
             f"{item.host}, service {item.service or 'unknown'}, "
             f"accepting {item.is_accepting}, cold {item.is_cold}"
--- a/fulmarshore/direct/gate.py
+++ b/fulmarshore/direct/gate.py
@@ -148,6 +148,11 @@
         """Let nothing new pass: the agent is about to stop."""
         self._is_stopping = True
 
+    @property
+    def is_gone(self) -> bool:
+        """Whether the present incarnation has ended, or was told to be gone."""
+        return self._is_gone
+
     def is_cold(self, now: float) -> bool:
         """Whether the upstream bears only a little."""
         return now < self._cold_until
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -97,6 +97,8 @@
         Requests that the upstream works on at once.
     flows, busy : int
         Flows held, and those with a request under way.
+    is_ended : bool
+        Whether the upstream is gone for good, with all its flows.
     """
 
     host: str
@@ -109,6 +111,7 @@
     slots: int
     flows: int
     busy: int
+    is_ended: bool = False
 
 
 class Poll(Record, frozen=True):
@@ -156,6 +159,8 @@
         Agents that are new or have changed.
     gone : tuple of str
         Hosts whose agents were not heard of for too long.
+    ended : tuple of str
+        Those of them that said their upstream is gone for good.
     """
 
     controls: tuple[str, ...]
@@ -167,6 +172,7 @@
     is_whole: bool = False
     reports: tuple[AgentReport, ...] = ()
     gone: tuple[str, ...] = ()
+    ended: tuple[str, ...] = ()
 
 
 # --------------------------------------------------------------------------
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -192,6 +192,36 @@
         world.run(0.05)
         self.assertEqual({call.outcome for call in calls}, {"reset"})
 
+    def test_flows_of_an_upstream_that_left_end_with_it(self):
+        world = make_world()
+        callers = [world.call(number, STORE) for number in range(6)]
+        world.run(1.0)
+        for host, upstream in list(world.upstreams.items()):
+            if upstream.service != "store":
+                continue
+            world.depart(host)
+            world.run(0.1)
+            self.assertFalse(any(c.is_reset for c in callers if c.is_open))
+            world.stop(host)
+        world.run(0.1)
+        self.assertTrue(all(caller.is_reset for caller in callers))
+
+    def test_reset_that_was_lost_is_repeated_by_the_entry_host(self):
+        world = make_world()
+        callers = [world.call(number, STORE) for number in range(6)]
+        world.run(1.0)
+        for host, upstream in list(world.upstreams.items()):
+            if upstream.service == "store":
+                world.depart(host)
+                world.loss_to_callers = 1.0
+                world.stop(host)
+        world.run(0.1)
+        world.loss_to_callers = 0.0
+        self.assertFalse(any(caller.is_reset for caller in callers))
+        calls = [c.request(b"again-%d" % n) for n, c in enumerate(callers)]
+        world.run(0.05)
+        self.assertEqual({call.outcome for call in calls}, {"reset"})
+
     def test_dead_flows_after_a_loss_of_everything_do_not_circulate(self):
         world = make_world()
         callers = [world.call(number, DESK) for number in range(10)]
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -157,6 +157,7 @@
         self.reads: list[tuple[float, float, int]] = []
         self.draining: set[str] = set()
         self.answer_loss = 0.0
+        self.loss_to_callers = 0.0
         self.packets_sent = 0
         self._zones: dict[str, str] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -496,6 +497,8 @@
     def _deliver_caller(self, content: bytes) -> None:
         flow = content[6:12] + content[:6]
         caller = self.callers.get(flow)
+        if self.random.random() < self.loss_to_callers:
+            return
         if caller is not None and self.random.random() >= self.loss:
             self.call_later(self.random.uniform(*DELAY_S), lambda: caller.take(content))
 
