A search for a flow costs the entry host one packet

Now the entry host sends the packet once, with the list of agents, to one of these; that agent asks the others over its own link and tells the entry host who holds the flow, or that nobody does. Packets of a flow that is being searched for wait for the outcome.

--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -22,11 +22,15 @@
     Respond,
 )
 from fulmarshore.adapters.logs import LineLog
-from fulmarshore.adapters.messages import MessageSocket, open_datagram_socket
-from fulmarshore.direct.packets import MAX_PACKET_BYTES
+from fulmarshore.adapters.messages import (
+    RECEIVE_BYTES,
+    MessageSocket,
+    open_datagram_socket,
+)
 from fulmarshore.direct.records import (
     Decision,
     Ended,
+    ReturnedPacket,
     SendPoll,
     Stopping,
     Ticked,
@@ -35,6 +39,7 @@
 )
 from fulmarshore.direct.settings import (
     CONTROL_OFFSET,
+    RETURN_OFFSET,
     HostSettings,
     SettingsProblem,
 )
@@ -149,7 +154,7 @@
         def read() -> None:
             for _ in range(PACKET_BATCH):
                 try:
-                    content = reader.recv(MAX_PACKET_BYTES + 1)
+                    content = reader.recv(RECEIVE_BYTES)
                 except BlockingIOError:
                     return
                 except OSError:
@@ -212,6 +217,24 @@
             self.loop, self.settings.host, port, self._take_message, self.counters
         )
 
+    def open_returned(self) -> None:
+        """Open the socket for what agents hand back, with their addresses."""
+        port = self.settings.internal_port + RETURN_OFFSET
+        opened = open_datagram_socket(self.settings.host, port)
+
+        def read() -> None:
+            for _ in range(PACKET_BATCH):
+                try:
+                    content, sender = opened.recvfrom(RECEIVE_BYTES)
+                except BlockingIOError:
+                    return
+                except OSError:
+                    self.counters["packets_read_errors"] += 1
+                    return
+                self.dispatch(ReturnedPacket(content, sender[0]))
+
+        self.loop.watch(opened, read)
+
     def send_poll(self, effect: SendPoll) -> None:
         """Ask a control host what is new."""
         port = self.settings.internal_port + CONTROL_OFFSET
--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -16,6 +16,7 @@
     CallerPacket,
     Departed,
     SendPoll,
+    SendToAgent,
     SendToCaller,
     SendToEntry,
     SendToUpstream,
@@ -69,6 +70,7 @@
         outbound = settings.outbound
         self._outbound = self.open_packets(outbound.host, outbound.port, UpstreamPacket)
         self._open_upstream()
+        self.open_returned()
         self.open_messages()
         for endpoint in (settings.readiness, settings.orders):
             if endpoint is not None:
@@ -122,6 +124,8 @@
                 port = settings.internal_port + RETURN_OFFSET
                 entry = socket.inet_ntoa(host)
                 self.send_packet(self._packets, content, entry, port)
+            case SendToAgent(content=content, host=host):
+                self.send_packet(self._packets, content, host, settings.packet_port)
             case SendPoll():
                 self.send_poll(effect)
             case _:
--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -4,18 +4,15 @@
 
 import socket
 
-from fulmarshore.adapters.messages import open_datagram_socket
 from fulmarshore.daemons.direct import Load, SubscribedDaemon
 from fulmarshore.direct.entry import EntryCore
-from fulmarshore.direct.packets import MAX_PACKET_BYTES
 from fulmarshore.direct.records import (
     CallerPacket,
-    ReturnedPacket,
     SendPoll,
     SendToAgent,
     SendToCaller,
 )
-from fulmarshore.direct.settings import ENTRY_OFFSET, RETURN_OFFSET, HostSettings
+from fulmarshore.direct.settings import ENTRY_OFFSET, HostSettings
 
 
 class EntryDaemon(SubscribedDaemon):
@@ -39,7 +36,7 @@
         self._packets = self.open_packets(
             settings.host, settings.packet_port, CallerPacket
         )
-        self._returned = self._open_returned()
+        self.open_returned()
         self.open_messages()
         if settings.readiness is not None:
             self.serve(settings.readiness.host, settings.readiness.port)
@@ -70,22 +67,3 @@
                 self.send_poll(effect)
             case _:
                 raise TypeError(f"unexpected effect {effect!r}")
-
-    def _open_returned(self) -> socket.socket:
-        """Return the socket for what agents hand back, with their addresses."""
-        port = self.settings.internal_port + RETURN_OFFSET
-        opened = open_datagram_socket(self.settings.host, port)
-
-        def read() -> None:
-            while True:
-                try:
-                    content, sender = opened.recvfrom(MAX_PACKET_BYTES + 1)
-                except BlockingIOError:
-                    return
-                except OSError:
-                    self.counters["packets_read_errors"] += 1
-                    return
-                self.dispatch(ReturnedPacket(content, sender[0]))
-
-        self.loop.watch(opened, read)
-        return opened
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -18,6 +18,7 @@
     MARK_NOT_HELD,
     MARK_REFUSED,
     MARK_REFUSED_CLOSED,
+    MARK_SEARCH,
     MARK_SEEKING,
     NO_HOST,
     RST,
@@ -37,6 +38,7 @@
     Departed,
     Ended,
     Poll,
+    ReturnedPacket,
     SendPoll,
     SendToCaller,
     SendToEntry,
@@ -48,6 +50,7 @@
     UpstreamMoved,
     UpstreamPacket,
 )
+from fulmarshore.direct.searches import SearchRounds, split_search
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
 
@@ -122,6 +125,7 @@
         self._stop_wait_s = grace_s * STOP_SHARE
         self._process = process
         self._own_host = socket.inet_aton(host)
+        self._searches = SearchRounds(self._own_host)
         self._flows: dict[bytes, AgentFlow] = {}
         self._busy = 0
         self._remembers_all = False
@@ -159,6 +163,8 @@
                 return self._take_caller(content, now)
             case UpstreamPacket(content=content):
                 return self._take_upstream(content, now)
+            case ReturnedPacket(content=content):
+                return self._searches.take_note(content)
             case Announced():
                 return self._take_announcement(event, now)
             case Departed(upstream=upstream):
@@ -181,14 +187,13 @@
     def _take_caller(self, content: bytes, now: float) -> Effects:
         packet = parse_packet(content)
         if packet is None:
-            self.counters["packets_malformed"] += 1
-            return []
+            return self._take_search(content, now)
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
             return self._open(packet, flow, now)
         if flow is None:
             if self._remembers_all:
-                return self._tell_not_held(packet)
+                return self._tell_not_held(packet, packet.mark == MARK_SEEKING)
             # The agent may have lost its memory: only the upstream knows.
             self.counters["flows_asked_for"] += 1
             flow = self._flows[packet.flow] = AgentFlow(now, False)
@@ -209,6 +214,15 @@
             self._rest(flow)
         return effects
 
+    def _take_search(self, content: bytes, now: float) -> Effects:
+        """Search for the agent that holds a flow, for an entry host."""
+        found = split_search(content)
+        if found is None or found[0].mark != MARK_SEARCH:
+            self.counters["packets_malformed"] += 1
+            return []
+        self.counters["searches"] += 1
+        return self._searches.begin(*found, now)
+
     def _open(self, packet: Packet, flow: AgentFlow | None, now: float) -> Effects:
         if flow is not None:
             return self._open_again(packet, flow, now)
@@ -248,12 +262,14 @@
         note = make_note(packet, MARK_HELD, self._own_host)
         return SendToEntry(note, packet.return_host)
 
-    def _tell_not_held(self, packet: Packet) -> Effects:
+    def _tell_not_held(self, packet: Packet, is_sought: bool) -> Effects:
+        """Say that a flow is not held here; nobody else has its packet yet."""
         self.counters["packets_not_held"] += 1
         if packet.return_host == NO_HOST:
             return []
-        returned = mark_packet(packet, MARK_NOT_HELD, self._own_host)
-        return [SendToEntry(returned, packet.return_host)]
+        make = make_note if is_sought else mark_packet
+        content = make(packet, MARK_NOT_HELD, self._own_host)
+        return [SendToEntry(content, packet.return_host)]
 
     # From the upstream.
 
@@ -304,7 +320,8 @@
                     SendToCaller(reset, packet.caller_host),
                     Decision("flow_reset", "upstream lost it", packet.flow),
                 ]
-        return self._tell_not_held(packet)
+        is_sought = flow is not None and flow.asker != NO_HOST
+        return self._tell_not_held(packet, is_sought)
 
     def _note_closed(self, now: float) -> Effects:
         """Give up the flows of an upstream that nobody listens for."""
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -18,6 +18,7 @@
 
 from fulmarshore.direct.directory import KnownAgents
 from fulmarshore.direct.packets import (
+    MARK_DENIED,
     MARK_HELD,
     MARK_NOT_HELD,
     MARK_REFUSED,
@@ -46,6 +47,7 @@
     Ticked,
     Told,
 )
+from fulmarshore.direct.searches import make_search
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
 
@@ -59,6 +61,11 @@
 """How long an opening that no agent takes waits for one, then it is rejected:
 less than half of what a caller waits for an answer to it, 1.4 s."""
 MAX_PARKED = 2000
+SEARCH_S = 0.15
+"""How long a search has before the caller's next packet begins another: less
+than the protocol's first interval between repetitions, 0.2 s."""
+MAX_PENDING = 16
+"""Packets that wait for a search; a caller has no more in flight."""
 SETTLED_S = 0.6
 """A control host that has listened to agents for this long, more than the
 interval of their reports, knows all that are there."""
@@ -97,9 +104,22 @@
         Agents that got its opening, or were asked for it.
     counted : str or None
         The agent whose load it counts for.
+    pending : list of Packet
+        Packets that came since its search began.
+    sought_at : float
+        When its search began.
     """
 
-    __slots__ = ("agents", "asked", "seen_at", "stage", "is_ended", "counted")
+    __slots__ = (
+        "agents",
+        "asked",
+        "seen_at",
+        "stage",
+        "is_ended",
+        "counted",
+        "pending",
+        "sought_at",
+    )
 
     def __init__(self, stage: Stage, now: float) -> None:
         self.agents: list[str] = []
@@ -108,6 +128,8 @@
         self.stage = stage
         self.is_ended = False
         self.counted: str | None = None
+        self.pending: list[Packet] = []
+        self.sought_at = float("-inf")
 
 
 class Parked(Struct):
@@ -287,7 +309,7 @@
         return self._reject(packet, "no_agent")
 
     def _seek(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
-        """Ask the agents that a flow may be with, those of its route first."""
+        """Search for the agent of a flow, first among those of its route."""
         if packet.flags & RST:
             return []
         route = self.tables.find_route(packet.service_address)
@@ -295,19 +317,32 @@
             if not self.tables.is_known:
                 return []
             return self._reject(packet, "no_route")
-        if flow is None or flow.stage is not Stage.SOUGHT or not flow.agents:
-            flow = self._flows[packet.flow] = Flow(Stage.SOUGHT, now)
-            self.counters["flows_sought"] += 1
+        if flow is not None and now - flow.sought_at < SEARCH_S:
+            if len(flow.pending) < MAX_PENDING:
+                flow.pending.append(packet)
+            return []
+        flow = self._flows[packet.flow] = Flow(Stage.SOUGHT, now)
+        flow.sought_at = now
+        flow.pending.append(packet)
+        self.counters["flows_sought"] += 1
         hosts: list[str] = []
         for backend in route.backends:
             hosts += self._placement.list_hosts(backend.service)
-        return self._ask(packet, flow, hosts)
+        return self._ask(flow, hosts, now) or self._ask_others(flow, now)
 
-    def _ask(self, packet: Packet, flow: Flow, hosts: list[str]) -> Effects:
-        flow.agents = [host for host in hosts if host not in flow.asked]
-        flow.asked += flow.agents
-        marked = mark_packet(packet, MARK_SEEKING, self._return_host)
-        return [SendToAgent(marked, host) for host in flow.agents]
+    def _ask(self, flow: Flow, hosts: list[str], now: float) -> Effects:
+        """Let one of several agents ask all of them."""
+        asked = [host for host in hosts if host not in flow.asked]
+        if not asked:
+            return []
+        flow.asked += asked
+        in_charge = self._placement.choose_any(asked, now)
+        search = make_search(flow.pending[0], asked, self._return_host)
+        return [SendToAgent(search, in_charge)]
+
+    def _ask_others(self, flow: Flow, now: float) -> Effects:
+        """Ask agents of other services: a route may have led there before."""
+        return self._ask(flow, self._placement.list_all_hosts(), now)
 
     def _reject(self, packet: Packet, reason: str) -> Effects:
         self.counters[f"rejected_{reason}"] += 1
@@ -328,9 +363,11 @@
         if flow is None:
             return []
         if packet.mark == MARK_HELD:
-            return self._settle(flow, host)
+            return self._settle(flow, socket.inet_ntoa(packet.return_host))
         if packet.mark == MARK_NOT_HELD:
             return self._miss(packet, flow, host, now)
+        if packet.mark == MARK_DENIED:
+            return self._take_denial(packet, flow, now)
         if packet.mark not in (MARK_REFUSED, MARK_REFUSED_CLOSED):
             self.counters["packets_malformed"] += 1
             return []
@@ -339,6 +376,7 @@
         return self._reoffer(packet, flow, host, now)
 
     def _settle(self, flow: Flow, host: str) -> Effects:
+        """Go on with the agent that holds a flow."""
         flow.agents = [host]
         flow.stage = Stage.SETTLED
         if flow.counted != host:
@@ -346,7 +384,12 @@
             if not flow.is_ended:
                 flow.counted = host
                 self._placement.note_opened(host)
-        return []
+        # The first packet reached the agent with the search.
+        waiting = [
+            mark_packet(held, NO_MARK, self._return_host) for held in flow.pending[1:]
+        ]
+        flow.pending.clear()
+        return [SendToAgent(content, host) for content in waiting]
 
     def _miss(self, packet: Packet, flow: Flow, host: str, now: float) -> Effects:
         """Go on without an agent that does not hold a flow."""
@@ -356,17 +399,17 @@
         flow.agents.remove(host)
         if flow.agents:
             return []
-        if flow.stage is not Stage.SOUGHT:
-            self._uncount(flow)
-            sought = self._flows[packet.flow] = Flow(Stage.SOUGHT, now)
-            sought.asked.append(host)
-            self.counters["flows_sought"] += 1
-            return self._seek(packet, sought, now) or self._ask_others(packet, sought)
-        return self._ask_others(packet, flow) or self._conclude(packet, now)
+        self._uncount(flow)
+        del self._flows[packet.flow]
+        if not packet.flags:
+            # A note: the caller's next packet begins the search.
+            return []
+        return self._seek(packet, None, now)
 
-    def _ask_others(self, packet: Packet, flow: Flow) -> Effects:
-        """Ask agents of other services: a route may have led there before."""
-        return self._ask(packet, flow, self._placement.list_all_hosts())
+    def _take_denial(self, packet: Packet, flow: Flow, now: float) -> Effects:
+        if flow.stage is not Stage.SOUGHT or not flow.pending:
+            return []
+        return self._ask_others(flow, now) or self._conclude(flow.pending[0], now)
 
     def _conclude(self, packet: Packet, now: float) -> Effects:
         """Reset a flow that every agent there is has denied."""
--- a/fulmarshore/direct/packets.py
+++ b/fulmarshore/direct/packets.py
@@ -27,15 +27,19 @@
 
 NO_MARK = 0
 MARK_SEEKING = 1
-"""From an entry host: several agents got this packet, the holder answers."""
+"""Several agents got this packet; each says whether it holds the flow."""
 MARK_HELD = 2
-"""From an agent: the flow of this header is held here."""
+"""Note of an agent: the flow is held on the host named."""
 MARK_NOT_HELD = 3
-"""From an agent: the flow of this packet is not held here."""
+"""From an agent, a packet or a note: the flow is not held here."""
 MARK_REFUSED = 4
 """From an agent: the opening may be offered to another upstream."""
 MARK_REFUSED_CLOSED = 5
 """From an agent: as before, and no opening is taken until further notice."""
+MARK_SEARCH = 6
+"""From an entry host: ask the agents listed behind the packet for its flow."""
+MARK_DENIED = 7
+"""From the agent in charge of a search: no agent that was asked holds it."""
 
 NO_HOST = b"\0\0\0\0"
 
@@ -60,7 +64,8 @@
     mark : int
         Why one of our hosts handed on the packet.
     return_host : bytes
-        Address of the entry host that takes the packet back, four bytes.
+        Address of the host that takes the packet back, four bytes; in a note,
+        of the host that it tells about.
     sequence, acknowledged : int
         Positions in the streams of bytes of both directions.
     length : int
@@ -139,10 +144,10 @@
     return content[:_FLAGS_AT] + marks + content[_SEQUENCE_AT:]
 
 
-def make_note(packet: Packet, mark: int, return_host: bytes) -> bytes:
-    """Return a header without data that tells about the flow of a packet."""
+def make_note(packet: Packet, mark: int, host: bytes) -> bytes:
+    """Return a header without data that tells what a host knows of a flow."""
     addresses = packet.flow + bytes(6)
-    marks = bytes((0, mark, 0, 0)) + return_host
+    marks = bytes((0, mark, 0, 0)) + host
     return addresses + marks + bytes(8)
 
 
--- a/fulmarshore/direct/placement.py
+++ b/fulmarshore/direct/placement.py
@@ -84,6 +84,22 @@
         """Return every agent."""
         return list(self._candidates)
 
+    def choose_any(self, hosts: list[str], now: float) -> str:
+        """Return one of several agents that is likely to answer soon."""
+        best = hosts[0]
+        best_rank = (float("inf"), 0.0)
+        for host in hosts:
+            candidate = self._candidates.get(host)
+            cost = 10_000.0 if candidate is None else 0.0
+            if candidate is not None and candidate.suspect_until > now:
+                cost += 100.0
+            if candidate is not None and candidate.report.zone != self._zone:
+                cost += 1.0
+            rank = (cost, self._random.random())
+            if rank < best_rank:
+                best, best_rank = host, rank
+        return best
+
     def choose(
         self,
         service: str,
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -240,9 +240,9 @@
             world.start_agent(host)
         world.run(0.2)
         calls = [c.request(b"again-%d" % n) for n, c in enumerate(callers)]
-        before = world.packets_sent
+        before = world.packets_by_host.total()
         world.run(1.0)
-        self.assertLess(world.packets_sent - before, 1500)
+        self.assertLess(world.packets_by_host.total() - before, 1500)
         world.run(2.5)
         self.assertEqual({call.outcome for call in calls}, {"reset"})
 
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -8,6 +8,7 @@
 
 import heapq
 import socket
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from itertools import count
@@ -158,7 +159,7 @@
         self.draining: set[str] = set()
         self.answer_loss = 0.0
         self.loss_to_callers = 0.0
-        self.packets_sent = 0
+        self.packets_by_host: Counter[str] = Counter()
         self._zones: dict[str, str] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count()
@@ -481,7 +482,7 @@
     def _deliver(self, source: str, target: str, event: object) -> None:
         if (source, target) in self.cuts or self.random.random() < self.loss:
             return
-        self.packets_sent += 1
+        self.packets_by_host[source] += 1
         life = self._lives.get(target, 0)
 
         def arrive() -> None:
