--- a/fulmarshore/adapters/metrics.py
+++ b/fulmarshore/adapters/metrics.py
@@ -15,16 +15,18 @@
 from wsgiref.simple_server import WSGIServer
 
 from msgspec import Struct
-from prometheus_client import CollectorRegistry, start_http_server
+from prometheus_client import CollectorRegistry, generate_latest, start_http_server
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
+    HistogramMetricFamily,
     InfoMetricFamily,
     Metric,
 )
 from prometheus_client.registry import Collector
 
 from fulmarshore.core.records import Address
+from fulmarshore.direct.latency import BOUNDS_S, Latency
 
 Gauges = dict[str, float]
 PREFIX = "fulmarshore_"
@@ -56,6 +58,9 @@
     Family("runs_refused", "reason", "Requests that an executor did not start."),
     Family("hint_polls", "outcome", "Questions to the upstream's endpoints."),
     Family("changes", "status", "Operators' changes answered."),
+    Family("rejected", "reason", "Flows reset at an entry host."),
+    Family("decisions", "kind", "Decisions by the kind of their line."),
+    Family("orders_answered", "status", "Operators' orders over HTTP, answered."),
 )
 HELP = {
     "flows_opened": "Flows admitted to the upstream.",
@@ -84,6 +89,8 @@
     "log_damaged": "Starts with a damaged log file.",
     "timeline_overwritten": "Events lost before they were written.",
     "timeline_failed_writes": "Failed writes of the time line.",
+    "work_seconds": "Time from a request at the upstream to its first answer.",
+    "order_seconds": "Time from an order to its acceptance.",
     "clock_refused": "Clock values too far ahead of real time.",
 }
 
@@ -99,6 +106,8 @@
         Returns the counters of the cores and adapters.
     read_gauges : callable
         Returns the current values by name.
+    latencies : dict of str to Latency, optional
+        Histograms of durations by name.
     """
 
     def __init__(
@@ -106,8 +115,10 @@
         role: str,
         list_counters: Callable[[], list[Counter[str]]],
         read_gauges: Callable[[], Gauges],
+        latencies: dict[str, Latency] | None = None,
     ) -> None:
         self._role = role
+        self._latencies = latencies or {}
         self._list_counters = list_counters
         self._read_gauges = read_gauges
 
@@ -135,10 +146,30 @@
             )
             gauge.add_metric([self._role], value)
             yield gauge
+        for name, latency in self._latencies.items():
+            yield self._describe_latency(name, latency)
         build = InfoMetricFamily(PREFIX + "build", "What runs here.")
         build.add_metric([], {"role": self._role, **describe_build()})
         yield build
 
+    def _describe_latency(self, name: str, latency: Latency) -> Metric:
+        text = HELP.get(name, f"Durations of the kind {name}, seconds.")
+        metric = HistogramMetricFamily(PREFIX + name, text, labels=["role"])
+        buckets = []
+        seen = 0
+        for bound, count in zip((*BOUNDS_S, "+Inf"), latency.counts, strict=True):
+            seen += count
+            buckets.append((str(bound), seen))
+        metric.add_metric([self._role], buckets, latency.total_s)
+        return metric
+
+
+def render_metrics(collector: Collector) -> bytes:
+    """Return the metrics of a collector as text."""
+    registry = CollectorRegistry()
+    registry.register(collector)
+    return generate_latest(registry)
+
 
 def split_counter(name: str) -> tuple[Family, str]:
     """Return the metric of a counter and the value of its label."""
--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -27,6 +27,7 @@
     MessageSocket,
     open_datagram_socket,
 )
+from fulmarshore.direct.latency import Latency
 from fulmarshore.direct.records import (
     Decision,
     Ended,
@@ -47,6 +48,8 @@
 TICK_INTERVAL_S = 0.1
 RELOAD_INTERVAL_S = 1.0
 """How often the settings are looked at: they may change without a signal."""
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4"
 PACKET_BATCH = 128
 """Packets taken before timers and other sockets get their turn."""
 
@@ -79,7 +82,9 @@
         load: Load,
         tick_s: float = TICK_INTERVAL_S,
     ) -> None:
+        self.role = role
         self.settings = settings
+        self.core: object = None
         self.counters: Counter[str] = Counter()
         self.loop = EventLoop()
         self.random = Random(secrets.randbits(64))
@@ -105,6 +110,14 @@
     def is_ready(self) -> bool:
         """Whether probes are told that the host may be used."""
 
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values for the metrics."""
+        return {}
+
+    def list_latencies(self) -> dict[str, Latency]:
+        """Return the histograms for the metrics."""
+        return {}
+
     def use_settings(self, settings: HostSettings) -> None:
         """Take settings that have changed."""
         self.settings = settings
@@ -183,8 +196,24 @@
         if request.method == "GET" and request.path == "/v1/ready":
             respond(HttpResponse(200 if self.is_ready() else 503))
             return
+        if request.method == "GET" and request.path == METRICS_PATH:
+            content = self._render_metrics()
+            respond(HttpResponse(200, content, content_type=METRICS_TYPE))
+            return
         self.answer_http(request, respond)
 
+    def _render_metrics(self) -> bytes:
+        """Return the metrics; their library is loaded when somebody asks."""
+        from fulmarshore.adapters.metrics import CoreCollector, render_metrics
+
+        collector = CoreCollector(
+            self.role,
+            lambda: [self.counters, self.core.counters],
+            self.read_gauges,
+            self.list_latencies(),
+        )
+        return render_metrics(collector)
+
     def _tick(self) -> None:
         self.dispatch(Ticked())
         self.loop.call_later(self._tick_s, self._tick)
--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -10,6 +10,7 @@
 from fulmarshore.adapters.messages import open_datagram_socket
 from fulmarshore.daemons.direct import Load, SubscribedDaemon
 from fulmarshore.direct.agent import AgentCore
+from fulmarshore.direct.latency import Latency
 from fulmarshore.direct.packets import MAX_PACKET_BYTES
 from fulmarshore.direct.records import (
     Announced,
@@ -84,6 +85,21 @@
         """Whether the agent knows what it needs."""
         return self.core.is_ready
 
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values for the metrics."""
+        core = self.core
+        table = core.tables.table
+        return {
+            "flows": core.flow_count,
+            "busy": core.busy,
+            "version": table.version,
+            "index": table.index,
+        }
+
+    def list_latencies(self) -> dict[str, Latency]:
+        """Return the histograms for the metrics."""
+        return {"work_seconds": self.core.work}
+
     def use_settings(self, settings: HostSettings) -> None:
         """Take new seeds, and another address of the upstream."""
         former = self.settings
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import secrets
+import time
 from collections.abc import Callable
+from http import HTTPStatus
 from pathlib import Path
 from typing import Union
 
@@ -48,6 +50,7 @@
     Read,
     SendUpdate,
 )
+from fulmarshore.direct.latency import Latency
 from fulmarshore.direct.orders import OrderState
 from fulmarshore.direct.records import Decision, Poll, SendPoll, Table, Told, Update
 from fulmarshore.direct.relay import RelayCore
@@ -112,7 +115,8 @@
         self._read_order = read_order
         self._make_table = make_table
         self._format_newest = format_newest
-        self._responses: dict[int, tuple[Respond, str]] = {}
+        self._responses: dict[int, tuple[Respond, str, float]] = {}
+        self._order_time = Latency()
         self._requests = 0
         self._disk: FileDisk | None = None
 
@@ -175,6 +179,23 @@
         """Whether a leader is known."""
         return self.core.is_ready
 
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values for the metrics."""
+        if isinstance(self.core, RelayCore):
+            return {}
+        replica = self.core.replica
+        return {
+            "version": self.core.state.version,
+            "term": replica.term,
+            "commit": replica.commit,
+            "leader": int(replica.is_leader),
+            "voters": len(replica.current_voters),
+        }
+
+    def list_latencies(self) -> dict[str, Latency]:
+        """Return the histograms for the metrics."""
+        return {"order_seconds": self._order_time}
+
     def use_settings(self, settings: HostSettings) -> None:
         """Take new seeds."""
         super().use_settings(settings)
@@ -191,7 +212,7 @@
             respond(found)
             return
         self._requests += 1
-        self._responses[self._requests] = (respond, request.path)
+        self._responses[self._requests] = (respond, request.path, time.monotonic())
         if isinstance(found, ReadNewest):
             self.dispatch(Read(self._requests))
             return
@@ -220,7 +241,9 @@
                 raise TypeError(f"unexpected effect {effect!r}")
 
     def _respond(self, request: int, response: HttpResponse) -> None:
-        respond, path = self._responses.pop(request)
+        respond, _, asked_at = self._responses.pop(request)
+        if response.status == HTTPStatus.OK:
+            self._order_time.observe(time.monotonic() - asked_at)
         self.counters[f"orders_answered_{response.status}"] += 1
         respond(response)
 
@@ -231,7 +254,7 @@
         self._respond(request, HttpResponse(200, self._format_newest(state)))
 
     def _redirect(self, request: int, leader: str) -> None:
-        _, path = self._responses[request]
+        _, path, _ = self._responses[request]
         if not leader or leader == self.settings.host:
             body = b'{"error":"no leader is known"}'
             response = HttpResponse(503, body, retry_after_s=RETRY_AFTER_S)
--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -49,6 +49,17 @@
         """Whether callers' packets should come here."""
         return self.core.is_ready
 
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values for the metrics."""
+        core = self.core
+        table = core.tables.table
+        return {
+            "flows": core.flow_count,
+            "agents": len(core.agents),
+            "version": table.version,
+            "index": table.index,
+        }
+
     def use_settings(self, settings: HostSettings) -> None:
         """Take new seeds."""
         super().use_settings(settings)
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -11,6 +11,7 @@
 from collections import Counter
 
 from fulmarshore.direct.gate import Gate, UpstreamBounds
+from fulmarshore.direct.latency import Latency
 from fulmarshore.direct.packets import (
     ACK,
     FIN,
@@ -79,10 +80,19 @@
         Whether the upstream is known to hold it.
     """
 
-    __slots__ = ("seen_at", "is_open", "is_busy", "ends", "asker", "acknowledged")
+    __slots__ = (
+        "seen_at",
+        "is_open",
+        "is_busy",
+        "busy_since",
+        "ends",
+        "asker",
+        "acknowledged",
+    )
 
     def __init__(self, now: float, is_open: bool) -> None:
         self.seen_at = now
+        self.busy_since = now
         self.is_open = is_open
         self.is_busy = False
         self.ends = 0
@@ -128,6 +138,7 @@
         self._searches = SearchRounds(self._own_host)
         self._flows: dict[bytes, AgentFlow] = {}
         self._busy = 0
+        self.work = Latency()
         self._remembers_all = False
         self._revision = 0
         self._reported: tuple = ()
@@ -206,7 +217,7 @@
             else:
                 flow.asker = packet.return_host
         if packet.length and flow.ends == 0:
-            self._work(flow)
+            self._work(flow, now)
         if packet.flags & RST:
             self._forget(packet.flow)
         elif packet.flags & FIN:
@@ -232,9 +243,13 @@
         if reason is not None:
             return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
         flow = self._flows[packet.flow] = AgentFlow(now, False)
-        self._work(flow)
+        self._work(flow, now)
         self.counters["flows_admitted"] += 1
-        return [SendToUpstream(packet.content)]
+        detail = f"{len(self._flows)} flows, {self._busy} busy"
+        return [
+            SendToUpstream(packet.content),
+            Decision("flow_admitted", detail, packet.flow),
+        ]
 
     def _open_again(self, packet: Packet, flow: AgentFlow, now: float) -> Effects:
         """Deliver an opening that was repeated, if it still may pass.
@@ -296,7 +311,8 @@
             note = make_note(packet, MARK_HELD, self._own_host)
             effects.append(SendToEntry(note, flow.asker))
             flow.asker = NO_HOST
-        if packet.length:
+        if packet.length and flow.is_busy:
+            self.work.observe(now - flow.busy_since)
             self._rest(flow)
         if packet.flags & FIN:
             flow.ends |= 2
@@ -450,9 +466,10 @@
         accepting = self.gate.is_accepting(now)
         return (self.gate.service, accepting, self.gate.is_cold(now))
 
-    def _work(self, flow: AgentFlow) -> None:
+    def _work(self, flow: AgentFlow, now: float) -> None:
         if not flow.is_busy:
             flow.is_busy = True
+            flow.busy_since = now
             self._busy += 1
 
     def _rest(self, flow: AgentFlow) -> None:
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -269,7 +269,11 @@
             flow.counted = host
             self._placement.note_opened(host)
         self.counters["flows_offered"] += 1
-        return [SendToAgent(mark_packet(packet, NO_MARK, self._return_host), host)]
+        detail = f"{host} of {service}, number {len(flow.asked)} asked"
+        return [
+            SendToAgent(mark_packet(packet, NO_MARK, self._return_host), host),
+            Decision("flow_offered", detail, packet.flow),
+        ]
 
     def _park(self, packet: Packet, flow: Flow, now: float) -> Effects:
         """Let an opening wait for an agent: one may be about to be back."""
@@ -363,7 +367,7 @@
         if flow is None:
             return []
         if packet.mark == MARK_HELD:
-            return self._settle(flow, socket.inet_ntoa(packet.return_host))
+            return self._settle(packet.flow, flow, socket.inet_ntoa(packet.return_host))
         if packet.mark == MARK_NOT_HELD:
             return self._miss(packet, flow, host, now)
         if packet.mark == MARK_DENIED:
@@ -375,8 +379,9 @@
             self._placement.close(host, now)
         return self._reoffer(packet, flow, host, now)
 
-    def _settle(self, flow: Flow, host: str) -> Effects:
+    def _settle(self, key: bytes, flow: Flow, host: str) -> Effects:
         """Go on with the agent that holds a flow."""
+        found = Decision("flow_found", host, key)
         flow.agents = [host]
         flow.stage = Stage.SETTLED
         if flow.counted != host:
@@ -389,7 +394,7 @@
             mark_packet(held, NO_MARK, self._return_host) for held in flow.pending[1:]
         ]
         flow.pending.clear()
-        return [SendToAgent(content, host) for content in waiting]
+        return [found, *(SendToAgent(content, host) for content in waiting)]
 
     def _miss(self, packet: Packet, flow: Flow, host: str, now: float) -> Effects:
         """Go on without an agent that does not hold a flow."""
--- a/fulmarshore/platform/processes_test.py
+++ b/fulmarshore/platform/processes_test.py
@@ -216,6 +216,14 @@
         )
         self.assertEqual(returned, answer)
         self.assertEqual(parse_answer(returned).flow, parse_packet(opening).flow)
+        for host, port, name in (
+            (ENTRY, self.http_port, b"fulmarshore_flows_offered_total"),
+            (AGENT, self.control_port, b"fulmarshore_work_seconds_bucket"),
+            (CONTROLS[0], self.control_port, b"fulmarshore_order_seconds_bucket"),
+        ):
+            status, metrics = self.ask(host, port, "GET", "/metrics")
+            self.assertEqual(status, 200)
+            self.assertIn(name, metrics)
         for host in (ENTRY, AGENT):
             caller.sendto(b"no packet", (host, self.packet_port))
             self.processes[host].send_signal(signal.SIGTERM)
