Entry hosts that restart in turn are out of rotation one at a time

A stop now takes 1.25 s: two probes that miss, and packets under way. Flows of a route that a configuration drops are forgotten, so their next packet resets them.

--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -71,9 +71,12 @@
 interval of their reports, knows all that are there."""
 MISSING_S = 10.0
 """An agent that went missing less than this ago may hold flows and return."""
+STOP_WAIT_S = 1.25
+"""How long packets are taken after readiness is withdrawn: probes that come
+twice a second miss twice, and packets are still under way. Longer would leave
+fewer hosts of a zone in rotation when several restart in turn."""
 STOP_SHARE = 1 / 2
-"""Share of the grace period that packets are taken after readiness is
-withdrawn: probes that come twice a second have to miss twice."""
+"""Share of the grace period that the wait takes at most."""
 
 Effects = list
 
@@ -165,7 +168,7 @@
         grace_s: float = 6.0,
     ) -> None:
         self.host = host
-        self._stop_wait_s = grace_s * STOP_SHARE
+        self._stop_wait_s = min(STOP_WAIT_S, grace_s * STOP_SHARE)
         self.counters: Counter[str] = Counter()
         self.tables = TableView()
         self.agents = KnownAgents()
@@ -460,6 +463,7 @@
             table = update.table
             detail = f"version {table.version}, index {table.index}, from {host}"
             effects.append(Decision("table_taken", detail))
+            self._drop_unrouted()
         for item in self.agents.take(host, update):
             effects += self._note_agent(item, now)
         self._ended.update(update.ended)
@@ -500,6 +504,13 @@
             effects.append(Ended())
         return effects
 
+    def _drop_unrouted(self) -> None:
+        """Forget flows whose route is gone; their next packet resets them."""
+        for key, flow in list(self._flows.items()):
+            if self.tables.find_route(key[6:]) is None:
+                self._uncount(flow)
+                del self._flows[key]
+
     def _make_poll(self, host: str) -> SendPoll:
         directory, revision = self.agents.get_position(host)
         poll = Poll(self.tables.table.index, directory, revision, True)
