First elections after a start wait 30 to 150 ms

After a loss of power entry hosts and agents wait for the table, and it waits for a leader; trial votes keep a replica that starts from disturbing one.

--- a/fulmarshore/agreement/progress.py
+++ b/fulmarshore/agreement/progress.py
@@ -8,7 +8,7 @@
 
 MIN_ELECTION_TIMEOUT_S = 0.6
 MAX_ELECTION_TIMEOUT_S = 1.2
-START_TIMEOUTS_S = (0.1, 0.3)
+START_TIMEOUTS_S = (0.03, 0.15)
 """Shortest and longest timeout of a replica that has heard no leader since its
 start, where it starts fast: after a loss of power nobody leads, and trial
 votes keep it from disturbing a leader that it has not heard yet."""
