Tables travel once, and no message of the log needs many datagrams

Every control host sent it to everyone who polled with an older index, and a host that restarted numbered the same state anew, so that all tables were sent again; entries of the log went in messages of up to 256 KB, of which datagrams were lost, so followers never answered and leaders stepped down. Ruled out: slow disks and cuts, there were none at those times.

--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -29,8 +29,9 @@
 
 MAX_ENTRIES = 256
 """Entries in one message."""
-MAX_ENTRIES_BYTES = 256 * 1024
-"""Configurations in one message, unless the first one alone is larger."""
+MAX_ENTRIES_BYTES = 32 * 1024
+"""Configurations in one message, unless the first one alone is larger: a
+message of many datagrams is whole only if none of them is lost."""
 
 
 def start_leading(replica: Replica, now: float) -> None:
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -58,6 +58,8 @@
 
 TICK_INTERVAL_S = 0.05
 """Half of the interval of the log's heartbeats."""
+SNAPSHOT_CHUNK_BYTES = 16 * 1024
+"""Part of a snapshot in one message: a datagram carries it in one piece."""
 RETRY_AFTER_S = 1
 NO_SEED_WAIT_S = 3.0
 """How long a host that is no seed waits for a group at the first start: three
@@ -107,7 +109,7 @@
         settings: HostSettings,
         load: Load,
         read_order: ReadOrder,
-        make_table: Callable[[OrderState, int], Table],
+        make_table: Callable[[OrderState], Table],
         format_newest: Callable[[OrderState], bytes],
     ) -> None:
         super().__init__("control", settings, load, TICK_INTERVAL_S)
@@ -156,6 +158,7 @@
             fewest_voters=2 * settings.lost_disks + 1,
             starts_fast=True,
         )
+        replica.chunk_bytes = SNAPSHOT_CHUNK_BYTES
         if settings.host not in settings.seeds:
             replica.bootstrap_wait_s = NO_SEED_WAIT_S
         core = ControlCore(
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -52,6 +52,7 @@
     UpstreamClosed,
     UpstreamMoved,
     UpstreamPacket,
+    decode_table,
 )
 from fulmarshore.direct.searches import SearchRounds, split_search
 from fulmarshore.direct.subscription import Subscription
@@ -405,12 +406,15 @@
         effects: Effects = []
         if self.subscription.hear(host, update, now):
             effects.append(Decision("control_heard", host))
-        if update.table is not None and self.tables.replace(update.table):
-            table = update.table
+        if update.table and self.tables.replace(decode_table(update.table)):
+            table = self.tables.table
             detail = f"version {table.version}, index {table.index}, from {host}"
             effects.append(Decision("table_taken", detail))
             if self._describe(now) != self._reported:
                 effects += self._report(now)
+        index = self.tables.table.index
+        if self.subscription.should_ask(update.index > index, now):
+            effects.append(SendPoll(Poll(index, 0, 0, False, True), host))
         return effects
 
     def _stop(self, now: float) -> Effects:
@@ -465,7 +469,7 @@
             self._busy,
             self._stop_at is not None and self.gate.is_gone,
         )
-        poll = Poll(self.tables.table.index, 0, 0, False, report)
+        poll = Poll(self.tables.table.index, 0, 0, False, False, report)
         return [SendPoll(poll, host) for host in due]
 
     def _describe(self, now: float) -> tuple:
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -43,6 +43,7 @@
     Ticked,
     Told,
     Update,
+    encode_table,
 )
 
 REPLICA_MESSAGES = REPLICA_REQUESTS + REPLICA_REPLIES
@@ -114,7 +115,19 @@
 
 
 class Subscriber(Struct):
-    """A process that polls this host."""
+    """A process that polls this host.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Where it is told the news.
+    poll : Poll
+        Its newest poll.
+    heard_at, pushed_at : float
+        When it polled last, and when it got a table unasked.
+    index, pushed : int
+        Log index of the table that it has, and of the one it got unasked.
+    """
 
     host: str
     port: int
@@ -122,6 +135,7 @@
     heard_at: float
     pushed_at: float = float("-inf")
     index: int = 0
+    pushed: int = 0
 
 
 class Waiting(Struct):
@@ -164,7 +178,7 @@
         Disks that may be lost at once; an order is accepted only by a group
         whose majority is larger.
     make_table : callable
-        Makes the table of a state at a log index.
+        Makes the table of a state.
     """
 
     def __init__(
@@ -172,7 +186,7 @@
         replica: Replica,
         process: int,
         lost_disks: int,
-        make_table: Callable[[OrderState, int], Table],
+        make_table: Callable[[OrderState], Table],
     ) -> None:
         self.replica = replica
         self.state = OrderState()
@@ -181,6 +195,7 @@
         self._lost_disks = lost_disks
         self._make_table = make_table
         self._table = Table()
+        self._encoded = b""
         self._subscribers: dict[tuple[str, int], Subscriber] = {}
         self._waiting: list[Waiting] = []
         self._stop_at: float | None = None
@@ -314,7 +329,7 @@
         for effect in effects:
             match effect:
                 case Applied(entry=entry):
-                    state = apply_order(self.state, entry.command)
+                    state = apply_order(self.state, entry.command, entry.index)
                     if state is not self.state:
                         self.state = state
                         self._is_table_due = True
@@ -350,12 +365,14 @@
         if not self._is_table_due:
             return []
         self._is_table_due = False
-        index = self.replica.applied
-        if index <= self._table.index:
+        if self.state.index <= self._table.index:
             return []
-        self._table = self._make_table(self.state, index)
-        table = self._table
-        detail = f"version {table.version}, index {index}, out {table.zones_out}"
+        table = self._table = self._make_table(self.state)
+        self._encoded = encode_table(table)
+        detail = (
+            f"version {table.version}, index {table.index}, out {table.zones_out}, "
+            f"{len(self._encoded)} bytes"
+        )
         effects: list = [Decision("table_made", detail)]
         return effects + self._push(now)
 
@@ -365,16 +382,18 @@
         if not self.replica.is_leader:
             return effects
         for subscriber in self._subscribers.values():
-            if subscriber.index >= self._table.index:
+            if max(subscriber.index, subscriber.pushed) >= self._table.index:
                 continue
             if now - subscriber.pushed_at < PUSH_INTERVAL_S:
                 continue
-            effects.append(self._make_update(subscriber, now))
+            subscriber.pushed_at = now
+            subscriber.pushed = self._table.index
+            effects.append(self._make_update(subscriber, now, True))
         return effects
 
     def _push_directory(self, now: float) -> list:
         return [
-            self._make_update(subscriber, now)
+            self._make_update(subscriber, now, False)
             for subscriber in self._subscribers.values()
             if subscriber.poll.wants_directory
         ]
@@ -389,7 +408,7 @@
         subscriber.poll = poll
         subscriber.heard_at = now
         subscriber.index = poll.index
-        effects: list = [self._make_update(subscriber, now)]
+        effects: list = [self._make_update(subscriber, now, poll.wants_table)]
         if poll.report is not None and self.directory.take(poll.report, now):
             report = poll.report
             detail = (
@@ -400,12 +419,12 @@
             effects += self._push_directory(now)
         return effects
 
-    def _make_update(self, subscriber: Subscriber, now: float) -> SendUpdate:
+    def _make_update(
+        self, subscriber: Subscriber, now: float, with_table: bool
+    ) -> SendUpdate:
         poll = subscriber.poll
-        table = None
-        if subscriber.index < self._table.index:
-            table = self._table
-            subscriber.pushed_at = now
+        is_newer = subscriber.index < self._table.index
+        table = self._encoded if with_table and is_newer else b""
         voters = tuple(voter.name for voter in self.replica.current_voters)
         directory = self.directory
         found: tuple = ()
@@ -414,6 +433,7 @@
         age_s = now - self._started_at
         update = Update(
             voters,
+            self._table.index,
             table,
             directory.process,
             directory.revision,
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -48,6 +48,7 @@
     Stopping,
     Ticked,
     Told,
+    decode_table,
 )
 from fulmarshore.direct.searches import make_search
 from fulmarshore.direct.subscription import Subscription
@@ -475,11 +476,13 @@
         effects: Effects = []
         if self.subscription.hear(host, update, now):
             effects.append(Decision("control_heard", host))
-        if update.table is not None and self.tables.replace(update.table):
-            table = update.table
+        if update.table and self.tables.replace(decode_table(update.table)):
+            table = self.tables.table
             detail = f"version {table.version}, index {table.index}, from {host}"
             effects.append(Decision("table_taken", detail))
             self._drop_unrouted()
+        if self.subscription.should_ask(update.index > self.tables.table.index, now):
+            effects.append(self._make_poll(host, wants_table=True))
         for item in self.agents.take(host, update):
             effects += self._note_agent(item, now)
         self._ended.update(update.ended)
@@ -527,9 +530,10 @@
                 self._uncount(flow)
                 del self._flows[key]
 
-    def _make_poll(self, host: str) -> SendPoll:
+    def _make_poll(self, host: str, wants_table: bool = False) -> SendPoll:
         directory, revision = self.agents.get_position(host)
-        poll = Poll(self.tables.table.index, directory, revision, True)
+        index = self.tables.table.index
+        poll = Poll(index, directory, revision, True, wants_table)
         return SendPoll(poll, host)
 
     def _sweep(self, now: float) -> None:
--- a/fulmarshore/direct/orders.py
+++ b/fulmarshore/direct/orders.py
@@ -23,31 +23,33 @@
         The configuration as the operator sent it, compressed.
     zones_out : tuple of str
         Availability zones out of service, in alphabetical order.
+    index : int
+        Entry of the log that made the last change: the same on every host.
     """
 
     version: int = 0
     content: bytes = b""
     zones_out: tuple[str, ...] = ()
+    index: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(OrderState)
 
 
-def apply_order(state: OrderState, command: Command) -> OrderState:
-    """Return the state after a committed command."""
+def apply_order(state: OrderState, command: Command, index: int) -> OrderState:
+    """Return the state after a committed command at an index of the log."""
     match command:
         case PutConfiguration(version=version, content=content):
             if version <= state.version:
                 return state
-            return OrderState(version, content, state.zones_out)
+            return OrderState(version, content, state.zones_out, index)
         case PutZone(zone=zone, is_out=is_out):
-            zones = set(state.zones_out)
-            if is_out:
-                zones.add(zone)
-            else:
-                zones.discard(zone)
-            return OrderState(state.version, state.content, tuple(sorted(zones)))
+            if (zone in state.zones_out) == is_out:
+                return state
+            zones = set(state.zones_out) ^ {zone}
+            ordered = tuple(sorted(zones))
+            return OrderState(state.version, state.content, ordered, index)
     return state
 
 
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import zlib
+
+import msgspec
 from msgspec import Struct
 
 
@@ -76,6 +79,20 @@
     zones_out: tuple[str, ...] = ()
 
 
+_table_encoder = msgspec.msgpack.Encoder()
+_table_decoder = msgspec.msgpack.Decoder(Table)
+
+
+def encode_table(table: Table) -> bytes:
+    """Encode a table as it is sent."""
+    return zlib.compress(_table_encoder.encode(table))
+
+
+def decode_table(content: bytes) -> Table:
+    """Decode a table that a control host sent."""
+    return _table_decoder.decode(zlib.decompress(content))
+
+
 class AgentReport(Record, frozen=True):
     """What an agent tells of its upstream.
 
@@ -127,6 +144,8 @@
         Revision of that control host's directory that it has.
     wants_directory : bool
         Whether it wants the agents.
+    wants_table : bool
+        Whether it wants a newer table, and not only its index.
     report : AgentReport or None
         An agent's own report.
     """
@@ -135,6 +154,7 @@
     directory: int
     revision: int
     wants_directory: bool
+    wants_table: bool = False
     report: AgentReport | None = None
 
 
@@ -145,8 +165,10 @@
     ----------
     controls : tuple of str
         Addresses of the control hosts that vote.
-    table : Table or None
-        The newest table, where it is newer.
+    index : int
+        Log index of the control host's table.
+    table : bytes
+        The table, encoded, where it is sent.
     directory, revision : int
         The control host's process and the revision of its directory.
     age_s : float
@@ -164,7 +186,8 @@
     """
 
     controls: tuple[str, ...]
-    table: Table | None
+    index: int
+    table: bytes
     directory: int
     revision: int
     age_s: float
--- a/fulmarshore/direct/relay.py
+++ b/fulmarshore/direct/relay.py
@@ -100,4 +100,4 @@
 
     def _make_update(self) -> Update:
         known = tuple(dict.fromkeys([*self._voters, *self._asking]))
-        return Update(known, None, 0, 0, 0.0, float("inf"))
+        return Update(known, 0, b"", 0, 0, 0.0, float("inf"))
--- a/fulmarshore/direct/subscription.py
+++ b/fulmarshore/direct/subscription.py
@@ -16,6 +16,9 @@
 started meanwhile, and then needs to know of this process at once."""
 CONTROL_SILENCE_S = 2.5
 """A control host that did not answer for this long does not count as heard."""
+TABLE_WAIT_S = 0.2
+"""How long a control host has to send its table before another is asked; a
+large one takes half of that over the slowest link known, 2 Mbit/s."""
 CONTROL_FORGOTTEN_S = 30.0
 """A control host that is no seed is not polled any more after this silence."""
 
@@ -29,13 +32,14 @@
         Addresses of control hosts from the settings.
     """
 
-    __slots__ = ("_seeds", "_heard_at", "_known_at", "_polled_at")
+    __slots__ = ("_seeds", "_heard_at", "_known_at", "_polled_at", "_asked_at")
 
     def __init__(self, seeds: list[str]) -> None:
         self._seeds = list(seeds)
         self._heard_at: dict[str, float] = {}
         self._known_at: dict[str, float] = {}
         self._polled_at: dict[str, float] = {}
+        self._asked_at = float("-inf")
 
     def replace_seeds(self, seeds: list[str]) -> None:
         """Take the seeds of settings that have changed."""
@@ -84,6 +88,13 @@
         self._heard_at[host] = now
         return now - heard_at > CONTROL_SILENCE_S
 
+    def should_ask(self, is_newer: bool, now: float) -> bool:
+        """Whether to ask a control host for its table; one is asked at a time."""
+        if not is_newer or now - self._asked_at < TABLE_WAIT_S:
+            return False
+        self._asked_at = now
+        return True
+
     def list_silent(self, now: float) -> list[str]:
         """Return hosts that were heard once and are silent now."""
         silent = [
--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -111,10 +111,10 @@
     return (Backend(route.service, 1),) if route.service else ()
 
 
-def make_table(state: OrderState, index: int) -> Table:
-    """Return the table of a state at a log index."""
+def make_table(state: OrderState) -> Table:
+    """Return the table of a state."""
     if not state.version:
-        return Table(index=index, zones_out=state.zones_out)
+        return Table(index=state.index, zones_out=state.zones_out)
     found = _decoder.decode(zlib.decompress(state.content))
     routes = tuple(
         Route(make_address(route), list_backends(route)) for route in found.routes
@@ -124,7 +124,7 @@
         for held in found.services
     )
     return Table(
-        index,
+        state.index,
         state.version,
         routes,
         services,
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -84,10 +84,10 @@
     return msgspec.json.encode(sorted(routes.items()))
 
 
-def make_table(state: OrderState, index: int) -> Table:
+def make_table(state: OrderState) -> Table:
     """Make the table of what ``encode_routes`` encoded."""
     if not state.version:
-        return Table(index=index, zones_out=state.zones_out)
+        return Table(index=state.index, zones_out=state.zones_out)
     found = msgspec.json.decode(state.content)
     routes = []
     services: dict[str, None] = {}
@@ -96,7 +96,9 @@
         routes.append(Route(address, tuple(Backend(*held) for held in backends)))
         services.update(dict.fromkeys(name for name, _ in backends))
     policies = tuple(ServicePolicy(name, 2000, 0.0) for name in services)
-    return Table(index, state.version, tuple(routes), policies, 15.0, state.zones_out)
+    return Table(
+        state.index, state.version, tuple(routes), policies, 15.0, state.zones_out
+    )
 
 
 class OrderCall:
