--- /dev/null
+++ b/fulmarshore/direct/reasons_test.py
@@ -0,0 +1,38 @@
+"""Every kind of line and reason in the code stands in the operators' page."""
+
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+SOURCES = [
+    *(ROOT / "fulmarshore/direct").glob("*.py"),
+    *(ROOT / "fulmarshore/daemons").glob("direct*.py"),
+    *(ROOT / "fulmarshore/agreement").glob("*.py"),
+]
+KIND = re.compile(r'(?:Decision|\.note)\(\s*"([a-z_]+)"')
+REASON = re.compile(
+    r'(?:_reject\([a-z_., \[\]0-9]+, |reason = |return )"([a-z]+_[a-z_]+)"'
+)
+UNUSED = {"group_recovered"}
+"""Kinds of commands that these daemons do not have."""
+
+
+class ReasonsTest(unittest.TestCase):
+    def test_page_names_every_kind_and_reason(self):
+        page = (ROOT / "docs/OPERATIONS.md").read_text()
+        found = set()
+        for path in SOURCES:
+            if path.name.endswith("_test.py"):
+                continue
+            text = path.read_text()
+            found |= set(KIND.findall(text))
+            if path.name in ("gate.py", "entry.py"):
+                found |= set(REASON.findall(text))
+        self.assertGreater(len(found), 40)
+        missing = {name for name in found - UNUSED if f"`{name}`" not in page}
+        self.assertEqual(missing, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
