Silent connections make room, and floods of unknown flows are bounded

A peer that went away without a word kept its connection for ever, and at 512 of them readiness probes were refused; entry hosts and agents remembered every flow that anybody named.

--- a/fulmarshore/adapters/eventloop_test.py
+++ b/fulmarshore/adapters/eventloop_test.py
@@ -182,6 +182,20 @@
         self.assertTrue(found.startswith(b"HTTP/1.1 413"))
         self.assertEqual(self.requests, [])
 
+    def test_connections_that_are_silent_make_room(self):
+        with patch("fulmarshore.adapters.httpserver.MAX_CONNECTIONS", 4):
+            silent = [
+                socket.create_connection((HOST, self.server.port)) for _ in "1234"
+            ]
+            for opened in silent:
+                self.addCleanup(opened.close)
+            found, ended = self.exchange(
+                b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", closes=False
+            )
+            self.run_until(ended.is_set)
+        self.assertTrue(found.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(self.counters["http_connections_closed_silent"], 1)
+
     def test_caller_that_leaves_before_its_answer_harms_nobody(self):
         found, ended = self.exchange(b"GET /later HTTP/1.1\r\nHost: x\r\n\r\n")
         self.run_until(ended.is_set)
--- a/fulmarshore/adapters/httpserver.py
+++ b/fulmarshore/adapters/httpserver.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -14,6 +14,8 @@
 
 BACKLOG = 256
 MAX_CONNECTIONS = 512
+"""Beyond this the connection that was silent for longest is closed: a peer that
+went away without a word would keep its own for ever."""
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Sixteen times the largest configuration of the platforms known."""
@@ -81,7 +83,7 @@
         self.loop = loop
         self.handle = handle
         self.counters = counters
-        self._connections: set[Connection] = set()
+        self._connections: OrderedDict[Connection, None] = OrderedDict()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.setblocking(False)
@@ -99,7 +101,11 @@
 
     def discard(self, connection: Connection) -> None:
         """Forget a connection that is closed."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
+
+    def touch(self, connection: Connection) -> None:
+        """Note that a connection was used just now."""
+        self._connections.move_to_end(connection)
 
     def _accept(self) -> None:
         while True:
@@ -111,11 +117,10 @@
                 self.counters["http_accept_errors"] += 1
                 return
             if len(self._connections) >= MAX_CONNECTIONS:
-                self.counters["http_connections_refused"] += 1
-                accepted.close()
-                continue
+                self.counters["http_connections_closed_silent"] += 1
+                next(iter(self._connections)).close()
             accepted.setblocking(False)
-            self._connections.add(Connection(self, accepted))
+            self._connections[Connection(self, accepted)] = None
 
 
 class Connection:
@@ -203,6 +208,7 @@
         if not data:
             self.close()
             return
+        self._server.touch(self)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -58,6 +58,8 @@
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
 
+MAX_FLOWS = 20_000
+"""Flows remembered, ten times what an upstream holds: some are only asked for."""
 FIRST_SEQUENCE = 1
 """Number of an upstream's first announcement."""
 SWEEP_INTERVAL_S = 1.0
@@ -210,7 +212,9 @@
                 return self._tell_not_held(packet, packet.mark == MARK_SEEKING)
             # The agent may have lost its memory: only the upstream knows.
             self.counters["flows_asked_for"] += 1
-            flow = self._flows[packet.flow] = AgentFlow(now, False)
+            flow = AgentFlow(now, False)
+            if len(self._flows) < MAX_FLOWS:
+                self._flows[packet.flow] = flow
         flow.seen_at = now
         flow.acknowledged = packet.acknowledged
         effects: Effects = [SendToUpstream(packet.content)]
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -67,6 +67,9 @@
 """How long an opening that no agent takes waits for one, then it is rejected:
 less than half of what a caller waits for an answer to it, 1.4 s."""
 MAX_PARKED = 2000
+MAX_FLOWS = 50_000
+"""Flows remembered, of some 500 bytes each; beyond it the oldest is forgotten,
+and a search finds it again."""
 SEARCH_S = 0.15
 """How long a search has before the caller's next packet begins another: less
 than the protocol's first interval between repetitions, 0.2 s."""
@@ -250,7 +253,7 @@
                 return []
             return self._reject(packet, "no_route")
         if flow is None:
-            flow = self._flows[packet.flow] = Flow(Stage.OPENING, now)
+            flow = self._remember(packet.flow, Flow(Stage.OPENING, now))
             return self._offer(packet, flow, route, now)
         flow.seen_at = now
         marked = mark_packet(packet, NO_MARK, self._return_host)
@@ -343,7 +346,7 @@
             if len(flow.pending) < MAX_PENDING:
                 flow.pending.append(packet)
             return []
-        flow = self._flows[packet.flow] = Flow(Stage.SOUGHT, now)
+        flow = self._remember(packet.flow, Flow(Stage.SOUGHT, now))
         flow.sought_at = now
         flow.pending.append(packet)
         self.counters["flows_sought"] += 1
@@ -352,6 +355,15 @@
             hosts += self._placement.list_hosts(backend.service)
         return self._ask(flow, hosts, now) or self._ask_others(flow, now)
 
+    def _remember(self, key: bytes, flow: Flow) -> Flow:
+        """Remember a flow, in place of the oldest one where there are too many."""
+        self._flows[key] = flow
+        if len(self._flows) > MAX_FLOWS:
+            oldest = next(iter(self._flows))
+            self._uncount(self._flows.pop(oldest))
+            self.counters["flows_forgotten"] += 1
+        return flow
+
     def _ask(self, flow: Flow, hosts: list[str], now: float) -> Effects:
         """Let one of several agents ask all of them."""
         asked = [host for host in hosts if host not in flow.asked]
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -3,8 +3,12 @@
 import socket
 import unittest
 from dataclasses import dataclass, field
+from unittest.mock import patch
 
 from fulmarshore.direct.control import ControlCore
+from fulmarshore.direct.packets import ACK
+from fulmarshore.direct.records import CallerPacket
+from fulmarshore.standins.directends import make_flow, make_packet
 from fulmarshore.standins.directworld import World
 
 DESK = 443
@@ -192,6 +196,25 @@
         world.run(0.05)
         self.assertEqual({call.outcome for call in calls}, {"reset"})
 
+    def test_flood_of_unknown_flows_harms_no_open_one(self):
+        world = make_world()
+        callers = [world.call(number, DESK) for number in range(10)]
+        world.run(1.0)
+        with patch("fulmarshore.direct.entry.MAX_FLOWS", 100):
+            for number in range(2000):
+                stray = make_flow(number, STORE)
+                content = make_packet(stray[:6], stray[6:], ACK, 1, 1, b"stray")
+                host = world.entry_hosts[number % 2]
+                world.dispatch(host, CallerPacket(content))
+                world.run(0.001)
+            for number, caller in enumerate(callers):
+                caller.request(b"again-%d" % number)
+            world.run(1.0)
+        for host in world.entry_hosts:
+            self.assertLessEqual(world.cores[host].flow_count, 100)
+        outcomes = [caller.calls[-1].outcome for caller in callers]
+        self.assertEqual(outcomes, ["answered"] * 10)
+
     def test_flows_of_an_upstream_that_left_end_with_it(self):
         world = make_world()
         callers = [world.call(number, STORE) for number in range(6)]
