--- /dev/null
+++ b/fulmarshore/direct/openings.py
@@ -0,0 +1,203 @@
+"""How an entry host finds an agent that takes a new flow.
+
+A flow is offered to one agent at a time. One that has no free slot declines;
+after some of these the least busy of them gets it. One that may not take it
+hands it back. With nobody left it waits a little, since one may be starting.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from msgspec import Struct
+from xxhash import xxh3_64_intdigest
+
+from fulmarshore.direct.flows import Flow, FlowMemory, Stage, make_rejection
+from fulmarshore.direct.packets import (
+    MARK_BUSY,
+    MARK_OFFER,
+    MARK_REFUSED_CLOSED,
+    NO_MARK,
+    Packet,
+    mark_packet,
+)
+from fulmarshore.direct.placement import Placement
+from fulmarshore.direct.records import Decision, Route, SendToAgent
+from fulmarshore.direct.tables import TableView
+
+MAX_BUSY_OFFERS = 3
+"""Agents that may decline a flow for want of a free slot before the least busy
+of them gets it: with each half busy, one in eight flows meets only busy ones."""
+MAX_OFFERS = 3
+"""Agents that hold an offer of one flow at a time."""
+PARK_S = 0.6
+"""How long an opening that no agent takes waits for one, then it is rejected:
+less than half of what a caller waits for an answer to it, 1.4 s."""
+MAX_PARKED = 2000
+
+Effects = list
+
+
+class Parked(Struct):
+    """An opening that waits for an agent that takes it."""
+
+    packet: Packet
+    until: float
+
+
+class Openings:
+    """Offers new flows to agents.
+
+    Parameters
+    ----------
+    return_host : bytes
+        Address of the entry host, four bytes.
+    memory : FlowMemory
+        The flows of the entry host.
+    placement : Placement
+        The agents, and which of them is asked first.
+    tables : TableView
+        The newest table.
+    counters : Counter
+        Counts offers and rejections.
+    """
+
+    __slots__ = (
+        "_return_host",
+        "_memory",
+        "_placement",
+        "_tables",
+        "_counters",
+        "_parked",
+    )
+
+    def __init__(
+        self,
+        return_host: bytes,
+        memory: FlowMemory,
+        placement: Placement,
+        tables: TableView,
+        counters: Counter[str],
+    ) -> None:
+        self._return_host = return_host
+        self._memory = memory
+        self._placement = placement
+        self._tables = tables
+        self._counters = counters
+        self._parked: dict[bytes, Parked] = {}
+
+    def take(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
+        """Take a caller's opening, the first one or a repeated one."""
+        route = self._tables.find_route(packet.service_address)
+        if route is None:
+            if not self._tables.is_known:
+                return []
+            return make_rejection(packet, "no_route", self._counters)
+        if flow is None:
+            flow = self._memory.begin(packet.flow, Stage.OPENING, now)
+            return self._offer(packet, flow, route, now)
+        flow.seen_at = now
+        marked = mark_packet(packet, NO_MARK, self._return_host)
+        effects: Effects = [SendToAgent(marked, host) for host in flow.agents]
+        if flow.stage is not Stage.OPENING or packet.acknowledged == 0:
+            return effects
+        # The caller heard no answer: its packet was lost, or the agent was.
+        self._counters["openings_repeated"] += 1
+        for host in flow.agents:
+            self._placement.suspect(host, now)
+        if len(flow.agents) < MAX_OFFERS:
+            effects += self._offer(packet, flow, route, now)
+        return effects
+
+    def take_refusal(
+        self, packet: Packet, flow: Flow, host: str, now: float
+    ) -> Effects:
+        """Offer an opening that an agent did not take to the next one."""
+        self._counters["offers_refused"] += 1
+        if packet.mark == MARK_REFUSED_CLOSED:
+            self._placement.close(host, now)
+        if packet.mark == MARK_BUSY:
+            flow.loads[host] = packet.load
+        if host in flow.agents:
+            flow.agents.remove(host)
+        if flow.stage is not Stage.OPENING:
+            return []
+        self._memory.uncount(flow)
+        route = self._tables.find_route(packet.service_address)
+        if route is None:
+            return make_rejection(packet, "no_route", self._counters)
+        return self._offer(packet, flow, route, now)
+
+    def retry(self, now: float) -> Effects:
+        """Offer what waits once more, and reject what waited long enough."""
+        effects: Effects = []
+        for key, parked in list(self._parked.items()):
+            flow = self._memory.get(key)
+            if flow is None or flow.stage is not Stage.OPENING:
+                del self._parked[key]
+                continue
+            if flow.agents:
+                # It is offered at present; a refusal lets it wait on.
+                if now >= parked.until:
+                    del self._parked[key]
+                continue
+            route = self._tables.find_route(parked.packet.service_address)
+            if route is None or now >= parked.until:
+                del self._parked[key]
+                effects += self._give_up(parked.packet)
+                continue
+            flow.asked.clear()
+            effects += self._offer(parked.packet, flow, route, now)
+        return effects
+
+    def _offer(self, packet: Packet, flow: Flow, route: Route, now: float) -> Effects:
+        """Offer a flow to one more agent; without one, it waits."""
+        service = choose_service(route, packet.flow)
+        host = None
+        if service is not None and len(flow.loads) < MAX_BUSY_OFFERS:
+            host = self._placement.choose(
+                service, flow.asked, now, self._tables.is_zone_out
+            )
+        mark = MARK_OFFER if packet.acknowledged == 0 else NO_MARK
+        if host is None and flow.loads and not flow.agents:
+            host = min(flow.loads, key=flow.loads.__getitem__)
+            flow.loads.clear()
+            mark = NO_MARK
+        if host is None:
+            return [] if flow.agents else self._park(packet, now)
+        flow.agents.append(host)
+        flow.asked.append(host)
+        self._memory.count(flow, host)
+        self._counters["flows_offered"] += 1
+        detail = f"{host} of {service}, number {len(flow.asked)} asked"
+        return [
+            SendToAgent(mark_packet(packet, mark, self._return_host), host),
+            Decision("flow_offered", detail, packet.flow),
+        ]
+
+    def _park(self, packet: Packet, now: float) -> Effects:
+        """Let an opening wait for an agent, for a bounded time in all."""
+        if packet.flow in self._parked:
+            return []
+        if len(self._parked) >= MAX_PARKED:
+            return self._give_up(packet)
+        self._counters["openings_parked"] += 1
+        self._parked[packet.flow] = Parked(packet, now + PARK_S)
+        return []
+
+    def _give_up(self, packet: Packet) -> Effects:
+        self._memory.forget(packet.flow)
+        return make_rejection(packet, "no_agent", self._counters)
+
+
+def choose_service(route: Route, flow: bytes) -> str | None:
+    """Return the service that a new flow goes to, by weight."""
+    total = sum(backend.weight for backend in route.backends)
+    if total <= 0:
+        return None
+    point = xxh3_64_intdigest(flow) % total
+    for backend in route.backends:
+        if point < backend.weight:
+            return backend.service
+        point -= backend.weight
+    raise AssertionError("the weights add up to the total")
--- a/fulmarshore/direct/reasons_test.py
+++ b/fulmarshore/direct/reasons_test.py
@@ -14,6 +14,7 @@
 REASON = re.compile(
     r'(?:_reject\([a-z_., \[\]0-9]+, |reason = |return )"([a-z]+_[a-z_]+)"'
 )
+REASONS_IN = ("gate.py", "entry.py", "openings.py", "lookups.py")
 UNUSED = {"group_recovered"}
 """Kinds of commands that these daemons do not have."""
 
@@ -27,7 +28,7 @@
                 continue
             text = path.read_text()
             found |= set(KIND.findall(text))
-            if path.name in ("gate.py", "entry.py"):
+            if path.name in REASONS_IN:
                 found |= set(REASON.findall(text))
         self.assertGreater(len(found), 40)
         missing = {name for name in found - UNUSED if f"`{name}`" not in page}
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -200,7 +200,7 @@
         world = make_world()
         callers = [world.call(number, DESK) for number in range(10)]
         world.run(1.0)
-        with patch("fulmarshore.direct.entry.MAX_FLOWS", 100):
+        with patch("fulmarshore.direct.flows.MAX_FLOWS", 100):
             for number in range(2000):
                 stray = make_flow(number, STORE)
                 content = make_packet(stray[:6], stray[6:], ACK, 1, 1, b"stray")
