--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -30,8 +30,8 @@
     make_note,
     make_reset,
     mark_packet,
-    parse_answer,
     parse_packet,
+    turn_packet,
 )
 from fulmarshore.direct.records import (
     AgentReport,
@@ -307,7 +307,7 @@
             return []
         if packet.is_bounced:
             return self._take_bounced(packet, now)
-        packet = parse_answer(content)
+        turn_packet(packet)
         flow = self._flows.get(packet.flow)
         effects: Effects = [SendToCaller(content, packet.caller_host)]
         if flow is None:
--- a/fulmarshore/direct/packets.py
+++ b/fulmarshore/direct/packets.py
@@ -138,9 +138,12 @@
 def parse_answer(content: bytes) -> Packet | None:
     """Parse a packet of an upstream to a caller; None if it is none."""
     packet = parse_packet(content)
-    if packet is None:
-        return None
-    packet.flow = content[6:12] + content[:6]
+    return None if packet is None else turn_packet(packet)
+
+
+def turn_packet(packet: Packet) -> Packet:
+    """Take a parsed packet as one of an upstream: its flow is the caller's."""
+    packet.flow = packet.flow[6:] + packet.flow[:6]
     return packet
 
 
