--- a/fulmarshore/direct/gate.py
+++ b/fulmarshore/direct/gate.py
@@ -28,9 +28,10 @@
 spread of delays on one host."""
 COLD_MARGIN = 1
 """Flows a window that a cold upstream gets less than it bears."""
-COLD_BUSY = 2
+COLD_BUSY = 4
 """Requests for each slot that a cold upstream has under way at most, where its
-service states no rate: one at work and one that waits."""
+service states no rate: work for the 0.1 s until openings that wait are offered
+again, at the 25 ms that requests take on the platforms known."""
 
 
 class UpstreamBounds(Struct, frozen=True):
