--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -37,6 +37,7 @@
     Ticked,
     Told,
     Update,
+    decode_table,
 )
 from fulmarshore.direct.settings import (
     CONTROL_OFFSET,
@@ -272,7 +273,8 @@
     def _take_message(self, content: bytes, host: str, port: int) -> None:
         try:
             update = _update_decoder.decode(content)
+            table = decode_table(update.table)
         except (msgspec.MsgspecError, ValueError):
             self.counters["messages_malformed"] += 1
             return
-        self.dispatch(Told(host, update))
+        self.dispatch(Told(host, update, table))
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -52,7 +52,6 @@
     UpstreamClosed,
     UpstreamMoved,
     UpstreamPacket,
-    decode_table,
 )
 from fulmarshore.direct.searches import SearchRounds, split_search
 from fulmarshore.direct.subscription import Subscription
@@ -187,8 +186,8 @@
                 return self._take_departure(upstream, now)
             case Ticked():
                 return self._tick(now)
-            case Told(host=host, update=update):
-                return self._learn(host, update, now)
+            case Told():
+                return self._learn(event, now)
             case UpstreamClosed():
                 return self._note_closed(now)
             case UpstreamMoved():
@@ -406,12 +405,13 @@
 
     # Control and time.
 
-    def _learn(self, host: str, update: object, now: float) -> Effects:
+    def _learn(self, told: Told, now: float) -> Effects:
+        host, update = told.host, told.update
         effects: Effects = []
         if self.subscription.hear(host, update, now):
             effects.append(Decision("control_heard", host))
-        if update.table and self.tables.replace(decode_table(update.table)):
-            table = self.tables.table
+        table = told.table
+        if table is not None and self.tables.replace(table):
             detail = f"version {table.version}, index {table.index}, from {host}"
             effects.append(Decision("table_taken", detail))
             if self._describe(now) != self._reported:
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -40,8 +40,6 @@
     Stopping,
     Ticked,
     Told,
-    Update,
-    decode_table,
 )
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
@@ -118,8 +116,8 @@
                 return self._take_returned(content, host, now)
             case Ticked():
                 return self._tick(now)
-            case Told(host=host, update=update):
-                return self._learn(host, update, now)
+            case Told():
+                return self._learn(event, now)
             case Stopping():
                 if self._stop_at is None:
                     self._stop_at = now + self._stop_wait_s
@@ -171,12 +169,13 @@
 
     # Control and time.
 
-    def _learn(self, host: str, update: Update, now: float) -> Effects:
+    def _learn(self, told: Told, now: float) -> Effects:
+        host, update = told.host, told.update
         effects: Effects = []
         if self.subscription.hear(host, update, now):
             effects.append(Decision("control_heard", host))
-        if update.table and self.tables.replace(decode_table(update.table)):
-            table = self.tables.table
+        table = told.table
+        if table is not None and self.tables.replace(table):
             detail = f"version {table.version}, index {table.index}, from {host}"
             effects.append(Decision("table_taken", detail))
             self._memory.drop_unrouted(self.tables)
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -88,9 +88,20 @@
     return zlib.compress(_table_encoder.encode(table))
 
 
-def decode_table(content: bytes) -> Table:
-    """Decode a table that a control host sent."""
-    return _table_decoder.decode(zlib.decompress(content))
+def decode_table(content: bytes) -> Table | None:
+    """Decode the table of an update, None where there is none.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are no table.
+    """
+    if not content:
+        return None
+    try:
+        return _table_decoder.decode(zlib.decompress(content))
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise ValueError(f"no table: {error}") from error
 
 
 class AgentReport(Record, frozen=True):
@@ -231,10 +242,21 @@
 
 
 class Told(Struct, frozen=True):
-    """Event: a control host sent an update."""
+    """Event: a control host sent an update.
+
+    Parameters
+    ----------
+    host : str
+        The control host.
+    update : Update
+        What it sent.
+    table : Table or None
+        The table in it, decoded.
+    """
 
     host: str
     update: Update
+    table: Table | None = None
 
 
 class Announced(Struct, frozen=True):
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -594,6 +594,56 @@
         return core.replica.current_voters
 
 
+class DistributionTest(unittest.TestCase):
+    def test_table_travels_once_to_each_process(self):
+        world = make_world(controls=5, entries=4, agents={"desk": 6})
+        world.tables_sent.clear()
+        world.put(2, {**ROUTES, 81: [("desk", 1)]})
+        world.run(2.0)
+        processes = {*world.entry_hosts, *world.upstreams}
+        self.assertEqual(set(world.tables_sent), processes)
+        self.assertEqual(set(world.tables_sent.values()), {1})
+        for host in world.control_hosts:
+            world.crash(host)
+            world.run(0.5)
+            world.start_control(host)
+            world.run(2.0)
+        self.assertEqual(set(world.tables_sent.values()), {1})
+        for host in processes:
+            self.assertEqual(world.cores[host].tables.table.version, 2)
+
+    def test_host_that_missed_large_changes_gets_them_in_small_messages(self):
+        world = make_world()
+        leader = world.find_leader()
+        missed = next(host for host in world.control_hosts if host != leader)
+        world.cut([missed], [host for host in world.control_hosts if host != missed])
+        for version in range(2, 42):
+            routes = {
+                world.random.randrange(1, 60000): [
+                    ("desk", world.random.randrange(1, 10**9))
+                ]
+                for _ in range(300)
+            }
+            call = world.put(version, {**ROUTES, **routes}, leader)
+            world.run_until(lambda call=call: call.is_accepted)
+        world.heal()
+        core = world.cores[missed]
+        self.assertTrue(world.run_until(lambda: core.state.version == 41, 5.0))
+        self.assertLess(world.largest_message, 64 * 1024)
+
+    def test_entry_host_that_stops_leaves_rotation_at_once_and_soon_ends(self):
+        world = make_world()
+        host = world.entry_hosts[0]
+        core = world.cores[host]
+        self.assertTrue(core.is_ready)
+        world.stop(host)
+        self.assertFalse(core.is_ready)
+        world.run(1.0)
+        self.assertIn(host, world.cores)
+        world.run(0.35)
+        self.assertNotIn(host, world.cores)
+
+
 class SplitTest(unittest.TestCase):
     def test_agent_of_the_far_side_learns_from_any_control_host(self):
         world = make_world()
--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -17,7 +17,7 @@
     """A service of a route with its share of new flows."""
 
     service: str
-    weight: int
+    weight: float
 
 
 class RouteBody(Struct, frozen=True):
@@ -54,6 +54,9 @@
     limits: LimitsBody = LimitsBody()
 
 
+WEIGHT_STEPS = 1000
+"""Weights may be fractions; ours are whole numbers of this part of theirs."""
+
 _decoder = msgspec.json.Decoder(ConfigurationBody)
 
 
@@ -107,7 +110,10 @@
 def list_backends(route: RouteBody) -> tuple[Backend, ...]:
     """Return where a route leads."""
     if route.backends:
-        return tuple(Backend(held.service, held.weight) for held in route.backends)
+        return tuple(
+            Backend(held.service, round(held.weight * WEIGHT_STEPS))
+            for held in route.backends
+        )
     return (Backend(route.service, 1),) if route.service else ()
 
 
