--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -240,6 +240,20 @@
 
     port_offset = 0
 
+    def use_settings(self, settings: HostSettings) -> None:
+        """Take new seeds."""
+        super().use_settings(settings)
+        self.core.subscription.replace_seeds(list(settings.seeds))
+
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values for the metrics."""
+        table = self.core.tables.table
+        return {
+            "flows": self.core.flow_count,
+            "version": table.version,
+            "index": table.index,
+        }
+
     def open_messages(self) -> None:
         """Open the socket for control messages."""
         port = self.settings.internal_port + self.port_offset
--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -87,14 +87,7 @@
 
     def read_gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
-        core = self.core
-        table = core.tables.table
-        return {
-            "flows": core.flow_count,
-            "busy": core.busy,
-            "version": table.version,
-            "index": table.index,
-        }
+        return {**super().read_gauges(), "busy": self.core.busy}
 
     def list_latencies(self) -> dict[str, Latency]:
         """Return the histograms for the metrics."""
@@ -104,7 +97,6 @@
         """Take new seeds, and another address of the upstream."""
         former = self.settings
         super().use_settings(settings)
-        self.core.subscription.replace_seeds(list(settings.seeds))
         if settings.upstream != former.upstream:
             self._open_upstream()
         if (settings.upstream, settings.service) != (former.upstream, former.service):
--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -51,19 +51,7 @@
 
     def read_gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
-        core = self.core
-        table = core.tables.table
-        return {
-            "flows": core.flow_count,
-            "agents": len(core.agents),
-            "version": table.version,
-            "index": table.index,
-        }
-
-    def use_settings(self, settings: HostSettings) -> None:
-        """Take new seeds."""
-        super().use_settings(settings)
-        self.core.subscription.replace_seeds(list(settings.seeds))
+        return {**super().read_gauges(), "agents": len(self.core.agents)}
 
     def carry_out(self, effect: object) -> None:
         """Send a packet or a poll."""
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -410,12 +410,9 @@
         effects: Effects = []
         if self.subscription.hear(host, update, now):
             effects.append(Decision("control_heard", host))
-        table = told.table
-        if table is not None and self.tables.replace(table):
-            detail = f"version {table.version}, index {table.index}, from {host}"
-            effects.append(Decision("table_taken", detail))
-            if self._describe(now) != self._reported:
-                effects += self._report(now)
+        effects += self.tables.learn(told)
+        if self._describe(now) != self._reported:
+            effects += self._report(now)
         index = self.tables.table.index
         if self.subscription.should_ask(update.index > index, now):
             effects.append(SendPoll(Poll(index, 0, 0, False, True), host))
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -174,10 +174,8 @@
         effects: Effects = []
         if self.subscription.hear(host, update, now):
             effects.append(Decision("control_heard", host))
-        table = told.table
-        if table is not None and self.tables.replace(table):
-            detail = f"version {table.version}, index {table.index}, from {host}"
-            effects.append(Decision("table_taken", detail))
+        if taken := self.tables.learn(told):
+            effects += taken
             self._memory.drop_unrouted(self.tables)
         if self.subscription.should_ask(update.index > self.tables.table.index, now):
             effects.append(self._make_poll(host, wants_table=True))
--- a/fulmarshore/direct/tables.py
+++ b/fulmarshore/direct/tables.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fulmarshore.direct.records import Route, ServicePolicy, Table
+from fulmarshore.direct.records import Decision, Route, ServicePolicy, Table, Told
 
 
 class TableView:
@@ -27,6 +27,14 @@
         self._zones_out = frozenset(table.zones_out)
         return True
 
+    def learn(self, told: Told) -> list[Decision]:
+        """Take the table of a control host's update; a line if it is newer."""
+        if told.table is None or not self.replace(told.table):
+            return []
+        table = self.table
+        detail = f"version {table.version}, index {table.index}, from {told.host}"
+        return [Decision("table_taken", detail)]
+
     @property
     def is_known(self) -> bool:
         """Whether a configuration has been told at all."""
