--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -194,7 +194,7 @@
             self.counters["packets_unsent"] += 1
 
     def _answer(self, request: HttpRequest, respond: Respond) -> None:
-        if request.method == "GET" and request.path == "/v1/ready":
+        if request.method == "GET" and request.path == self.settings.ready_path:
             respond(HttpResponse(200 if self.is_ready() else 503))
             return
         if request.method == "GET" and request.path == METRICS_PATH:
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -61,6 +61,7 @@
 SNAPSHOT_CHUNK_BYTES = 16 * 1024
 """Part of a snapshot in one message: a datagram carries it in one piece."""
 RETRY_AFTER_S = 1
+"""When an operator should ask again: an election takes 0.1 to 1.5 s."""
 NO_SEED_WAIT_S = 3.0
 """How long a host that is no seed waits for a group at the first start: three
 times as long as seeds do, since one of them may have no disk."""
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -82,6 +82,17 @@
         Time of its first packet here.
     is_open : bool
         Whether the upstream is known to hold it.
+
+    Attributes
+    ----------
+    is_busy, busy_since : bool, float
+        Whether a request is under way, and since when.
+    ends : int
+        Bit 1 for the caller's end, bit 2 for the upstream's.
+    asker : bytes
+        The host that asked whether the flow is held here, until it is told.
+    acknowledged : int
+        What the caller acknowledged last, for a reset.
     """
 
     __slots__ = (
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -13,7 +13,7 @@
 from msgspec import Struct
 
 from fulmarshore.agreement import replication
-from fulmarshore.agreement.replica import REPLICA_REPLIES, REPLICA_REQUESTS, Replica
+from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
     Applied,
     Command,
@@ -46,7 +46,6 @@
     encode_table,
 )
 
-REPLICA_MESSAGES = REPLICA_REQUESTS + REPLICA_REPLIES
 SNAPSHOT_ENTRIES = 64
 """Entries between two snapshots: a configuration takes up to 256 KB before it
 is compressed, and a disk holds 64 MB."""
@@ -55,6 +54,9 @@
 ORDER_TIMEOUT_S = 0.9
 """An order without an answer by then is told as unknown: operators wait 1 s."""
 SUBSCRIBER_SILENCE_S = 3.0
+"""A process that did not poll for this long, six polls, is told no news."""
+EXPIRY_SCAN_INTERVAL_S = 0.25
+"""How often silent agents are looked for: a tenth of their silence."""
 PUSH_INTERVAL_S = 0.1
 """Least time between two tables pushed to one subscriber."""
 STOP_TIMEOUT_S = 1.5
@@ -446,7 +448,7 @@
     def _tick(self, now: float) -> list:
         effects = self._run(self.replica.handle(Tick(), now), now)
         effects += self._push(now)
-        if now - self._expired_at >= 0.25:
+        if now - self._expired_at >= EXPIRY_SCAN_INTERVAL_S:
             self._expired_at = now
             silent = self.directory.expire(now)
             effects += [Decision("agent_silent", host) for host in silent]
--- a/fulmarshore/direct/settings.py
+++ b/fulmarshore/direct/settings.py
@@ -45,6 +45,8 @@
     readiness, orders, outbound, upstream : Endpoint or None
         Where probes ask, where orders or announcements come, where the
         upstream's packets come, and where the upstream takes packets.
+    ready_path : str
+        Path of the probe of readiness.
     data_folder : str
         Where the log lives; empty on hosts without a disk.
     bootstrap : bool
@@ -71,6 +73,7 @@
     orders: Endpoint | None = None
     outbound: Endpoint | None = None
     upstream: Endpoint | None = None
+    ready_path: str = "/ready"
     data_folder: str = ""
     bootstrap: bool = False
     lost_disks: int = 0
--- a/fulmarshore/platform/calls.py
+++ b/fulmarshore/platform/calls.py
@@ -21,7 +21,7 @@
     Parameters
     ----------
     zones : tuple of str
-        Availability zones that an order may name.
+        Availability zones that an order may name; any if none are told.
     """
 
     __slots__ = ("_zones",)
@@ -51,7 +51,7 @@
         return found
 
     def _read_zone(self, method: str, zone: str) -> Command | HttpResponse:
-        if zone not in self._zones:
+        if self._zones and zone not in self._zones:
             return make_error(404, f"zone: {zone} is not known")
         if method == "POST":
             return PutZone(zone, True)
--- a/fulmarshore/platform/settings.py
+++ b/fulmarshore/platform/settings.py
@@ -4,7 +4,6 @@
 
 import os
 from pathlib import Path
-from typing import Any
 
 import msgspec
 from msgspec import Struct, field
@@ -18,6 +17,7 @@
 )
 
 PATH_VARIABLE = "FULMARSHORE_CONFIG"
+READY_PATH = "/v1/ready"
 DEFAULT_PATH = "/etc/fulmarshore/local.json"
 
 
@@ -121,6 +121,7 @@
         orders=control,
         outbound=outbound,
         upstream=upstream,
+        ready_path=READY_PATH,
         data_folder=found.data_dir or "",
         bootstrap=found.bootstrap,
         lost_disks=found.tolerance.machines,
@@ -149,10 +150,6 @@
         return None
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        problems.append(SettingsProblem(name, _quote(text), "ADDRESS:PORT"))
+        problems.append(SettingsProblem(name, repr(text), "ADDRESS:PORT"))
         return None
     return Endpoint(host, int(port))
-
-
-def _quote(value: Any) -> str:
-    return repr(value)
