--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -59,6 +59,9 @@
 """How often silent agents are looked for: a tenth of their silence."""
 PUSH_INTERVAL_S = 0.1
 """Least time between two tables pushed to one subscriber."""
+DIRECTORY_PUSH_INTERVAL_S = 0.2
+"""Least time between two updates of the agents that nobody asked for; polls come
+each 0.5 s anyway, and what agents refuse is offered to others."""
 STOP_TIMEOUT_S = 1.5
 """How long a planned stop waits for another host to take up the lead."""
 
@@ -202,6 +205,8 @@
         self._waiting: list[Waiting] = []
         self._stop_at: float | None = None
         self._expired_at = float("-inf")
+        self._directory_pushed = 0
+        self._directory_pushed_at = float("-inf")
         self._is_table_due = False
         self._started_at = float("inf")
 
@@ -394,6 +399,17 @@
         return effects
 
     def _push_directory(self, now: float) -> list:
+        """Tell who wants to know what changed among the agents, a few at a time.
+
+        When many agents start, each of them is news to every entry host.
+        """
+        revision = self.directory.revision
+        if not self.replica.is_leader or self._directory_pushed == revision:
+            return []
+        if now - self._directory_pushed_at < DIRECTORY_PUSH_INTERVAL_S:
+            return []
+        self._directory_pushed = revision
+        self._directory_pushed_at = now
         return [
             self._make_update(subscriber, now, False)
             for subscriber in self._subscribers.values()
@@ -418,7 +434,6 @@
                 f"accepting {report.is_accepting}, cold {report.is_cold}"
             )
             effects.append(Decision("agent_reported", detail))
-            effects += self._push_directory(now)
         return effects
 
     def _make_update(
@@ -433,8 +448,10 @@
         if poll.wants_directory:
             found = directory.list_since(poll.directory, poll.revision)
         age_s = now - self._started_at
+        leader = self.replica.leader
         update = Update(
             voters,
+            leader.name if leader is not None else "",
             self._table.index,
             table,
             directory.process,
@@ -448,12 +465,11 @@
     def _tick(self, now: float) -> list:
         effects = self._run(self.replica.handle(Tick(), now), now)
         effects += self._push(now)
+        effects += self._push_directory(now)
         if now - self._expired_at >= EXPIRY_SCAN_INTERVAL_S:
             self._expired_at = now
             silent = self.directory.expire(now)
             effects += [Decision("agent_silent", host) for host in silent]
-            if silent:
-                effects += self._push_directory(now)
             self._expire_subscribers(now)
         if self._stop_at is not None and self._may_end(now):
             effects.append(Ended())
--- a/fulmarshore/direct/directory_test.py
+++ b/fulmarshore/direct/directory_test.py
@@ -28,7 +28,7 @@
     """Return what a control host tells somebody who knows that much."""
     found = directory.list_since(*known.get_position(control))
     return Update(
-        (), 0, b"", directory.process, directory.revision, 9.0, float("inf"), *found
+        (), "", 0, b"", directory.process, directory.revision, 9.0, float("inf"), *found
     )
 
 
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -176,6 +176,8 @@
     ----------
     controls : tuple of str
         Addresses of the control hosts that vote.
+    leader : str
+        Address of the one that leads; empty if none is known.
     index : int
         Log index of the control host's table.
     table : bytes
@@ -197,6 +199,7 @@
     """
 
     controls: tuple[str, ...]
+    leader: str
     index: int
     table: bytes
     directory: int
--- a/fulmarshore/direct/relay.py
+++ b/fulmarshore/direct/relay.py
@@ -51,6 +51,7 @@
         self.subscription = Subscription([seed for seed in seeds if seed != host])
         self._random = random
         self._voters: list[str] = []
+        self._leader = ""
         self._asking: list[str] = []
 
     @property
@@ -84,12 +85,16 @@
         return []
 
     def _choose(self) -> str:
+        """Return the leader, or a voter that may know it."""
+        if self._leader:
+            return self._leader
         return self._random.choice(self._voters) if self._voters else ""
 
     def _learn(self, host: str, update: Update, now: float) -> list:
         heard_again = self.subscription.hear(host, update, now)
         if update.directory and update.controls:
             self._voters = list(update.controls)
+            self._leader = update.leader
         return [Decision("control_heard", host)] if heard_again else []
 
     def _introduce(self, peer: str) -> list:
@@ -100,4 +105,4 @@
 
     def _make_update(self) -> Update:
         known = tuple(dict.fromkeys([*self._voters, *self._asking]))
-        return Update(known, 0, b"", 0, 0, 0.0, float("inf"))
+        return Update(known, "", 0, b"", 0, 0, 0.0, float("inf"))
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -620,6 +620,21 @@
         for host in processes:
             self.assertEqual(world.cores[host].tables.table.version, 2)
 
+    def test_agents_that_all_start_at_once_cost_entry_hosts_few_messages(self):
+        world = World(entries=6, agents={"desk": 60})
+        call = world.put(1, {443: [("desk", 1)]})
+        world.run_until(lambda: call.is_accepted)
+        world.run(1.0)
+        sent = world.packets_by_host.copy()
+        for host in world.upstreams:
+            world.draining.add(host)
+            world.announce(host)
+        world.run(0.5)
+        # Three control hosts answer six entry hosts and sixty agents each 0.5 s,
+        # and the leader tells six entry hosts each 0.2 s.
+        for host in world.control_hosts:
+            self.assertLess(world.packets_by_host[host] - sent[host], 300)
+
     def test_host_that_missed_large_changes_gets_them_in_small_messages(self):
         world = make_world()
         leader = world.find_leader()
