Control hosts that vote introduce themselves to those that do not

A host that votes keeps the others in its log and asked no seed any more.

Now it tells the control hosts that it knows and that do not vote who does, each 0.5 s. The test fails on the former code.

--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -62,6 +62,9 @@
 DIRECTORY_PUSH_INTERVAL_S = 0.2
 """Least time between two updates of the agents that nobody asked for; polls come
 each 0.5 s anyway, and what agents refuse is offered to others."""
+INTRODUCTION_INTERVAL_S = 0.5
+"""How often control hosts that do not vote are told who does, as often as
+processes poll."""
 STOP_TIMEOUT_S = 1.5
 """How long a planned stop waits for another host to take up the lead."""
 
@@ -207,6 +210,7 @@
         self._expired_at = float("-inf")
         self._directory_pushed = 0
         self._directory_pushed_at = float("-inf")
+        self._introduced_at = float("-inf")
         self._is_table_due = False
         self._started_at = float("inf")
 
@@ -466,6 +470,7 @@
         effects = self._run(self.replica.handle(Tick(), now), now)
         effects += self._push(now)
         effects += self._push_directory(now)
+        effects += self._introduce(now)
         if now - self._expired_at >= EXPIRY_SCAN_INTERVAL_S:
             self._expired_at = now
             silent = self.directory.expire(now)
@@ -475,6 +480,26 @@
             effects.append(Ended())
         return effects
 
+    def _introduce(self, now: float) -> list:
+        """Tell control hosts that do not vote who does.
+
+        Seeds may all be hosts without a disk, and after a loss of power those
+        know nobody else.
+        """
+        if now - self._introduced_at < INTRODUCTION_INTERVAL_S:
+            return []
+        self._introduced_at = now
+        voters = {voter.name for voter in self.replica.current_voters}
+        others = [peer for peer in self.replica.peers if peer not in voters]
+        if not voters or not others:
+            return []
+        unknown = Poll(self._table.index, 0, 0, False)
+        effects = []
+        for host in others:
+            stranger = Subscriber(host, CONTROL_PORT, unknown, now)
+            effects.append(self._make_update(stranger, now, False))
+        return effects
+
     def _expire_subscribers(self, now: float) -> None:
         for key, subscriber in list(self._subscribers.items()):
             if now - subscriber.heard_at > SUBSCRIBER_SILENCE_S:
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -635,6 +635,27 @@
         for host in world.control_hosts:
             self.assertLess(world.packets_by_host[host] - sent[host], 300)
 
+    def test_system_is_back_when_all_seeds_are_hosts_without_a_disk(self):
+        world = make_world(controls=6, diskless=3, seeds=[3, 4, 5])
+        relays, voters = world.control_hosts[:3], world.control_hosts[3:]
+        world.seeds = relays
+        for host in list(world.cores):
+            world.crash(host, loses_power=True)
+        for host in voters:
+            world.start_control(host)
+        for host in relays:
+            world.start_relay(host)
+        for host in world.entry_hosts:
+            world.start_entry(host)
+        for host in world.upstreams:
+            world.start_agent(host)
+        world.run(4.0)
+        caller = world.call(1, DESK)
+        call = world.put(2, ROUTES, relays[0])
+        world.run(1.5)
+        self.assertEqual(caller.calls[0].outcome, "answered")
+        self.assertTrue(call.is_accepted)
+
     def test_host_that_missed_large_changes_gets_them_in_small_messages(self):
         world = make_world()
         leader = world.find_leader()
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -177,7 +177,7 @@
         for number, host in enumerate(self.control_hosts):
             self._zones[host] = f"zone-{number % 3}"
             if number < diskless:
-                self._start(host, RelayCore(host, self.seeds, self.random))
+                self.start_relay(host)
                 continue
             delay = self.random.uniform(0, START_SPREAD_S)
             self.call_later(delay, partial(self.start_control, host, True))
@@ -241,6 +241,10 @@
         core = ControlCore(replica, process, self.lost_disks, make_table)
         self._start(host, core)
 
+    def start_relay(self, host: str) -> None:
+        """Start a control host without a disk."""
+        self._start(host, RelayCore(host, list(self.seeds), self.random))
+
     def start_entry(self, host: str) -> None:
         """Start an entry host."""
         zone = self._zones.setdefault(host, "zone-0")
