--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -136,9 +136,11 @@
         self.note(Decision("started", f"host {self.settings.host}"))
         self._tick()
         self.loop.call_later(RELOAD_INTERVAL_S, self._reload_regularly)
-        self.loop.run()
-        self.note(Decision("stopped", f"exit code {self.exit_code}"))
-        self._log.flush()
+        try:
+            self.loop.run()
+        finally:
+            self.note(Decision("stopped", f"exit code {self.exit_code}"))
+            self._log.flush()
         for server in self._servers:
             server.close()
         return self.exit_code
