Openings without a sequel and repeated packets count as no request

An opening counted as a request until it was swept 3 s later, also where its caller had gone elsewhere; a request's packet repeated after its answer counted until the flow was idle. Cold upstreams were closed by these, warm ones declined offers. Entry hosts counted the same openings for 15 s.

Now an opening counts for 0.2 s, data only if it is new, and entry hosts forget openings that nothing followed after 3 s. The flows of an agent are a module of their own.

agentflows_test.py, and world_test.py "openings without a sequel", which failed before.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -10,6 +10,13 @@
 import socket
 from collections import Counter
 
+from fulmarshore.direct.agentflows import (
+    BOTH_ENDED,
+    CALLER_ENDED,
+    UPSTREAM_ENDED,
+    AgentFlow,
+    AgentFlows,
+)
 from fulmarshore.direct.gate import Gate, UpstreamBounds
 from fulmarshore.direct.latency import Latency
 from fulmarshore.direct.packets import (
@@ -57,13 +64,9 @@
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
 
-MAX_FLOWS = 20_000
-"""Flows remembered, ten times what an upstream holds: some are only asked for."""
 FIRST_SEQUENCE = 1
 """Number of an upstream's first announcement."""
 SWEEP_INTERVAL_S = 1.0
-ENDED_LINGER_S = 3.0
-"""How long a flow that ended is remembered for packets sent again."""
 STOP_SHARE = 2 / 3
 """Share of the grace period that a planned stop waits for requests under way."""
 STOP_NOTICE_S = 0.3
@@ -73,48 +76,6 @@
 Effects = list
 
 
-class AgentFlow:
-    """What an agent remembers of a flow.
-
-    Parameters
-    ----------
-    now : float
-        Time of its first packet here.
-    is_open : bool
-        Whether the upstream is known to hold it.
-
-    Attributes
-    ----------
-    is_busy, busy_since : bool, float
-        Whether a request is under way, and since when.
-    ends : int
-        Bit 1 for the caller's end, bit 2 for the upstream's.
-    asker : bytes
-        The host that asked whether the flow is held here, until it is told.
-    acknowledged : int
-        What the caller acknowledged last, for a reset.
-    """
-
-    __slots__ = (
-        "seen_at",
-        "is_open",
-        "is_busy",
-        "busy_since",
-        "ends",
-        "asker",
-        "acknowledged",
-    )
-
-    def __init__(self, now: float, is_open: bool) -> None:
-        self.seen_at = now
-        self.busy_since = now
-        self.is_open = is_open
-        self.is_busy = False
-        self.ends = 0
-        self.asker = NO_HOST
-        self.acknowledged = 0
-
-
 class AgentCore:
     """Admits flows to its upstream and carries their packets.
 
@@ -151,8 +112,7 @@
         self._process = process
         self._own_host = socket.inet_aton(host)
         self._searches = SearchRounds(self._own_host)
-        self._flows: dict[bytes, AgentFlow] = {}
-        self._busy = 0
+        self._flows = AgentFlows()
         self.work = Latency()
         self._remembers_all = False
         self._revision = 0
@@ -174,7 +134,7 @@
     @property
     def busy(self) -> int:
         """Flows with a request under way."""
-        return self._busy
+        return self._flows.busy
 
     def knows_service(self, name: str) -> bool:
         """Whether a service may be announced: the configuration names it."""
@@ -222,9 +182,7 @@
                 return self._tell_not_held(packet, packet.mark == MARK_SEEKING)
             # The agent may have lost its memory: only the upstream knows.
             self.counters["flows_asked_for"] += 1
-            flow = AgentFlow(now, False)
-            if len(self._flows) < MAX_FLOWS:
-                self._flows[packet.flow] = flow
+            flow = self._flows.ask_for(packet.flow, now)
         flow.seen_at = now
         flow.acknowledged = packet.acknowledged
         effects: Effects = [SendToUpstream(packet.content)]
@@ -233,13 +191,12 @@
                 effects.append(self._tell_held(packet))
             else:
                 flow.asker = packet.return_host
-        if packet.length and flow.ends == 0:
-            self._work(flow, now)
+        self._flows.take_data(flow, packet, now)
         if packet.flags & RST:
-            self._forget(packet.flow)
+            self._flows.forget(packet.flow)
         elif packet.flags & FIN:
-            flow.ends |= 1
-            self._rest(flow)
+            flow.ends |= CALLER_ENDED
+            self._flows.end_request(flow)
         return effects
 
     def _take_search(self, content: bytes, now: float) -> Effects:
@@ -254,20 +211,18 @@
     def _open(self, packet: Packet, flow: AgentFlow | None, now: float) -> Effects:
         if flow is not None:
             return self._open_again(packet, flow, now)
-        reason = self.gate.admit(
-            packet.service_address, len(self._flows), self._busy, now
-        )
+        flows = self._flows
+        flows.expire_openings(now)
+        reason = self.gate.admit(packet.service_address, len(flows), flows.busy, now)
         if reason is not None:
             return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
-        if packet.mark == MARK_OFFER and self._busy >= self.gate.slots:
+        if packet.mark == MARK_OFFER and flows.busy >= self.gate.slots:
             self.counters["offers_declined_busy"] += 1
-            load = self._busy
-            declined = mark_packet(packet, MARK_BUSY, self._own_host, load)
+            declined = mark_packet(packet, MARK_BUSY, self._own_host, flows.busy)
             return [SendToEntry(declined, packet.return_host)]
-        flow = self._flows[packet.flow] = AgentFlow(now, False)
-        self._work(flow, now)
+        flows.admit(packet.flow, now)
         self.counters["flows_admitted"] += 1
-        detail = f"{len(self._flows)} flows, {self._busy} busy"
+        detail = f"{len(flows)} flows, {flows.busy} busy"
         return [
             SendToUpstream(packet.content),
             Decision("flow_admitted", detail, packet.flow),
@@ -284,7 +239,7 @@
             reason = self.gate.check(packet.service_address, now)
         if reason is None:
             return [SendToUpstream(packet.content)]
-        self._forget(packet.flow)
+        self._flows.forget(packet.flow)
         return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
 
     def _refuse(self, packet: Packet, reason: str, mark: int) -> Effects:
@@ -321,23 +276,24 @@
         flow = self._flows.get(packet.flow)
         effects: Effects = [SendToCaller(content, packet.caller_host)]
         if flow is None:
-            flow = self._flows[packet.flow] = AgentFlow(now, True)
+            flow = self._flows.take_open(packet.flow, now)
         flow.seen_at = now
         if packet.flags & (SYN | ACK) == SYN | ACK:
             return effects
         if packet.flags & RST:
-            self._forget(packet.flow)
+            self._flows.forget(packet.flow)
             return effects
         flow.is_open = True
         if flow.asker != NO_HOST:
             note = make_note(packet, MARK_HELD, self._own_host)
             effects.append(SendToEntry(note, flow.asker))
             flow.asker = NO_HOST
-        if packet.length and flow.is_busy:
-            self.work.observe(now - flow.busy_since)
-            self._rest(flow)
+        if packet.length:
+            work_s = self._flows.take_answer(flow, now)
+            if work_s is not None:
+                self.work.observe(work_s)
         if packet.flags & FIN:
-            flow.ends |= 2
+            flow.ends |= UPSTREAM_ENDED
         return effects
 
     def _take_bounced(self, packet: Packet, now: float) -> Effects:
@@ -345,11 +301,11 @@
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
             if flow is not None and not flow.is_open:
-                self._forget(packet.flow)
+                self._flows.forget(packet.flow)
             return self._refuse(packet, "returned_by_upstream", MARK_REFUSED)
         self.counters["packets_bounced"] += 1
         if flow is not None:
-            self._forget(packet.flow)
+            self._flows.forget(packet.flow)
             if flow.is_open:
                 # The upstream held it and does not any more, so nobody does.
                 self.counters["flows_reset_lost"] += 1
@@ -364,7 +320,7 @@
     def _note_closed(self, now: float) -> Effects:
         """Give up the flows of an upstream that nobody listens for."""
         self.counters["upstream_closed"] += 1
-        if self.gate.explain(now) == "upstream_gone" and not self._flows:
+        if self.gate.explain(now) == "upstream_gone" and len(self._flows) == 0:
             return []
         self.gate.close()
         effects = self._reset_all()
@@ -373,13 +329,11 @@
 
     def _reset_all(self) -> Effects:
         effects: Effects = []
-        for key, flow in self._flows.items():
-            if flow.ends == 3 or not flow.is_open:
+        for key, flow in self._flows.take_all():
+            if flow.ends == BOTH_ENDED or not flow.is_open:
                 continue
             reset = make_reset(key, flow.acknowledged)
             effects.append(SendToCaller(reset, key[:4]))
-        self._flows.clear()
-        self._busy = 0
         return effects
 
     # What the upstream says of itself.
@@ -435,7 +389,7 @@
         self.gate.stop()
         self._stop_at = now + self._stop_wait_s
         self._stopping_since = now
-        detail = f"{len(self._flows)} flows, {self._busy} busy"
+        detail = f"{len(self._flows)} flows, {self._flows.busy} busy"
         effects: Effects = [Decision("stopping", detail)]
         if self.gate.is_gone:
             # The platform stops an agent after its upstream: nobody holds these.
@@ -443,6 +397,7 @@
         return effects + self._report(now)
 
     def _tick(self, now: float) -> Effects:
+        self._flows.expire_openings(now)
         effects: Effects = []
         effects += self._report(now, all_at_once=self._describe(now) != self._reported)
         for host in self.subscription.list_silent(now):
@@ -450,7 +405,7 @@
         if now - self._swept_at >= SWEEP_INTERVAL_S:
             self._swept_at = now
             self.subscription.forget_lost(now)
-            self._sweep(now)
+            self._flows.sweep(self.tables.table.idle_timeout_s, now)
         if self._stop_at is not None and self._may_end(now):
             effects.append(Ended())
         return effects
@@ -458,7 +413,7 @@
     def _may_end(self, now: float) -> bool:
         if now - self._stopping_since < STOP_NOTICE_S:
             return False
-        return now >= self._stop_at or self._busy == 0
+        return now >= self._stop_at or self._flows.busy == 0
 
     def _report(self, now: float, all_at_once: bool = True) -> Effects:
         """Poll the control hosts that are due, with a report."""
@@ -478,7 +433,7 @@
             self.gate.is_cold(now),
             self.gate.slots,
             len(self._flows),
-            self._busy,
+            self._flows.busy,
             self._stop_at is not None and self.gate.is_gone,
         )
         poll = Poll(self.tables.table.index, 0, 0, False, False, report)
@@ -488,26 +443,3 @@
         """Return what control hosts have to hear of at once."""
         accepting = self.gate.is_accepting(now)
         return (self.gate.service, accepting, self.gate.is_cold(now))
-
-    def _work(self, flow: AgentFlow, now: float) -> None:
-        if not flow.is_busy:
-            flow.is_busy = True
-            flow.busy_since = now
-            self._busy += 1
-
-    def _rest(self, flow: AgentFlow) -> None:
-        if flow.is_busy:
-            flow.is_busy = False
-            self._busy -= 1
-
-    def _forget(self, key: bytes) -> None:
-        flow = self._flows.pop(key, None)
-        if flow is not None:
-            self._rest(flow)
-
-    def _sweep(self, now: float) -> None:
-        idle_s = self.tables.table.idle_timeout_s
-        for key, flow in list(self._flows.items()):
-            limit = ENDED_LINGER_S if flow.ends == 3 or not flow.is_open else idle_s
-            if now - flow.seen_at > limit:
-                self._forget(key)
--- /dev/null
+++ b/fulmarshore/direct/agentflows_test.py
@@ -0,0 +1,89 @@
+import socket
+import unittest
+from dataclasses import dataclass
+
+from fulmarshore.direct.agentflows import ENDED_LINGER_S, OPENING_S, AgentFlows
+from fulmarshore.direct.packets import ACK, parse_packet
+
+KEY = (
+    socket.inet_aton("100.64.0.7")
+    + b"\x9c\x41"
+    + socket.inet_aton("198.18.0.1")
+    + b"\x01\xbb"
+)
+LAST = 2**32 - 1
+
+
+def make_data(sequence, data=b"request"):
+    """Return a caller's packet with data at a position."""
+    head = KEY + len(data).to_bytes(2) + bytes(4) + bytes([ACK]) + bytes(7)
+    return parse_packet(head + sequence.to_bytes(4) + bytes(4) + data)
+
+
+@dataclass
+class Case:
+    """What passes in one flow, and whether a request is under way then."""
+
+    name: str
+    steps: list
+    busy: int
+
+
+CASES = [
+    Case("opening", ["admit"], 1),
+    Case("opening without a sequel", ["admit", ("wait", OPENING_S)], 0),
+    Case("request", ["admit", 100, ("wait", OPENING_S)], 1),
+    Case("answered", ["admit", 100, "answer"], 0),
+    Case("request of two packets", ["admit", 100, 107, "answer"], 0),
+    Case("next request", ["admit", 100, "answer", 107], 1),
+    Case("packet repeated after the answer", ["admit", 100, "answer", 100], 0),
+    Case("older packet after the answer", ["admit", 107, "answer", 100], 0),
+    Case("packet repeated before the answer", ["admit", 100, 100], 1),
+    Case("positions begin anew", ["admit", LAST - 3, "answer", 3], 1),
+    Case("repeated at the turn", ["admit", LAST - 3, "answer", LAST - 3], 0),
+    Case("memory lost under a request", ["ask", 100], 1),
+    Case("forgotten", ["admit", 100, "forget"], 0),
+    Case("forgotten as an opening", ["admit", "forget", ("wait", OPENING_S)], 0),
+    Case("admitted again", ["admit", "forget", "admit", 100, "answer"], 0),
+    Case("swept", ["admit", 100, ("wait", ENDED_LINGER_S + 0.1), "sweep"], 0),
+]
+
+
+class AgentFlowsTest(unittest.TestCase):
+    def test_requests_under_way(self):
+        for case in CASES:
+            with self.subTest(case.name):
+                flows = AgentFlows()
+                now = 1.0
+                for step in case.steps:
+                    match step:
+                        case "admit":
+                            flows.admit(KEY, now)
+                        case "ask":
+                            flows.ask_for(KEY, now)
+                        case "answer":
+                            flows.take_answer(flows.get(KEY), now)
+                        case "forget":
+                            flows.forget(KEY)
+                        case "sweep":
+                            flows.sweep(15.0, now)
+                        case ("wait", seconds):
+                            now += seconds
+                        case sequence:
+                            packet = make_data(sequence)
+                            flows.take_data(flows.get(KEY), packet, now)
+                    flows.expire_openings(now)
+                    self.assertGreaterEqual(flows.busy, 0)
+                self.assertEqual(flows.busy, case.busy)
+
+    def test_time_of_work(self):
+        flows = AgentFlows()
+        flows.admit(KEY, 1.0)
+        flow = flows.get(KEY)
+        flows.take_data(flow, make_data(100), 1.01)
+        self.assertAlmostEqual(flows.take_answer(flow, 1.05), 0.05)
+        self.assertIsNone(flows.take_answer(flow, 1.06))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from fulmarshore.direct.directory import KnownAgents
-from fulmarshore.direct.flows import FlowMemory, make_rejection
+from fulmarshore.direct.flows import FlowMemory, Stage, make_rejection
 from fulmarshore.direct.lookups import Lookups
 from fulmarshore.direct.openings import Openings
 from fulmarshore.direct.packets import (
@@ -137,6 +137,8 @@
         if flow is None or not flow.agents:
             return self._lookups.seek(packet, flow, now)
         flow.seen_at = now
+        if len(flow.agents) == 1:
+            flow.stage = Stage.SETTLED
         if packet.is_ending:
             self._memory.end(flow)
         if len(flow.agents) == 1 and flow.agents[0] in self._ended_hosts:
--- a/fulmarshore/direct/flows.py
+++ b/fulmarshore/direct/flows.py
@@ -144,9 +144,10 @@
             flow.counted = None
 
     def sweep(self, idle_s: float, now: float) -> None:
-        """Forget flows that ended, and those without a packet for long."""
+        """Forget flows that ended or never opened, and those silent for long."""
         for key, flow in list(self._flows.items()):
-            limit = ENDED_LINGER_S if flow.is_ended else idle_s
+            is_past = flow.is_ended or flow.stage is Stage.OPENING
+            limit = ENDED_LINGER_S if is_past else idle_s
             if now - flow.seen_at > limit:
                 self.forget(key)
 
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -403,6 +403,23 @@
                 times = sorted(self.play(share, seed=5) + self.play(share, seed=6))
                 self.assertLess(times[int(len(times) * part)], 0.0272 + 0.01)
 
+    def test_openings_without_a_sequel_take_no_room_of_cold_upstreams(self):
+        world = make_world(seed=4, agents={"desk": 3})
+        for host in list(world.upstreams):
+            world.upstreams[host].crash()
+            world.start_upstream(host, "desk", cold_s=30.0, slots=1)
+        world.run(2.0)
+        world.loss_to_callers = 1.0
+        for number in range(30):
+            world.call(number, DESK, 1.0)
+            world.run(0.01)
+        world.run(1.5)
+        world.loss_to_callers = 0.0
+        callers = [world.call(number, DESK) for number in range(100, 110)]
+        world.run(1.0)
+        for caller in callers:
+            self.assertEqual(caller.calls[0].outcome, "answered")
+
 
 class OrdersTest(unittest.TestCase):
     def read_version(self, world):
