Agents keep openings that no slot is free for, newest first; voters are found sooner

Upstreams' own queues of four a slot made each request late (96 ms before 26 ms of work, of an objective of 100 ms), and what found them full was offered to all agents each 0.1 s: 2,700 refusals a second at an agent. Now openings wait at the agent, pass as soon as a slot is due, by priority of the route and newest first, and are told to the entry host, so that no copy of them is offered elsewhere. What waits 0.6 s is rejected.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -30,6 +30,8 @@
     MARK_REFUSED_CLOSED,
     MARK_SEARCH,
     MARK_SEEKING,
+    MARK_WAITED,
+    MARK_WAITING,
     NO_HOST,
     RST,
     SYN,
@@ -63,6 +65,7 @@
 from fulmarshore.direct.searches import SearchRounds, split_search
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
+from fulmarshore.direct.waiting import OpeningQueue
 
 FIRST_SEQUENCE = 1
 """Number of an upstream's first announcement."""
@@ -113,6 +116,7 @@
         self._own_host = socket.inet_aton(host)
         self._searches = SearchRounds(self._own_host)
         self._flows = AgentFlows()
+        self._queue = OpeningQueue()
         self.work = Latency()
         self._remembers_all = False
         self._revision = 0
@@ -148,7 +152,10 @@
             case CallerPacket(content=content):
                 return self._take_caller(content, now)
             case UpstreamPacket(content=content):
-                return self._take_upstream(content, now)
+                effects = self._take_upstream(content, now)
+                if len(self._queue):
+                    effects += self._serve_queue(now)
+                return effects
             case ReturnedPacket(content=content):
                 return self._searches.take_note(content)
             case Announced():
@@ -211,15 +218,28 @@
     def _open(self, packet: Packet, flow: AgentFlow | None, now: float) -> Effects:
         if flow is not None:
             return self._open_again(packet, flow, now)
-        flows = self._flows
-        flows.expire_openings(now)
-        reason = self.gate.admit(packet.service_address, len(flows), flows.busy, now)
+        reason = self.gate.check(packet.service_address, now)
         if reason is not None:
             return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
-        if packet.mark == MARK_OFFER and flows.busy >= self.gate.slots:
+        if packet.flow in self._queue:
+            return []
+        self._flows.expire_openings(now)
+        busy = self._flows.busy
+        if packet.mark == MARK_OFFER and busy >= self.gate.slots:
             self.counters["offers_declined_busy"] += 1
-            declined = mark_packet(packet, MARK_BUSY, self._own_host, flows.busy)
+            load = busy + len(self._queue)
+            declined = mark_packet(packet, MARK_BUSY, self._own_host, load)
             return [SendToEntry(declined, packet.return_host)]
+        if not self.gate.has_room(busy):
+            return self._wait(packet, now)
+        return self._admit(packet, now)
+
+    def _admit(self, packet: Packet, now: float) -> Effects:
+        """Let an opening pass, if the gate does."""
+        flows = self._flows
+        reason = self.gate.admit(packet.service_address, len(flows), now)
+        if reason is not None:
+            return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
         flows.admit(packet.flow, now)
         self.counters["flows_admitted"] += 1
         detail = f"{len(flows)} flows, {flows.busy} busy"
@@ -228,6 +248,43 @@
             Decision("flow_admitted", detail, packet.flow),
         ]
 
+    def _wait(self, packet: Packet, now: float) -> Effects:
+        """Let an opening wait for a slot, and say so to the entry host."""
+        self.counters["openings_queued"] += 1
+        priority = self.tables.find_priority(packet.service_address)
+        last = self._queue.put(packet, priority, self.gate.slots, now)
+        if last is not None and last.flow == packet.flow:
+            return self._refuse(packet, "queue_full", MARK_WAITED)
+        note = make_note(packet, MARK_WAITING, self._own_host)
+        effects: Effects = [SendToEntry(note, packet.return_host)]
+        if last is not None:
+            effects += self._refuse(last, "queue_full", MARK_WAITED)
+        return effects
+
+    def _serve_queue(self, now: float) -> Effects:
+        """Let openings that wait pass while there is room."""
+        effects: Effects = []
+        while len(self._queue) and self.gate.has_room(self._flows.busy):
+            effects += self._admit(self._queue.take_next(), now)
+        return effects
+
+    def _close_queue(self, reason: str) -> Effects:
+        """Hand back what waits for an upstream that takes nothing new."""
+        effects: Effects = []
+        for packet in self._queue.take_all():
+            effects += self._refuse(packet, reason, MARK_REFUSED_CLOSED)
+        return effects
+
+    def _tend_queue(self, now: float) -> Effects:
+        """Hand back what waited in vain, or for an upstream that is closed."""
+        effects: Effects = []
+        for packet in self._queue.take_expired(now):
+            effects += self._refuse(packet, "waited_in_vain", MARK_WAITED)
+        reason = self.gate.explain(now)
+        if reason is not None:
+            return effects + self._close_queue(reason)
+        return effects + self._serve_queue(now)
+
     def _open_again(self, packet: Packet, flow: AgentFlow, now: float) -> Effects:
         """Deliver an opening that was repeated, if it still may pass.
 
@@ -378,6 +435,7 @@
         effects += self.tables.learn(told)
         if self._describe(now) != self._reported:
             effects += self._report(now)
+        effects += self._report_to(self.subscription.take_new(now), now)
         index = self.tables.table.index
         if self.subscription.should_ask(update.index > index, now):
             effects.append(SendPoll(Poll(index, 0, 0, False, True), host))
@@ -398,7 +456,7 @@
 
     def _tick(self, now: float) -> Effects:
         self._flows.expire_openings(now)
-        effects: Effects = []
+        effects = self._tend_queue(now) if len(self._queue) else []
         effects += self._report(now, all_at_once=self._describe(now) != self._reported)
         for host in self.subscription.list_silent(now):
             effects.append(Decision("control_silent", host))
@@ -417,7 +475,9 @@
 
     def _report(self, now: float, all_at_once: bool = True) -> Effects:
         """Poll the control hosts that are due, with a report."""
-        due = self.subscription.take_due(now, all_at_once)
+        return self._report_to(self.subscription.take_due(now, all_at_once), now)
+
+    def _report_to(self, due: list[str], now: float) -> Effects:
         if not due:
             return []
         self._revision += 1
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -65,6 +65,9 @@
 INTRODUCTION_INTERVAL_S = 0.5
 """How often control hosts that do not vote are told who does, as often as
 processes poll."""
+START_S = 5.0
+"""After a start others may start as well, and know nobody: for so long they are
+told at each tick."""
 STOP_TIMEOUT_S = 1.5
 """How long a planned stop waits for another host to take up the lead."""
 
@@ -486,7 +489,8 @@
         Seeds may all be hosts without a disk, and after a loss of power those
         know nobody else.
         """
-        if now - self._introduced_at < INTRODUCTION_INTERVAL_S:
+        is_young = now - self._started_at < START_S
+        if not is_young and now - self._introduced_at < INTRODUCTION_INTERVAL_S:
             return []
         self._introduced_at = now
         voters = {voter.name for voter in self.replica.current_voters}
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -23,6 +23,8 @@
     MARK_REFUSED,
     MARK_REFUSED_CLOSED,
     MARK_SEEKING,
+    MARK_WAITED,
+    MARK_WAITING,
     NO_MARK,
     mark_packet,
     parse_packet,
@@ -164,6 +166,11 @@
             return self._lookups.take_miss(packet, flow, host, now)
         if packet.mark == MARK_DENIED:
             return self._lookups.take_denial(flow, now)
+        if packet.mark == MARK_WAITING:
+            flow.is_waiting = True
+            return []
+        if packet.mark == MARK_WAITED:
+            return self._openings.take_failure(packet, flow, host)
         if packet.mark in MARKS_OF_REFUSALS:
             return self._openings.take_refusal(packet, flow, host, now)
         self.counters["packets_malformed"] += 1
@@ -176,6 +183,7 @@
         effects: Effects = []
         if self.subscription.hear(host, update, now):
             effects.append(Decision("control_heard", host))
+        effects += [self._make_poll(new) for new in self.subscription.take_new(now)]
         if taken := self.tables.learn(told):
             effects += taken
             self._memory.drop_unrouted(self.tables)
--- a/fulmarshore/direct/flows.py
+++ b/fulmarshore/direct/flows.py
@@ -50,6 +50,8 @@
         When its search began.
     loads : dict of str to int
         Requests under way at agents that declined it.
+    is_waiting : bool
+        Whether an agent said that its opening waits there.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "pending",
         "sought_at",
         "loads",
+        "is_waiting",
     )
 
     def __init__(self, stage: Stage, now: float) -> None:
@@ -74,6 +77,7 @@
         self.pending: list[Packet] = []
         self.sought_at = float("-inf")
         self.loads: dict[str, int] = {}
+        self.is_waiting = False
 
 
 class FlowMemory:
--- a/fulmarshore/direct/gate.py
+++ b/fulmarshore/direct/gate.py
@@ -28,10 +28,9 @@
 spread of delays on one host."""
 COLD_MARGIN = 1
 """Flows a window that a cold upstream gets less than it bears."""
-COLD_BUSY = 4
-"""Requests for each slot that a cold upstream has under way at most, where its
-service states no rate: work for the 0.1 s until openings that wait are offered
-again, at the 25 ms that requests take on the platforms known."""
+UNDER_WAY_PER_SLOT = 2
+"""Requests for each slot up to which openings pass at once: one that is worked
+on, and one whose handshake takes place meanwhile."""
 
 
 class UpstreamBounds(Struct, frozen=True):
@@ -193,15 +192,25 @@
             return "other_service"
         return reason
 
-    def admit(self, address: bytes, flows: int, busy: int, now: float) -> str | None:
+    def has_room(self, busy: int) -> bool:
+        """Whether an opening may pass at once, or waits for a slot.
+
+        Parameters
+        ----------
+        busy : int
+            Flows with a request under way.
+        """
+        return busy < self.slots * UNDER_WAY_PER_SLOT
+
+    def admit(self, address: bytes, flows: int, now: float) -> str | None:
         """Return why a new flow does not pass; None lets it pass and counts it.
 
         Parameters
         ----------
         address : bytes
             Address and port of the service that the caller asks for.
-        flows, busy : int
-            Flows that the upstream holds, and those with a request under way.
+        flows : int
+            Flows that the upstream holds.
         now : float
             Steady time, seconds.
         """
@@ -212,16 +221,13 @@
         if policy is not None and flows >= policy.max_flows > 0:
             return "upstream_full"
         if self.is_cold(now):
-            return self._admit_cold(policy, busy, now)
+            return self._admit_cold(policy, now)
         return None
 
-    def _admit_cold(
-        self, policy: ServicePolicy | None, busy: int, now: float
-    ) -> str | None:
-        """Let a cold upstream get what its service states, or its slots bear."""
+    def _admit_cold(self, policy: ServicePolicy | None, now: float) -> str | None:
+        """Let a cold upstream get what its service states, if it does."""
         if policy is None or not policy.cold_per_s:
-            is_full = busy >= self._upstream.slots * COLD_BUSY
-            return "upstream_cold" if is_full else None
+            return None
         while self._cold_flows and now - self._cold_flows[0] >= COLD_WINDOW_S:
             self._cold_flows.popleft()
         if len(self._cold_flows) >= self._bounds.count_cold_flows(policy.cold_per_s):
--- a/fulmarshore/direct/openings.py
+++ b/fulmarshore/direct/openings.py
@@ -101,6 +101,10 @@
         effects: Effects = [SendToAgent(marked, host) for host in flow.agents]
         if flow.stage is not Stage.OPENING or packet.acknowledged == 0:
             return effects
+        if flow.is_waiting:
+            # An agent in whose queue it stays for longer than that is lost.
+            flow.is_waiting = False
+            return effects
         # The caller heard no answer: its packet was lost, or the agent was.
         self._counters["openings_repeated"] += 1
         for host in flow.agents:
@@ -128,6 +132,15 @@
             return make_rejection(packet, "no_route", self._counters)
         return self._offer(packet, flow, route, now)
 
+    def take_failure(self, packet: Packet, flow: Flow, host: str) -> Effects:
+        """Reject an opening that waited in vain, unless others have it too."""
+        if host in flow.agents:
+            flow.agents.remove(host)
+        if flow.stage is not Stage.OPENING or flow.agents:
+            return []
+        self._memory.forget(packet.flow)
+        return make_rejection(packet, "no_slot", self._counters)
+
     def retry(self, now: float) -> Effects:
         """Offer what waits once more, and reject what waited long enough."""
         effects: Effects = []
--- a/fulmarshore/direct/packets.py
+++ b/fulmarshore/direct/packets.py
@@ -44,6 +44,10 @@
 """From an entry host: take this opening only if a request would start at once."""
 MARK_BUSY = 9
 """From an agent: it would not; the next field tells the load."""
+MARK_WAITING = 10
+"""Note of an agent: the opening waits there for a slot."""
+MARK_WAITED = 11
+"""From an agent: the opening waited in vain, its caller is to be rejected."""
 
 NO_HOST = b"\0\0\0\0"
 
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -28,10 +28,13 @@
         Address and port, six bytes.
     backends : tuple of Backend
         The services that take new flows.
+    priority : int
+        Which openings go first where not all can be served; 0 is the highest.
     """
 
     address: bytes
     backends: tuple[Backend, ...]
+    priority: int = 0
 
 
 class ServicePolicy(Record, frozen=True):
--- a/fulmarshore/direct/subscription.py
+++ b/fulmarshore/direct/subscription.py
@@ -13,7 +13,8 @@
 """Five polls fit into the shortest bound of the settings for what is new."""
 REPOLL_INTERVAL_S = 0.1
 """After this a control host that did not answer is polled again: it may have
-started meanwhile, and then needs to know of this process at once."""
+started meanwhile, and then needs to know of this process at once. The same holds
+for all of them until one has answered that votes."""
 CONTROL_SILENCE_S = 2.5
 """A control host that did not answer for this long does not count as heard."""
 TABLE_WAIT_S = 0.2
@@ -32,7 +33,14 @@
         Addresses of control hosts from the settings.
     """
 
-    __slots__ = ("_seeds", "_heard_at", "_known_at", "_polled_at", "_asked_at")
+    __slots__ = (
+        "_seeds",
+        "_heard_at",
+        "_known_at",
+        "_polled_at",
+        "_asked_at",
+        "_has_heard_voter",
+    )
 
     def __init__(self, seeds: list[str]) -> None:
         self._seeds = list(seeds)
@@ -40,6 +48,7 @@
         self._known_at: dict[str, float] = {}
         self._polled_at: dict[str, float] = {}
         self._asked_at = float("-inf")
+        self._has_heard_voter = False
 
     def replace_seeds(self, seeds: list[str]) -> None:
         """Take the seeds of settings that have changed."""
@@ -65,7 +74,7 @@
         for host in self.hosts:
             polled_at = self._polled_at.get(host, float("-inf"))
             heard_at = self._heard_at.get(host, float("-inf"))
-            is_answered = heard_at >= polled_at
+            is_answered = heard_at >= polled_at and self._has_heard_voter
             interval = POLL_INTERVAL_S if is_answered else REPOLL_INTERVAL_S
             if not all_at_once and now - polled_at < interval:
                 continue
@@ -73,6 +82,12 @@
             due.append(host)
         return due
 
+    def take_new(self, now: float) -> list[str]:
+        """Return the control hosts never polled so far, and count them as polled."""
+        new = [host for host in self.hosts if host not in self._polled_at]
+        self._polled_at.update(dict.fromkeys(new, now))
+        return new
+
     def forget_lost(self, now: float) -> None:
         """Poll no more what has long been silent and is no seed."""
         for host, known_at in list(self._known_at.items()):
@@ -82,6 +97,7 @@
 
     def hear(self, host: str, update: Update, now: float) -> bool:
         """Note an answer; whether the host had been silent before."""
+        self._has_heard_voter |= update.directory != 0
         for control in update.controls:
             self._known_at[control] = now
         heard_at = self._heard_at.get(host, float("-inf"))
--- a/fulmarshore/direct/tables.py
+++ b/fulmarshore/direct/tables.py
@@ -44,6 +44,11 @@
         """Return the route of an address and port."""
         return self._routes.get(address)
 
+    def find_priority(self, address: bytes) -> int:
+        """Return the priority of a route; the highest where there is none."""
+        route = self._routes.get(address)
+        return route.priority if route is not None else 0
+
     def find_service(self, name: str) -> ServicePolicy | None:
         """Return the policy of a service."""
         return self._services.get(name)
--- /dev/null
+++ b/fulmarshore/direct/waiting.py
@@ -0,0 +1,100 @@
+"""Openings that wait beside a busy upstream for a slot.
+
+This answers the load right after a loss: all callers open flows at once, more of
+them than the upstreams serve in their latency objective, while most upstreams
+are cold. In the order of arrival every caller would be served late. Newest first,
+those that come now are served in time, and the older ones are late anyway. Among
+routes, the priority that the configuration states goes before that.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from fulmarshore.direct.packets import Packet
+
+WAIT_S = 0.6
+"""How long an opening waits for a slot, then its caller is rejected: as long as
+entry hosts wait for an agent, and less than half of what a caller waits, 1.4 s."""
+MAX_WAITING_PER_SLOT = 32
+"""Openings that one slot serves in that time if each takes 19 ms; what is beyond
+it cannot be served and is rejected at once."""
+COPY_AGES_S = (0.0, 0.2, 0.6)
+"""How long ago a caller first sent an opening, by the number that its copies
+carry; a quantity of the protocol."""
+
+
+class WaitingOpening(Struct):
+    """An opening that waits.
+
+    Parameters
+    ----------
+    packet : Packet
+        The opening.
+    priority : int
+        Priority of its route; 0 goes first.
+    sent_at : float
+        When the caller sent it first, by its copy's number.
+    until : float
+        When it has waited in vain.
+    """
+
+    packet: Packet
+    priority: int
+    sent_at: float
+    until: float
+
+
+class OpeningQueue:
+    """The openings that wait for one upstream."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self) -> None:
+        self._waiting: dict[bytes, WaitingOpening] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, key: bytes) -> bool:
+        return key in self._waiting
+
+    def put(
+        self, packet: Packet, priority: int, slots: int, now: float
+    ) -> Packet | None:
+        """Let an opening wait; return the one that has to go for want of room."""
+        copy = min(packet.acknowledged, len(COPY_AGES_S) - 1)
+        sent_at = now - COPY_AGES_S[copy]
+        waiting = WaitingOpening(packet, priority, sent_at, now + WAIT_S)
+        self._waiting[packet.flow] = waiting
+        if len(self._waiting) <= slots * MAX_WAITING_PER_SLOT:
+            return None
+        last = max(self._waiting.values(), key=rank_waiting).packet
+        del self._waiting[last.flow]
+        return last
+
+    def take_next(self) -> Packet | None:
+        """Remove and return the opening that goes first; None if none waits."""
+        if not self._waiting:
+            return None
+        first = min(self._waiting.values(), key=rank_waiting).packet
+        del self._waiting[first.flow]
+        return first
+
+    def take_expired(self, now: float) -> list[Packet]:
+        """Remove and return the openings that waited in vain."""
+        expired = [held for held in self._waiting.values() if now >= held.until]
+        for held in expired:
+            del self._waiting[held.packet.flow]
+        return [held.packet for held in expired]
+
+    def take_all(self) -> list[Packet]:
+        """Remove and return all openings."""
+        packets = [held.packet for held in self._waiting.values()]
+        self._waiting.clear()
+        return packets
+
+
+def rank_waiting(held: WaitingOpening) -> tuple[int, float]:
+    """Return what openings are ordered by: the least goes first."""
+    return held.priority, -held.sent_at
--- /dev/null
+++ b/fulmarshore/direct/waiting_test.py
@@ -0,0 +1,77 @@
+import unittest
+from dataclasses import dataclass
+
+from fulmarshore.direct.packets import SYN, parse_packet
+from fulmarshore.direct.waiting import MAX_WAITING_PER_SLOT, WAIT_S, OpeningQueue
+from fulmarshore.standins.directends import make_flow, make_packet
+
+
+def make_opening(number, copy=0):
+    """Return the opening of a flow, or a repeated one."""
+    flow = make_flow(number, 443)
+    return parse_packet(make_packet(flow[:6], flow[6:], SYN, 1, copy))
+
+
+@dataclass
+class Case:
+    """Openings as (number, priority, copy, time), and their order of service."""
+
+    name: str
+    openings: list
+    order: list
+
+
+CASES = [
+    Case("none", [], []),
+    Case("newest first", [(1, 2, 0, 0.0), (2, 2, 0, 0.1), (3, 2, 0, 0.2)], [3, 2, 1]),
+    Case("priority before age", [(1, 1, 0, 0.0), (2, 2, 0, 0.1)], [1, 2]),
+    Case("0 is the highest priority", [(1, 0, 0, 0.0), (2, 1, 0, 0.1)], [1, 2]),
+    Case("a copy is as old as its first", [(1, 2, 0, 0.0), (2, 2, 1, 0.1)], [1, 2]),
+    Case("second copy", [(1, 2, 1, 0.0), (2, 2, 2, 0.3)], [1, 2]),
+    Case("unknown copy", [(1, 2, 2, 0.0), (2, 2, 99, 0.3)], [2, 1]),
+    Case("repeated", [(1, 2, 0, 0.0), (2, 2, 0, 0.1), (1, 2, 0, 0.2)], [1, 2]),
+]
+
+
+class OpeningQueueTest(unittest.TestCase):
+    def test_order(self):
+        for case in CASES:
+            with self.subTest(case.name):
+                queue = OpeningQueue()
+                for number, priority, copy, at in case.openings:
+                    opening = make_opening(number, copy)
+                    self.assertIsNone(queue.put(opening, priority, 1, at))
+                served = []
+                while (packet := queue.take_next()) is not None:
+                    served.append(packet.flow)
+                expected = [make_flow(number, 443) for number in case.order]
+                self.assertEqual(served, expected)
+
+    def test_what_waited_in_vain_is_handed_back(self):
+        queue = OpeningQueue()
+        queue.put(make_opening(1), 2, 1, 0.0)
+        queue.put(make_opening(2), 2, 1, 0.2)
+        self.assertEqual(queue.take_expired(WAIT_S - 0.01), [])
+        expired = queue.take_expired(WAIT_S)
+        self.assertEqual([packet.flow for packet in expired], [make_flow(1, 443)])
+        self.assertIn(make_flow(2, 443), queue)
+
+    def test_the_oldest_of_the_lowest_priority_makes_room(self):
+        queue = OpeningQueue()
+        for number in range(MAX_WAITING_PER_SLOT):
+            priority = 1 if number == 0 else 2
+            self.assertIsNone(queue.put(make_opening(number), priority, 1, number))
+        last = queue.put(make_opening(500), 2, 1, 500)
+        self.assertEqual(last.flow, make_flow(1, 443))
+        self.assertEqual(len(queue), MAX_WAITING_PER_SLOT)
+
+    def test_all_are_handed_back(self):
+        queue = OpeningQueue()
+        for number in range(3):
+            queue.put(make_opening(number), 2, 1, 0.0)
+        self.assertEqual(len(queue.take_all()), 3)
+        self.assertEqual(len(queue), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -29,6 +29,7 @@
     timeout_ms: float = field(name="timeoutMs")
     service: str | None = None
     backends: list[RouteBackend] | None = None
+    priority: float = 0.0
 
 
 class ServiceBody(Struct, frozen=True):
@@ -123,7 +124,8 @@
         return Table(index=state.index, zones_out=state.zones_out)
     found = _decoder.decode(zlib.decompress(state.content))
     routes = tuple(
-        Route(make_address(route), list_backends(route)) for route in found.routes
+        Route(make_address(route), list_backends(route), int(route.priority))
+        for route in found.routes
     )
     services = tuple(
         ServicePolicy(held.name, held.max_flows, held.cold_per_s)
