Openings that can still be served in time go before late ones

Cause: with the priority of the route first, permit checks of before the loss, late already, took the slots of feeds that could be served in their objective. A route's latency objective and priority now travel with the table; openings within the objective go first, then by priority, then the newest.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -251,8 +251,8 @@
     def _wait(self, packet: Packet, now: float) -> Effects:
         """Let an opening wait for a slot, and say so to the entry host."""
         self.counters["openings_queued"] += 1
-        priority = self.tables.find_priority(packet.service_address)
-        last = self._queue.put(packet, priority, self.gate.slots, now)
+        urgency = self.tables.find_urgency(packet.service_address)
+        last = self._queue.put(packet, urgency, self.gate.slots, now)
         if last is not None and last.flow == packet.flow:
             return self._refuse(packet, "queue_full", MARK_WAITED)
         note = make_note(packet, MARK_WAITING, self._own_host)
@@ -265,7 +265,7 @@
         """Let openings that wait pass while there is room."""
         effects: Effects = []
         while len(self._queue) and self.gate.has_room(self._flows.busy):
-            effects += self._admit(self._queue.take_next(), now)
+            effects += self._admit(self._queue.take_next(now), now)
         return effects
 
     def _close_queue(self, reason: str) -> Effects:
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -19,6 +19,24 @@
     weight: int
 
 
+class Urgency(Record, frozen=True):
+    """Which openings go first where not all can be served.
+
+    Parameters
+    ----------
+    priority : int
+        0 is the highest.
+    objective_s : float
+        Latency objective, seconds.
+    """
+
+    priority: int = 0
+    objective_s: float = float("inf")
+
+
+NO_URGENCY = Urgency()
+
+
 class Route(Record, frozen=True):
     """Where the flows to one address and port go.
 
@@ -28,13 +46,13 @@
         Address and port, six bytes.
     backends : tuple of Backend
         The services that take new flows.
-    priority : int
-        Which openings go first where not all can be served; 0 is the highest.
+    urgency : Urgency
+        Which of its openings go first.
     """
 
     address: bytes
     backends: tuple[Backend, ...]
-    priority: int = 0
+    urgency: Urgency = NO_URGENCY
 
 
 class ServicePolicy(Record, frozen=True):
--- a/fulmarshore/direct/tables.py
+++ b/fulmarshore/direct/tables.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from fulmarshore.direct.records import Decision, Route, ServicePolicy, Table, Told
+from fulmarshore.direct.records import (
+    NO_URGENCY,
+    Decision,
+    Route,
+    ServicePolicy,
+    Table,
+    Told,
+    Urgency,
+)
 
 
 class TableView:
@@ -44,10 +52,10 @@
         """Return the route of an address and port."""
         return self._routes.get(address)
 
-    def find_priority(self, address: bytes) -> int:
-        """Return the priority of a route; the highest where there is none."""
+    def find_urgency(self, address: bytes) -> Urgency:
+        """Return how urgent the openings of a route are."""
         route = self._routes.get(address)
-        return route.priority if route is not None else 0
+        return route.urgency if route is not None else NO_URGENCY
 
     def find_service(self, name: str) -> ServicePolicy | None:
         """Return the policy of a service."""
--- a/fulmarshore/direct/waiting.py
+++ b/fulmarshore/direct/waiting.py
@@ -2,9 +2,9 @@
 
 This answers the load right after a loss: all callers open flows at once, more of
 them than the upstreams serve in their latency objective, while most upstreams
-are cold. In the order of arrival every caller would be served late. Newest first,
-those that come now are served in time, and the older ones are late anyway. Among
-routes, the priority that the configuration states goes before that.
+are cold. In the order of arrival every caller would be served late. So openings
+that are within the latency objective of their route go before those that are late
+anyway, among these the priority of the route decides, and then the newest first.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from fulmarshore.direct.packets import Packet
+from fulmarshore.direct.records import Urgency
 
 WAIT_S = 0.6
 """How long an opening waits for a slot, then its caller is rejected: as long as
@@ -35,6 +36,8 @@
         Priority of its route; 0 goes first.
     sent_at : float
         When the caller sent it first, by its copy's number.
+    late_at : float
+        When the latency objective of its route has passed.
     until : float
         When it has waited in vain.
     """
@@ -42,8 +45,13 @@
     packet: Packet
     priority: int
     sent_at: float
+    late_at: float
     until: float
 
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Return what openings are ordered by: the least goes first."""
+        return now >= self.late_at, self.priority, -self.sent_at
+
 
 class OpeningQueue:
     """The openings that wait for one upstream."""
@@ -60,24 +68,29 @@
         return key in self._waiting
 
     def put(
-        self, packet: Packet, priority: int, slots: int, now: float
+        self, packet: Packet, urgency: Urgency, slots: int, now: float
     ) -> Packet | None:
         """Let an opening wait; return the one that has to go for want of room."""
         copy = min(packet.acknowledged, len(COPY_AGES_S) - 1)
         sent_at = now - COPY_AGES_S[copy]
-        waiting = WaitingOpening(packet, priority, sent_at, now + WAIT_S)
-        self._waiting[packet.flow] = waiting
+        self._waiting[packet.flow] = WaitingOpening(
+            packet,
+            urgency.priority,
+            sent_at,
+            sent_at + urgency.objective_s,
+            now + WAIT_S,
+        )
         if len(self._waiting) <= slots * MAX_WAITING_PER_SLOT:
             return None
-        last = max(self._waiting.values(), key=rank_waiting).packet
+        last = max(self._waiting.values(), key=lambda held: held.rank(now)).packet
         del self._waiting[last.flow]
         return last
 
-    def take_next(self) -> Packet | None:
+    def take_next(self, now: float) -> Packet | None:
         """Remove and return the opening that goes first; None if none waits."""
         if not self._waiting:
             return None
-        first = min(self._waiting.values(), key=rank_waiting).packet
+        first = min(self._waiting.values(), key=lambda held: held.rank(now)).packet
         del self._waiting[first.flow]
         return first
 
@@ -93,8 +106,3 @@
         packets = [held.packet for held in self._waiting.values()]
         self._waiting.clear()
         return packets
-
-
-def rank_waiting(held: WaitingOpening) -> tuple[int, float]:
-    """Return what openings are ordered by: the least goes first."""
-    return held.priority, -held.sent_at
--- a/fulmarshore/direct/waiting_test.py
+++ b/fulmarshore/direct/waiting_test.py
@@ -2,6 +2,7 @@
 from dataclasses import dataclass
 
 from fulmarshore.direct.packets import SYN, parse_packet
+from fulmarshore.direct.records import NO_URGENCY, Urgency
 from fulmarshore.direct.waiting import MAX_WAITING_PER_SLOT, WAIT_S, OpeningQueue
 from fulmarshore.standins.directends import make_flow, make_packet
 
@@ -19,6 +20,7 @@
     name: str
     openings: list
     order: list
+    objective_s: float = 5.0
 
 
 CASES = [
@@ -29,6 +31,9 @@
     Case("a copy is as old as its first", [(1, 2, 0, 0.0), (2, 2, 1, 0.1)], [1, 2]),
     Case("second copy", [(1, 2, 1, 0.0), (2, 2, 2, 0.3)], [1, 2]),
     Case("unknown copy", [(1, 2, 2, 0.0), (2, 2, 99, 0.3)], [2, 1]),
+    Case("late ones last", [(1, 1, 0, 0.0), (2, 2, 0, 0.6)], [2, 1], 0.5),
+    Case("all are late", [(1, 1, 0, 0.0), (2, 2, 0, 0.2)], [1, 2], 0.1),
+    Case("late by its copy's age", [(1, 1, 2, 0.6), (2, 2, 0, 0.6)], [2, 1], 0.5),
     Case("repeated", [(1, 2, 0, 0.0), (2, 2, 0, 0.1), (1, 2, 0, 0.2)], [1, 2]),
 ]
 
@@ -40,17 +45,18 @@
                 queue = OpeningQueue()
                 for number, priority, copy, at in case.openings:
                     opening = make_opening(number, copy)
-                    self.assertIsNone(queue.put(opening, priority, 1, at))
+                    urgency = Urgency(priority, case.objective_s)
+                    self.assertIsNone(queue.put(opening, urgency, 1, at))
                 served = []
-                while (packet := queue.take_next()) is not None:
+                while (packet := queue.take_next(1.0)) is not None:
                     served.append(packet.flow)
                 expected = [make_flow(number, 443) for number in case.order]
                 self.assertEqual(served, expected)
 
     def test_what_waited_in_vain_is_handed_back(self):
         queue = OpeningQueue()
-        queue.put(make_opening(1), 2, 1, 0.0)
-        queue.put(make_opening(2), 2, 1, 0.2)
+        queue.put(make_opening(1), NO_URGENCY, 1, 0.0)
+        queue.put(make_opening(2), NO_URGENCY, 1, 0.2)
         self.assertEqual(queue.take_expired(WAIT_S - 0.01), [])
         expired = queue.take_expired(WAIT_S)
         self.assertEqual([packet.flow for packet in expired], [make_flow(1, 443)])
@@ -59,16 +65,16 @@
     def test_the_oldest_of_the_lowest_priority_makes_room(self):
         queue = OpeningQueue()
         for number in range(MAX_WAITING_PER_SLOT):
-            priority = 1 if number == 0 else 2
-            self.assertIsNone(queue.put(make_opening(number), priority, 1, number))
-        last = queue.put(make_opening(500), 2, 1, 500)
+            urgency = Urgency(1 if number == 0 else 2)
+            self.assertIsNone(queue.put(make_opening(number), urgency, 1, number))
+        last = queue.put(make_opening(500), Urgency(2), 1, 500)
         self.assertEqual(last.flow, make_flow(1, 443))
         self.assertEqual(len(queue), MAX_WAITING_PER_SLOT)
 
     def test_all_are_handed_back(self):
         queue = OpeningQueue()
         for number in range(3):
-            queue.put(make_opening(number), 2, 1, 0.0)
+            queue.put(make_opening(number), NO_URGENCY, 1, 0.0)
         self.assertEqual(len(queue.take_all()), 3)
         self.assertEqual(len(queue), 0)
 
--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -10,7 +10,13 @@
 
 from fulmarshore.core.records import PutConfiguration
 from fulmarshore.direct.orders import OrderState
-from fulmarshore.direct.records import Backend, Route, ServicePolicy, Table
+from fulmarshore.direct.records import (
+    Backend,
+    Route,
+    ServicePolicy,
+    Table,
+    Urgency,
+)
 
 
 class RouteBackend(Struct, frozen=True):
@@ -30,6 +36,7 @@
     service: str | None = None
     backends: list[RouteBackend] | None = None
     priority: float = 0.0
+    objective_ms: float = field(default=0.0, name="targetLatencyMs")
 
 
 class ServiceBody(Struct, frozen=True):
@@ -57,6 +64,8 @@
 
 WEIGHT_STEPS = 1000
 """Weights may be fractions; ours are whole numbers of this part of theirs."""
+LOWEST_PRIORITY = 255
+"""Numbers beyond it mean the same; the pages name 0, the highest, and 1 and 2."""
 
 _decoder = msgspec.json.Decoder(ConfigurationBody)
 
@@ -118,13 +127,21 @@
     return (Backend(route.service, 1),) if route.service else ()
 
 
+def make_urgency(route: RouteBody) -> Urgency:
+    """Return which openings of a route go first."""
+    priority = int(min(max(route.priority, 0), LOWEST_PRIORITY))
+    if not route.objective_ms > 0:
+        return Urgency(priority)
+    return Urgency(priority, route.objective_ms / 1000)
+
+
 def make_table(state: OrderState) -> Table:
     """Return the table of a state."""
     if not state.version:
         return Table(index=state.index, zones_out=state.zones_out)
     found = _decoder.decode(zlib.decompress(state.content))
     routes = tuple(
-        Route(make_address(route), list_backends(route), int(route.priority))
+        Route(make_address(route), list_backends(route), make_urgency(route))
         for route in found.routes
     )
     services = tuple(
--- a/fulmarshore/platform/configuration_test.py
+++ b/fulmarshore/platform/configuration_test.py
@@ -6,6 +6,7 @@
 
 from fulmarshore.core.records import PutConfiguration
 from fulmarshore.direct.orders import OrderState
+from fulmarshore.direct.records import Urgency
 from fulmarshore.platform.configuration import (
     format_newest,
     make_table,
@@ -102,6 +103,27 @@
         table = make_table(OrderState(7, command.content, (), 1))
         self.assertEqual(table.routes[0].backends[0].weight, 250)
 
+    def test_urgency_of_routes(self):
+        cases = [
+            ("not stated", {}, Urgency()),
+            ("priority", {"priority": 2}, Urgency(2)),
+            ("beyond the lowest", {"priority": 1e300}, Urgency(255)),
+            ("below the highest", {"priority": -1}, Urgency(0)),
+            (
+                "objective",
+                {"priority": 1, "targetLatencyMs": 120},
+                Urgency(1, 0.12),
+            ),
+            ("objective 0", {"targetLatencyMs": 0}, Urgency()),
+        ]
+        for name, fields, expected in cases:
+            with self.subTest(name):
+                changed = copy.deepcopy(VALID)
+                changed["routes"][0].update(fields)
+                command = read_configuration(json.dumps(changed).encode())
+                table = make_table(OrderState(7, command.content, (), 1))
+                self.assertEqual(table.routes[0].urgency, expected)
+
     def test_no_weight_at_all_is_refused(self):
         changed = change(("routes", 0, "backends", 0, "weight"), 0)
         changed["routes"][0]["backends"][1]["weight"] = 0
