Metrics have a port of their own, hosts may listen at another address than they are known by

A bind address serves hosts behind a translation of addresses, and a proxy that loses packets in tests. Addresses of the settings are checked: a bad one ended a process with a traceback.

--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -42,6 +42,7 @@
 from fulmarshore.direct.settings import (
     CONTROL_OFFSET,
     RETURN_OFFSET,
+    Endpoint,
     HostSettings,
     SettingsProblem,
 )
@@ -130,6 +131,8 @@
     def run(self) -> int:
         """Run until a planned stop is complete; return the exit code."""
         self.open()
+        if self.settings.metrics_port:
+            self.serve(Endpoint(self.settings.host, self.settings.metrics_port))
         self.loop.take_signal(signal.SIGTERM, lambda: self.dispatch(Stopping()))
         self.loop.take_signal(signal.SIGINT, lambda: self.dispatch(Stopping()))
         self.loop.take_signal(signal.SIGHUP, self._reload)
@@ -160,9 +163,14 @@
         """Write a line of the log."""
         self._log.write(decision, time.monotonic())
 
-    def serve(self, host: str, port: int) -> None:
-        """Answer HTTP requests on an address."""
-        server = HttpServer(self.loop, host, port, self._answer, self.counters)
+    def serve(self, endpoint: Endpoint | None) -> None:
+        """Answer HTTP requests at an endpoint, if there is one."""
+        if endpoint is None:
+            return
+        local = self.settings.localize(endpoint)
+        server = HttpServer(
+            self.loop, local.host, local.port, self._answer, self.counters
+        )
         self._servers.append(server)
 
     def read_packets(self, reader: socket.socket, make: Callable) -> Callable:
@@ -262,13 +270,13 @@
         """Open the socket for control messages."""
         port = self.settings.internal_port + self.port_offset
         self._messages = MessageSocket(
-            self.loop, self.settings.host, port, self._take_message, self.counters
+            self.loop, self.settings.local_host, port, self._take_message, self.counters
         )
 
     def open_returned(self) -> None:
         """Open the socket for what agents hand back, with their addresses."""
         port = self.settings.internal_port + RETURN_OFFSET
-        opened = open_datagram_socket(self.settings.host, port)
+        opened = open_datagram_socket(self.settings.local_host, port)
 
         def read() -> None:
             for _ in range(PACKET_BATCH):
--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -66,16 +66,15 @@
         """Open the sockets for entry hosts, the upstream and control hosts."""
         settings = self.settings
         self._packets = self.open_packets(
-            settings.host, settings.packet_port, CallerPacket
+            settings.local_host, settings.packet_port, CallerPacket
         )
-        outbound = settings.outbound
+        outbound = settings.localize(settings.outbound)
         self._outbound = self.open_packets(outbound.host, outbound.port, UpstreamPacket)
         self._open_upstream()
         self.open_returned()
         self.open_messages()
-        for endpoint in (settings.readiness, settings.orders):
-            if endpoint is not None:
-                self.serve(endpoint.host, endpoint.port)
+        self.serve(settings.readiness)
+        self.serve(settings.orders)
 
     def handle(self, event: object, now: float) -> list:
         """Hand an event to the core."""
@@ -147,7 +146,7 @@
         address = self.settings.upstream
         if address is None:
             return
-        opened = open_datagram_socket(self.settings.host, 0)
+        opened = open_datagram_socket(self.settings.local_host, 0)
         opened.connect((address.host, address.port))
         self.loop.watch(opened, self._read_upstream)
         self._upstream = opened
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -128,7 +128,7 @@
         settings = self.settings
         self._messages = MessageSocket(
             self.loop,
-            settings.host,
+            settings.local_host,
             settings.internal_port + CONTROL_OFFSET,
             self._take_message,
             self.counters,
@@ -138,8 +138,7 @@
         else:
             self.core = RelayCore(settings.host, list(settings.seeds), self.random)
             self.note(Decision("no_disk", "orders are sent on to other hosts"))
-        if settings.orders is not None:
-            self.serve(settings.orders.host, settings.orders.port)
+        self.serve(settings.orders)
 
     def _open_log(self) -> ControlCore:
         """Read the log of this host's disk and take part in the group."""
--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -34,12 +34,11 @@
         """Open the sockets for callers, agents, control hosts and probes."""
         settings = self.settings
         self._packets = self.open_packets(
-            settings.host, settings.packet_port, CallerPacket
+            settings.local_host, settings.packet_port, CallerPacket
         )
         self.open_returned()
         self.open_messages()
-        if settings.readiness is not None:
-            self.serve(settings.readiness.host, settings.readiness.port)
+        self.serve(settings.readiness)
 
     def handle(self, event: object, now: float) -> list:
         """Hand an event to the core."""
--- a/fulmarshore/direct/settings.py
+++ b/fulmarshore/direct/settings.py
@@ -59,6 +59,12 @@
         What the platform says of upstreams.
     grace_s : float
         Time from the order to stop until the process is killed.
+    bind_host : str
+        Address to listen at where others reach this host at ``host`` but it has
+        another one itself; empty where both are the same.
+    metrics_port : int
+        Port for metrics alone, 0 for none; they are also told at the addresses
+        for readiness, orders and announcements.
     """
 
     name: str
@@ -80,6 +86,19 @@
     service: str = ""
     upstreams: UpstreamBounds = UpstreamBounds()
     grace_s: float = 6.0
+    bind_host: str = ""
+    metrics_port: int = 0
+
+    @property
+    def local_host(self) -> str:
+        """Address to listen at."""
+        return self.bind_host or self.host
+
+    def localize(self, endpoint: Endpoint) -> Endpoint:
+        """Return where to listen for what others send to an endpoint."""
+        if endpoint.host != self.host:
+            return endpoint
+        return Endpoint(self.local_host, endpoint.port)
 
 
 class SettingsProblem(Struct, frozen=True):
--- a/fulmarshore/platform/settings.py
+++ b/fulmarshore/platform/settings.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import os
+import socket
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 
 import msgspec
 from msgspec import Struct, field
@@ -17,10 +20,15 @@
 )
 
 PATH_VARIABLE = "FULMARSHORE_CONFIG"
+BIND_VARIABLE = "FULMARSHORE_BIND_HOST"
+METRICS_VARIABLE = "FULMARSHORE_METRICS_PORT"
 READY_PATH = "/v1/ready"
 DEFAULT_PATH = "/etc/fulmarshore/local.json"
 
 
+NO_ENVIRONMENT: Mapping[str, str] = MappingProxyType({})
+
+
 class Listen(Struct, frozen=True):
     """Addresses that the process listens on."""
 
@@ -82,11 +90,13 @@
         if content == self._content:
             return None
         self._content = content
-        return parse_settings(content)
+        return parse_settings(content, os.environ)
 
 
-def parse_settings(content: bytes) -> HostSettings | list[SettingsProblem]:
-    """Translate the content of a settings file."""
+def parse_settings(
+    content: bytes, environment: Mapping[str, str] = NO_ENVIRONMENT
+) -> HostSettings | list[SettingsProblem]:
+    """Translate the content of a settings file, and the process's variables."""
     try:
         found = msgspec.json.decode(content, type=SettingsFile)
     except (msgspec.MsgspecError, ValueError) as error:
@@ -102,9 +112,20 @@
     if last - first + 1 < INTERNAL_PORTS:
         allowed = f"{INTERNAL_PORTS} ports or more"
         problems.append(SettingsProblem("internalPorts", f"{first} to {last}", allowed))
+    if not _is_address(found.ip):
+        problems.append(SettingsProblem("ip", repr(found.ip), "an IPv4 address"))
     if not found.heartbeat_ms > 0:
         value = str(found.heartbeat_ms)
         problems.append(SettingsProblem("heartbeatMs", value, "more than 0"))
+    bind_host = environment.get(BIND_VARIABLE, "")
+    if bind_host and not _is_address(bind_host):
+        problems.append(SettingsProblem(BIND_VARIABLE, bind_host, "an IPv4 address"))
+    metrics_port = environment.get(METRICS_VARIABLE) or "0"
+    if not (
+        metrics_port.isascii() and metrics_port.isdigit() and int(metrics_port) < 65536
+    ):
+        allowed = "a port, or 0 for none"
+        problems.append(SettingsProblem(METRICS_VARIABLE, metrics_port, allowed))
     if problems:
         return problems
     known = [seed for seed in seeds if seed is not None]
@@ -133,6 +154,8 @@
             found.bounds.reuse_s,
         ),
         grace_s=found.bounds.grace_s,
+        bind_host=bind_host,
+        metrics_port=int(metrics_port),
     )
 
 
@@ -142,6 +165,14 @@
     return seeds[0].port if seeds else 0
 
 
+def _is_address(text: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 def _parse_endpoint(
     name: str, text: str, problems: list[SettingsProblem]
 ) -> Endpoint | None:
@@ -149,7 +180,8 @@
     if not text:
         return None
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    if not is_port or not _is_address(host):
         problems.append(SettingsProblem(name, repr(text), "ADDRESS:PORT"))
         return None
     return Endpoint(host, int(port))
--- a/fulmarshore/platform/settings_test.py
+++ b/fulmarshore/platform/settings_test.py
@@ -8,6 +8,8 @@
 
 from fulmarshore.direct.settings import Endpoint, HostSettings
 from fulmarshore.platform.settings import (
+    BIND_VARIABLE,
+    METRICS_VARIABLE,
     PATH_VARIABLE,
     SettingsReader,
     parse_settings,
@@ -59,6 +61,8 @@
             ({"listen": {"udpListen": "x"}}, "listen.udpListen: 'x'"),
             ({"app": "here"}, "app: 'here'"),
             ({"ip": 7}, "ip"),
+            ({"ip": "here"}, "ip: 'here'"),
+            ({"seeds": ["here:8166"]}, "seeds: 'here:8166'"),
             ({"zone": "gone"}, "zone"),
             ({"faultTolerance": {"machines": "two"}}, "faultTolerance"),
         ]
@@ -69,6 +73,28 @@
                 self.assertIn(expected, str(problems[0]))
                 self.assertIn("needs", str(problems[0]))
 
+    def test_variables_of_the_process(self):
+        content = json.dumps(VALID).encode()
+        found = parse_settings(
+            content, {BIND_VARIABLE: "127.0.0.9", METRICS_VARIABLE: "9464"}
+        )
+        self.assertEqual(found.metrics_port, 9464)
+        self.assertEqual(found.localize(found.orders), Endpoint("127.0.0.9", 8166))
+        elsewhere = Endpoint("10.1.0.99", 8080)
+        self.assertEqual(found.localize(elsewhere), elsewhere)
+        found = parse_settings(content, {METRICS_VARIABLE: ""})
+        self.assertEqual(found.metrics_port, 0)
+        self.assertEqual(found.localize(found.orders), found.orders)
+        for name, value in (
+            (BIND_VARIABLE, "here"),
+            (METRICS_VARIABLE, "-1"),
+            (METRICS_VARIABLE, "70000"),
+            (METRICS_VARIABLE, "none"),
+        ):
+            with self.subTest(name, value=value):
+                problems = parse_settings(content, {name: value})
+                self.assertIn(f"{name}: {value}", str(problems[0]))
+
     def test_bytes_that_are_no_settings(self):
         for content in (b"", b"{", b"\xff\xfe", b"[]", b"7"):
             self.assertIsInstance(parse_settings(content), list)
