Agents answer offers, and what is left unanswered for 40 ms goes to another agent

Now an agent says that it let an opening pass, in a note of 34 bytes, and an entry host that hears nothing within 40 ms offers the opening to another agent as well and suspects the first one.

world_test.py "openings offered to a host that froze" (slowest 0.23 s) failed before.

--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -11,6 +11,8 @@
     SendPoll,
     SendToAgent,
     SendToCaller,
+    Wake,
+    Woken,
 )
 from fulmarshore.direct.settings import ENTRY_OFFSET, HostSettings
 
@@ -63,5 +65,7 @@
                 self.send_packet(self._packets, content, caller, port)
             case SendPoll():
                 self.send_poll(effect)
+            case Wake(after_s=after_s):
+                self.loop.call_later(after_s, lambda: self.dispatch(Woken()))
             case _:
                 raise TypeError(f"unexpected effect {effect!r}")
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -22,6 +22,7 @@
 from fulmarshore.direct.packets import (
     ACK,
     FIN,
+    MARK_ADMITTED,
     MARK_BUSY,
     MARK_HELD,
     MARK_NOT_HELD,
@@ -243,8 +244,10 @@
         flows.admit(packet.flow, now)
         self.counters["flows_admitted"] += 1
         detail = f"{len(flows)} flows, {flows.busy} busy"
+        note = make_note(packet, MARK_ADMITTED, self._own_host)
         return [
             SendToUpstream(packet.content),
+            SendToEntry(note, packet.return_host),
             Decision("flow_admitted", detail, packet.flow),
         ]
 
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -16,6 +16,7 @@
 from fulmarshore.direct.lookups import Lookups
 from fulmarshore.direct.openings import Openings
 from fulmarshore.direct.packets import (
+    MARK_ADMITTED,
     MARK_BUSY,
     MARK_DENIED,
     MARK_HELD,
@@ -42,6 +43,7 @@
     Stopping,
     Ticked,
     Told,
+    Woken,
 )
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
@@ -118,6 +120,8 @@
                 return self._take_returned(content, host, now)
             case Ticked():
                 return self._tick(now)
+            case Woken():
+                return self._openings.wake(now)
             case Told():
                 return self._learn(event, now)
             case Stopping():
@@ -166,7 +170,11 @@
             return self._lookups.take_miss(packet, flow, host, now)
         if packet.mark == MARK_DENIED:
             return self._lookups.take_denial(flow, now)
+        if packet.mark == MARK_ADMITTED:
+            self._openings.take_answer(packet.flow, host)
+            return []
         if packet.mark == MARK_WAITING:
+            self._openings.take_answer(packet.flow, host)
             flow.is_waiting = True
             return []
         if packet.mark == MARK_WAITED:
--- a/fulmarshore/direct/openings.py
+++ b/fulmarshore/direct/openings.py
@@ -22,7 +22,7 @@
     mark_packet,
 )
 from fulmarshore.direct.placement import Placement
-from fulmarshore.direct.records import Decision, Route, SendToAgent
+from fulmarshore.direct.records import Decision, Route, SendToAgent, Wake
 from fulmarshore.direct.tables import TableView
 
 MAX_BUSY_OFFERS = 3
@@ -30,6 +30,10 @@
 of them gets it: with each half busy, one in eight flows meets only busy ones."""
 MAX_OFFERS = 3
 """Agents that hold an offer of one flow at a time."""
+ANSWER_S = 0.04
+"""How long an agent has to say what it did with an opening, then another one gets
+it as well: a tenth of that is the longest way between availability zones and back,
+and what is left of the shortest latency objective known, 0.1 s, is enough."""
 PARK_S = 0.6
 """How long an opening that no agent takes waits for one, then it is rejected:
 less than half of what a caller waits for an answer to it, 1.4 s."""
@@ -45,6 +49,13 @@
     until: float
 
 
+class Unanswered(Struct):
+    """An opening that an agent was offered and has said nothing of."""
+
+    packet: Packet
+    until: float
+
+
 class Openings:
     """Offers new flows to agents.
 
@@ -69,6 +80,8 @@
         "_tables",
         "_counters",
         "_parked",
+        "_unanswered",
+        "_is_wake_due",
     )
 
     def __init__(
@@ -85,6 +98,8 @@
         self._tables = tables
         self._counters = counters
         self._parked: dict[bytes, Parked] = {}
+        self._unanswered: dict[tuple[bytes, str], Unanswered] = {}
+        self._is_wake_due = False
 
     def take(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
         """Take a caller's opening, the first one or a repeated one."""
@@ -117,6 +132,7 @@
         self, packet: Packet, flow: Flow, host: str, now: float
     ) -> Effects:
         """Offer an opening that an agent did not take to the next one."""
+        self.take_answer(packet.flow, host)
         self._counters["offers_refused"] += 1
         if packet.mark == MARK_REFUSED_CLOSED:
             self._placement.close(host, now)
@@ -132,8 +148,44 @@
             return make_rejection(packet, "no_route", self._counters)
         return self._offer(packet, flow, route, now)
 
+    def take_answer(self, key: bytes, host: str) -> None:
+        """Note that an agent has said what it did with an opening."""
+        self._unanswered.pop((key, host), None)
+
+    def wake(self, now: float) -> Effects:
+        """Offer what an agent left unanswered to another one as well."""
+        self._is_wake_due = False
+        effects: Effects = []
+        while self._unanswered:
+            (key, host), held = next(iter(self._unanswered.items()))
+            if now < held.until:
+                break
+            del self._unanswered[key, host]
+            effects += self._offer_elsewhere(held.packet, host, now)
+        return effects + self._plan_wake(now)
+
+    def _plan_wake(self, now: float) -> Effects:
+        """Ask to be woken when the oldest offer without an answer is due."""
+        if self._is_wake_due or not self._unanswered:
+            return []
+        self._is_wake_due = True
+        oldest = next(iter(self._unanswered.values()))
+        return [Wake(max(0.0, oldest.until - now))]
+
+    def _offer_elsewhere(self, packet: Packet, host: str, now: float) -> Effects:
+        flow = self._memory.get(packet.flow)
+        if flow is None or flow.stage is not Stage.OPENING or host not in flow.agents:
+            return []
+        self._counters["offers_unanswered"] += 1
+        self._placement.suspect(host, now)
+        route = self._tables.find_route(packet.service_address)
+        if route is None or len(flow.agents) >= MAX_OFFERS:
+            return []
+        return self._offer(packet, flow, route, now)
+
     def take_failure(self, packet: Packet, flow: Flow, host: str) -> Effects:
         """Reject an opening that waited in vain, unless others have it too."""
+        self.take_answer(packet.flow, host)
         if host in flow.agents:
             flow.agents.remove(host)
         if flow.stage is not Stage.OPENING or flow.agents:
@@ -182,10 +234,12 @@
         flow.asked.append(host)
         self._memory.count(flow, host)
         self._counters["flows_offered"] += 1
+        self._unanswered[packet.flow, host] = Unanswered(packet, now + ANSWER_S)
         detail = f"{host} of {service}, number {len(flow.asked)} asked"
         return [
             SendToAgent(mark_packet(packet, mark, self._return_host), host),
             Decision("flow_offered", detail, packet.flow),
+            *self._plan_wake(now),
         ]
 
     def _park(self, packet: Packet, now: float) -> Effects:
--- a/fulmarshore/direct/packets.py
+++ b/fulmarshore/direct/packets.py
@@ -48,6 +48,8 @@
 """Note of an agent: the opening waits there for a slot."""
 MARK_WAITED = 11
 """From an agent: the opening waited in vain, its caller is to be rejected."""
+MARK_ADMITTED = 12
+"""Note of an agent: the opening was let pass to the upstream."""
 
 NO_HOST = b"\0\0\0\0"
 
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -324,6 +324,10 @@
     """Event: time has passed."""
 
 
+class Woken(Struct, frozen=True):
+    """Event: a time has come that the core asked to be told."""
+
+
 class Stopping(Struct, frozen=True):
     """Event: a planned stop begins."""
 
@@ -380,5 +384,11 @@
     flow: bytes = b""
 
 
+class Wake(Struct, frozen=True, gc=False):
+    """Effect: hand over a ``Woken`` after some seconds."""
+
+    after_s: float
+
+
 class Ended(Struct, frozen=True):
     """Effect: the planned stop is complete, the process may exit."""
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -420,6 +420,22 @@
         for caller in callers:
             self.assertEqual(caller.calls[0].outcome, "answered")
 
+    def test_openings_offered_to_a_host_that_froze_go_to_another_at_once(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world = make_world(seed=seed, agents={"desk": 3})
+                frozen = sorted(world.upstreams)[seed % 3]
+                world.freeze(frozen, 5.0)
+                callers = []
+                for number in range(30):
+                    callers.append(world.call(number, DESK))
+                    world.run(0.002)
+                world.run(1.0)
+                calls = [caller.calls[0] for caller in callers]
+                self.assertEqual({call.outcome for call in calls}, {"answered"})
+                slowest = max(call.ended_at - call.sent_at for call in calls)
+                self.assertLess(slowest, 0.1)
+
     def test_callers_that_come_after_a_loss_are_served_in_time(self):
         # Six cold upstreams serve 231 requests a second; 300 callers of before
         # open flows at once, and 160 a second come.
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -64,6 +64,8 @@
     Ticked,
     Told,
     UpstreamPacket,
+    Wake,
+    Woken,
     decode_table,
 )
 from fulmarshore.direct.relay import RelayCore
@@ -495,6 +497,8 @@
                 self._deliver(host, peer, LinkMessage(host, message))
             case Store():
                 self._store(host, effect)
+            case Wake(after_s=after_s):
+                self._wake(host, after_s)
             case Accepted() | Newest() | Elsewhere():
                 delay = self.random.uniform(*DELAY_S)
                 self.call_later(delay, lambda: self._take_answer(effect))
@@ -505,6 +509,19 @@
             case _:
                 raise TypeError(f"unexpected effect {effect!r}")
 
+    def _wake(self, host: str, after_s: float) -> None:
+        life = self._lives.get(host, 0)
+
+        def wake() -> None:
+            if self._lives.get(host, 0) != life:
+                return
+            if host in self.frozen:
+                self.call_later(0.05, wake)
+                return
+            self.dispatch(host, Woken())
+
+        self.call_later(after_s, wake)
+
     def _deliver(self, source: str, target: str, event: object) -> None:
         if (source, target) in self.cuts or self.random.random() < self.loss:
             return
