--- a/fulmarshore/adapters/logs.py
+++ b/fulmarshore/adapters/logs.py
@@ -70,8 +70,7 @@
         self._used[decision.kind] += 1
         if self._used[decision.kind] > find_budget(decision.kind):
             return
-        fields = {"at": round(time.time(), 4), "role": self._role, "host": self._name}
-        fields["kind"] = decision.kind
+        fields = self._begin_line(decision.kind)
         if decision.flow:
             fields["flow"] = format_flow(decision.flow)
         if decision.detail:
@@ -88,9 +87,11 @@
         self._window_at = now
         if left_out:
             self._counters["lines_left_out"] += sum(left_out.values())
-            self._put(
-                {"kind": "lines_left_out", "role": self._role, "counts": left_out}
-            )
+            self._put({**self._begin_line("lines_left_out"), "counts": left_out})
+
+    def _begin_line(self, kind: str) -> dict[str, object]:
+        at = round(time.time(), 4)
+        return {"at": at, "role": self._role, "host": self._name, "kind": kind}
 
     def flush(self) -> None:
         """Write the lines that wait, whole ones at a time."""
