A host that is back is not missing; a process tells that it stood still

Control hosts now count a host as missing only until its agent reports again; what a former process of a control host knew goes on counting. Openings that agents leave unanswered go to up to six of them: three may all be in a zone that is lost.

A host that froze left no line: processes tell it when they go on.

world_test.py "flows of a host that lost power are reset once it is back" failed before. Besides: `fulmarshore explain`, from the lines of all processes to the cause of a complaint; the soak has two services in all zones.

--- a/fulmarshore/adapters/eventloop.py
+++ b/fulmarshore/adapters/eventloop.py
@@ -90,7 +90,11 @@
         self._is_running = False
 
     def close(self) -> None:
-        """Close the loop's own sockets."""
+        """Close the loop's own sockets, and take no signals any more."""
+        if self._signals:
+            signal.set_wakeup_fd(-1)
+        for number in self._signals:
+            signal.signal(number, signal.SIG_DFL)
         self._selector.close()
         self._wake_reader.close()
         self._wake_writer.close()
--- a/fulmarshore/commands/explanations.py
+++ b/fulmarshore/commands/explanations.py
@@ -10,7 +10,9 @@
     Explanation,
     Line,
     explain_flow,
+    explain_host,
     explain_order,
+    explain_time,
     find_flows,
     read_lines,
 )
@@ -52,6 +54,23 @@
         show(explain_flow(lines, flow))
 
 
+@explain.command("host")
+@click.argument("address")
+@add_files
+@click.option("--at", required=True, type=float, help="When, seconds.")
+def explain_one_host(address: str, files: tuple[Path, ...], at: float) -> None:
+    """Say what became of the upstream's host ADDRESS near a time."""
+    show(explain_host(read_files(files), address, at))
+
+
+@explain.command("time")
+@add_files
+@click.option("--at", required=True, type=float, help="When, seconds.")
+def explain_one_time(files: tuple[Path, ...], at: float) -> None:
+    """Say which processes had ended near a time."""
+    show(explain_time(read_files(files), at))
+
+
 @explain.command("order")
 @add_files
 @click.option("--control", required=True, help="Name of the host that was asked.")
--- a/fulmarshore/commands/soaks.py
+++ b/fulmarshore/commands/soaks.py
@@ -24,7 +24,7 @@
 )
 @click.option("--entries", type=click.IntRange(1, 20), default=3, show_default=True)
 @click.option(
-    "--upstreams", type=click.IntRange(3, MOST_UPSTREAMS), default=5, show_default=True
+    "--upstreams", type=click.IntRange(6, MOST_UPSTREAMS), default=6, show_default=True
 )
 @click.option("--folder", type=click.Path(path_type=Path), help="Keeps logs and data.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
@@ -52,6 +52,8 @@
         with tempfile.TemporaryDirectory(prefix="fulmarshore-soak-") as scratch:
             held = Path(scratch) if folder is None else folder / f"seed-{number}"
             held.mkdir(parents=True, exist_ok=True)
+            if any(held.iterdir()):
+                raise click.ClickException(f"--folder: {held} is not empty")
             report = Soak(plan, held).run()
         click.echo(format_json(report) if as_json else format_text(report))
         if picture is not None:
--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -50,6 +50,8 @@
 TICK_INTERVAL_S = 0.1
 RELOAD_INTERVAL_S = 1.0
 """How often the settings are looked at: they may change without a signal."""
+STALL_S = 0.5
+"""A process that does not get its turn for so long misses a probe or a poll."""
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4"
 PACKET_BATCH = 128
@@ -58,6 +60,12 @@
 encode = msgspec.msgpack.Encoder().encode
 _update_decoder = msgspec.msgpack.Decoder(Update)
 
+
+def read_clock() -> float:
+    """Return a steady time that goes on while the host is suspended, seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 Load = Callable[[], "HostSettings | list[SettingsProblem] | None"]
 
 
@@ -93,6 +101,7 @@
         self.exit_code = 0
         self._load = load
         self._tick_s = tick_s
+        self._ticked_at = read_clock()
         self._log = LineLog(sys.stdout.fileno(), role, settings.name, self.counters)
         self._servers: list[HttpServer] = []
 
@@ -227,10 +236,20 @@
         return render_metrics(collector)
 
     def _tick(self) -> None:
+        self._note_stall()
         self.dispatch(Ticked())
         self._log.flush()
         self.loop.call_later(self._tick_s, self._tick)
 
+    def _note_stall(self) -> None:
+        """Tell that this process stood still, or the whole host did."""
+        now = read_clock()
+        stalled_s = now - self._ticked_at - self._tick_s
+        self._ticked_at = now
+        if stalled_s >= STALL_S:
+            self.counters["stalls"] += 1
+            self.note(Decision("process_stalled", f"{stalled_s:.2f} s until now"))
+
     def _reload_regularly(self) -> None:
         self._reload()
         self.loop.call_later(RELOAD_INTERVAL_S, self._reload_regularly)
--- a/fulmarshore/direct/directory.py
+++ b/fulmarshore/direct/directory.py
@@ -10,6 +10,8 @@
 
 AGENT_SILENCE_S = 2.5
 """An agent that was not heard of for this long, five reports, is gone."""
+MISSING_KEPT_S = 60.0
+"""How long it is known that an agent is missing: longer than anybody asks."""
 KEPT_CHANGES = 4096
 """Changes after which an entry host gets the whole list."""
 
@@ -23,16 +25,12 @@
         Random number of the control host's process: revisions of another
         process mean nothing.
 
-    Attributes
-    ----------
-    missing_at : float
-        When an agent went silent last; it may be back with its flows.
     """
 
     __slots__ = (
         "process",
         "revision",
-        "missing_at",
+        "_missing",
         "_reports",
         "_heard_at",
         "_changed",
@@ -43,13 +41,18 @@
     def __init__(self, process: int) -> None:
         self.process = process
         self.revision = 0
-        self.missing_at = float("-inf")
+        self._missing: dict[str, float] = {}
         self._reports: dict[str, AgentReport] = {}
         self._heard_at: dict[str, float] = {}
         self._changed: dict[str, int] = {}
         self._gone: dict[str, int] = {}
         self._ended: set[str] = set()
 
+    @property
+    def missing_at(self) -> float:
+        """When an agent went silent last that is not back: it may hold flows."""
+        return max(self._missing.values(), default=float("-inf"))
+
     def take(self, report: AgentReport, now: float) -> bool:
         """Take an agent's report; whether entry hosts should hear of it."""
         held = self._reports.get(report.host)
@@ -59,6 +62,7 @@
         if report.is_ended:
             return self._end(report.host)
         self._heard_at[report.host] = now
+        self._missing.pop(report.host, None)
         self._reports[report.host] = report
         if held is not None and not is_news(held, report):
             return False
@@ -80,7 +84,10 @@
         ]
         for host in silent:
             self._drop(host)
-            self.missing_at = now
+            self._missing[host] = now
+        for host, missing_at in list(self._missing.items()):
+            if now - missing_at > MISSING_KEPT_S:
+                del self._missing[host]
         return silent
 
     def _end(self, host: str) -> bool:
--- a/fulmarshore/direct/directory_test.py
+++ b/fulmarshore/direct/directory_test.py
@@ -59,6 +59,8 @@
         self.assertEqual(directory.expire(AGENT_SILENCE_S + 0.1), ["h1"])
         self.assertEqual(directory.missing_at, AGENT_SILENCE_S + 0.1)
         self.assertEqual(directory.expire(60.0), [])
+        directory.take(report("h1", revision=3), 60.0)
+        self.assertEqual(directory.missing_at, float("-inf"))
 
     def test_agent_is_known_as_long_as_one_control_host_hears_it(self):
         first, second, known = Directory(1), Directory(2), KnownAgents()
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -200,7 +200,7 @@
         for item in self.agents.take(host, update):
             effects.append(self._note_agent(item))
         self._ended_hosts.update(update.ended)
-        self._lookups.learn(update, now)
+        self._lookups.learn(host, update, now)
         return effects + self._openings.retry(now)
 
     def _note_agent(self, item: AgentReport | str) -> Decision:
--- a/fulmarshore/direct/lookups.py
+++ b/fulmarshore/direct/lookups.py
@@ -66,11 +66,18 @@
         self._tables = tables
         self._counters = counters
         self._knows_all = False
-        self._missing_at = float("-inf")
-
-    def learn(self, update: Update, now: float) -> None:
-        """Learn how much a control host knows of agents."""
-        self._missing_at = max(self._missing_at, now - update.missing_s)
+        self._missing_at: dict[tuple[str, int], float] = {}
+
+    def learn(self, control: str, update: Update, now: float) -> None:
+        """Learn how much a control host knows of agents.
+
+        What a former process of the control host knew goes on counting: the
+        present one may never have heard of an agent that is missing.
+        """
+        self._missing_at[control, update.directory] = now - update.missing_s
+        for key, missing_at in list(self._missing_at.items()):
+            if now - missing_at >= MISSING_S:
+                del self._missing_at[key]
         if update.age_s >= SETTLED_S:
             self._knows_all = True
 
@@ -144,11 +151,12 @@
     def _conclude(self, packet: Packet, now: float) -> Effects:
         """Reset a flow that every agent there is has denied."""
         self._memory.forget(packet.flow)
-        if self._knows_all and now - self._missing_at >= MISSING_S:
+        missing_s = now - max(self._missing_at.values(), default=float("-inf"))
+        if self._knows_all and missing_s >= MISSING_S:
             return make_rejection(packet, "not_held", self._counters)
         self._counters["flows_not_found"] += 1
         detail = (
             f"denied by all agents known, are these all: {self._knows_all}, "
-            f"one missing for {now - self._missing_at:.1f} s"
+            f"one missing for {missing_s:.1f} s"
         )
         return [Decision("flow_not_found", detail, packet.flow)]
--- a/fulmarshore/direct/openings.py
+++ b/fulmarshore/direct/openings.py
@@ -30,6 +30,9 @@
 of them gets it: with each half busy, one in eight flows meets only busy ones."""
 MAX_OFFERS = 3
 """Agents that hold an offer of one flow at a time."""
+MAX_UNANSWERED = 6
+"""The same, if some of them left it unanswered: a zone that is lost may be half of
+a service, and the first three asked may all be there."""
 ANSWER_S = 0.04
 """How long an agent has to say what it did with an opening, then another one gets
 it as well: a tenth of that is the longest way between availability zones and back,
@@ -179,7 +182,7 @@
         self._counters["offers_unanswered"] += 1
         self._placement.suspect(host, now)
         route = self._tables.find_route(packet.service_address)
-        if route is None or len(flow.agents) >= MAX_OFFERS:
+        if route is None or len(flow.agents) >= MAX_UNANSWERED:
             return []
         return self._offer(packet, flow, route, now)
 
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -208,7 +208,7 @@
     age_s : float
         How long that process has listened to agents.
     missing_s : float
-        How long ago an agent went silent that may still hold flows.
+        How long ago an agent went silent that is not back and may hold flows.
     is_whole : bool
         Whether the reports are all there are, not only the changes.
     reports : tuple of AgentReport
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -269,6 +269,43 @@
         world.run(2.5)
         self.assertEqual({call.outcome for call in calls}, {"reset"})
 
+    def lose_one_upstream(self, seed):
+        """Lose the power of one upstream's host under open flows for 3 s."""
+        world = make_world(seed=seed)
+        callers = [world.call(number, STORE) for number in range(8)]
+        world.run(1.0)
+        lost = next(h for h, up in world.upstreams.items() if up.service == "store")
+        held = [c for c in callers if c.flow in world.upstreams[lost].flows]
+        world.crash(lost)
+        world.upstreams[lost].crash()
+        world.run(3.0)
+        return world, lost, held
+
+    def test_flows_of_a_host_that_lost_power_are_reset_once_it_is_back(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world, lost, held = self.lose_one_upstream(seed)
+                world.start_agent(lost)
+                world.start_upstream(lost, "store")
+                world.run(1.5)
+                calls = [c.request(b"again-%d" % n) for n, c in enumerate(held)]
+                world.run(0.5)
+                self.assertEqual({call.outcome for call in calls}, {"reset"})
+
+    def test_flows_of_a_host_that_is_missing_are_not_reset(self):
+        # Control hosts that start anew never heard of the host that is cut off.
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world, lost, held = self.lose_one_upstream(seed)
+                for host in world.control_hosts:
+                    world.crash(host)
+                for host in world.control_hosts:
+                    world.start_control(host)
+                world.run(2.0)
+                calls = [c.request(b"again-%d" % n) for n, c in enumerate(held)]
+                world.run(0.5)
+                self.assertNotIn("reset", {call.outcome for call in calls})
+
     def test_young_entry_host_resets_no_flow_that_it_cannot_place(self):
         world = make_world(entries=1)
         caller = world.call(1, DESK)
--- a/fulmarshore/soak/ends.py
+++ b/fulmarshore/soak/ends.py
@@ -10,7 +10,7 @@
 
 from fulmarshore.adapters.eventloop import EventLoop
 from fulmarshore.adapters.messages import BUFFER_BYTES, RECEIVE_BYTES
-from fulmarshore.direct.packets import SYN, parse_packet
+from fulmarshore.direct.packets import parse_packet
 from fulmarshore.direct.records import Announced
 from fulmarshore.direct.settings import Endpoint
 from fulmarshore.platform.heartbeats import UPSTREAM_PATH
@@ -20,10 +20,9 @@
 from fulmarshore.soak.network import Hosts
 from fulmarshore.soak.operators import ask
 from fulmarshore.soak.programs import BOUNDS, HEARTBEAT_S, Ports
-from fulmarshore.standins.directends import Caller, Upstream, make_packet
+from fulmarshore.standins.directends import Caller, Upstream
 from fulmarshore.standins.directworld import hash_steady
 
-CALLER_HOST = "127.63.0.1"
 SERVICE_HOST = "198.18.0.1"
 FIRST_PORT = 10_000
 LAST_PORT = 60_000
@@ -278,7 +277,7 @@
         self._loop = loop
         self._pool = pool
         self._misses = dict.fromkeys(entries, MISSES)
-        self._socket = open_datagrams(CALLER_HOST, 0)
+        self._socket = open_datagrams(hosts.caller, 0)
         for entry in entries:
             self._probe(entry)
 
@@ -328,8 +327,8 @@
     ----------
     fabric : Fabric
         Takes their packets.
-    port : int
-        Port that packets for callers come to.
+    host, port : str, int
+        Address and port that packets for callers come to.
     loop : EventLoop
         The loop that watches the socket.
     checks : Checks
@@ -343,6 +342,7 @@
     def __init__(
         self,
         fabric: Fabric,
+        host: str,
         port: int,
         loop: EventLoop,
         checks: Checks,
@@ -357,7 +357,8 @@
         self._holds = holds
         self._numbers = random.randrange(FIRST_PORT, LAST_PORT)
         self.callers: dict[bytes, Caller] = {}
-        self._socket = open_datagrams(CALLER_HOST, port)
+        self._host = host
+        self._socket = open_datagrams(host, port)
         loop.watch(self._socket, self._read)
 
     def open(self, port: int, deadline_s: float) -> Caller:
@@ -390,7 +391,7 @@
         while True:
             self._numbers += 1
             number = FIRST_PORT + self._numbers % (LAST_PORT - FIRST_PORT)
-            source = socket.inet_aton(CALLER_HOST) + number.to_bytes(2)
+            source = socket.inet_aton(self._host) + number.to_bytes(2)
             flow = source + socket.inet_aton(SERVICE_HOST) + port.to_bytes(2)
             if flow not in self.callers:
                 return flow
@@ -417,10 +418,3 @@
                 self._checks.check_reset(
                     caller.flow.hex(), self._holds(caller.flow), self._now()
                 )
-
-
-def make_stray(random: Random) -> bytes:
-    """Return an opening to a route that does not exist."""
-    source = socket.inet_aton(CALLER_HOST) + random.randbytes(2)
-    address = socket.inet_aton(SERVICE_HOST) + (9).to_bytes(2)
-    return make_packet(source, address, SYN, 1, 0)
--- a/fulmarshore/soak/network.py
+++ b/fulmarshore/soak/network.py
@@ -18,6 +18,8 @@
 
 KNOWN_NETWORK = "127.61"
 OWN_NETWORK = "127.62"
+CALLER_NETWORK = "127.63"
+MAX_SUBNETS = 256
 LISTEN_BACKLOG = 64
 PIECE_BYTES = 64 * 1024
 BATCH = 64
@@ -34,11 +36,15 @@
     ----------
     names : list of str
         Their names.
+    subnet : int
+        Third byte of the addresses: runs with others disturb each other's ports
+        not at all.
     """
 
-    __slots__ = ("_numbers", "_names")
+    __slots__ = ("_subnet", "_numbers", "_names")
 
-    def __init__(self, names: list[str]) -> None:
+    def __init__(self, names: list[str], subnet: int = 0) -> None:
+        self._subnet = subnet
         self._numbers = {name: number + 1 for number, name in enumerate(names)}
         self._names = {self.get_own(name): name for name in names}
 
@@ -49,11 +55,16 @@
 
     def get_known(self, name: str) -> str:
         """Return the address that others know."""
-        return f"{KNOWN_NETWORK}.0.{self._numbers[name]}"
+        return f"{KNOWN_NETWORK}.{self._subnet}.{self._numbers[name]}"
 
     def get_own(self, name: str) -> str:
         """Return the address that the host's process listens at."""
-        return f"{OWN_NETWORK}.0.{self._numbers[name]}"
+        return f"{OWN_NETWORK}.{self._subnet}.{self._numbers[name]}"
+
+    @property
+    def caller(self) -> str:
+        """The address of all callers."""
+        return f"{CALLER_NETWORK}.{self._subnet}.1"
 
     def find(self, own: str) -> str | None:
         """Return the name of the host with an own address."""
--- a/fulmarshore/soak/plans.py
+++ b/fulmarshore/soak/plans.py
@@ -18,6 +18,10 @@
 """A disk is lost only so long after another one: two at once are more than the
 settings bear, and a new one needs the others to catch up."""
 ENTRY, AGENT, CONTROL = "entry", "agent", "control"
+SERVICES = ("desk", "store")
+LEAST_UPSTREAMS = 2
+"""Upstreams of a service that are left when one goes over to another service: an
+availability zone may be out besides."""
 ROLE_KINDS = {
     ENTRY: ("kill", "pause", "restart", "cut", "one_way", "loss", "delay"),
     AGENT: ("kill", "pause", "restart", "cut", "one_way", "loss", "delay"),
@@ -117,15 +121,16 @@
         return ENTRY if host in self.entries else AGENT
 
 
-def make_plan(seed: int, seconds: float, entries: int = 3, upstreams: int = 5) -> Plan:
+def make_plan(seed: int, seconds: float, entries: int = 3, upstreams: int = 6) -> Plan:
     """Draw a plan; the same arguments give the same plan."""
     random = Random(seed)
     controls = tuple(f"control-{number}" for number in range(3))
     entry_hosts = tuple(f"entry-{number}" for number in range(entries))
     services = {
-        f"agent-{number}": "store" if number % 3 == 2 else "desk"
+        f"agent-{number}": SERVICES[number % len(SERVICES)]
         for number in range(upstreams)
     }
+    present = dict(services)
     roles = {
         **dict.fromkeys(controls, CONTROL),
         **dict.fromkeys(entry_hosts, ENTRY),
@@ -143,6 +148,8 @@
                 if fault.at - wiped_at < WIPE_PAUSE_S:
                     continue
                 wiped_at = fault.at
+            if fault.kind == "reuse" and not _move_upstream(present, fault.host):
+                continue
             faults.append(fault)
         for _ in range(random.randint(1, 4)):
             at = start + random.uniform(0, BURST_S + CALM_S / 2)
@@ -160,6 +167,15 @@
     )
 
 
+def _move_upstream(present: dict[str, str], host: str) -> bool:
+    """Move an upstream to the other service, if its own keeps enough."""
+    service = present[host]
+    if list(present.values()).count(service) <= LEAST_UPSTREAMS:
+        return False
+    present[host] = next(name for name in SERVICES if name != service)
+    return True
+
+
 def _draw_fault(random: Random, roles: dict[str, str], start: float) -> Fault:
     at = start + random.uniform(0, BURST_S)
     for_s = random.uniform(*LASTING_S)
--- a/fulmarshore/soak/run.py
+++ b/fulmarshore/soak/run.py
@@ -14,8 +14,14 @@
 
 from fulmarshore.adapters.eventloop import EventLoop
 from fulmarshore.soak.checks import CONTACT_S, Calm, Checks, Violation
-from fulmarshore.soak.ends import Callers, Fabric, UpstreamEnd, make_stray
-from fulmarshore.soak.network import DatagramProxy, Faults, Hosts, StreamProxy
+from fulmarshore.soak.ends import Callers, Fabric, UpstreamEnd
+from fulmarshore.soak.network import (
+    MAX_SUBNETS,
+    DatagramProxy,
+    Faults,
+    Hosts,
+    StreamProxy,
+)
 from fulmarshore.soak.operators import DESK_PORT, MOVING_PORT, STORE_PORT, Operators
 from fulmarshore.soak.plans import PLANNED_KINDS, Fault, Plan, PlannedOrder
 from fulmarshore.soak.programs import REUSE_S, Programs, find_ports
@@ -35,6 +41,8 @@
 DEADLINE_S = 3.0
 READY_LIMIT_S = 20.0
 STRAYS_PER_S = 2.0
+STRAY_PORT = 9
+"""A port without a route: nothing of its flows may reach an upstream."""
 CLOCK_STEP_MS = 3_600_000
 SLOW_SYNC_S = 0.2
 NETWORK_KINDS = ("cut", "one_way", "loss", "delay")
@@ -104,7 +112,7 @@
         self._loop = EventLoop()
         self._pool = ThreadPoolExecutor(POOL_SIZE)
         self._started_at = time.monotonic()
-        self._hosts = Hosts(names)
+        self._hosts = Hosts(names, plan.seed % MAX_SUBNETS)
         ports = self._ports = find_ports(self._hosts.get_known(names[0]))
         self._faults = Faults(Random(plan.seed + 1))
         self._proxy = DatagramProxy(
@@ -128,6 +136,7 @@
         self._upstreams: dict[str, UpstreamEnd] = {}
         self._callers = Callers(
             self._fabric,
+            self._hosts.caller,
             ports.packets,
             self._loop,
             self._checks,
@@ -151,6 +160,8 @@
 
     def run(self) -> Report:
         """Carry out the plan and report."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.take_signal(number, interrupt)
         try:
             self._start()
             self._loop.call_later(self.plan.seconds, self._end_traffic)
@@ -245,6 +256,8 @@
         seconds: dict[int, list[int]] = {}
         calm = [0, 0]
         for caller in self._callers.callers.values():
+            if caller.flow.endswith(STRAY_PORT.to_bytes(2)):
+                continue
             for call in caller.calls:
                 outcomes[call.outcome or "none"] += 1
                 is_answered = call.outcome == "answered"
@@ -288,8 +301,7 @@
     def _send_strays(self) -> None:
         if self._is_over:
             return
-        content = make_stray(self._random)
-        self._fabric.hand_over(content[:12], content)
+        self._callers.open(STRAY_PORT, DEADLINE_S)
         self._loop.call_later(1 / STRAYS_PER_S, self._send_strays)
 
     def _open_feed(self) -> None:
@@ -480,3 +492,8 @@
             self._checks.check_exit(host, code, self._now())
             self._loop.call_later(RESTART_S, partial(self._restart, host))
         self._loop.call_later(WATCH_INTERVAL_S, self._watch)
+
+
+def interrupt() -> None:
+    """End a run early; its processes are ended."""
+    raise KeyboardInterrupt
--- a/fulmarshore/timeline/decisions.py
+++ b/fulmarshore/timeline/decisions.py
@@ -22,11 +22,12 @@
 AFTER_S = 4.0
 """How long after it what explains it is told: control hosts take 2.5 s until they
 call an agent silent, and entry hosts ask them twice a second."""
-FIND_WITHIN_S = 0.05
-"""How far a caller's time may be from that of a line about its flow."""
+FIND_WITHIN_S = 0.12
+"""How far a caller's time may be from that of a line about its flow: lines go out
+ten times a second."""
 ORDER_BEFORE_S = 5.0
 ORDER_AFTER_S = 5.0
-ENDS_OF_HOSTS = frozenset({"started", "stopping", "stopped"})
+ENDS_OF_HOSTS = frozenset({"started", "stopping", "stopped", "process_stalled"})
 ENDS_OF_UPSTREAMS = frozenset(
     {"upstream_announced", "upstream_departed", "upstream_closed", "upstream_moved"}
 )
@@ -162,6 +163,51 @@
     return Explanation(cause, detail, shown, left_out)
 
 
+def explain_host(lines: list[Line], address: str, at: float) -> Explanation:
+    """Say what became of an upstream's host near a time.
+
+    Parameters
+    ----------
+    address : str
+        Address of the host.
+    at : float
+        Time of day, seconds.
+    """
+    near = _list_near(lines, at)
+    ends = _list_ends(near, lines, address)
+    if not ends:
+        detail = f"no line tells of an end or a silence of {address}"
+        return Explanation("not_seen", detail, [])
+    return Explanation(*_name_end(address, ends))
+
+
+def explain_time(lines: list[Line], at: float) -> Explanation:
+    """Say which processes had ended near a time, where no line names a flow.
+
+    Parameters
+    ----------
+    at : float
+        Time of day, seconds.
+    """
+    near = [line for line in lines if at - AFTER_S <= line.at <= at + AFTER_S]
+    started = [line for line in near if line.kind == "started" and line.at >= at]
+    stopped = {(line.host, line.role) for line in near if line.kind == "stopping"}
+    abrupt = [line for line in started if (line.host, line.role) not in stopped]
+    known = {(line.host, line.role) for line in lines if line.at < at}
+    if not started:
+        return Explanation("not_seen", "no process started within 4 s", [])
+    roles = Counter(line.role for line in abrupt if (line.host, line.role) in known)
+    everyone = Counter(role for _, role in known)
+    told = ", ".join(
+        f"{number} of {everyone[role]} {role} processes"
+        for role, number in roles.items()
+    )
+    cause = "processes_ended" if roles else "processes_restarted"
+    return Explanation(
+        cause, f"started again without a stop: {told or 'none'}", started
+    )
+
+
 def explain_order(lines: list[Line], host: str, at: float) -> Explanation:
     """Say why a control host gave an order no answer, or none that is clear.
 
@@ -217,12 +263,7 @@
         return "refused", f"last by {last.host}: {last.detail}", []
     ends = _list_ends(near, lines, holder, last.at)
     if ends:
-        end = ends[-1]
-        what = "planned" if any(e.kind == "stopping" for e in ends) else "not planned"
-        cause = "holder_ended" if end.kind in ENDS_OF_HOSTS else "upstream_changed"
-        if end.kind in ("agent_silent", "agent_gone"):
-            cause, what = "holder_silent", "not heard of"
-        return cause, f"{holder}: {end.kind} {end.detail} ({what})", ends
+        return _name_end(holder, ends)
     entry = steps[0].host
     restarts = [
         line
@@ -239,6 +280,22 @@
     return "unclear", f"last line: {last.kind} {last.detail}", []
 
 
+def _name_end(holder: str, ends: list[Line]) -> Cause:
+    """Return what the lines about the end of a flow's host come to."""
+    kinds = [end.kind for end in ends]
+    if "process_stalled" in kinds:
+        stalled = ends[kinds.index("process_stalled")]
+        detail = f"{holder}: {stalled.host} stood still, {stalled.detail}"
+        return "holder_stalled", detail, ends
+    if "started" in kinds:
+        what = "as planned" if "stopping" in kinds else "without a stop"
+        return "holder_ended", f"{holder}: its agent started again {what}", ends
+    if "agent_silent" in kinds or "agent_gone" in kinds:
+        return "holder_silent", f"{holder}: control hosts heard nothing of it", ends
+    end = ends[-1]
+    return "upstream_changed", f"{holder}: {end.kind} {end.detail}", ends
+
+
 def _explain_rejection(
     rejected: Line, steps: list[Line], holder: str, near: list[Line]
 ) -> Cause:
