--- a/fulmarshore/standins/directends.py
+++ b/fulmarshore/standins/directends.py
@@ -29,6 +29,8 @@
 FIRST_REPEAT_S = 0.2
 LONGEST_REPEAT_S = 1.6
 SUM_SEED = 77
+MAX_FIRST_SEQUENCE = 0x7FFFFFFF
+"""First positions of the stand-ins leave room for what follows."""
 
 CallLater = Callable[[float, Callable[[], None]], None]
 
@@ -136,7 +138,10 @@
 
     def _accept(self, packet: Packet) -> None:
         self._numbers += 1
-        sequence = int.from_bytes(self.name.encode()[-2:]) * 65536 + self._numbers
+        # Upstreams must not draw the same number for one flow: a caller's answer
+        # opens the flow wherever its number matches.
+        drawn = xxh32_intdigest(f"{self.name} {self._numbers}".encode())
+        sequence = drawn & MAX_FIRST_SEQUENCE
         held = self.half_open.setdefault(packet.flow, sequence)
         source, destination = packet.flow[6:], packet.flow[:6]
         answer = make_packet(source, destination, SYN | ACK, held, packet.sequence + 1)
--- a/fulmarshore/timeline/decisions.py
+++ b/fulmarshore/timeline/decisions.py
@@ -252,7 +252,8 @@
     steps: list[Line], holder: str, lines: list[Line], near: list[Line]
 ) -> Cause:
     """Return cause, detail and the lines of others that show it."""
-    last = steps[-1]
+    told = [step for step in steps if step.kind != "flow_not_found"]
+    last = told[-1] if told else steps[-1]
     rejected = [step for step in steps if step.kind == "flow_rejected"]
     if rejected:
         return _explain_rejection(rejected[-1], steps, holder, near)
@@ -272,8 +273,8 @@
     ]
     if restarts:
         return "entry_ended", f"{entry}: {restarts[-1].kind}", restarts
-    if last.kind == "flow_not_found":
-        return "not_found", last.detail, []
+    if steps[-1].kind == "flow_not_found":
+        return "not_found", steps[-1].detail, []
     if any(step.kind == "flow_admitted" for step in steps) or holder:
         detail = f"it was passed to {holder or last.host}, and nothing happened to it"
         return "upstream_answered", detail, []
