Upstreams that reset or do not answer their requests are asked last

Load answered: an upstream that fails quickly always has a free slot, so it gets its share of all new flows and more, whatever its health says.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -18,6 +18,7 @@
     AgentFlows,
 )
 from fulmarshore.direct.gate import Gate, UpstreamBounds
+from fulmarshore.direct.judgement import Judgement
 from fulmarshore.direct.latency import Latency
 from fulmarshore.direct.packets import (
     ACK,
@@ -71,6 +72,9 @@
 FIRST_SEQUENCE = 1
 """Number of an upstream's first announcement."""
 SWEEP_INTERVAL_S = 1.0
+SUSPECT_LOAD = 100
+"""Requests that an upstream which is suspected counts as having more: it gets what
+is offered to all others first and not taken by them."""
 STOP_SHARE = 2 / 3
 """Share of the grace period that a planned stop waits for requests under way."""
 STOP_NOTICE_S = 0.3
@@ -119,6 +123,7 @@
         self._flows = AgentFlows()
         self._queue = OpeningQueue()
         self.work = Latency()
+        self.judgement = Judgement()
         self._remembers_all = False
         self._revision = 0
         self._reported: tuple = ()
@@ -226,15 +231,23 @@
             return []
         self._flows.expire_openings(now)
         busy = self._flows.busy
-        if packet.mark == MARK_OFFER and busy >= self.gate.slots:
-            self.counters["offers_declined_busy"] += 1
-            load = busy + len(self._queue)
-            declined = mark_packet(packet, MARK_BUSY, self._own_host, load)
-            return [SendToEntry(declined, packet.return_host)]
+        is_suspect = self.judgement.is_suspect(now)
+        if packet.mark == MARK_OFFER and (is_suspect or busy >= self.gate.slots):
+            return self._decline(packet, is_suspect)
         if not self.gate.has_room(busy):
             return self._wait(packet, now)
         return self._admit(packet, now)
 
+    def _decline(self, packet: Packet, is_suspect: bool) -> Effects:
+        """Leave an opening to others, if any of them takes it."""
+        self.counters["offers_declined_busy"] += 1
+        load = self._flows.busy + len(self._queue)
+        if is_suspect:
+            self.counters["offers_declined_suspect"] += 1
+            load += SUSPECT_LOAD
+        declined = mark_packet(packet, MARK_BUSY, self._own_host, load)
+        return [SendToEntry(declined, packet.return_host)]
+
     def _admit(self, packet: Packet, now: float) -> Effects:
         """Let an opening pass, if the gate does."""
         flows = self._flows
@@ -341,6 +354,8 @@
         if packet.flags & (SYN | ACK) == SYN | ACK:
             return effects
         if packet.flags & RST:
+            if flow.is_busy:
+                effects += self._judge(False, now)
             self._flows.forget(packet.flow)
             return effects
         flow.is_open = True
@@ -352,10 +367,20 @@
             work_s = self._flows.take_answer(flow, now)
             if work_s is not None:
                 self.work.observe(work_s)
+                effects += self._judge(True, now)
         if packet.flags & FIN:
             flow.ends |= UPSTREAM_ENDED
         return effects
 
+    def _judge(self, is_answered: bool, now: float) -> Effects:
+        """Note how a request ended."""
+        if not is_answered:
+            self.counters["requests_failed"] += 1
+        if not self.judgement.note(is_answered, now):
+            return []
+        detail = "requests were reset or left without an answer"
+        return [Decision("upstream_suspected", detail)]
+
     def _take_bounced(self, packet: Packet, now: float) -> Effects:
         """Hand a packet that the upstream returned back to the entry host."""
         flow = self._flows.get(packet.flow)
@@ -411,6 +436,7 @@
             # whoever hears its first word knows all its flows.
             is_first = announced.sequence <= FIRST_SEQUENCE
             self._remembers_all = former is not None or is_first
+            self.judgement.forget()
         reason = self.gate.explain(now)
         if outcome == "new" or reason != was_ready:
             detail = (
@@ -466,7 +492,8 @@
         if now - self._swept_at >= SWEEP_INTERVAL_S:
             self._swept_at = now
             self.subscription.forget_lost(now)
-            self._flows.sweep(self.tables.table.idle_timeout_s, now)
+            for _ in range(self._flows.sweep(self.tables.table.idle_timeout_s, now)):
+                effects += self._judge(False, now)
         if self._stop_at is not None and self._may_end(now):
             effects.append(Ended())
         return effects
--- a/fulmarshore/direct/agentflows.py
+++ b/fulmarshore/direct/agentflows.py
@@ -19,6 +19,9 @@
 """How long an opening counts as a request under way: the caller that got the
 answer sends its request at once, and one that got none repeats the opening
 after this time, at this agent or at another."""
+MUTE_S = 1.0
+"""A request without any answer for so long counts as failed: the longest work of
+the platforms known takes a fifth of that."""
 CALLER_ENDED = 1
 UPSTREAM_ENDED = 2
 BOTH_ENDED = CALLER_ENDED | UPSTREAM_ENDED
@@ -40,6 +43,8 @@
     ----------
     is_busy, busy_since : bool, float
         Whether a request is under way, and since when.
+    is_mute : bool
+        Whether that request was counted as one without an answer.
     ends : int
         CALLER_ENDED and UPSTREAM_ENDED, as far as they have.
     asker : bytes
@@ -54,6 +59,7 @@
         "seen_at",
         "is_open",
         "is_busy",
+        "is_mute",
         "busy_since",
         "ends",
         "asker",
@@ -66,6 +72,7 @@
         self.busy_since = now
         self.is_open = is_open
         self.is_busy = False
+        self.is_mute = False
         self.ends = 0
         self.asker = NO_HOST
         self.received: int | None = None
@@ -164,16 +171,29 @@
             if flow.received is None:
                 self.end_request(flow)
 
-    def sweep(self, idle_s: float, now: float) -> None:
-        """Forget flows that ended, and those without a packet for long."""
+    def sweep(self, idle_s: float, now: float) -> int:
+        """Forget flows that ended, and those without a packet for long.
+
+        Returns
+        -------
+        unanswered : int
+            Requests that have had no answer for too long, each counted once.
+        """
+        unanswered = 0
         for key, flow in list(self._flows.items()):
+            is_mute = flow.is_busy and now - flow.busy_since > MUTE_S
+            if is_mute and flow.received is not None and not flow.is_mute:
+                flow.is_mute = True
+                unanswered += 1
             has_ended = flow.ends == BOTH_ENDED or not flow.is_open
             limit = ENDED_LINGER_S if has_ended else idle_s
             if now - flow.seen_at > limit:
                 self.forget(key)
+        return unanswered
 
     def _begin_request(self, flow: AgentFlow, now: float) -> None:
         if not flow.is_busy:
             flow.is_busy = True
+            flow.is_mute = False
             flow.busy_since = now
             self.busy += 1
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -473,6 +473,44 @@
                 slowest = max(call.ended_at - call.sent_at for call in calls)
                 self.assertLess(slowest, 0.1)
 
+    def play_failing(self, seed, failing):
+        """Play flows while some of five upstreams reset theirs; how many failed."""
+        world = make_world(seed=seed, entries=2, agents={"desk": 5})
+        for host in list(world.upstreams):
+            world.upstreams[host].crash()
+            world.start_upstream(host, "desk", 0.02, slots=1)
+        world.run(2.0)
+        for host in sorted(world.upstreams)[:failing]:
+            world.upstreams[host].is_failing = True
+        callers = []
+        for number in range(600):
+            callers.append(world.call(number, DESK))
+            world.run(world.random.expovariate(80))
+        world.run(3.0)
+        calls = [caller.calls[0] for caller in callers]
+        return sum(call.outcome != "answered" for call in calls) / len(calls)
+
+    def test_upstream_that_resets_everything_gets_little(self):
+        # A fifth of all would fail, and more, since it always has a free slot.
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                self.assertLess(self.play_failing(seed, 1), 0.05)
+
+    def test_suspicion_does_not_empty_a_service(self):
+        self.assertGreater(self.play_failing(3, 5), 0.99)
+        world = make_world(seed=3, entries=2, agents={"desk": 2})
+        for upstream in world.upstreams.values():
+            upstream.is_failing = True
+        for number in range(40):
+            world.call(number, DESK)
+            world.run(0.02)
+        for upstream in world.upstreams.values():
+            upstream.is_failing = False
+        callers = [world.call(number, DESK) for number in range(40, 60)]
+        world.run(1.0)
+        outcomes = {caller.calls[0].outcome for caller in callers}
+        self.assertEqual(outcomes, {"answered"})
+
     def test_callers_that_come_after_a_loss_are_served_in_time(self):
         # Six cold upstreams serve 231 requests a second; 300 callers of before
         # open flows at once, and 160 a second come.
--- a/fulmarshore/standins/directends.py
+++ b/fulmarshore/standins/directends.py
@@ -74,6 +74,11 @@
         Time of its start.
     slots : int
         Requests that it works on at once; others wait in their order.
+
+    Attributes
+    ----------
+    is_failing : bool
+        Whether it resets each flow that brings a request.
     """
 
     def __init__(
@@ -97,6 +102,7 @@
         self.opened: list[tuple[bytes, bytes]] = []
         self.forged: list[bytes] = []
         self.asked: int = 0
+        self.is_failing = False
         self._send = send
         self._call_later = call_later
         self._numbers = 0
@@ -125,6 +131,10 @@
         if packet.flags & RST:
             del self.flows[packet.flow]
             return
+        if packet.length and self.is_failing:
+            self._answer(packet.flow, RST, packet.sequence, b"")
+            del self.flows[packet.flow]
+            return
         if packet.length:
             self._run(packet)
         if packet.flags & FIN:
