--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: install test demo check format soak golden pages
+.PHONY: install test demo check format soak soak-faults golden pages
 
 install: $(VENV)/.installed
 
@@ -36,5 +36,10 @@
 	@echo "seed $(SEED): repeat with make soak SEED=$(SEED) EXAMPLES=$(EXAMPLES) TESTS='$(TESTS)'"
 	FULMARSHORE_SOAK_SEED=$(SEED) FULMARSHORE_SOAK_EXAMPLES=$(EXAMPLES) $(PYTHON) -m unittest discover --start-directory fulmarshore --top-level-directory . --pattern '$(TESTS)'
 
+RUNS ?= 1
+
+soak-faults: install
+	$(PYTHON) -m fulmarshore soak --seed $(SEED) --runs $(RUNS)
+
 pages: install
 	$(PYTHON) -m fulmarshore.commands.reference docs/operating/settings.md
