Hosts that vote greet their former subscribers after a loss of power

A control host with a disk now keeps who polls it, in a file of its data folder that is of use only, and tells these processes who votes in the first seconds of its life.

world_test.py "processes are told who votes before any seed starts" failed before.

--- a/fulmarshore/adapters/disk.py
+++ b/fulmarshore/adapters/disk.py
@@ -138,6 +138,14 @@
         return FolderRefused("open_data_folder", self.name, str(self.path), detail)
 
 
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """A file of the data folder that is of use, and may be lost or old."""
+
+    name: str
+    content: bytes
+
+
 class FileDisk:
     """Carries out ``Store`` in order, on a thread of its own.
 
@@ -178,7 +186,7 @@
         self._slot = 0
         self._log: int | None = None
         self._mark: int | None = None
-        self._queue: queue.SimpleQueue[Store | None] = queue.SimpleQueue()
+        self._queue: queue.SimpleQueue[Store | Hint | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
         self._thread.start()
 
@@ -186,6 +194,10 @@
         """Take a write."""
         self._queue.put(store)
 
+    def keep(self, hint: Hint) -> None:
+        """Write a file that is of use if it is there; nobody waits for it."""
+        self._queue.put(hint)
+
     def close(self) -> None:
         """Finish all writes that the disk takes and end the thread."""
         self._is_closing = True
@@ -215,12 +227,22 @@
         first = self._queue.get()
         batch = []
         while first is not None:
-            batch.append(first)
+            if isinstance(first, Hint):
+                self._write_hint(first)
+            else:
+                batch.append(first)
             if self._queue.empty():
                 return batch, False
             first = self._queue.get()
         return batch, True
 
+    def _write_hint(self, hint: Hint) -> None:
+        try:
+            self._put_in_place(hint.name, hint.content)
+        except OSError as error:
+            if self._refuse is not None:
+                self._refuse(error)
+
     def _write(self, batch: list[Store]) -> None:
         frames = b""
         for store in batch:
@@ -258,20 +280,24 @@
     def _replace(self, store: Store, content: bytes) -> None:
         header = store.records[0]
         assert isinstance(header, FileHeader), "a file starts with its header"
-        temporary = f"{LOG_FILE}.new"
+        self._put_in_place(LOG_FILE, content)
+        if self._log is not None:
+            os.close(self._log)
+        self._log = self._open(LOG_FILE, os.O_APPEND)
+        self._generation = header.generation
+        self._size = len(content)
+
+    def _put_in_place(self, name: str, content: bytes) -> None:
+        """Replace a file as a whole: either the former or the new one is there."""
+        temporary = f"{name}.new"
         descriptor = self._open(temporary, os.O_TRUNC)
         try:
             self._files.append(descriptor, content)
             self._files.sync_new(descriptor)
         finally:
             os.close(descriptor)
-        self._files.rename(self._folder / temporary, self._folder / LOG_FILE)
+        self._files.rename(self._folder / temporary, self._folder / name)
         self._files.sync_folder(self._folder)
-        if self._log is not None:
-            os.close(self._log)
-        self._log = self._open(LOG_FILE, os.O_APPEND)
-        self._generation = header.generation
-        self._size = len(content)
 
     def _write_mark(self) -> None:
         slot = encode_mark(self._generation, self._size)
--- a/fulmarshore/adapters/disk_test.py
+++ b/fulmarshore/adapters/disk_test.py
@@ -6,7 +6,7 @@
 from unittest import TestCase
 from unittest.mock import patch
 
-from fulmarshore.adapters.disk import DataFolder, FileDisk
+from fulmarshore.adapters.disk import DataFolder, FileDisk, Hint
 from fulmarshore.agreement.storage import MARK_SLOT_BYTES, read_mark
 from fulmarshore.core.records import (
     DamagedFile,
@@ -133,6 +133,28 @@
         self.assertEqual(len(self.errors), 1)
         self.assertFalse((self.path / "log").exists())
 
+    def test_hints_are_written_beside_the_log_and_may_fail(self):
+        (self.path / "refused.new").mkdir()
+        refused = []
+        recovered = self.folder.read()
+        done = threading.Event()
+
+        def take(sequence):
+            done.set()
+
+        disk = FileDisk(self.path, recovered, take, self.errors.append, refused.append)
+        disk.keep(Hint("subscribers", b"first"))
+        disk.keep(Hint("refused", b"never"))
+        disk.submit(Store(1, self.start(), True))
+        disk.keep(Hint("subscribers", b"second"))
+        self.assertTrue(done.wait(WAIT_TIMEOUT_S))
+        disk.close()
+        self.assertEqual((self.path / "subscribers").read_bytes(), b"second")
+        self.assertEqual(self.errors, [])
+        self.assertEqual(len(refused), 1)
+        self.assertEqual(len(self.folder.read().entries), 0)
+        self.assertNotEqual(self.folder.read().generation, 0)
+
     def test_folder_is_locked(self):
         other = DataFolder(self.path, "c0")
         self.assertEqual(other.open().detail, "another process uses it")
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -16,6 +16,7 @@
     DataFolder,
     FileDisk,
     FolderRefused,
+    Hint,
     make_new_replica,
 )
 from fulmarshore.adapters.files import Files
@@ -50,6 +51,7 @@
     Order,
     Polled,
     Read,
+    Remember,
     SendUpdate,
 )
 from fulmarshore.direct.latency import Latency
@@ -68,6 +70,10 @@
 """How long a host that is no seed waits for a group at the first start: three
 times as long as seeds do, since one of them may have no disk."""
 
+SUBSCRIBERS_FILE = "subscribers"
+"""Who polled, of use after a restart; it may be lost or torn."""
+Subscribers = tuple[tuple[str, int], ...]
+
 Message = Union[
     Poll,
     Update,
@@ -169,7 +175,11 @@
         if settings.host not in settings.seeds:
             replica.bootstrap_wait_s = NO_SEED_WAIT_S
         core = ControlCore(
-            replica, secrets.randbits(63), settings.lost_disks, self._make_table
+            replica,
+            secrets.randbits(63),
+            settings.lost_disks,
+            self._make_table,
+            self._read_subscribers(folder.path / SUBSCRIBERS_FILE),
         )
         detail = (
             f"group {replica.group or 'none'}, disk {replica.identity.disk}, "
@@ -246,6 +256,9 @@
                 self._messages.send(encode(poll), host, internal_port)
             case Store():
                 self._disk.submit(effect)
+            case Remember(subscribers=subscribers):
+                content = msgspec.json.encode(subscribers)
+                self._disk.keep(Hint(SUBSCRIBERS_FILE, content))
             case Accepted(request=request):
                 self._respond(request, HttpResponse(200, b"{}"))
             case Newest(request=request, state=state):
@@ -293,6 +306,16 @@
             return
         self.dispatch(LinkMessage(host, message))
 
+    def _read_subscribers(self, path: Path) -> tuple[tuple[str, int], ...]:
+        """Return the processes that polled a former life of this one."""
+        if not path.exists():
+            return ()
+        try:
+            return msgspec.json.decode(path.read_bytes(), type=Subscribers)
+        except (OSError, msgspec.MsgspecError, ValueError) as error:
+            self.note(Decision("subscribers_unreadable", str(error)))
+            return ()
+
     def _recover(self, folder: DataFolder) -> Recovered:
         outcome = folder.read()
         if isinstance(outcome, DamagedFile):
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -68,6 +68,8 @@
 START_S = 5.0
 """After a start others may start as well, and know nobody: for so long they are
 told at each tick."""
+REMEMBER_INTERVAL_S = 2.0
+"""How often it is looked whether other processes poll."""
 STOP_TIMEOUT_S = 1.5
 """How long a planned stop waits for another host to take up the lead."""
 
@@ -125,6 +127,12 @@
     port: int
 
 
+class Remember(Struct, frozen=True):
+    """Effect: keep the processes that poll, to greet them after a restart."""
+
+    subscribers: tuple[tuple[str, int], ...]
+
+
 class Subscriber(Struct):
     """A process that polls this host.
 
@@ -190,6 +198,8 @@
         whose majority is larger.
     make_table : callable
         Makes the table of a state.
+    remembered : tuple of tuple
+        Addresses and ports of processes that polled a former life.
     """
 
     def __init__(
@@ -198,6 +208,7 @@
         process: int,
         lost_disks: int,
         make_table: Callable[[OrderState], Table],
+        remembered: tuple[tuple[str, int], ...] = (),
     ) -> None:
         self.replica = replica
         self.state = OrderState()
@@ -214,6 +225,8 @@
         self._directory_pushed = 0
         self._directory_pushed_at = float("-inf")
         self._introduced_at = float("-inf")
+        self._remembered = remembered
+        self._remembered_at = float("-inf")
         self._is_table_due = False
         self._started_at = float("inf")
 
@@ -474,6 +487,7 @@
         effects += self._push(now)
         effects += self._push_directory(now)
         effects += self._introduce(now)
+        effects += self._remember(now)
         if now - self._expired_at >= EXPIRY_SCAN_INTERVAL_S:
             self._expired_at = now
             silent = self.directory.expire(now)
@@ -484,26 +498,42 @@
         return effects
 
     def _introduce(self, now: float) -> list:
-        """Tell control hosts that do not vote who does.
+        """Tell control hosts that do not vote who does, and former subscribers.
 
         Seeds may all be hosts without a disk, and after a loss of power those
-        know nobody else.
+        know nobody else and may start late.
         """
         is_young = now - self._started_at < START_S
         if not is_young and now - self._introduced_at < INTRODUCTION_INTERVAL_S:
             return []
         self._introduced_at = now
         voters = {voter.name for voter in self.replica.current_voters}
-        others = [peer for peer in self.replica.peers if peer not in voters]
-        if not voters or not others:
+        if not voters:
             return []
+        others = [
+            (peer, CONTROL_PORT) for peer in self.replica.peers if peer not in voters
+        ]
+        if is_young:
+            others += [key for key in self._remembered if key not in self._subscribers]
         unknown = Poll(self._table.index, 0, 0, False)
         effects = []
-        for host in others:
-            stranger = Subscriber(host, CONTROL_PORT, unknown, now)
+        for host, port in others:
+            stranger = Subscriber(host, port, unknown, now)
             effects.append(self._make_update(stranger, now, False))
         return effects
 
+    def _remember(self, now: float) -> list:
+        """Keep who polls, where that has changed."""
+        if now - self._remembered_at < REMEMBER_INTERVAL_S:
+            return []
+        self._remembered_at = now
+        present = tuple(sorted(self._subscribers))
+        is_young = now - self._started_at < START_S
+        if present == self._remembered or is_young or not present:
+            return []
+        self._remembered = present
+        return [Remember(present)]
+
     def _expire_subscribers(self, now: float) -> None:
         for key, subscriber in list(self._subscribers.items()):
             if now - subscriber.heard_at > SUBSCRIBER_SILENCE_S:
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -768,9 +768,10 @@
         for host in world.control_hosts:
             self.assertLess(world.packets_by_host[host] - sent[host], 300)
 
-    def restart_without_known_voters(self, seed):
+    def restart_without_known_voters(self, seed, before_s=0.0):
         """Lose power; seeds are hosts without a disk, which start last."""
         world = make_world(seed=seed, controls=6, diskless=3, seeds=[3, 4, 5])
+        world.run(before_s)
         relays, voters = world.control_hosts[:3], world.control_hosts[3:]
         world.seeds = relays
         for host in list(world.cores):
@@ -808,6 +809,16 @@
                     found = [held.is_accepting for held in entry.agents.list_all()]
                     self.assertEqual(found, [True] * len(world.upstreams))
 
+    def test_processes_are_told_who_votes_before_any_seed_starts(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world = self.restart_without_known_voters(seed, 8.0)
+                for host in world.entry_hosts:
+                    entry = world.cores[host]
+                    self.assertTrue(entry.is_ready)
+                    found = [held.is_accepting for held in entry.agents.list_all()]
+                    self.assertEqual(found, [True] * len(world.upstreams))
+
     def test_host_that_missed_large_changes_gets_them_in_small_messages(self):
         world = make_world()
         leader = world.find_leader()
--- a/fulmarshore/soak/checks.py
+++ b/fulmarshore/soak/checks.py
@@ -101,7 +101,7 @@
     calm: Calm
     violations: list[Violation] = field(default_factory=list)
     counts: dict[str, int] = field(default_factory=dict)
-    _allowed: dict[int, set[str]] = field(default_factory=dict)
+    _allowed: dict[int, dict[int, set[str]]] = field(default_factory=dict)
     _runs: dict[bytes, str] = field(default_factory=dict)
     _sent: set[bytes] = field(default_factory=set)
     _drained: dict[str, float] = field(default_factory=dict)
@@ -116,9 +116,9 @@
         """Note a configuration that is about to be sent."""
         self._contents.setdefault(version, set()).add(content)
 
-    def allow_route(self, port: int, service: str) -> None:
-        """Note that some configuration sent a port's callers to a service."""
-        self._allowed.setdefault(port, set()).add(service)
+    def allow_route(self, version: int, port: int, service: str) -> None:
+        """Note that a configuration sends a port's callers to a service."""
+        self._allowed.setdefault(port, {}).setdefault(version, set()).add(service)
 
     def note_accepted(self, version: int, now: float) -> None:
         """Note that a configuration was acknowledged."""
@@ -175,9 +175,7 @@
     def check_opening(self, opened: OpenedFlow) -> None:
         """Check an opening that an upstream took."""
         self.count("openings")
-        if opened.service not in self._allowed.get(opened.port, set()):
-            detail = f"port {opened.port} reached {opened.service}"
-            self._break("own service", opened.at, detail)
+        self._check_route(opened)
         drained_at = self._drained.get(opened.upstream)
         if drained_at is not None:
             self._check_bound("leaving upstream", drained_at, DRAIN_S, opened)
@@ -229,6 +227,24 @@
         """Count something that was checked."""
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    def _check_route(self, opened: OpenedFlow) -> None:
+        """Check that a configuration leads there, and none that is overtaken."""
+        versions = self._allowed.get(opened.port, {})
+        services = {service for found in versions.values() for service in found}
+        detail = f"port {opened.port} reached {opened.service}"
+        if opened.service not in services:
+            self._break("own service", opened.at, detail)
+            return
+        since = opened.sent_at - CONFIGURATION_S
+        if not self.calm.holds_since(since, opened.sent_at):
+            return
+        newest = self.find_newest(since)
+        for version, found in versions.items():
+            if version >= newest and opened.service in found:
+                return
+        detail += f", though version {newest} was in force"
+        self._break("configuration in force", opened.at, detail)
+
     def _check_bound(
         self, promise: str, since: float, bound_s: float, opened: OpenedFlow
     ) -> None:
--- a/fulmarshore/soak/checks_test.py
+++ b/fulmarshore/soak/checks_test.py
@@ -2,12 +2,15 @@
 
 from fulmarshore.soak.checks import Calm, Checks, OpenedFlow
 
-DESK, STORE = 443, 80
+DESK, MOVING = 443, 8443
 
 
 def make_checks(fault_until=-100.0):
     checks = Checks(Calm(fault_until))
-    checks.allow_route(DESK, "desk")
+    checks.allow_route(3, DESK, "desk")
+    checks.allow_route(5, DESK, "desk")
+    checks.allow_route(3, MOVING, "desk")
+    checks.allow_route(5, MOVING, "store")
     checks.note_sent(b"r")
     for version, content in ((3, b"three"), (5, b"five")):
         checks.note_configuration(version, content)
--- a/fulmarshore/soak/operators.py
+++ b/fulmarshore/soak/operators.py
@@ -186,7 +186,7 @@
             (STORE_PORT, "store"),
             (MOVING_PORT, moving),
         ):
-            self._checks.allow_route(port, service)
+            self._checks.allow_route(version, port, service)
 
         def accepted() -> None:
             self._checks.note_accepted(version, self._now())
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -39,6 +39,7 @@
     Order,
     Polled,
     Read,
+    Remember,
     SendUpdate,
 )
 from fulmarshore.direct.entry import EntryCore
@@ -171,6 +172,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count()
         self._lives: dict[str, int] = {}
+        self._remembered: dict[str, tuple[tuple[str, int], ...]] = {}
         self._requests: dict[int, OrderCall | tuple[float, Callable]] = {}
         self._announced: dict[str, int] = {}
         self.control_hosts = [f"10.0.0.{number + 1}" for number in range(controls)]
@@ -240,7 +242,8 @@
         if host not in self.seeds:
             replica.bootstrap_wait_s = NO_SEED_WAIT_S
         process = self.random.getrandbits(63)
-        core = ControlCore(replica, process, self.lost_disks, make_table)
+        remembered = self._remembered.get(host, ())
+        core = ControlCore(replica, process, self.lost_disks, make_table, remembered)
         self._start(host, core)
 
     def start_relay(self, host: str) -> None:
@@ -497,6 +500,8 @@
                 self._deliver(host, peer, LinkMessage(host, message))
             case Store():
                 self._store(host, effect)
+            case Remember(subscribers=subscribers):
+                self._remembered[host] = subscribers
             case Wake(after_s=after_s):
                 self._wake(host, after_s)
             case Accepted() | Newest() | Elsewhere():
