--- a/fulmarshore/timeline/decisions.py
+++ b/fulmarshore/timeline/decisions.py
@@ -182,7 +182,7 @@
 
 
 def explain_time(lines: list[Line], at: float) -> Explanation:
-    """Say which processes had ended near a time, where no line names a flow.
+    """Say which processes had ended or stood still, where no line names a flow.
 
     Parameters
     ----------
@@ -194,8 +194,13 @@
     stopped = {(line.host, line.role) for line in near if line.kind == "stopping"}
     abrupt = [line for line in started if (line.host, line.role) not in stopped]
     known = {(line.host, line.role) for line in lines if line.at < at}
+    stalled = [line for line in lines if _stood_still(line, at)]
+    if stalled and not abrupt:
+        hosts = ", ".join(sorted({line.host for line in stalled}))
+        return Explanation("processes_stalled", f"stood still: {hosts}", stalled)
     if not started:
-        return Explanation("not_seen", "no process started within 4 s", [])
+        detail = "no process started within 4 s, none stood still"
+        return Explanation("not_seen", detail, [])
     roles = Counter(line.role for line in abrupt if (line.host, line.role) in known)
     everyone = Counter(role for _, role in known)
     told = ", ".join(
@@ -320,6 +325,14 @@
     return rejected.detail, detail, ends
 
 
+def _stood_still(line: Line, at: float) -> bool:
+    """Whether a line tells that its process stood still near a time."""
+    if line.kind != "process_stalled":
+        return False
+    length_s = float(line.detail.split()[0])
+    return line.at - length_s - AFTER_S <= at <= line.at
+
+
 def _list_ends(
     near: list[Line], lines: list[Line], holder: str, since: float = 0.0
 ) -> list[Line]:
--- a/fulmarshore/timeline/decisions_test.py
+++ b/fulmarshore/timeline/decisions_test.py
@@ -121,6 +121,14 @@
         planned = [*lines, agent(8.5, "stopping")]
         self.assertEqual(explain_time(planned, 8.0).cause, "processes_restarted")
         self.assertEqual(explain_time(lines, 20.0).cause, "not_seen")
+        stalled = [entry(12.0, "process_stalled", "3.00 s until now")]
+        for at, cause in (
+            (4.9, "not_seen"),
+            (8.0, "processes_stalled"),
+            (11.0, "processes_stalled"),
+            (12.1, "not_seen"),
+        ):
+            self.assertEqual(explain_time(stalled, at).cause, cause)
 
     def test_lines_are_read_with_and_without_a_collectors_time(self):
         line = '{"at":7.0,"kind":"started","host":"h","role":"entry"}'
