A signal of changed settings does not end a process that starts

It is ignored now before anything is loaded; the settings are read after that. The soak sends none within 0.5 s of a start, since the language's own start is not ours.

--- a/fulmarshore/platform/__main__.py
+++ b/fulmarshore/platform/__main__.py
@@ -2,44 +2,18 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from fulmarshore.direct.settings import HostSettings
-from fulmarshore.platform.settings import SettingsReader
-
-ROLES = ("entry", "agent", "control")
-
-
-def make_daemon(role: str, settings: HostSettings, reader: SettingsReader) -> object:
-    """Return the daemon of a role; each loads only what it uses."""
-    if role == "entry":
-        from fulmarshore.daemons.directentry import EntryDaemon
-
-        return EntryDaemon(settings, reader.load)
-    if role == "agent":
-        from fulmarshore.daemons.directagent import AgentDaemon
-        from fulmarshore.platform.heartbeats import read_heartbeat
-
-        return AgentDaemon(settings, reader.load, read_heartbeat)
-    if role == "control":
-        from fulmarshore.daemons.directcontrol import ControlDaemon
-        from fulmarshore.platform.calls import OrderReader
-        from fulmarshore.platform.configuration import format_newest, make_table
-
-        read = OrderReader(settings.zones).read
-        return ControlDaemon(settings, reader.load, read, make_table, format_newest)
-    raise SystemExit(f"role: {role!r} is not known, needs one of {', '.join(ROLES)}")
-
 
 def main(arguments: list[str]) -> int:
     """Run a role until it has stopped."""
-    if len(arguments) != 1:
-        raise SystemExit("usage: python -m fulmarshore.platform ROLE")
-    reader = SettingsReader()
-    settings = reader.load()
-    if not isinstance(settings, HostSettings):
-        raise SystemExit("\n".join(str(problem) for problem in settings or []))
-    return make_daemon(arguments[0], settings, reader).run()
+    # Changed settings are told by a signal that ends a process by default; until
+    # the program takes it, nothing is missed, since it reads its settings later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from fulmarshore.platform.programs import run_program
+
+    return run_program(arguments)
 
 
 if __name__ == "__main__":
--- a/fulmarshore/platform/processes_test.py
+++ b/fulmarshore/platform/processes_test.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -229,6 +230,23 @@
             self.processes[host].send_signal(signal.SIGTERM)
             self.assertEqual(self.processes[host].wait(LIMIT_S), 0)
 
+    def test_signal_of_changed_settings_does_not_end_a_process_that_starts(self):
+        # The process waits for the content of its settings, not yet started.
+        path = self.folder / "later.json"
+        os.mkfifo(path)
+        environment = {**os.environ, PATH_VARIABLE: str(path)}
+        command = [sys.executable, "-m", "fulmarshore.platform", "entry"]
+        silent = {"stdout": subprocess.DEVNULL, "stderr": subprocess.DEVNULL}
+        process = subprocess.Popen(command, env=environment, **silent)
+        self.processes["starting"] = process
+        with path.open("wb") as later:
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            ignored = int(re.search(r"SigIgn:\s*(\w+)", status)[1], 16)
+            self.assertTrue(ignored >> (signal.SIGHUP - 1) & 1)
+            process.send_signal(signal.SIGHUP)
+            later.write(b"{}")
+        self.assertEqual(process.wait(LIMIT_S), 1)
+
     def test_bad_settings_are_named_and_a_bad_reload_keeps_the_last_good_ones(self):
         path = self.folder / "bad.json"
         path.write_text(json.dumps({"node": 7}))
--- a/fulmarshore/soak/__main__.py
+++ b/fulmarshore/soak/__main__.py
@@ -2,22 +2,25 @@
 
 from __future__ import annotations
 
-import os
+import signal
 import sys
-from pathlib import Path
-
-from fulmarshore.direct.settings import HostSettings
-from fulmarshore.platform.__main__ import main, make_daemon
-from fulmarshore.platform.settings import SettingsReader
-from fulmarshore.soak.storage import FaultyFiles
-
-FOLDER_VARIABLE = "FULMARSHORE_SOAK_FOLDER"
-FAULTS_FILE = "faults.json"
-NOTES_FILE = "unsynced.json"
 
 
 def run_control() -> int:
     """Run a control host whose storage has faults."""
+    import os
+    from pathlib import Path
+
+    from fulmarshore.direct.settings import HostSettings
+    from fulmarshore.platform.programs import make_daemon
+    from fulmarshore.platform.settings import SettingsReader
+    from fulmarshore.soak.storage import (
+        FAULTS_FILE,
+        FOLDER_VARIABLE,
+        NOTES_FILE,
+        FaultyFiles,
+    )
+
     reader = SettingsReader()
     settings = reader.load()
     if not isinstance(settings, HostSettings):
@@ -29,7 +32,15 @@
     return daemon.run()
 
 
+def main(arguments: list[str]) -> int:
+    """Run a role until it has stopped; as on a platform, but for its storage."""
+    if arguments == ["control"]:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        return run_control()
+    from fulmarshore.platform.__main__ import main as run
+
+    return run(arguments)
+
+
 if __name__ == "__main__":
-    if sys.argv[1:] == ["control"]:
-        sys.exit(run_control())
     sys.exit(main(sys.argv[1:]))
--- a/fulmarshore/soak/programs.py
+++ b/fulmarshore/soak/programs.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 from random import Random
 
@@ -18,10 +19,16 @@
 from fulmarshore.direct.settings import INTERNAL_PORTS, Endpoint, HostSettings
 from fulmarshore.platform.settings import BIND_VARIABLE, PATH_VARIABLE, READY_PATH
 from fulmarshore.platform.writing import format_settings
-from fulmarshore.soak.__main__ import FAULTS_FILE, FOLDER_VARIABLE, NOTES_FILE
 from fulmarshore.soak.network import Hosts
 from fulmarshore.soak.plans import AGENT, CONTROL, ENTRY, Plan
-from fulmarshore.soak.storage import StorageFaults, lose_unsynced, write_faults
+from fulmarshore.soak.storage import (
+    FAULTS_FILE,
+    FOLDER_VARIABLE,
+    NOTES_FILE,
+    StorageFaults,
+    lose_unsynced,
+    write_faults,
+)
 
 ZONES = ("a", "b", "c")
 HEARTBEAT_S = 0.8
@@ -30,6 +37,9 @@
 GRACE_S = 6.0
 BOUNDS = UpstreamBounds(1.5, 5, HEARTBEAT_S, REUSE_S)
 PORT_TRIES = 50
+LOADING_S = 0.5
+"""The language's own start, in which a signal does what the system does by default;
+nothing of ours runs yet."""
 
 
 class Ports(msgspec.Struct, frozen=True):
@@ -110,6 +120,7 @@
         self._random = random
         self._processes: dict[str, subprocess.Popen] = {}
         self._expected: set[str] = set()
+        self._started_at: dict[str, float] = {}
         self.settings = {host: self._make_settings(host) for host in hosts.names}
 
     def get_zone(self, host: str) -> str:
@@ -134,6 +145,11 @@
                 command, env=environment, stdout=log, stderr=log
             )
         self._expected.add(host)
+        self._started_at[host] = time.monotonic()
+
+    def has_loaded(self, host: str) -> bool:
+        """Whether a process had time to say which signals it takes."""
+        return time.monotonic() - self._started_at.get(host, 0.0) >= LOADING_S
 
     def is_running(self, host: str) -> bool:
         """Whether the process of a host has not ended."""
--- a/fulmarshore/soak/run.py
+++ b/fulmarshore/soak/run.py
@@ -472,7 +472,7 @@
         self._random.shuffle(seeds)
         for host in self._hosts.names:
             self._programs.change_settings(host, seeds=tuple(seeds))
-            if self._random.random() < 0.5:
+            if self._random.random() < 0.5 and self._programs.has_loaded(host):
                 self._programs.signal(host, signal.SIGHUP)
 
     def _restart(self, host: str) -> None:
--- a/fulmarshore/soak/storage.py
+++ b/fulmarshore/soak/storage.py
@@ -18,6 +18,10 @@
 
 from fulmarshore.adapters.files import Files
 
+FOLDER_VARIABLE = "FULMARSHORE_SOAK_FOLDER"
+FAULTS_FILE = "faults.json"
+NOTES_FILE = "unsynced.json"
+"""Where a program finds the faults of its disk, and notes what is not synced."""
 STALL_CHECK_S = 0.02
 """How often a stalled disk looks whether it may go on."""
 
