--- a/fulmarshore/direct/judgement_test.py
+++ b/fulmarshore/direct/judgement_test.py
@@ -6,6 +6,11 @@
     WINDOW_S,
     Judgement,
 )
+from fulmarshore.direct.packets import ACK, SYN
+from fulmarshore.direct.queueing_test import make_agent
+from fulmarshore.direct.records import Announced, CallerPacket, Ticked
+from fulmarshore.direct.world_test import DESK
+from fulmarshore.standins.directends import make_flow, make_packet
 
 CASES = [
     ("none", "", False),
@@ -62,6 +67,24 @@
         self.assertTrue(judgement.is_suspect(begin))
         self.assertFalse(judgement.is_suspect(begin + FIRST_SUSPICION_S))
 
+    def test_requests_without_an_answer_make_an_upstream_suspect(self):
+        agent = make_agent(slots=9)
+        for number in range(2, 6):
+            flow = make_flow(number, DESK)
+            opening = make_packet(flow[:6], flow[6:], SYN, 1, 0)
+            agent.handle(CallerPacket(opening), 0.1)
+            request = make_packet(flow[:6], flow[6:], ACK, 2, 1, b"request")
+            agent.handle(CallerPacket(request), 0.12)
+        for number, now in enumerate((0.5, 1.0, 1.6), 2):
+            self.assertFalse(agent.judgement.is_suspect(now))
+            alive = Announced("u", 1, number, "desk", "a", 9, True, 0.0)
+            agent.handle(alive, now)
+            agent.handle(Ticked(), now)
+        self.assertTrue(agent.judgement.is_suspect(1.7))
+        self.assertEqual(agent.counters["requests_failed"], 4)
+        agent.handle(Ticked(), 2.7)
+        self.assertEqual(agent.counters["requests_failed"], 4)
+
     def test_suspicion_outlives_a_restart_of_the_upstream(self):
         judgement = Judgement()
         now = play(judgement, "fff")
--- a/fulmarshore/standins/directends.py
+++ b/fulmarshore/standins/directends.py
@@ -109,6 +109,7 @@
         self.slots = slots
         self._free = slots
         self._queue: deque[Callable[[], None]] = deque()
+        self._finished: set[bytes] = set()
 
     def take(self, content: bytes) -> None:
         """Take a packet that the agent delivered."""
@@ -166,12 +167,14 @@
         request = packet.content[-packet.length :]
         acknowledged = packet.sequence + packet.length
         if request in self.runs:
-            self._answer(packet.flow, ACK, acknowledged, b"A" + request)
+            if request in self._finished:
+                self._answer(packet.flow, ACK, acknowledged, b"A" + request)
             return
         self.runs.append(request)
 
         def finish() -> None:
             self._free += 1
+            self._finished.add(request)
             if self._queue:
                 self._queue.popleft()()
             if self.is_alive and packet.flow in self.flows:
