--- a/fulmarshore/direct/queueing_test.py
+++ b/fulmarshore/direct/queueing_test.py
@@ -1,8 +1,10 @@
 """Openings that wait beside busy upstreams, between entry hosts and agents."""
 
 import unittest
+from random import Random
 
 from fulmarshore.direct.agent import AgentCore
+from fulmarshore.direct.entry import EntryCore
 from fulmarshore.direct.gate import UpstreamBounds
 from fulmarshore.direct.packets import MARK_WAITING, SYN, parse_packet
 from fulmarshore.direct.records import (
@@ -10,9 +12,12 @@
     Backend,
     CallerPacket,
     Route,
+    SendPoll,
     SendToEntry,
     ServicePolicy,
     Table,
+    Told,
+    Update,
 )
 from fulmarshore.direct.world_test import DESK, make_world
 from fulmarshore.standins.directends import make_flow, make_packet
@@ -79,6 +84,34 @@
         outcomes = [caller.calls[0].outcome for caller in callers]
         self.assertIn("answered", outcomes)
 
+    def test_opening_that_waits_in_vain_is_rejected_in_time(self):
+        world = make_busy_world(work_s=3.0)
+        for number in range(4):
+            world.call(number, DESK)
+            world.run(0.02)
+        call = world.call(9, DESK).calls[0]
+        world.run(1.2)
+        self.assertEqual(call.outcome, "reset")
+        self.assertAlmostEqual(call.ended_at - call.sent_at, 0.65, delta=0.1)
+
+    def test_openings_that_are_let_pass_are_offered_to_one_agent(self):
+        world = make_world()
+        world.delay_to_callers_s = 0.1  # Callers far away answer late.
+        offered = count(world, "flows_offered")
+        for number in range(10):
+            world.call(number, DESK)
+            world.run(0.05)
+        world.run(0.5)
+        self.assertEqual(count(world, "flows_offered") - offered, 10)
+        self.assertEqual(count(world, "offers_unanswered"), 0)
+
+    def test_control_hosts_that_are_heard_of_are_polled_at_once(self):
+        entry = EntryCore("10.0.0.5", "a", ["c1"], Random(1))
+        update = Update(("c2", "c3"), "c2", 0, b"", 7, 0, 0.0, 99.0)
+        effects = entry.handle(Told("c1", update), 0.1)
+        polled = [effect.host for effect in effects if isinstance(effect, SendPoll)]
+        self.assertEqual(polled[-2:], ["c2", "c3"])
+
     def test_copies_of_an_opening_that_waits_change_nothing(self):
         agent = make_agent()
         flows = [make_flow(number, DESK) for number in range(3)]
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -165,6 +165,7 @@
         self.draining: set[str] = set()
         self.answer_loss = 0.0
         self.loss_to_callers = 0.0
+        self.delay_to_callers_s = 0.0
         self.packets_by_host: Counter[str] = Counter()
         self.tables_sent: Counter[str] = Counter()
         self.largest_message = 0
@@ -549,7 +550,8 @@
         if self.random.random() < self.loss_to_callers:
             return
         if caller is not None and self.random.random() >= self.loss:
-            self.call_later(self.random.uniform(*DELAY_S), lambda: caller.take(content))
+            delay = self.random.uniform(*DELAY_S) + self.delay_to_callers_s
+            self.call_later(delay, lambda: caller.take(content))
 
     def _deliver_outbound(self, host: str, content: bytes) -> None:
         if host in self.cores and host not in self.frozen:
