--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -86,7 +86,8 @@
 
     def read_gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
-        return {**super().read_gauges(), "busy": self.core.busy}
+        busy, waiting = self.core.busy, self.core.waiting
+        return {**super().read_gauges(), "busy": busy, "waiting": waiting}
 
     def list_latencies(self) -> dict[str, Latency]:
         """Return the histograms for the metrics."""
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -42,10 +42,10 @@
     VoteRequest,
 )
 from fulmarshore.daemons.direct import DirectDaemon, Load, encode
-from fulmarshore.direct.control import (
+from fulmarshore.direct.control import ControlCore
+from fulmarshore.direct.controlrecords import (
     CONTROL_PORT,
     Accepted,
-    ControlCore,
     Elsewhere,
     Newest,
     Order,
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -14,26 +14,20 @@
     BOTH_ENDED,
     CALLER_ENDED,
     UPSTREAM_ENDED,
-    AgentFlow,
     AgentFlows,
 )
+from fulmarshore.direct.arrivals import Arrivals
 from fulmarshore.direct.gate import Gate, UpstreamBounds
 from fulmarshore.direct.judgement import Judgement
 from fulmarshore.direct.latency import Latency
 from fulmarshore.direct.packets import (
     ACK,
     FIN,
-    MARK_ADMITTED,
-    MARK_BUSY,
     MARK_HELD,
     MARK_NOT_HELD,
-    MARK_OFFER,
     MARK_REFUSED,
-    MARK_REFUSED_CLOSED,
     MARK_SEARCH,
     MARK_SEEKING,
-    MARK_WAITED,
-    MARK_WAITING,
     NO_HOST,
     RST,
     SYN,
@@ -67,14 +61,10 @@
 from fulmarshore.direct.searches import SearchRounds, split_search
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableView
-from fulmarshore.direct.waiting import OpeningQueue
 
 FIRST_SEQUENCE = 1
 """Number of an upstream's first announcement."""
 SWEEP_INTERVAL_S = 1.0
-SUSPECT_LOAD = 100
-"""Requests that an upstream which is suspected counts as having more: it gets what
-is offered to all others first and not taken by them."""
 STOP_SHARE = 2 / 3
 """Share of the grace period that a planned stop waits for requests under way."""
 STOP_NOTICE_S = 0.3
@@ -121,9 +111,16 @@
         self._own_host = socket.inet_aton(host)
         self._searches = SearchRounds(self._own_host)
         self._flows = AgentFlows()
-        self._queue = OpeningQueue()
         self.work = Latency()
         self.judgement = Judgement()
+        self._arrivals = Arrivals(
+            self._own_host,
+            self.gate,
+            self.tables,
+            self._flows,
+            self.judgement,
+            self.counters,
+        )
         self._remembers_all = False
         self._revision = 0
         self._reported: tuple = ()
@@ -141,6 +138,11 @@
         """Flows that are remembered."""
         return len(self._flows)
 
+    @property
+    def waiting(self) -> int:
+        """Openings that wait for a slot."""
+        return self._arrivals.waiting
+
     @property
     def busy(self) -> int:
         """Flows with a request under way."""
@@ -159,8 +161,8 @@
                 return self._take_caller(content, now)
             case UpstreamPacket(content=content):
                 effects = self._take_upstream(content, now)
-                if len(self._queue):
-                    effects += self._serve_queue(now)
+                if self._arrivals.waiting:
+                    effects += self._arrivals.serve_queue(now)
                 return effects
             case ReturnedPacket(content=content):
                 return self._searches.take_note(content)
@@ -189,7 +191,7 @@
             return self._take_search(content, now)
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
-            return self._open(packet, flow, now)
+            return self._arrivals.take(packet, flow, now)
         if flow is None:
             if self._remembers_all:
                 return self._tell_not_held(packet, packet.mark == MARK_SEEKING)
@@ -221,108 +223,6 @@
         self.counters["searches"] += 1
         return self._searches.begin(*found, now)
 
-    def _open(self, packet: Packet, flow: AgentFlow | None, now: float) -> Effects:
-        if flow is not None:
-            return self._open_again(packet, flow, now)
-        reason = self.gate.check(packet.service_address, now)
-        if reason is not None:
-            return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
-        if packet.flow in self._queue:
-            return []
-        self._flows.expire_openings(now)
-        busy = self._flows.busy
-        is_suspect = self.judgement.is_suspect(now)
-        if packet.mark == MARK_OFFER and (is_suspect or busy >= self.gate.slots):
-            return self._decline(packet, is_suspect)
-        if not self.gate.has_room(busy):
-            return self._wait(packet, now)
-        return self._admit(packet, now)
-
-    def _decline(self, packet: Packet, is_suspect: bool) -> Effects:
-        """Leave an opening to others, if any of them takes it."""
-        self.counters["offers_declined_busy"] += 1
-        load = self._flows.busy + len(self._queue)
-        if is_suspect:
-            self.counters["offers_declined_suspect"] += 1
-            load += SUSPECT_LOAD
-        declined = mark_packet(packet, MARK_BUSY, self._own_host, load)
-        return [SendToEntry(declined, packet.return_host)]
-
-    def _admit(self, packet: Packet, now: float) -> Effects:
-        """Let an opening pass, if the gate does."""
-        flows = self._flows
-        reason = self.gate.admit(packet.service_address, len(flows), now)
-        if reason is not None:
-            return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
-        flows.admit(packet.flow, now)
-        self.counters["flows_admitted"] += 1
-        detail = f"{len(flows)} flows, {flows.busy} busy"
-        note = make_note(packet, MARK_ADMITTED, self._own_host)
-        return [
-            SendToUpstream(packet.content),
-            SendToEntry(note, packet.return_host),
-            Decision("flow_admitted", detail, packet.flow),
-        ]
-
-    def _wait(self, packet: Packet, now: float) -> Effects:
-        """Let an opening wait for a slot, and say so to the entry host."""
-        self.counters["openings_queued"] += 1
-        urgency = self.tables.find_urgency(packet.service_address)
-        last = self._queue.put(packet, urgency, self.gate.slots, now)
-        if last is not None and last.flow == packet.flow:
-            return self._refuse(packet, "queue_full", MARK_WAITED)
-        note = make_note(packet, MARK_WAITING, self._own_host)
-        effects: Effects = [SendToEntry(note, packet.return_host)]
-        if last is not None:
-            effects += self._refuse(last, "queue_full", MARK_WAITED)
-        return effects
-
-    def _serve_queue(self, now: float) -> Effects:
-        """Let openings that wait pass while there is room."""
-        effects: Effects = []
-        while len(self._queue) and self.gate.has_room(self._flows.busy):
-            effects += self._admit(self._queue.take_next(now), now)
-        return effects
-
-    def _close_queue(self, reason: str) -> Effects:
-        """Hand back what waits for an upstream that takes nothing new."""
-        effects: Effects = []
-        for packet in self._queue.take_all():
-            effects += self._refuse(packet, reason, MARK_REFUSED_CLOSED)
-        return effects
-
-    def _tend_queue(self, now: float) -> Effects:
-        """Hand back what waited in vain, or for an upstream that is closed."""
-        effects: Effects = []
-        for packet in self._queue.take_expired(now):
-            effects += self._refuse(packet, "waited_in_vain", MARK_WAITED)
-        reason = self.gate.explain(now)
-        if reason is not None:
-            return effects + self._close_queue(reason)
-        return effects + self._serve_queue(now)
-
-    def _open_again(self, packet: Packet, flow: AgentFlow, now: float) -> Effects:
-        """Deliver an opening that was repeated, if it still may pass.
-
-        The first one may have met an upstream that was about to be gone, and
-        the address may be another's by now.
-        """
-        reason = None
-        if not flow.is_open:
-            reason = self.gate.check(packet.service_address, now)
-        if reason is None:
-            return [SendToUpstream(packet.content)]
-        self._flows.forget(packet.flow)
-        return self._refuse(packet, reason, MARK_REFUSED_CLOSED)
-
-    def _refuse(self, packet: Packet, reason: str, mark: int) -> Effects:
-        self.counters[f"refused_{reason}"] += 1
-        returned = mark_packet(packet, mark, self._own_host)
-        return [
-            SendToEntry(returned, packet.return_host),
-            Decision("flow_refused", reason, packet.flow),
-        ]
-
     def _tell_held(self, packet: Packet) -> SendToEntry:
         note = make_note(packet, MARK_HELD, self._own_host)
         return SendToEntry(note, packet.return_host)
@@ -355,7 +255,7 @@
             return effects
         if packet.flags & RST:
             if flow.is_busy:
-                effects += self._judge(False, now)
+                effects += self._arrivals.judge(False, now)
             self._flows.forget(packet.flow)
             return effects
         flow.is_open = True
@@ -367,27 +267,18 @@
             work_s = self._flows.take_answer(flow, now)
             if work_s is not None:
                 self.work.observe(work_s)
-                effects += self._judge(True, now)
+                effects += self._arrivals.judge(True, now)
         if packet.flags & FIN:
             flow.ends |= UPSTREAM_ENDED
         return effects
 
-    def _judge(self, is_answered: bool, now: float) -> Effects:
-        """Note how a request ended."""
-        if not is_answered:
-            self.counters["requests_failed"] += 1
-        if not self.judgement.note(is_answered, now):
-            return []
-        detail = "requests were reset or left without an answer"
-        return [Decision("upstream_suspected", detail)]
-
     def _take_bounced(self, packet: Packet, now: float) -> Effects:
         """Hand a packet that the upstream returned back to the entry host."""
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
             if flow is not None and not flow.is_open:
                 self._flows.forget(packet.flow)
-            return self._refuse(packet, "returned_by_upstream", MARK_REFUSED)
+            return self._arrivals.refuse(packet, "returned_by_upstream", MARK_REFUSED)
         self.counters["packets_bounced"] += 1
         if flow is not None:
             self._flows.forget(packet.flow)
@@ -485,7 +376,7 @@
 
     def _tick(self, now: float) -> Effects:
         self._flows.expire_openings(now)
-        effects = self._tend_queue(now) if len(self._queue) else []
+        effects = self._arrivals.tend_queue(now) if self._arrivals.waiting else []
         effects += self._report(now, all_at_once=self._describe(now) != self._reported)
         for host in self.subscription.list_silent(now):
             effects.append(Decision("control_silent", host))
@@ -493,7 +384,7 @@
             self._swept_at = now
             self.subscription.forget_lost(now)
             for _ in range(self._flows.sweep(self.tables.table.idle_timeout_s, now)):
-                effects += self._judge(False, now)
+                effects += self._arrivals.judge(False, now)
         if self._stop_at is not None and self._may_end(now):
             effects.append(Ended())
         return effects
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -27,6 +27,17 @@
     Tick,
     TimelineEvent,
 )
+from fulmarshore.direct.controlrecords import (
+    CONTROL_PORT,
+    Accepted,
+    Elsewhere,
+    Newest,
+    Order,
+    Polled,
+    Read,
+    Remember,
+    SendUpdate,
+)
 from fulmarshore.direct.directory import Directory
 from fulmarshore.direct.orders import (
     OrderState,
@@ -74,65 +85,6 @@
 """How long a planned stop waits for another host to take up the lead."""
 
 
-CONTROL_PORT = 0
-"""Stands for the port of control hosts, in place of a subscriber's own."""
-
-
-class Order(Struct, frozen=True):
-    """Event: an operator's order that is valid."""
-
-    request: int
-    command: Command
-
-
-class Read(Struct, frozen=True):
-    """Event: somebody asks for the newest configuration."""
-
-    request: int
-
-
-class Polled(Struct, frozen=True):
-    """Event: a process asks what is new."""
-
-    host: str
-    port: int
-    poll: Poll
-
-
-class Accepted(Struct, frozen=True):
-    """Effect: the order is in force and survives what the settings bear."""
-
-    request: int
-
-
-class Newest(Struct, frozen=True):
-    """Effect: the state that a read is answered with."""
-
-    request: int
-    state: OrderState
-
-
-class Elsewhere(Struct, frozen=True):
-    """Effect: another control host leads; empty if none is known."""
-
-    request: int
-    leader: str
-
-
-class SendUpdate(Struct, frozen=True):
-    """Effect: answer a poll or tell the news; ``port`` may be CONTROL_PORT."""
-
-    update: Update
-    host: str
-    port: int
-
-
-class Remember(Struct, frozen=True):
-    """Effect: keep the processes that poll, to greet them after a restart."""
-
-    subscribers: tuple[tuple[str, int], ...]
-
-
 class Subscriber(Struct):
     """A process that polls this host.
 
--- a/fulmarshore/direct/queueing_test.py
+++ b/fulmarshore/direct/queueing_test.py
@@ -78,7 +78,7 @@
         world.announce(leaving)
         opened = len(world.upstreams[leaving].opened)
         world.run(0.15)
-        self.assertEqual(len(world.cores[leaving]._queue), 0)
+        self.assertEqual(world.cores[leaving].waiting, 0)
         world.run(1.5)
         self.assertEqual(len(world.upstreams[leaving].opened), opened)
         outcomes = [caller.calls[0].outcome for caller in callers]
--- a/fulmarshore/direct/reasons_test.py
+++ b/fulmarshore/direct/reasons_test.py
@@ -12,10 +12,17 @@
 ]
 KIND = re.compile(r'(?:Decision|\.note)\(\s*"([a-z_]+)"')
 REASON = re.compile(
-    r"(?:(?:_refuse|make_rejection)\([a-z_., \[\]0-9]+, |reason = |return )"
+    r"(?:(?:refuse|make_rejection)\([a-z_., \[\]0-9]+, |reason = |return )"
     r'"([a-z]+_[a-z_]+)"'
 )
-REASONS_IN = ("agent.py", "gate.py", "entry.py", "openings.py", "lookups.py")
+REASONS_IN = (
+    "agent.py",
+    "arrivals.py",
+    "gate.py",
+    "entry.py",
+    "openings.py",
+    "lookups.py",
+)
 UNUSED = {"group_recovered"}
 """Kinds of commands that these daemons do not have."""
 
--- a/fulmarshore/direct/relay.py
+++ b/fulmarshore/direct/relay.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from fulmarshore.core.records import JoinRequest, LinkMessage
-from fulmarshore.direct.control import (
+from fulmarshore.direct.controlrecords import (
     CONTROL_PORT,
     Elsewhere,
     Order,
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass, field
 from unittest.mock import patch
 
-from fulmarshore.direct.control import ControlCore, Read
+from fulmarshore.direct.control import ControlCore
+from fulmarshore.direct.controlrecords import (
+    Read,
+)
 from fulmarshore.direct.packets import ACK
 from fulmarshore.direct.records import CallerPacket
 from fulmarshore.standins.directends import make_flow, make_packet
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -31,9 +31,9 @@
 )
 from fulmarshore.daemons.directcontrol import NO_SEED_WAIT_S, SNAPSHOT_CHUNK_BYTES
 from fulmarshore.direct.agent import AgentCore
-from fulmarshore.direct.control import (
+from fulmarshore.direct.control import ControlCore
+from fulmarshore.direct.controlrecords import (
     Accepted,
-    ControlCore,
     Elsewhere,
     Newest,
     Order,
