Control hosts that start anew know of the agents of before; half of them decide who is missing

The file that names former subscribers now tells which of them are agents; a control host that starts counts these as missing until they report, for 10 s.

So half of the control hosts heard decide; what they said before a restart counts no more, since their disks tell it.

world_test.py "young hosts do not reset flows of a host that is cut off" failed before; lookups_test.py.

--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -52,6 +52,7 @@
     Polled,
     Read,
     Remember,
+    Remembered,
     SendUpdate,
 )
 from fulmarshore.direct.latency import Latency
@@ -72,7 +73,6 @@
 
 SUBSCRIBERS_FILE = "subscribers"
 """Who polled, of use after a restart; it may be lost or torn."""
-Subscribers = tuple[tuple[str, int], ...]
 
 Message = Union[
     Poll,
@@ -256,8 +256,8 @@
                 self._messages.send(encode(poll), host, internal_port)
             case Store():
                 self._disk.submit(effect)
-            case Remember(subscribers=subscribers):
-                content = msgspec.json.encode(subscribers)
+            case Remember(processes=processes):
+                content = msgspec.json.encode(processes)
                 self._disk.keep(Hint(SUBSCRIBERS_FILE, content))
             case Accepted(request=request):
                 self._respond(request, HttpResponse(200, b"{}"))
@@ -306,12 +306,12 @@
             return
         self.dispatch(LinkMessage(host, message))
 
-    def _read_subscribers(self, path: Path) -> tuple[tuple[str, int], ...]:
+    def _read_subscribers(self, path: Path) -> tuple[Remembered, ...]:
         """Return the processes that polled a former life of this one."""
         if not path.exists():
             return ()
         try:
-            return msgspec.json.decode(path.read_bytes(), type=Subscribers)
+            return msgspec.json.decode(path.read_bytes(), type=tuple[Remembered, ...])
         except (OSError, msgspec.MsgspecError, ValueError) as error:
             self.note(Decision("subscribers_unreadable", str(error)))
             return ()
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -36,6 +36,7 @@
     Polled,
     Read,
     Remember,
+    Remembered,
     SendUpdate,
 )
 from fulmarshore.direct.directory import Directory
@@ -150,8 +151,8 @@
         whose majority is larger.
     make_table : callable
         Makes the table of a state.
-    remembered : tuple of tuple
-        Addresses and ports of processes that polled a former life.
+    remembered : tuple of Remembered
+        Processes that polled a former life.
     """
 
     def __init__(
@@ -160,7 +161,7 @@
         process: int,
         lost_disks: int,
         make_table: Callable[[OrderState], Table],
-        remembered: tuple[tuple[str, int], ...] = (),
+        remembered: tuple[Remembered, ...] = (),
     ) -> None:
         self.replica = replica
         self.state = OrderState()
@@ -199,7 +200,8 @@
 
     def handle(self, event: object, now: float) -> list:
         """Take one event and return what is to be done."""
-        self._started_at = min(self._started_at, now)
+        if self._started_at > now:
+            self._begin(now)
         match event:
             case Polled():
                 return self._answer_poll(event, now)
@@ -226,6 +228,13 @@
                 return [Decision("stopping"), *effects]
         raise TypeError(f"unexpected event {event!r}")
 
+    def _begin(self, now: float) -> None:
+        """Take note of the first event; agents of before have yet to report."""
+        self._started_at = now
+        for held in self._remembered:
+            if held.is_agent:
+                self.directory.expect(held.host, now)
+
     # Orders and reads.
 
     def _take_order(self, order: Order, now: float) -> list:
@@ -466,7 +475,8 @@
             (peer, CONTROL_PORT) for peer in self.replica.peers if peer not in voters
         ]
         if is_young:
-            others += [key for key in self._remembered if key not in self._subscribers]
+            former = [(held.host, held.port) for held in self._remembered]
+            others += [key for key in former if key not in self._subscribers]
         unknown = Poll(self._table.index, 0, 0, False)
         effects = []
         for host, port in others:
@@ -479,9 +489,16 @@
         if now - self._remembered_at < REMEMBER_INTERVAL_S:
             return []
         self._remembered_at = now
-        present = tuple(sorted(self._subscribers))
-        is_young = now - self._started_at < START_S
-        if present == self._remembered or is_young or not present:
+        if now - self._started_at < START_S or not self._subscribers:
+            return []
+        found = {
+            Remembered(host, port, subscriber.poll.report is not None)
+            for (host, port), subscriber in self._subscribers.items()
+        }
+        missing = self.directory.list_missing()
+        found.update(held for held in self._remembered if held.host in missing)
+        present = tuple(sorted(found))
+        if present == self._remembered:
             return []
         self._remembered = present
         return [Remember(present)]
--- a/fulmarshore/direct/controlrecords.py
+++ b/fulmarshore/direct/controlrecords.py
@@ -61,7 +61,23 @@
     port: int
 
 
+class Remembered(Struct, frozen=True, array_like=True, order=True):
+    """A process that polled.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Where it is told the news.
+    is_agent : bool
+        Whether it told of an upstream, which may hold flows.
+    """
+
+    host: str
+    port: int
+    is_agent: bool
+
+
 class Remember(Struct, frozen=True):
-    """Effect: keep the processes that poll, to greet them after a restart."""
+    """Effect: keep the processes that poll, to know of them after a restart."""
 
-    subscribers: tuple[tuple[str, int], ...]
+    processes: tuple[Remembered, ...]
--- a/fulmarshore/direct/directory.py
+++ b/fulmarshore/direct/directory.py
@@ -10,8 +10,8 @@
 
 AGENT_SILENCE_S = 2.5
 """An agent that was not heard of for this long, five reports, is gone."""
-MISSING_KEPT_S = 60.0
-"""How long it is known that an agent is missing: longer than anybody asks."""
+MISSING_S = 10.0
+"""An agent that went missing less than this ago may hold flows and return."""
 KEPT_CHANGES = 4096
 """Changes after which an entry host gets the whole list."""
 
@@ -53,6 +53,14 @@
         """When an agent went silent last that is not back: it may hold flows."""
         return max(self._missing.values(), default=float("-inf"))
 
+    def list_missing(self) -> list[str]:
+        """Return the hosts whose agents went silent and are not back."""
+        return list(self._missing)
+
+    def expect(self, host: str, now: float) -> None:
+        """Note that an agent was there in a former life of the control host."""
+        self._missing[host] = now
+
     def take(self, report: AgentReport, now: float) -> bool:
         """Take an agent's report; whether entry hosts should hear of it."""
         held = self._reports.get(report.host)
@@ -60,6 +68,7 @@
             if report.revision < held.revision:
                 return False
         if report.is_ended:
+            self._missing.pop(report.host, None)
             return self._end(report.host)
         self._heard_at[report.host] = now
         self._missing.pop(report.host, None)
@@ -74,6 +83,7 @@
 
     def expire(self, now: float) -> list[str]:
         """Forget the agents that went silent, unless none is heard at all."""
+        self._forget_missing(now)
         newest = max(self._heard_at.values(), default=now)
         if now - newest > AGENT_SILENCE_S:
             return []
@@ -85,10 +95,12 @@
         for host in silent:
             self._drop(host)
             self._missing[host] = now
+        return silent
+
+    def _forget_missing(self, now: float) -> None:
         for host, missing_at in list(self._missing.items()):
-            if now - missing_at > MISSING_KEPT_S:
+            if now - missing_at > MISSING_S:
                 del self._missing[host]
-        return silent
 
     def _end(self, host: str) -> bool:
         """Take an agent's last word; whether it is news."""
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -221,6 +221,7 @@
             effects.append(self._make_poll(host))
         for host in self.subscription.list_silent(now):
             effects.append(Decision("control_silent", host))
+            self._lookups.forget_control(host)
             for item in self.agents.forget_control(host):
                 effects.append(self._note_agent(item))
         effects += self._openings.retry(now)
--- a/fulmarshore/direct/lookups.py
+++ b/fulmarshore/direct/lookups.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+from fulmarshore.direct.directory import MISSING_S
 from fulmarshore.direct.flows import Flow, FlowMemory, Stage, make_rejection
 from fulmarshore.direct.packets import NO_MARK, RST, Packet, mark_packet
 from fulmarshore.direct.placement import Placement
@@ -19,8 +20,6 @@
 SETTLED_S = 0.6
 """A control host that has listened to agents for this long, more than the
 interval of their reports, knows all that are there."""
-MISSING_S = 10.0
-"""An agent that went missing less than this ago may hold flows and return."""
 
 Effects = list
 
@@ -66,21 +65,20 @@
         self._tables = tables
         self._counters = counters
         self._knows_all = False
-        self._missing_at: dict[tuple[str, int], float] = {}
+        self._missing_at: dict[str, float] = {}
 
     def learn(self, control: str, update: Update, now: float) -> None:
-        """Learn how much a control host knows of agents.
-
-        What a former process of the control host knew goes on counting: the
-        present one may never have heard of an agent that is missing.
-        """
-        self._missing_at[control, update.directory] = now - update.missing_s
-        for key, missing_at in list(self._missing_at.items()):
-            if now - missing_at >= MISSING_S:
-                del self._missing_at[key]
+        """Learn how much a control host knows of agents."""
+        if not update.directory:
+            return
+        self._missing_at[control] = now - update.missing_s
         if update.age_s >= SETTLED_S:
             self._knows_all = True
 
+    def forget_control(self, control: str) -> None:
+        """Go on without a control host that is silent."""
+        self._missing_at.pop(control, None)
+
     def seek(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
         """Search for the agent of a flow, first among those of its route."""
         if packet.flags & RST:
@@ -151,7 +149,7 @@
     def _conclude(self, packet: Packet, now: float) -> Effects:
         """Reset a flow that every agent there is has denied."""
         self._memory.forget(packet.flow)
-        missing_s = now - max(self._missing_at.values(), default=float("-inf"))
+        missing_s = now - self._find_missing_at()
         if self._knows_all and missing_s >= MISSING_S:
             return make_rejection(packet, "not_held", self._counters)
         self._counters["flows_not_found"] += 1
@@ -160,3 +158,12 @@
             f"one missing for {missing_s:.1f} s"
         )
         return [Decision("flow_not_found", detail, packet.flow)]
+
+    def _find_missing_at(self) -> float:
+        """Return when an agent went missing, as half of the control hosts say.
+
+        One that was down itself may wait for agents that have left meanwhile, and
+        one with a new disk knows of none.
+        """
+        told = sorted(self._missing_at.values(), reverse=True)
+        return told[(len(told) - 1) // 2] if told else float("-inf")
--- a/fulmarshore/direct/world_test.py
+++ b/fulmarshore/direct/world_test.py
@@ -311,6 +311,36 @@
                 world.run(0.5)
                 self.assertNotIn("reset", {call.outcome for call in calls})
 
+    def test_young_hosts_do_not_reset_flows_of_a_host_that_is_cut_off(self):
+        # Control and entry hosts start anew while an upstream's host is cut off:
+        # nobody alive has heard of it, but the disks name it.
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                world = make_world(seed=seed)
+                world.run(6.0)
+                callers = [world.call(number, STORE) for number in range(8)]
+                world.run(1.0)
+                cut = next(h for h, up in world.upstreams.items() if up.flows)
+                flows = world.upstreams[cut].flows
+                held = [caller for caller in callers if caller.flow in flows]
+                others = [*world.control_hosts, *world.entry_hosts]
+                world.cut([cut], [host for host in world.cores if host != cut])
+                for host in others:
+                    world.crash(host)
+                for host in world.control_hosts:
+                    world.start_control(host)
+                for host in world.entry_hosts:
+                    world.start_entry(host)
+                world.run(2.0)
+                calls = [c.request(b"again-%d" % n) for n, c in enumerate(held)]
+                world.run(2.0)
+                self.assertNotIn("reset", {call.outcome for call in calls})
+                world.heal()
+                world.run(1.5)
+                calls = [c.request(b"more-%d" % n) for n, c in enumerate(held)]
+                world.run(1.0)
+                self.assertEqual({call.outcome for call in calls}, {"answered"})
+
     def test_young_entry_host_resets_no_flow_that_it_cannot_place(self):
         world = make_world(entries=1)
         caller = world.call(1, DESK)
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -40,6 +40,7 @@
     Polled,
     Read,
     Remember,
+    Remembered,
     SendUpdate,
 )
 from fulmarshore.direct.entry import EntryCore
@@ -173,7 +174,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count()
         self._lives: dict[str, int] = {}
-        self._remembered: dict[str, tuple[tuple[str, int], ...]] = {}
+        self._remembered: dict[str, tuple[Remembered, ...]] = {}
         self._requests: dict[int, OrderCall | tuple[float, Callable]] = {}
         self._announced: dict[str, int] = {}
         self.control_hosts = [f"10.0.0.{number + 1}" for number in range(controls)]
@@ -501,8 +502,8 @@
                 self._deliver(host, peer, LinkMessage(host, message))
             case Store():
                 self._store(host, effect)
-            case Remember(subscribers=subscribers):
-                self._remembered[host] = subscribers
+            case Remember(processes=processes):
+                self._remembered[host] = processes
             case Wake(after_s=after_s):
                 self._wake(host, after_s)
             case Accepted() | Newest() | Elsewhere():
