--- a/fulmarshore/soak/run.py
+++ b/fulmarshore/soak/run.py
@@ -24,29 +24,29 @@
 )
 from fulmarshore.soak.operators import DESK_PORT, MOVING_PORT, STORE_PORT, Operators
 from fulmarshore.soak.plans import PLANNED_KINDS, Fault, Plan, PlannedOrder
-from fulmarshore.soak.programs import REUSE_S, Programs, find_ports
-from fulmarshore.soak.storage import StorageFaults
+from fulmarshore.soak.programs import Programs, find_ports
+from fulmarshore.soak.strikes import (
+    NEW_UPSTREAM_S,
+    RESTART_S,
+    WATCH_INTERVAL_S,
+    Striker,
+)
 from fulmarshore.standins.directends import Caller
 
 POOL_SIZE = 48
-RESTART_S = 0.4
-"""Pause until an ended process is started again."""
-WATCH_INTERVAL_S = 0.2
-DRAIN_LEAVE_S = 6.0
-"""When a leaving upstream ends after its word was acknowledged."""
-NEW_UPSTREAM_S = 0.3
+"""Threads for calls: eight orders, and a few probes and announcements a second of
+each host, of which some wait for a second."""
 ORDER_INTERVAL_S = 0.05
+"""Mean time between two requests on flows of their own."""
 FEEDS = 12
 FEED_INTERVAL_S = 0.4
+"""Flows that stay open, and the time between two requests of one."""
 DEADLINE_S = 3.0
 READY_LIMIT_S = 20.0
+"""How long a first start may take; the plan begins then at the latest."""
 STRAYS_PER_S = 2.0
 STRAY_PORT = 9
 """A port without a route: nothing of its flows may reach an upstream."""
-CLOCK_STEP_MS = 3_600_000
-SLOW_SYNC_S = 0.2
-NETWORK_KINDS = ("cut", "one_way", "loss", "delay")
-CONTROL_CALL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,8 +153,18 @@
             self._now,
             Random(plan.seed + 4),
         )
+        self._striker = Striker(
+            plan,
+            self._loop,
+            self._hosts,
+            self._programs,
+            self._faults,
+            self._streams,
+            self._upstreams,
+            random,
+            lambda: self._is_over,
+        )
         self._intervals: list[Interval] = []
-        self._born_shift_ms: Counter[str] = Counter()
         self._feeds: list[Caller] = []
         self._is_over = False
 
@@ -189,7 +199,9 @@
                 self._callers.find_sent_at,
             )
             self._upstreams[host] = end
-            self._loop.call_later(NEW_UPSTREAM_S, partial(self._new_upstream, host))
+            self._loop.call_later(
+                NEW_UPSTREAM_S, partial(self._striker.start_upstream, host)
+            )
         self._operators.change()
         self._operators.read_regularly()
         self._watch()
@@ -331,18 +343,6 @@
     def _holds(self, flow: bytes) -> bool:
         return any(end.holds(flow) for end in self._upstreams.values())
 
-    def _new_upstream(
-        self, host: str, service: str = "", is_cold: bool = False
-    ) -> None:
-        end = self._upstreams[host]
-        if self._is_over or (end.upstream is not None and end.upstream.is_alive):
-            return
-        held = service or self.plan.upstreams[host]
-        if end.upstream is not None and not service:
-            held = end.upstream.service
-        born_ms = int(time.time() * 1000) + self._born_shift_ms[host]
-        end.start(held, born_ms, is_cold)
-
     # Orders and faults.
 
     def _order(self, order: PlannedOrder) -> None:
@@ -357,140 +357,18 @@
 
     def _begin(self, fault: Fault) -> None:
         """Let something go wrong, and note for how long."""
-        lasts_s = self._strike(fault)
+        lasts_s = self._striker.strike(fault)
         begin = self._now()
         if fault.kind in PLANNED_KINDS:
             return
         self._calm.note(begin + lasts_s)
         self._intervals.append(Interval(fault.kind, fault.host, begin, begin + lasts_s))
 
-    def _strike(self, fault: Fault) -> float:
-        """Carry out a fault; return how long it lasts, seconds."""
-        host, for_s = fault.host, fault.for_s
-        programs = self._programs
-        match fault.kind:
-            case "kill":
-                programs.kill(host)
-                self._loop.call_later(RESTART_S, partial(self._restart, host))
-                return RESTART_S
-            case "power":
-                programs.lose_power(host)
-                self._loop.call_later(for_s, partial(self._restart, host))
-                return for_s
-            case "wipe":
-                programs.wipe(host)
-                self._loop.call_later(for_s, partial(self._restart, host))
-                return for_s
-            case "restart":
-                programs.stop(host)
-                self._restart_when_ended(host)
-            case "pause":
-                programs.signal(host, signal.SIGSTOP)
-                resume = partial(programs.signal, host, signal.SIGCONT)
-                self._loop.call_later(for_s, resume)
-                return for_s
-            case kind if kind in NETWORK_KINDS:
-                self._faults.change(kind, host, True)
-                end = partial(self._faults.change, kind, host, False)
-                self._loop.call_later(for_s, end)
-                return for_s
-            case "disk_full" | "disk_slow" | "disk_stall":
-                self._spoil_disk(fault)
-                return for_s
-            case "reset_connections":
-                self._streams[host].reset()
-            case "silence_connections":
-                self._streams[host].silence()
-                return CONTROL_CALL_S
-            case "kill_controls" | "power_controls" | "kill_all":
-                return self._strike_many(fault)
-            case "hup":
-                self._change_seeds()
-            case _:
-                return self._strike_upstream(fault)
-        return 0.0
-
-    def _strike_many(self, fault: Fault) -> float:
-        programs = self._programs
-        hosts = self.plan.controls
-        if fault.kind == "kill_all":
-            hosts = self._hosts.names
-        for host in hosts:
-            if fault.kind == "power_controls":
-                programs.lose_power(host)
-            else:
-                programs.kill(host)
-            self._loop.call_later(fault.for_s, partial(self._restart, host))
-        return fault.for_s
-
-    def _strike_upstream(self, fault: Fault) -> float:
-        host, end = fault.host, self._upstreams[fault.host]
-        match fault.kind:
-            case "crash":
-                end.crash()
-                again = partial(self._new_upstream, host, "", True)
-                self._loop.call_later(fault.for_s, again)
-                return fault.for_s
-            case "drain":
-                if end.upstream is not None and end.upstream.is_alive:
-                    again = partial(self._new_upstream, host, "", True)
-                    gone = partial(self._loop.call_later, NEW_UPSTREAM_S, again)
-                    end.drain(gone, DRAIN_LEAVE_S)
-                return 0.0
-            case "reuse":
-                former = end.upstream.service if end.upstream is not None else "desk"
-                service = "store" if former == "desk" else "desk"
-                end.crash()
-                again = partial(self._new_upstream, host, service, True)
-                self._loop.call_later(REUSE_S, again)
-                return REUSE_S
-            case "clock_step":
-                step = CLOCK_STEP_MS * self._random.choice((-1, 1))
-                self._born_shift_ms[host] += step
-                end.crash()
-                again = partial(self._new_upstream, host, "", True)
-                self._loop.call_later(RESTART_S, again)
-                return RESTART_S + REUSE_S
-            case "silent":
-                end.be_silent(fault.for_s)
-                return fault.for_s
-        raise ValueError(f"{fault.kind}: unknown fault")
-
-    def _spoil_disk(self, fault: Fault) -> None:
-        faults = {
-            "disk_full": StorageFaults(is_full=True),
-            "disk_slow": StorageFaults(delay_s=SLOW_SYNC_S),
-            "disk_stall": StorageFaults(is_stalled=True),
-        }[fault.kind]
-        self._programs.set_storage(fault.host, faults)
-        end = partial(self._programs.set_storage, fault.host, StorageFaults())
-        self._loop.call_later(fault.for_s, end)
-
-    def _change_seeds(self) -> None:
-        """Let all settings name the seeds in another order, with and without word."""
-        seeds = [self._hosts.get_known(host) for host in self.plan.controls]
-        self._random.shuffle(seeds)
-        for host in self._hosts.names:
-            self._programs.change_settings(host, seeds=tuple(seeds))
-            if self._random.random() < 0.5 and self._programs.has_loaded(host):
-                self._programs.signal(host, signal.SIGHUP)
-
-    def _restart(self, host: str) -> None:
-        if not self._programs.is_running(host):
-            self._programs.start(host)
-
-    def _restart_when_ended(self, host: str) -> None:
-        if self._programs.is_running(host):
-            again = partial(self._restart_when_ended, host)
-            self._loop.call_later(WATCH_INTERVAL_S, again)
-            return
-        self._programs.start(host)
-
     def _watch(self) -> None:
         """Start again what has ended by itself, and note it."""
         for host, code in self._programs.list_ended():
             self._checks.check_exit(host, code, self._now())
-            self._loop.call_later(RESTART_S, partial(self._restart, host))
+            self._loop.call_later(RESTART_S, partial(self._striker.restart, host))
         self._loop.call_later(WATCH_INTERVAL_S, self._watch)
 
 
