--- a/fulmarshore/timeline/decisions.py
+++ b/fulmarshore/timeline/decisions.py
@@ -194,14 +194,14 @@
     stopped = {(line.host, line.role) for line in near if line.kind == "stopping"}
     abrupt = [line for line in started if (line.host, line.role) not in stopped]
     known = {(line.host, line.role) for line in lines if line.at < at}
+    roles = Counter(line.role for line in abrupt if (line.host, line.role) in known)
     stalled = [line for line in lines if _stood_still(line, at)]
-    if stalled and not abrupt:
+    if stalled and not roles:
         hosts = ", ".join(sorted({line.host for line in stalled}))
         return Explanation("processes_stalled", f"stood still: {hosts}", stalled)
     if not started:
         detail = "no process started within 4 s, none stood still"
         return Explanation("not_seen", detail, [])
-    roles = Counter(line.role for line in abrupt if (line.host, line.role) in known)
     everyone = Counter(role for _, role in known)
     told = ", ".join(
         f"{number} of {everyone[role]} {role} processes"
