--- a/fulmarshore/soak/ends.py
+++ b/fulmarshore/soak/ends.py
@@ -18,18 +18,16 @@
 from fulmarshore.platform.writing import format_announcement
 from fulmarshore.soak.checks import Checks, OpenedFlow
 from fulmarshore.soak.network import Hosts
-from fulmarshore.soak.operators import ask
+from fulmarshore.soak.operators import COLD_PER_S, SERVICE_HOST, ask
 from fulmarshore.soak.programs import BOUNDS, HEARTBEAT_S, Ports
 from fulmarshore.standins.directends import Caller, Upstream
 from fulmarshore.standins.directworld import hash_steady
 
-SERVICE_HOST = "198.18.0.1"
 FIRST_PORT = 10_000
 LAST_PORT = 60_000
 SLOTS = 4
 WORK_S = 0.02
 COLD_S = 2.0
-COLD_PER_S = 4.0
 COLD_BOUND = int(COLD_PER_S * BOUNDS.overshoot + BOUNDS.slack)
 PROBE_INTERVAL_S = 0.5
 MISSES = 2
--- a/fulmarshore/soak/run.py
+++ b/fulmarshore/soak/run.py
@@ -165,7 +165,6 @@
             lambda: self._is_over,
         )
         self._intervals: list[Interval] = []
-        self._feeds: list[Caller] = []
         self._is_over = False
 
     def run(self) -> Report:
