Limit uploads to what the link of an entry host bears; common names of the load design

Uploads passed entry hosts with 2.65 Mbit/s without any limit: all shared the link, all were repeated after 200 ms, and small requests queued behind them. At most as many are admitted now as the link carries in one retransmission interval; others wait shortly or are rejected at once. Adds the records, settings and header fields that the placement by cost and the notice of lost flows share (docs/design/load.md).

--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -70,6 +70,7 @@
             process,
             settings.upstreams,
             settings.grace_s,
+            settings.placement,
         )
         self._read_announcement = read_announcement
         self._upstream: socket.socket | None = None
--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -30,6 +30,8 @@
             list(settings.seeds),
             self.random,
             settings.grace_s,
+            settings.placement,
+            settings.link_bytes_per_s if settings.limits_uploads else 0.0,
         )
 
     def open(self) -> None:
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -91,6 +91,8 @@
         Bounds that the platform states for upstreams.
     grace_s : float
         Seconds between the stop signal and the kill of the process.
+    placement : str
+        What new flows are placed by, one of ``settings.PLACEMENTS``.
     """
 
     def __init__(
@@ -101,10 +103,11 @@
         process: int,
         bounds: UpstreamBounds,
         grace_s: float = 6.0,
+        placement: str = "auto",
     ) -> None:
         self.host = host
         self.counters: Counter[str] = Counter()
-        self.tables = TableIndex()
+        self.tables = TableIndex(placement)
         self.gate = Gate(self.tables, bounds)
         self.subscription = Subscription(seeds, process % MAX_FIRST_NUMBER + 1)
         self._zone = zone
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -26,6 +26,7 @@
     MARK_REFUSED,
     MARK_REFUSED_CLOSED,
     NO_MARK,
+    Packet,
     mark_packet,
     parse_packet,
 )
@@ -46,6 +47,7 @@
 )
 from fulmarshore.direct.subscription import Subscription
 from fulmarshore.direct.tables import TableIndex
+from fulmarshore.direct.transfers import UploadLimiter
 
 SWEEP_INTERVAL_S = 1.0
 STOP_WAIT_S = 1.25
@@ -74,6 +76,10 @@
         Source of random choices.
     grace_s : float
         Seconds between the stop signal and the kill of the process.
+    placement : str
+        What new flows are placed by, one of ``settings.PLACEMENTS``.
+    upload_bytes_per_s : float
+        Rate of the link that uploads are limited to, bytes a second; 0 for no limit.
     """
 
     def __init__(
@@ -83,10 +89,12 @@
         seeds: list[str],
         random: Random,
         grace_s: float = 6.0,
+        placement: str = "auto",
+        upload_bytes_per_s: float = 0.0,
     ) -> None:
         self.host = host
         self.counters: Counter[str] = Counter()
-        self.tables = TableIndex()
+        self.tables = TableIndex(placement)
         self.agents = KnownAgents()
         self.subscription = Subscription(seeds, random.getrandbits(48) + 1)
         self._stop_wait_s = min(STOP_WAIT_S, grace_s * STOP_GRACE_SHARE)
@@ -94,7 +102,8 @@
         self._placement = Placement(zone, random)
         self._flows = FlowCache(self._placement, self.counters)
         shared = (self._flows, self._placement, self.tables, self.counters)
-        self._openings = EntryOpenings(self._return_host, *shared)
+        self._uploads = UploadLimiter(upload_bytes_per_s)
+        self._openings = EntryOpenings(self._return_host, *shared, self._uploads)
         self._lookups = FlowLookups(
             self._return_host, *shared, self.subscription, self._make_poll
         )
@@ -141,8 +150,9 @@
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
             return self._openings.handle_opening(packet, flow, now)
+        effects = self._record_for_uploads(packet, now)
         if flow is None or not flow.agents:
-            return self._lookups.start_search(packet, flow, now)
+            return effects + self._lookups.start_search(packet, flow, now)
         flow.last_packet_at = now
         if len(flow.agents) == 1:
             flow.stage = Stage.ESTABLISHED
@@ -150,10 +160,22 @@
             self._flows.mark_ended(flow)
         if len(flow.agents) == 1 and flow.agents[0] in self._ended_hosts:
             self._flows.discard(packet.flow)
-            return make_rejection(packet, "upstream_ended", self.counters)
+            return effects + make_rejection(packet, "upstream_ended", self.counters)
         mark = NO_MARK if len(flow.agents) == 1 else MARK_PROBE
         marked = mark_packet(packet, mark, self._return_host)
-        return [SendToAgent(marked, host) for host in flow.agents]
+        return [SendToAgent(marked, host) for host in flow.agents] + effects
+
+    def _record_for_uploads(self, packet: Packet, now: float) -> Effects:
+        """Record what a packet puts on the link; the end of an upload makes room."""
+        if not self.tables.has_uploads:
+            return []
+        route = self.tables.find_route(packet.service_address)
+        if not self._uploads.applies_to(route):
+            self._uploads.record_other(len(packet.content))
+            return []
+        if not self._uploads.record_packet(packet, now):
+            return []
+        return self._openings.open_waiting(now)
 
     def _handle_returned(self, content: bytes, host: str, now: float) -> Effects:
         """Process a packet or a notice that an agent returned."""
@@ -230,10 +252,14 @@
             for change in self.agents.discard_control(host):
                 effects.append(self._apply_agent_change(change))
         effects += self._openings.retry_parked(now)
+        if self.tables.has_uploads:
+            self._uploads.measure(now)
+            effects += self._openings.open_waiting(now)
         if now - self._last_sweep_at >= SWEEP_INTERVAL_S:
             self._last_sweep_at = now
             self.subscription.expire_unresponsive(now)
             self._flows.sweep(self.tables.table.idle_timeout_s, now)
+            self._uploads.sweep(now, self.tables.table.idle_timeout_s)
         if self._stop_at is not None and now >= self._stop_at:
             effects.append(StopCompleted())
         return effects
--- a/fulmarshore/direct/openings.py
+++ b/fulmarshore/direct/openings.py
@@ -25,6 +25,7 @@
 from fulmarshore.direct.placement import Placement
 from fulmarshore.direct.records import Decision, Route, SendToAgent, Wake
 from fulmarshore.direct.tables import TableIndex
+from fulmarshore.direct.transfers import UploadLimiter
 
 MAX_BUSY_OFFERS = 3
 """Agents that may decline a flow for lack of a free slot before the least busy of
@@ -75,6 +76,8 @@
         Index of the newest table.
     counters : Counter
         Counts offers and rejections.
+    uploads : UploadLimiter
+        Limits the uploads in progress.
     """
 
     __slots__ = (
@@ -83,6 +86,7 @@
         "_placement",
         "_tables",
         "_counters",
+        "_uploads",
         "_parked",
         "_pending_offers",
         "_is_wake_scheduled",
@@ -95,12 +99,14 @@
         placement: Placement,
         tables: TableIndex,
         counters: Counter[str],
+        uploads: UploadLimiter,
     ) -> None:
         self._return_host = return_host
         self._flows = flows
         self._placement = placement
         self._tables = tables
         self._counters = counters
+        self._uploads = uploads
         self._parked: dict[bytes, ParkedOpening] = {}
         self._pending_offers: dict[tuple[bytes, str], PendingOffer] = {}
         self._is_wake_scheduled = False
@@ -113,8 +119,9 @@
                 return []
             return make_rejection(packet, "no_route", self._counters)
         if flow is None:
-            flow = self._flows.add(packet.flow, Stage.OPENING, now)
-            return self._offer(packet, flow, route, now)
+            if self._uploads.applies_to(route):
+                return self._handle_upload(packet, route, now)
+            return self._open(packet, route, now)
         flow.last_packet_at = now
         marked = mark_packet(packet, NO_MARK, self._return_host)
         effects: Effects = [SendToAgent(marked, host) for host in flow.agents]
@@ -132,6 +139,52 @@
             effects += self._offer(packet, flow, route, now)
         return effects
 
+    def _open(self, packet: Packet, route: Route, now: float) -> Effects:
+        flow = self._flows.add(packet.flow, Stage.OPENING, now)
+        return self._offer(packet, flow, route, now)
+
+    # Uploads
+
+    def _handle_upload(self, packet: Packet, route: Route, now: float) -> Effects:
+        """Open the flow of an upload, let it wait for the link, or reject it."""
+        if self._uploads.is_waiting(packet.flow):
+            return []
+        decision = self._uploads.handle_opening(packet, route, now)
+        match decision.verdict:
+            case "admitted":
+                self._counters["uploads_admitted"] += 1
+                return self._open(packet, route, now)
+            case "waiting":
+                self._counters["uploads_delayed"] += 1
+                return [Decision("upload_delayed", decision.describe(), packet.flow)]
+        return self._reject_upload(packet, decision.describe())
+
+    def open_waiting(self, now: float) -> Effects:
+        """Open the uploads that the link has room for; reject those past their time."""
+        effects: Effects = []
+        for packet in self._uploads.pop_expired(now):
+            effects += self._reject_upload(
+                packet, "waited for the longest time allowed"
+            )
+        for packet in self._uploads.pop_ready(now):
+            route = self._tables.find_route(packet.service_address)
+            if route is None:
+                effects += make_rejection(packet, "no_route", self._counters)
+                self._uploads.discard(packet.flow)
+                continue
+            self._counters["uploads_admitted"] += 1
+            effects += self._open(packet, route, now)
+        return effects
+
+    def _reject_upload(self, packet: Packet, detail: str) -> Effects:
+        self._counters["uploads_rejected"] += 1
+        return [
+            *make_rejection(packet, "no_link_room", self._counters),
+            Decision("upload_rejected", detail, packet.flow),
+        ]
+
+    # Replies of agents
+
     def handle_refusal(
         self, packet: Packet, flow: Flow, host: str, now: float
     ) -> Effects:
@@ -198,6 +251,7 @@
         if flow.stage is not Stage.OPENING or flow.agents:
             return []
         self._flows.discard(packet.flow)
+        self._uploads.discard(packet.flow)
         return make_rejection(packet, "no_slot", self._counters)
 
     def retry_parked(self, now: float) -> Effects:
@@ -263,6 +317,7 @@
 
     def _reject_unplaced(self, packet: Packet) -> Effects:
         self._flows.discard(packet.flow)
+        self._uploads.discard(packet.flow)
         return make_rejection(packet, "no_agent", self._counters)
 
 
--- a/fulmarshore/direct/packets.py
+++ b/fulmarshore/direct/packets.py
@@ -53,14 +53,38 @@
 """Notice of an agent: it has admitted the opening."""
 
 NO_HOST = b"\0\0\0\0"
+MAX_LOAD = 0xFFFF
+"""Largest number that the header's field for the load holds."""
 
-_HEADER = Layout(">4s2s4s2sH4sBBBx4sII")
+_HEADER = Layout(">4s2s4s2sH4sBBH4sII")
 _FLAGS_AT = 18
 _MARK_AT = 19
 _RETURN_AT = 22
 _SEQUENCE_AT = 26
 
 
+class LoadReport(Struct, frozen=True, gc=False):
+    """Load of an upstream, as its agent reports it in a notice.
+
+    Parameters
+    ----------
+    wait_ms : int
+        Expected time until a request that arrives now starts, milliseconds.
+    work_ms : int
+        Mean service time, milliseconds, at least 1; 0 if nothing is known.
+    load_level : int
+        Utilization of the upstream in tenths.
+    """
+
+    wait_ms: int = 0
+    work_ms: int = 0
+    load_level: int = 0
+
+
+NO_LOAD_REPORT = LoadReport()
+_LOAD_REPORT = Layout(">HHB3x")
+
+
 class Packet(Struct, gc=False):
     """A parsed packet.
 
@@ -75,7 +99,8 @@
     mark : int
         Why an entry host or an agent sent the packet.
     load : int
-        Requests in progress at the upstream, with MARK_BUSY; 255 means at least 255.
+        With MARK_BUSY the requests in progress at the upstream or, with placement by
+        cost, the expected wait in milliseconds; MAX_LOAD means that or more.
     return_host : bytes
         Address of the host to return the packet to, four bytes; in a notice, of
         the host that it is about.
@@ -158,15 +183,27 @@
     """Return the packet with mark, return host and load set, as hosts send it."""
     content = packet.content
     flags = packet.flags & ~BOUNCED
-    marks = bytes((flags, mark, min(load, 255), 0)) + return_host
+    marks = bytes((flags, mark)) + min(load, MAX_LOAD).to_bytes(2) + return_host
     return content[:_FLAGS_AT] + marks + content[_SEQUENCE_AT:]
 
 
-def make_notice(packet: Packet, mark: int, host: bytes) -> bytes:
+def make_notice(
+    packet: Packet, mark: int, host: bytes, load_report: LoadReport = NO_LOAD_REPORT
+) -> bytes:
     """Return a notice about the flow of a packet, which names a host."""
     addresses = packet.flow + bytes(6)
     marks = bytes((0, mark, 0, 0)) + host
-    return addresses + marks + bytes(8)
+    loads = _LOAD_REPORT.pack(
+        min(load_report.wait_ms, MAX_LOAD),
+        min(load_report.work_ms, MAX_LOAD),
+        load_report.load_level,
+    )
+    return addresses + marks + loads
+
+
+def parse_load_report(notice: Packet) -> LoadReport:
+    """Return the load report of a notice; ``NO_LOAD_REPORT`` if it has none."""
+    return LoadReport(*_LOAD_REPORT.unpack_from(notice.content, _SEQUENCE_AT))
 
 
 def make_reset(flow: bytes, sequence: int) -> bytes:
--- a/fulmarshore/direct/packets_test.py
+++ b/fulmarshore/direct/packets_test.py
@@ -9,14 +9,19 @@
     ACK,
     BOUNCED,
     HEADER_BYTES,
+    MARK_ADMITTED,
+    MARK_BUSY,
     MARK_HELD,
     MARK_NOT_HELD,
+    NO_LOAD_REPORT,
     RST,
     SYN,
+    LoadReport,
     make_notice,
     make_reset,
     mark_packet,
     parse_answer,
+    parse_load_report,
     parse_packet,
 )
 from fulmarshore.standins.directends import is_sealed, make_flow, make_packet
@@ -43,6 +48,19 @@
         reset = parse_answer(make_reset(flow, 77))
         self.assertEqual((reset.flow, reset.flags, reset.sequence), (flow, RST, 77))
 
+    def test_loads_travel_with_declined_openings_and_notices(self):
+        opening = parse_packet(make_packet(FLOW[:6], FLOW[6:], SYN, 1, 0))
+        for load, expected in ((0, 0), (7, 7), (300, 300), (70_000, 65_535)):
+            with self.subTest(load=load):
+                declined = mark_packet(opening, MARK_BUSY, bytes(4), load)
+                self.assertEqual(parse_packet(declined).load, expected)
+                report = LoadReport(load, load, 4)
+                notice = make_notice(opening, MARK_ADMITTED, bytes(4), report)
+                parsed = parse_load_report(parse_packet(notice))
+                self.assertEqual(parsed, LoadReport(expected, expected, 4))
+        plain = parse_packet(make_notice(opening, MARK_ADMITTED, bytes(4)))
+        self.assertEqual(parse_load_report(plain), NO_LOAD_REPORT)
+
     @given(st.binary(max_size=80))
     def test_any_bytes_are_parsed_or_rejected(self, content):
         packet = parse_packet(content)
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -48,11 +48,17 @@
         The services that get new flows.
     urgency : Urgency
         Urgency of its openings.
+    is_upload : bool
+        Whether the bulk of its bytes travels from callers to upstreams.
+    is_repeatable : bool
+        Whether a request may run twice.
     """
 
     address: bytes
     backends: tuple[Backend, ...]
     urgency: Urgency = NO_URGENCY
+    is_upload: bool = False
+    is_repeatable: bool = True
 
 
 class ServicePolicy(Record, frozen=True):
@@ -90,6 +96,8 @@
         Seconds without a packet after which a flow may be discarded.
     zones_out : tuple of str
         Availability zones whose upstreams get no new flows.
+    places_by_cost : bool
+        Whether new flows are placed by their expected completion.
     """
 
     index: int = 0
@@ -98,6 +106,7 @@
     services: tuple[ServicePolicy, ...] = ()
     idle_timeout_s: float = 60.0
     zones_out: tuple[str, ...] = ()
+    places_by_cost: bool = False
 
 
 _table_encoder = msgspec.msgpack.Encoder()
@@ -150,6 +159,13 @@
         Whether the upstream has ended for good, with all its flows.
     is_empty : bool
         Whether the upstream has ended, so that no flow is held here.
+    incarnation : str
+        Name and start time of the upstream's incarnation, ``ID@BORN_MS``; empty if no
+        upstream has announced itself.
+    load_level : int
+        Utilization of the upstream in tenths.
+    work_ms : int
+        Mean service time, milliseconds; 0 if not known.
     """
 
     host: str
@@ -164,6 +180,9 @@
     busy: int
     is_ended: bool = False
     is_empty: bool = False
+    incarnation: str = ""
+    load_level: int = 0
+    work_ms: int = 0
 
 
 class Poll(Record, frozen=True):
--- a/fulmarshore/direct/settings.py
+++ b/fulmarshore/direct/settings.py
@@ -14,6 +14,9 @@
 agents and returned packets."""
 INTERNAL_PORTS = 4
 """Number of internal ports."""
+PLACEMENTS = ("auto", "cost", "flows")
+"""What new flows are placed by: their expected completion, or the number of open flows.
+With ``auto`` the configuration decides."""
 
 
 class Endpoint(Struct, frozen=True):
@@ -72,6 +75,14 @@
     metrics_port : int
         Port for metrics alone, 0 for none; metrics are also served at the
         endpoints for readiness, orders and announcements.
+    link_bytes_per_s : float
+        Rate of the host's own link, bytes a second; 0 if not known.
+    placement : str
+        One of ``PLACEMENTS``: what new flows are placed by.
+    limits_uploads : bool
+        Whether an entry host limits the uploads in progress to what its link bears.
+    notifies_lost_flows : bool
+        Whether callers are notified of kept flows whose upstream has ended.
     """
 
     name: str
@@ -95,6 +106,10 @@
     grace_s: float = 6.0
     bind_host: str = ""
     metrics_port: int = 0
+    link_bytes_per_s: float = 0.0
+    placement: str = "auto"
+    limits_uploads: bool = True
+    notifies_lost_flows: bool = True
 
     @property
     def local_host(self) -> str:
--- a/fulmarshore/direct/tables.py
+++ b/fulmarshore/direct/tables.py
@@ -14,12 +14,33 @@
 
 
 class TableIndex:
-    """The newest table, with its routes by address and its services by name."""
+    """The newest table, with its routes by address and its services by name.
 
-    __slots__ = ("table", "_routes", "_services", "_zones_out")
+    Parameters
+    ----------
+    placement : str
+        Whether new flows are placed by ``cost`` or by ``flows``; with ``auto`` the
+        table decides.
 
-    def __init__(self) -> None:
+    Attributes
+    ----------
+    has_uploads : bool
+        Whether a route is for uploads.
+    """
+
+    __slots__ = (
+        "table",
+        "has_uploads",
+        "_placement",
+        "_routes",
+        "_services",
+        "_zones_out",
+    )
+
+    def __init__(self, placement: str = "auto") -> None:
         self.table = Table()
+        self.has_uploads = False
+        self._placement = placement
         self._routes: dict[bytes, Route] = {}
         self._services: dict[str, ServicePolicy] = {}
         self._zones_out: frozenset[str] = frozenset()
@@ -33,6 +54,7 @@
         self._routes = {route.address: route for route in table.routes}
         self._services = {service.name: service for service in table.services}
         self._zones_out = frozenset(table.zones_out)
+        self.has_uploads = any(route.is_upload for route in table.routes)
         return True
 
     def handle_update(self, received: UpdateReceived) -> list[Decision]:
@@ -48,6 +70,13 @@
         """Whether a table with a configuration was received."""
         return self.table.version > 0
 
+    @property
+    def places_by_cost(self) -> bool:
+        """Whether new flows are placed by their expected completion."""
+        if self._placement == "auto":
+            return self.table.places_by_cost
+        return self._placement == "cost"
+
     def find_route(self, address: bytes) -> Route | None:
         """Return the route of an address and port, or None if there is none."""
         return self._routes.get(address)
--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -39,6 +39,8 @@
     backends: list[RouteBackend] | None = None
     priority: float = 0.0
     target_latency_ms: float = field(default=0.0, name="targetLatencyMs")
+    # The kind of its requests, as in REPEATABLE_KINDS; other values are allowed.
+    kind: object = field(default=None, name="type")
 
 
 class ServiceBody(Struct, frozen=True):
@@ -71,6 +73,10 @@
 LOWEST_PRIORITY = 255
 """Larger numbers count as this one. The platform documents 0 (the highest), 1 and 2."""
 
+REPEATABLE_KINDS = ("safe", "download")
+"""Kinds of requests that may run twice; those of all other kinds run once at most."""
+UPLOAD_KIND = "upload"
+
 _decoder = msgspec.json.Decoder(ConfigurationBody)
 
 
@@ -149,7 +155,13 @@
         return Table(index=state.index, zones_out=state.zones_out)
     configuration = _decoder.decode(zlib.decompress(state.content))
     routes = tuple(
-        Route(encode_address(route), list_backends(route), make_urgency(route))
+        Route(
+            encode_address(route),
+            list_backends(route),
+            make_urgency(route),
+            route.kind == UPLOAD_KIND,
+            route.kind in REPEATABLE_KINDS,
+        )
         for route in configuration.routes
     )
     services = tuple(
@@ -163,9 +175,20 @@
         services,
         configuration.limits.idle_timeout_ms / 1000,
         state.zones_out,
+        any(calls_for_placement_by_cost(route) for route in routes),
     )
 
 
+def calls_for_placement_by_cost(route: Route) -> bool:
+    """Whether a route needs more than the number of flows to place its flows well.
+
+    The upstreams of several services can only be compared by time, and the requests of
+    an upload differ in what they cost.
+    """
+    in_use = [backend for backend in route.backends if backend.weight > 0]
+    return route.is_upload or len(in_use) > 1
+
+
 def decompress_configuration(state: OrderState) -> bytes:
     """Return the body of the newest configuration as the operator sent it."""
     return zlib.decompress(state.content)
--- a/fulmarshore/platform/configuration_test.py
+++ b/fulmarshore/platform/configuration_test.py
@@ -44,6 +44,9 @@
 }
 
 
+DESK_ONLY = {"service": "desk", "weight": 1}
+
+
 def change(path, value):
     """Return the valid configuration with one field changed."""
     changed = copy.deepcopy(VALID)
@@ -126,6 +129,36 @@
                 table = make_table(OrderState(7, command.content, (), 1))
                 self.assertEqual(table.routes[0].urgency, expected)
 
+    def test_kinds_of_routes_decide_what_takes_effect(self):
+        one_service = {"backends": None, "service": "desk"}
+        cases = [
+            ("two services", {}, (False, True, True)),
+            ("one service", one_service, (False, True, False)),
+            (
+                "weight 0",
+                {
+                    "backends": [
+                        {"service": "desk", "weight": 1},
+                        {"service": "store", "weight": 0},
+                    ]
+                },
+                (False, True, False),
+            ),
+            ("upload", {**one_service, "type": "upload"}, (True, False, True)),
+            ("download", {**one_service, "type": "download"}, (False, True, False)),
+            ("no kind", {**one_service, "type": None}, (False, False, False)),
+            ("kind is no text", {**one_service, "type": [7]}, (False, False, False)),
+        ]
+        for name, fields, expected in cases:
+            with self.subTest(name):
+                changed = copy.deepcopy(VALID)
+                changed["routes"][0].update(fields)
+                command = read_configuration(json.dumps(changed).encode())
+                table = make_table(OrderState(7, command.content, (), 1))
+                route = table.routes[0]
+                found = (route.is_upload, route.is_repeatable, table.places_by_cost)
+                self.assertEqual(found, expected)
+
     def test_route_without_a_positive_weight_is_refused(self):
         changed = change(("routes", 0, "backends", 0, "weight"), 0)
         changed["routes"][0]["backends"][1]["weight"] = 0
--- a/fulmarshore/platform/settings.py
+++ b/fulmarshore/platform/settings.py
@@ -14,6 +14,7 @@
 from fulmarshore.direct.gate import UpstreamBounds
 from fulmarshore.direct.settings import (
     INTERNAL_PORTS,
+    PLACEMENTS,
     Endpoint,
     HostSettings,
     SettingsProblem,
@@ -22,6 +23,11 @@
 SETTINGS_PATH_VARIABLE = "FULMARSHORE_CONFIG"
 BIND_HOST_VARIABLE = "FULMARSHORE_BIND_HOST"
 METRICS_PORT_VARIABLE = "FULMARSHORE_METRICS_PORT"
+PLACEMENT_VARIABLE = "FULMARSHORE_PLACEMENT"
+UPLOAD_LIMIT_VARIABLE = "FULMARSHORE_UPLOAD_LIMIT"
+LOST_FLOW_NOTICE_VARIABLE = "FULMARSHORE_LOST_FLOW_NOTICE"
+SWITCH_VALUES = ("on", "off")
+BYTES_PER_MEGABIT = 125_000
 READY_PATH = "/v1/ready"
 DEFAULT_SETTINGS_PATH = "/etc/fulmarshore/local.json"
 
@@ -57,6 +63,13 @@
     reuse_s: float = field(default=2.0, name="addrReuseS")
 
 
+class Limits(Struct, frozen=True):
+    """Resources of the host."""
+
+    # Rate of the host's own link, megabits a second.
+    link_mbps: float = field(default=0.0, name="linkMbps")
+
+
 class SettingsFile(Struct, frozen=True):
     """The settings file; fields that are not listed here are ignored."""
 
@@ -77,6 +90,7 @@
     service: str | None = None
     tolerance: FaultTolerance = field(default=FaultTolerance(), name="faultTolerance")
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     # Interval of the upstream's heartbeats.
     heartbeat_ms: float = field(default=1000.0, name="heartbeatMs")
 
@@ -140,6 +154,16 @@
     ):
         allowed = "a port, or 0 for none"
         problems.append(SettingsProblem(METRICS_PORT_VARIABLE, metrics_port, allowed))
+    if file.limits.link_mbps < 0:
+        value = str(file.limits.link_mbps)
+        problems.append(SettingsProblem("limits.linkMbps", value, "0 or more"))
+    placement = _read_choice(environment, PLACEMENT_VARIABLE, PLACEMENTS, problems)
+    upload_limit = _read_choice(
+        environment, UPLOAD_LIMIT_VARIABLE, SWITCH_VALUES, problems
+    )
+    lost_flow_notice = _read_choice(
+        environment, LOST_FLOW_NOTICE_VARIABLE, SWITCH_VALUES, problems
+    )
     if problems:
         return problems
     valid_seeds = [seed for seed in seeds if seed is not None]
@@ -170,9 +194,28 @@
         grace_s=file.bounds.grace_s,
         bind_host=bind_host,
         metrics_port=int(metrics_port),
+        link_bytes_per_s=file.limits.link_mbps * BYTES_PER_MEGABIT,
+        placement=placement,
+        limits_uploads=upload_limit == "on",
+        notifies_lost_flows=lost_flow_notice == "on",
     )
 
 
+def _read_choice(
+    environment: Mapping[str, str],
+    variable: str,
+    allowed: tuple[str, ...],
+    problems: list[SettingsProblem],
+) -> str:
+    """Return the value of a variable with fixed values; the first is the default."""
+    value = environment.get(variable) or allowed[0]
+    if value not in allowed:
+        problems.append(
+            SettingsProblem(variable, repr(value), f"one of {', '.join(allowed)}")
+        )
+    return value
+
+
 def _get_control_port(control: Endpoint | None, seeds: list[Endpoint]) -> int:
     """Return the control port, which is the same on every host."""
     if control is not None:
--- a/fulmarshore/platform/settings_test.py
+++ b/fulmarshore/platform/settings_test.py
@@ -9,8 +9,11 @@
 from fulmarshore.direct.settings import Endpoint, HostSettings
 from fulmarshore.platform.settings import (
     BIND_HOST_VARIABLE,
+    LOST_FLOW_NOTICE_VARIABLE,
     METRICS_PORT_VARIABLE,
+    PLACEMENT_VARIABLE,
     SETTINGS_PATH_VARIABLE,
+    UPLOAD_LIMIT_VARIABLE,
     SettingsReader,
     parse_settings,
 )
@@ -65,6 +68,7 @@
             ({"seeds": ["here:8166"]}, "seeds: 'here:8166'"),
             ({"zone": "missing"}, "zone"),
             ({"faultTolerance": {"machines": "two"}}, "faultTolerance"),
+            ({"limits": {"linkMbps": -1}}, "limits.linkMbps: -1"),
         ]
         for changes, expected in cases:
             with self.subTest(changes):
@@ -92,11 +96,30 @@
             (METRICS_PORT_VARIABLE, "-1"),
             (METRICS_PORT_VARIABLE, "70000"),
             (METRICS_PORT_VARIABLE, "none"),
+            (PLACEMENT_VARIABLE, "'fast'"),
+            (UPLOAD_LIMIT_VARIABLE, "'yes'"),
+            (LOST_FLOW_NOTICE_VARIABLE, "'1'"),
         ):
             with self.subTest(name, value=value):
-                problems = parse_settings(content, {name: value})
+                problems = parse_settings(content, {name: value.strip("'")})
                 self.assertIn(f"{name}: {value}", str(problems[0]))
 
+    def test_features_follow_the_link_rate_and_the_environment(self):
+        settings = self.parse()
+        self.assertEqual(settings.link_bytes_per_s, 0.0)
+        self.assertEqual(settings.placement, "auto")
+        self.assertTrue(settings.limits_uploads and settings.notifies_lost_flows)
+        settings = self.parse(limits={"linkMbps": 2.65, "cpuShare": 0.5})
+        self.assertEqual(settings.link_bytes_per_s, 331_250.0)
+        variables = {
+            PLACEMENT_VARIABLE: "flows",
+            UPLOAD_LIMIT_VARIABLE: "off",
+            LOST_FLOW_NOTICE_VARIABLE: "off",
+        }
+        settings = parse_settings(json.dumps(VALID).encode(), variables)
+        self.assertEqual(settings.placement, "flows")
+        self.assertFalse(settings.limits_uploads or settings.notifies_lost_flows)
+
     def test_content_that_is_not_a_settings_file(self):
         for content in (b"", b"{", b"\xff\xfe", b"[]", b"7"):
             self.assertIsInstance(parse_settings(content), list)
