Waiting uploads of callers with few in progress go first

A caller with many uploads open took all the room that came free. The order is priority, then the caller's uploads in progress, then age; the expected wait of an opening counts only those ahead of it in that order.

--- a/fulmarshore/direct/transfers.py
+++ b/fulmarshore/direct/transfers.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from msgspec import Struct
 
 from fulmarshore.direct.packets import MAX_PACKET_BYTES, Packet
@@ -77,9 +79,17 @@
     arrived_at: float
     expires_at: float
 
-    def rank(self) -> tuple[int, float]:
-        """Return the sort key of the opening; the smallest goes first."""
-        return self.priority, self.arrived_at
+    def rank(self, in_progress: Counter[bytes]) -> tuple[int, int, float]:
+        """Return the sort key of the opening; the smallest goes first.
+
+        A caller with many uploads in progress does not take the room of one with few.
+
+        Parameters
+        ----------
+        in_progress : Counter
+            Number of uploads in progress by the caller's address.
+        """
+        return self.priority, in_progress[self.packet.caller_host], self.arrived_at
 
 
 class UploadDecision(Struct, frozen=True):
@@ -161,7 +171,7 @@
         self, packet: Packet, route: Route, now: float
     ) -> UploadDecision:
         """Admit an opening, let it wait, or reject it."""
-        decision = self.decide(route, now)
+        decision = self.decide(packet.caller_host, route, now)
         if decision.verdict == "admitted":
             self._track(packet.flow, now)
         elif decision.verdict == "waiting":
@@ -170,14 +180,26 @@
             )
         return decision
 
-    def decide(self, route: Route, now: float) -> UploadDecision:
-        """Return what would happen to an opening, without a change of state."""
+    def decide(self, caller_host: bytes, route: Route, now: float) -> UploadDecision:
+        """Return what would happen to an opening, without a change of state.
+
+        Parameters
+        ----------
+        caller_host : bytes
+            Address of the caller, four bytes.
+        route : Route
+            The upload route.
+        now : float
+            Monotonic time in seconds.
+        """
         active = self._list_active(now)
         allowed_s = min(route.urgency.objective_s * WAIT_SHARE, MAX_WAIT_S)
+        in_progress = self._count_by_caller(now)
+        own_rank = (route.urgency.priority, in_progress[caller_host], now)
         ahead = [
             waiting
             for waiting in self._waiting.values()
-            if waiting.priority <= route.urgency.priority
+            if waiting.rank(in_progress) <= own_rank
         ]
         if len(active) < self.limit and not ahead:
             verdict, wait_s = "admitted", 0.0
@@ -195,7 +217,12 @@
             return ready
         room = self.limit - len(self._list_active(now))
         while room > 0 and self._waiting:
-            packet = min(self._waiting.values(), key=WaitingOpening.rank).packet
+            in_progress = self._count_by_caller(now)
+            first = min(
+                self._waiting.values(),
+                key=lambda waiting: waiting.rank(in_progress),
+            )
+            packet = first.packet
             del self._waiting[packet.flow]
             self._track(packet.flow, now)
             ready.append(packet)
@@ -275,6 +302,13 @@
             if now - transfer.active_at < SILENT_S
         ]
 
+    def _count_by_caller(self, now: float) -> Counter[bytes]:
+        return Counter(
+            key[:4]
+            for key, transfer in self._transfers.items()
+            if now - transfer.active_at < SILENT_S
+        )
+
     def _estimate_wait(
         self, active: list[Transfer], ahead: list[WaitingOpening]
     ) -> float:
