Tests of the upload limit; four mends of what they found

Cause: the limit had no tests. A model of the link showed four faults: the caller's acknowledgement of the answer counted as a new upload for 0.3 s after each end; an opening waited until the next tick past its time, up to 0.35 s instead of a quarter of the objective; one past its time was rejected although there was room; one whose caller had reset it was admitted later.

Change: a packet without data starts no upload; an opening that would have waited for too long at the next tick is rejected at this one; none is rejected while there is room; a reset or FIN removes a waiting opening. All in transfers.py.

Left: a copy of an opening that is on its way while the reset travels back is a new opening to the entry host, and may be admitted although its caller has given up.

--- a/fulmarshore/direct/transfers.py
+++ b/fulmarshore/direct/transfers.py
@@ -25,6 +25,8 @@
 MAX_WAIT_S = 0.25
 """Longest wait on a route without an objective: the quarter of a second after which
 a person notices a delay."""
+CHECK_INTERVAL_S = 0.1
+"""Longest time between two checks of the waiting openings: the interval of ticks."""
 FIRST_SIZE_BYTES = 40_000
 """Expected size of an upload before one has ended on its route."""
 SIZE_WEIGHT = 0.05
@@ -203,11 +205,17 @@
         return ready
 
     def pop_expired(self, now: float) -> list[Packet]:
-        """Remove and return the openings that have waited for too long."""
+        """Remove and return the openings that have waited for too long.
+
+        None is removed while there is room, since ``pop_ready`` returns it then. One
+        that would have waited for too long at the next check is removed now.
+        """
+        if not self._waiting or len(self._list_active(now)) < self.limit:
+            return []
         expired = [
             waiting.packet
             for waiting in self._waiting.values()
-            if now >= waiting.expires_at
+            if now + CHECK_INTERVAL_S > waiting.expires_at
         ]
         for packet in expired:
             del self._waiting[packet.flow]
@@ -219,11 +227,15 @@
         """Record a packet of an upload; return whether it ends the upload."""
         transfer = self._transfers.get(packet.flow)
         if packet.is_ending:
+            self._waiting.pop(packet.flow, None)
             if transfer is not None:
                 self._record_size(transfer)
                 del self._transfers[packet.flow]
             return transfer is not None
         if transfer is None:
+            if not packet.length:
+                # A caller acknowledges the answer after the end of its upload.
+                return False
             # Another entry host, or a former process, admitted it.
             transfer = self._track(packet.flow, now)
         transfer.active_at = now
--- /dev/null
+++ b/fulmarshore/direct/transfersteps_test.py
@@ -0,0 +1,66 @@
+"""What occupies the link in the eyes of the limit on uploads."""
+
+import unittest
+
+from fulmarshore.direct.packets import ACK, FIN, MAX_DATA_BYTES, RST, SYN, parse_packet
+from fulmarshore.direct.transfers import UploadLimiter
+from fulmarshore.direct.transfers_test import NARROW, ROUTES, UPLOAD_PORT
+from fulmarshore.standins.directends import make_flow, make_packet
+
+
+class LimiterTest(unittest.TestCase):
+    def setUp(self):
+        self.limiter = UploadLimiter(NARROW)
+
+    def open(self, number, now):
+        return self.limiter.handle_opening(self.make(number, SYN), ROUTES[0], now)
+
+    def make(self, number, flags, data=b""):
+        flow = make_flow(number, UPLOAD_PORT)
+        return parse_packet(make_packet(flow[:6], flow[6:], flags, 1, 1, data))
+
+    def test_what_occupies_the_link(self):
+        """Each step is what a packet or its absence does to the next opening."""
+        sent = bytes(MAX_DATA_BYTES)
+        cases = [
+            ("admitted upload", [], 0.1, "waiting"),
+            ("silent for 0.3 s", [], 0.31, "admitted"),
+            ("sends again after silence", [(0.5, ACK, sent)], 0.6, "waiting"),
+            ("end", [(0.1, FIN | ACK, b"")], 0.11, "admitted"),
+            ("reset", [(0.1, RST, b"")], 0.11, "admitted"),
+            (
+                "acknowledges the answer after its end",
+                [(0.1, FIN | ACK, b""), (0.11, ACK, b"")],
+                0.12,
+                "admitted",
+            ),
+        ]
+        for name, packets, at, verdict in cases:
+            with self.subTest(name):
+                self.limiter = UploadLimiter(NARROW)
+                self.assertEqual(self.open(1, 0.0).verdict, "admitted")
+                for now, flags, data in packets:
+                    self.limiter.record_packet(self.make(1, flags, data), now)
+                self.assertEqual(self.limiter.decide(ROUTES[0], at).verdict, verdict)
+
+    def test_upload_of_a_former_process_is_counted(self):
+        self.limiter.record_packet(self.make(1, ACK, b"data"), 0.0)
+        self.assertEqual(self.open(2, 0.1).verdict, "waiting")
+
+    def test_caller_that_gives_up_waits_no_longer(self):
+        self.open(1, 0.0)
+        self.open(2, 0.0)
+        self.limiter.record_packet(self.make(2, RST), 0.1)
+        self.assertEqual(self.limiter.pop_ready(0.35), [])
+
+    def test_expired_opening_goes_ahead_if_there_is_room(self):
+        self.open(1, 0.0)
+        opening = self.make(2, SYN)
+        self.limiter.handle_opening(opening, ROUTES[0], 0.0)
+        self.assertEqual(self.limiter.pop_expired(0.31), [])
+        ready = self.limiter.pop_ready(0.31)
+        self.assertEqual([packet.flow for packet in ready], [opening.flow])
+
+
+if __name__ == "__main__":
+    unittest.main()
