Command that explains where an entry host would place a new flow

Cause: why a flow went to an agent could be told only afterwards, from log lines, and not at all for a flow that has not come yet.

Change: `fulmarshore explain placement` asks the running entry host over HTTP (`GET /placement`, where it serves metrics). The decision is explained by direct/explanation.py on the state of the core, which stays the same. Invalid input: status 400 and exit code 2 with field and value.

--- a/fulmarshore/commands/explanations.py
+++ b/fulmarshore/commands/explanations.py
@@ -1,11 +1,24 @@
-"""Commands that find the cause of a failure in the decision lines of processes."""
+"""Commands that explain failures from decision lines, and where a flow would go."""
 
 from __future__ import annotations
 
+import http.client
+import sys
 from pathlib import Path
+from typing import Any
+from urllib.parse import urlencode
 
 import click
-
+import msgspec
+
+from fulmarshore.adapters.parameters import ADDRESS
+from fulmarshore.commands.options import (
+    EXIT_INVALID,
+    add_json_option,
+    print_json,
+    print_table,
+)
+from fulmarshore.core.records import Address
 from fulmarshore.timeline.decisions import (
     DecisionLine,
     Explanation,
@@ -17,6 +30,21 @@
     read_lines,
 )
 
+PLACEMENT_PATH = "/placement"
+REQUEST_TIMEOUT_S = 3.0
+"""Longest wait for an entry host; it answers from memory."""
+RANKING_HEADERS = (
+    "agent",
+    "zone",
+    "service",
+    "cost ms",
+    "wait",
+    "work",
+    "standing",
+    "hop",
+    "age s",
+    "behind as",
+)
 FILE_TYPE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
@@ -27,7 +55,7 @@
 
 @click.group()
 def explain() -> None:
-    """Explain the outcome of a flow or an order from the lines of all processes."""
+    """Explain the outcome of a flow or an order, or where a new flow would go."""
 
 
 @explain.command("flow")
@@ -82,6 +110,96 @@
     print_explanation(explain_order(read_files(files), control, at))
 
 
+@explain.command("placement")
+@click.argument("route", metavar="ADDRESS:PORT", type=ADDRESS)
+@click.option(
+    "--entry",
+    required=True,
+    type=ADDRESS,
+    help="Where an entry host serves metrics or readiness.",
+)
+@click.option("--caller", type=ADDRESS, help="Address and port of the caller.")
+@add_json_option
+def explain_one_placement(
+    route: Address, entry: Address, caller: Address | None, as_json: bool
+) -> None:
+    """Explain where the entry host would place a new flow to ADDRESS:PORT now.
+
+    Nothing is sent to an agent, and nothing changes.
+    """
+    fields = {"route": f"{route.host}:{route.port}"}
+    if caller is not None:
+        fields["caller"] = f"{caller.host}:{caller.port}"
+    explanation = fetch_placement(entry, fields)
+    if as_json:
+        print_json(explanation)
+        return
+    print_placement(explanation)
+
+
+def fetch_placement(entry: Address, fields: dict[str, str]) -> dict[str, Any]:
+    """Return the explanation of an entry host.
+
+    Exits with ``EXIT_INVALID`` if the host refuses a field, and with 1 if it does not
+    answer or is no entry host of the direct data path.
+    """
+    named = f"--entry {entry.host}:{entry.port}"
+    connection = http.client.HTTPConnection(
+        entry.host, entry.port, timeout=REQUEST_TIMEOUT_S
+    )
+    try:
+        connection.request("GET", f"{PLACEMENT_PATH}?{urlencode(fields)}")
+        response = connection.getresponse()
+        answer = msgspec.json.decode(response.read() or b"null")
+    except (OSError, http.client.HTTPException, msgspec.MsgspecError) as error:
+        raise click.ClickException(f"{named}: no answer: {error}") from error
+    finally:
+        connection.close()
+    match response.status, answer:
+        case http.client.OK, {"outcome": _, "ranking": _}:
+            return answer
+        case http.client.BAD_REQUEST, {"error": {"field": field, "value": value}}:
+            allowed = answer["error"].get("allowed", "another value")
+            click.echo(f"{field}: {value} is not allowed, needs {allowed}", err=True)
+            sys.exit(EXIT_INVALID)
+    raise click.ClickException(
+        f"{named}: status {response.status}; is it an entry host of the direct data "
+        "path, of this version?"
+    )
+
+
+def print_placement(explanation: dict[str, Any]) -> None:
+    """Print an explanation as text, with the ranking as a table."""
+    click.echo(f"{explanation['outcome']}: {explanation['reason']}")
+    service = explanation["service"]
+    if isinstance(service, dict):
+        service = ", ".join(f"{name} {share:.0%}" for name, share in service.items())
+    click.echo(f"service: {service or 'none'}; placement by {explanation['placement']}")
+    upload = explanation["upload"]
+    if upload is not None:
+        limit = upload["limit"] or "no limit"
+        click.echo(
+            f"uploads: {upload['admitted']} in progress, limit {limit}, "
+            f"{upload['waiting']} waiting, expected wait {upload['wait_ms']:.0f} ms"
+        )
+    if explanation["ranking"]:
+        rows = [make_ranking_row(agent) for agent in explanation["ranking"]]
+        print_table(RANKING_HEADERS, rows)
+
+
+def make_ranking_row(agent: dict[str, Any]) -> list[str]:
+    """Return the row of an agent in the table of the ranking."""
+    terms = ("cost_ms", "wait_ms", "work_ms", "standing_ms", "hop_ms")
+    return [
+        agent["host"],
+        agent["zone"],
+        agent["service"],
+        *(f"{agent[term]:.1f}" for term in terms),
+        "" if agent["age_s"] is None else f"{agent['age_s']:.1f}",
+        agent["behind"],
+    ]
+
+
 def read_files(files: tuple[Path, ...]) -> list[DecisionLine]:
     """Return the lines of all files in order; print how many are malformed."""
     texts = (
--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+import time
 
+from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse, Respond
 from fulmarshore.daemons.direct import LoadSettings, SubscribedDaemon
 from fulmarshore.direct.entry import EntryCore
 from fulmarshore.direct.records import (
@@ -16,6 +18,8 @@
 )
 from fulmarshore.direct.settings import ENTRY_OFFSET, HostSettings
 
+PLACEMENT_PATH = "/placement"
+
 
 class EntryDaemon(SubscribedDaemon):
     """Forwards callers' packets to agents."""
@@ -56,6 +60,20 @@
         """Return the current values for the metrics."""
         return {**super().read_gauges(), "agents": len(self.core.agents)}
 
+    def handle_http(self, request: HttpRequest, respond: Respond) -> None:
+        """Answer where a new flow would be placed; imported on the first request."""
+        path, _, query = request.path.partition("?")
+        if path != PLACEMENT_PATH:
+            super().handle_http(request, respond)
+            return
+        if request.method != "GET":
+            respond(HttpResponse(405))
+            return
+        from fulmarshore.direct.explanation import answer_query
+
+        status, body = answer_query(self.core, query, time.monotonic())
+        respond(HttpResponse(status, body))
+
     def carry_out(self, effect: object) -> None:
         """Send a packet or a poll, or set a timer."""
         port = self.settings.packet_port
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -111,6 +111,16 @@
         self._last_sweep_at = float("-inf")
         self._stop_at: float | None = None
 
+    @property
+    def placement(self) -> Placement:
+        """Ranking of the agents, for explanations."""
+        return self._placement
+
+    @property
+    def uploads(self) -> UploadLimiter:
+        """Limit on uploads, for explanations."""
+        return self._uploads
+
     @property
     def is_ready(self) -> bool:
         """Whether the fabric should route callers' packets to this host."""
