--- a/fulmarshore/direct/explanation.py
+++ b/fulmarshore/direct/explanation.py
@@ -220,7 +220,7 @@
     first = eligible[0]
     measure = "fewest flows for its slots, its own zone preferred"
     if placement == "cost":
-        measure = f"lowest cost, {first.cost_ms:.1f} ms"
+        measure = f"cost {first.cost_ms:.1f} ms, the lowest of those not behind"
     reason = f"{first.host} of {len(eligible)} agents that take flows: {measure}"
     return "offered", f"{reason}; behind as {first.behind}" if first.behind else reason
 
