--- a/fulmarshore/direct/explanation.py
+++ b/fulmarshore/direct/explanation.py
@@ -16,6 +16,7 @@
 
 from fulmarshore.direct.entry import EntryCore
 from fulmarshore.direct.openings import choose_service
+from fulmarshore.direct.packets import NO_HOST
 from fulmarshore.direct.records import Route
 from fulmarshore.direct.settings import SettingsProblem
 
@@ -150,7 +151,7 @@
     service: str | dict[str, float] | None = shares if len(shares) > 1 else None
     if len(shares) == 1:
         service = next(iter(shares))
-    outcome, reason, upload = _explain_upload(core, route, now)
+    outcome, reason, upload = _explain_upload(core, route, caller, now)
     if outcome == "offered":
         outcome, reason = _explain_offer(shares, ranking, placement)
     return PlacementExplanation(outcome, service, reason, placement, ranking, upload)
@@ -192,12 +193,13 @@
 
 
 def _explain_upload(
-    core: EntryCore, route: Route, now: float
+    core: EntryCore, route: Route, caller: bytes | None, now: float
 ) -> tuple[str, str, UploadState | None]:
     """Return outcome, reason and state of the upload limit for a route."""
     if not core.uploads.applies_to(route):
         return "offered", "", NO_UPLOAD_LIMIT if route.is_upload else None
-    decision = core.uploads.decide(route, now)
+    caller_host = NO_HOST if caller is None else caller[:4]
+    decision = core.uploads.decide(caller_host, route, now)
     state = UploadState(
         decision.active, decision.limit, decision.waiting, MS_PER_S * decision.wait_s
     )
--- a/fulmarshore/direct/transfersteps_test.py
+++ b/fulmarshore/direct/transfersteps_test.py
@@ -7,6 +7,9 @@
 from fulmarshore.direct.transfers_test import NARROW, ROUTES, UPLOAD_PORT
 from fulmarshore.standins.directends import make_flow, make_packet
 
+CALLER = make_flow(0, UPLOAD_PORT)[:4]
+OTHER_CALLER = b"\x64\x40\0\x09"
+
 
 class LimiterTest(unittest.TestCase):
     def setUp(self):
@@ -41,7 +44,25 @@
                 self.assertEqual(self.open(1, 0.0).verdict, "admitted")
                 for now, flags, data in packets:
                     self.limiter.record_packet(self.make(1, flags, data), now)
-                self.assertEqual(self.limiter.decide(ROUTES[0], at).verdict, verdict)
+                decision = self.limiter.decide(CALLER, ROUTES[0], at)
+                self.assertEqual(decision.verdict, verdict)
+
+    def test_caller_with_many_uploads_does_not_keep_out_one_with_none(self):
+        limiter = UploadLimiter(3 * NARROW)
+        for number in range(limiter.limit + 1):
+            limiter.handle_opening(self.make(number, SYN), ROUTES[0], 0.0)
+        self.assertEqual(limiter.waiting_count, 1)
+        later = make_flow(99, UPLOAD_PORT)
+        opening = parse_packet(
+            make_packet(OTHER_CALLER + later[4:6], later[6:], SYN, 1, 0)
+        )
+        decision = limiter.handle_opening(opening, ROUTES[0], 0.1)
+        self.assertEqual(decision.verdict, "waiting")
+        own = limiter.decide(CALLER, ROUTES[0], 0.1)
+        self.assertGreater(own.wait_s, decision.wait_s)
+        limiter.record_packet(self.make(0, FIN | ACK), 0.11)
+        ready = [packet.flow for packet in limiter.pop_ready(0.11)]
+        self.assertEqual(ready, [opening.flow])
 
     def test_upload_of_a_former_process_is_counted(self):
         self.limiter.record_packet(self.make(1, ACK, b"data"), 0.0)
