--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -4,6 +4,7 @@
 
 import secrets
 import socket
+import time
 from collections.abc import Callable
 
 from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse, Respond
@@ -105,7 +106,16 @@
     def read_gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
         busy, queue_length = self.core.busy, self.core.queue_length
-        return {**super().read_gauges(), "busy": busy, "waiting": queue_length}
+        now = time.monotonic()
+        load = self.core.report_load(now)
+        return {
+            **super().read_gauges(),
+            "busy": busy,
+            "waiting": queue_length,
+            "work_ms": load.work_ms,
+            "wait_ms": load.wait_ms,
+            "utilization": self.core.measure_utilization(now),
+        }
 
     def list_latencies(self) -> dict[str, LatencyHistogram]:
         """Return the histograms for the metrics."""
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -31,6 +31,7 @@
     NO_HOST,
     RST,
     SYN,
+    LoadReport,
     Packet,
     make_notice,
     make_reset,
@@ -160,6 +161,14 @@
         """Number of flows with a request in progress."""
         return self._flows.busy
 
+    def report_load(self, now: float) -> LoadReport:
+        """Return the load of the upstream, for the metrics."""
+        return self._openings.report_load(now)
+
+    def measure_utilization(self, now: float) -> float:
+        """Return the share of the upstream's time in use, for the metrics."""
+        return self._flows.work.measure_utilization(now)
+
     def has_service(self, name: str) -> bool:
         """Whether the configuration has a service, so that it may be announced."""
         if not self.tables.is_known:
@@ -222,10 +231,10 @@
                 flow.searching_host = packet.return_host
         self._flows.record_caller_data(flow, packet, now)
         if packet.flags & RST:
-            self._flows.discard(packet.flow)
+            self._flows.discard(packet.flow, now)
         elif packet.flags & FIN:
             flow.ended_sides |= CALLER_ENDED
-            self._flows.end_request(flow)
+            self._flows.end_request(flow, now)
         return effects
 
     def _handle_search(self, content: bytes, now: float) -> Effects:
@@ -274,7 +283,7 @@
         if packet.flags & RST:
             if flow.is_busy:
                 effects += self._openings.record_request_outcome(False, now)
-            self._flows.discard(packet.flow)
+            self._flows.discard(packet.flow, now)
             return effects
         flow.is_open = True
         if flow.searching_host != NO_HOST:
@@ -295,11 +304,11 @@
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
             if flow is not None and not flow.is_open:
-                self._flows.discard(packet.flow)
+                self._flows.discard(packet.flow, now)
             return self._openings.refuse(packet, "returned_by_upstream", MARK_REFUSED)
         self.counters["packets_bounced"] += 1
         if flow is not None:
-            self._flows.discard(packet.flow)
+            self._flows.discard(packet.flow, now)
             if flow.is_open:
                 # The upstream held the flow before, so no other upstream does.
                 self.counters["flows_reset_lost"] += 1
@@ -362,6 +371,9 @@
             is_first = announced.sequence <= FIRST_SEQUENCE
             self._has_all_flows |= previous is not None or is_first
             self.outliers.reset()
+            if previous is not None:
+                self._flows.work.reset()
+        self._flows.work.set_slots(announced.slots, now)
         reason = self.gate.find_closed_reason(now)
         if self._is_reported_empty:
             self.gate.is_confirmed = False
@@ -421,6 +433,7 @@
         return effects + self._report(now)
 
     def _handle_tick(self, now: float) -> Effects:
+        self._flows.work.advance(now)
         self._flows.expire_openings(now)
         effects = (
             self._openings.maintain_queue(now) if self._openings.queue_length else []
@@ -474,6 +487,8 @@
             self._flows.busy,
             self._stop_at is not None and self.gate.is_gone,
             self.gate.is_gone,
+            self.gate.incarnation,
+            *self._summarize_work(now),
         )
         index = self.tables.table.index
         return [
@@ -481,6 +496,13 @@
             for host, number in zip(due, numbers, strict=True)
         ]
 
+    def _summarize_work(self, now: float) -> tuple[int, int]:
+        """Return load level and mean service time for the report."""
+        if not self.tables.places_by_cost:
+            return 0, 0
+        work = self._flows.work
+        return work.update_level(now), work.compute_work_ms()
+
     def _summarize(self, now: float) -> tuple:
         """Return the state whose changes are reported to control hosts at once."""
         gate = self.gate
--- a/fulmarshore/direct/agentflows.py
+++ b/fulmarshore/direct/agentflows.py
@@ -10,6 +10,7 @@
 from collections import deque
 
 from fulmarshore.direct.packets import NO_HOST, Packet
+from fulmarshore.direct.workmodel import WorkModel
 
 MAX_FLOWS = 20_000
 """Tracked flows, ten times what an upstream holds, as some are unconfirmed."""
@@ -98,12 +99,15 @@
     ----------
     busy : int
         Flows with a request in progress.
+    work : WorkModel
+        Model of the work at the upstream.
     """
 
-    __slots__ = ("busy", "_flows", "_openings")
+    __slots__ = ("busy", "work", "_flows", "_openings")
 
     def __init__(self) -> None:
         self.busy = 0
+        self.work = WorkModel()
         self._flows: dict[bytes, AgentFlow] = {}
         self._openings: deque[tuple[float, AgentFlow]] = deque()
 
@@ -117,7 +121,8 @@
     def admit(self, key: bytes, now: float) -> None:
         """Track a flow whose opening was admitted."""
         flow = self._flows[key] = AgentFlow(now, False)
-        self._begin_request(flow, now)
+        self._count_request(flow, now)
+        self.work.expect(flow, key[6:])
         self._openings.append((now + OPENING_TIMEOUT_S, flow))
 
     def add_unconfirmed(self, key: bytes, now: float) -> AgentFlow:
@@ -134,27 +139,34 @@
 
     def record_caller_data(self, flow: AgentFlow, packet: Packet, now: float) -> None:
         """Record a caller's packet; new data starts a request."""
-        if flow.record_data(packet) and flow.ended_sides == 0:
-            self._begin_request(flow, now)
+        is_first = flow.received_end is None
+        if not flow.record_data(packet) or flow.ended_sides:
+            return
+        if is_first or not flow.is_busy:
+            self._count_request(flow, now)
+            self.work.begin(flow, packet.service_address, now)
 
     def record_response(self, flow: AgentFlow, now: float) -> float | None:
         """Record data of the upstream; return the seconds its request took, if any."""
         if not flow.is_busy:
             return None
-        self.end_request(flow)
+        flow.is_busy = False
+        self.busy -= 1
+        self.work.end(flow, now)
         return now - flow.busy_since
 
-    def end_request(self, flow: AgentFlow) -> None:
-        """End the request in progress in a flow, if there is one."""
+    def end_request(self, flow: AgentFlow, now: float) -> None:
+        """End the request in progress in a flow without a response, if there is one."""
         if flow.is_busy:
             flow.is_busy = False
             self.busy -= 1
+            self.work.abandon(flow, now)
 
-    def discard(self, key: bytes) -> None:
+    def discard(self, key: bytes, now: float) -> None:
         """Remove a flow, if it is tracked."""
         flow = self._flows.pop(key, None)
         if flow is not None:
-            self.end_request(flow)
+            self.end_request(flow, now)
 
     def pop_all(self) -> list[tuple[bytes, AgentFlow]]:
         """Remove and return all flows."""
@@ -162,6 +174,7 @@
         self._flows.clear()
         self._openings.clear()
         self.busy = 0
+        self.work.drop_requests()
         return flows
 
     def expire_openings(self, now: float) -> None:
@@ -169,7 +182,7 @@
         while self._openings and self._openings[0][0] <= now:
             _, flow = self._openings.popleft()
             if flow.received_end is None:
-                self.end_request(flow)
+                self.end_request(flow, now)
 
     def sweep(self, idle_s: float, now: float) -> int:
         """Remove flows that ended, and those idle for longer than ``idle_s``.
@@ -188,10 +201,10 @@
             has_ended = flow.ended_sides == BOTH_ENDED or not flow.is_open
             limit = ENDED_LINGER_S if has_ended else idle_s
             if now - flow.last_packet_at > limit:
-                self.discard(key)
+                self.discard(key, now)
         return unanswered
 
-    def _begin_request(self, flow: AgentFlow, now: float) -> None:
+    def _count_request(self, flow: AgentFlow, now: float) -> None:
         if not flow.is_busy:
             flow.is_busy = True
             flow.is_timed_out = False
--- a/fulmarshore/direct/agentflows_test.py
+++ b/fulmarshore/direct/agentflows_test.py
@@ -68,7 +68,7 @@
                         case "answer":
                             flows.record_response(flows.get(KEY), now)
                         case "discard":
-                            flows.discard(KEY)
+                            flows.discard(KEY, now)
                         case "sweep":
                             flows.sweep(15.0, now)
                         case ("wait", seconds):
--- a/fulmarshore/direct/agentopenings.py
+++ b/fulmarshore/direct/agentopenings.py
@@ -15,6 +15,8 @@
     MARK_QUEUE_FAILED,
     MARK_QUEUED,
     MARK_REFUSED_CLOSED,
+    NO_LOAD_REPORT,
+    LoadReport,
     Packet,
     make_notice,
     mark_packet,
@@ -25,6 +27,9 @@
 OUTLIER_LOAD = 100
 """Requests added to the load that an outlier reports, so that it only gets flows that
 no other upstream takes."""
+OUTLIER_WAIT_MS = 32_768
+"""As OUTLIER_LOAD with placement by cost: half of the largest load, and more than any
+other upstream reports."""
 
 Effects = list
 
@@ -95,19 +100,33 @@
         busy = self._flows.busy
         is_outlier = self._outliers.is_outlier(now)
         has_free_slot = self._gate.is_confirmed and busy < self._gate.slots
-        if packet.mark == MARK_OFFER and (is_outlier or not has_free_slot):
-            return self._decline(packet, is_outlier)
+        if packet.mark == MARK_OFFER:
+            if is_outlier or not has_free_slot or self._has_overdue(now):
+                return self._decline(packet, is_outlier, now)
         if not self._gate.has_capacity(busy):
             return self._enqueue(packet, now)
         return self._admit(packet, now)
 
-    def _decline(self, packet: Packet, is_outlier: bool) -> Effects:
+    def report_load(self, now: float) -> LoadReport:
+        """Return the load of the upstream."""
+        queued = self._queue.list_addresses() if len(self._queue) else ()
+        return self._flows.work.make_report(now, queued)
+
+    def _has_overdue(self, now: float) -> bool:
+        """Whether the upstream does not answer a request that should have ended."""
+        return self._tables.places_by_cost and self._flows.work.has_overdue(now)
+
+    def _decline(self, packet: Packet, is_outlier: bool, now: float) -> Effects:
         """Return an offer without refusing it, so that other agents are tried first."""
         self._counters["offers_declined_busy"] += 1
         load = self._flows.busy + len(self._queue)
+        outlier_load = OUTLIER_LOAD
+        if self._tables.places_by_cost:
+            load = min(self.report_load(now).wait_ms, OUTLIER_WAIT_MS - 1)
+            outlier_load = OUTLIER_WAIT_MS
         if is_outlier:
             self._counters["offers_declined_suspect"] += 1
-            load += OUTLIER_LOAD
+            load += outlier_load
         declined = mark_packet(packet, MARK_BUSY, self._own_host, load)
         return [SendToEntry(declined, packet.return_host)]
 
@@ -120,7 +139,7 @@
         flows.admit(packet.flow, now)
         self._counters["flows_admitted"] += 1
         detail = f"{len(flows)} flows, {flows.busy} busy"
-        notice = make_notice(packet, MARK_ADMITTED, self._own_host)
+        notice = self._make_notice(packet, MARK_ADMITTED, now)
         return [
             SendToUpstream(packet.content),
             SendToEntry(notice, packet.return_host),
@@ -134,12 +153,18 @@
         displaced = self._queue.enqueue(packet, urgency, self._gate.slots, now)
         if displaced is not None and displaced.flow == packet.flow:
             return self.refuse(packet, "queue_full", MARK_QUEUE_FAILED)
-        notice = make_notice(packet, MARK_QUEUED, self._own_host)
+        notice = self._make_notice(packet, MARK_QUEUED, now)
         effects: Effects = [SendToEntry(notice, packet.return_host)]
         if displaced is not None:
             effects += self.refuse(displaced, "queue_full", MARK_QUEUE_FAILED)
         return effects
 
+    def _make_notice(self, packet: Packet, mark: int, now: float) -> bytes:
+        """Return a notice about an opening; its own work is part of the load in it."""
+        is_reported = self._tables.places_by_cost
+        load = self.report_load(now) if is_reported else NO_LOAD_REPORT
+        return make_notice(packet, mark, self._own_host, load)
+
     def serve_queue(self, now: float) -> Effects:
         """Admit queued openings while there is capacity."""
         effects: Effects = []
@@ -178,7 +203,7 @@
             reason = self._gate.find_refusal_reason(packet.service_address, now)
         if reason is None:
             return [SendToUpstream(packet.content)]
-        self._flows.discard(packet.flow)
+        self._flows.discard(packet.flow, now)
         return self.refuse(packet, reason, MARK_REFUSED_CLOSED)
 
     def refuse(self, packet: Packet, reason: str, mark: int) -> Effects:
--- a/fulmarshore/direct/directory.py
+++ b/fulmarshore/direct/directory.py
@@ -148,7 +148,7 @@
 
 
 def has_changed(previous: AgentReport, report: AgentReport) -> bool:
-    """Whether a report differs from the previous one in more than its load."""
+    """Whether a report differs in more than flows, requests and service time."""
     return (
         previous.process != report.process
         or previous.service != report.service
@@ -157,6 +157,8 @@
         or previous.is_cold != report.is_cold
         or previous.slots != report.slots
         or previous.is_empty != report.is_empty
+        or previous.incarnation != report.incarnation
+        or previous.load_level != report.load_level
     )
 
 
--- a/fulmarshore/direct/gate.py
+++ b/fulmarshore/direct/gate.py
@@ -124,6 +124,12 @@
         """Service of the current incarnation; empty if unknown."""
         return self._upstream.service if self._upstream is not None else ""
 
+    @property
+    def incarnation(self) -> str:
+        """Name and start time of the current incarnation; empty if unknown."""
+        upstream = self._upstream
+        return f"{upstream.upstream}@{upstream.born_ms}" if upstream is not None else ""
+
     def handle_announcement(self, announced: UpstreamAnnounced, now: float) -> str:
         """Process an announcement.
 
--- a/fulmarshore/direct/openingqueue.py
+++ b/fulmarshore/direct/openingqueue.py
@@ -67,6 +67,10 @@
     def __contains__(self, key: bytes) -> bool:
         return key in self._queued
 
+    def list_addresses(self) -> list[bytes]:
+        """Return the service address of each opening."""
+        return [queued.packet.service_address for queued in self._queued.values()]
+
     def enqueue(
         self, packet: Packet, urgency: Urgency, slots: int, now: float
     ) -> Packet | None:
