Agent's model of work: tests of each rule, figures start from the upstream's mean

Placement by cost needs the expected wait and the service time of each upstream, which only its agent can observe. The agent now models requests, slots and service times from the packets that pass it, and reports the result in notices, with MARK_BUSY and to control hosts. New routes take the mean of the upstream until they have a sample.

--- a/fulmarshore/direct/agentflows_test.py
+++ b/fulmarshore/direct/agentflows_test.py
@@ -49,6 +49,7 @@
         "discarded as an opening", ["admit", "discard", ("wait", OPENING_TIMEOUT_S)], 0
     ),
     Case("admitted again", ["admit", "discard", "admit", 100, "answer"], 0),
+    Case("upstream has ended", ["admit", 100, "pop_all"], 0),
     Case("swept", ["admit", 100, ("wait", ENDED_LINGER_S + 0.1), "sweep"], 0),
 ]
 
@@ -69,6 +70,8 @@
                             flows.record_response(flows.get(KEY), now)
                         case "discard":
                             flows.discard(KEY, now)
+                        case "pop_all":
+                            flows.pop_all()
                         case "sweep":
                             flows.sweep(15.0, now)
                         case ("wait", seconds):
@@ -79,6 +82,9 @@
                     flows.expire_openings(now)
                     self.assertGreaterEqual(flows.busy, 0)
                 self.assertEqual(flows.busy, case.busy)
+                work = flows.work
+                modelled = {*work._running, *work._waiting, *work._expected}
+                self.assertEqual(len(modelled), case.busy)
 
     def test_request_duration_is_measured_once(self):
         flows = AgentFlows()
--- a/fulmarshore/direct/agentload_test.py
+++ b/fulmarshore/direct/agentload_test.py
@@ -46,6 +46,7 @@
         table = msgspec.structs.replace(self.core.tables.table, places_by_cost=by_cost)
         self.core.tables.table = table
         self.now = 0.1
+        self.announced_at = 0
         self.notices = []
         self.reports = []
 
@@ -63,7 +64,9 @@
         until = self.now + seconds
         while self.now < until - 1e-9:
             self.now = min(self.now + 0.1, until)
-            self.announce("u", 1, int(self.now * 100) + 2)
+            if int(self.now) > self.announced_at:
+                self.announced_at = int(self.now)
+                self.announce("u", 1, self.announced_at + 1)
             self.run(Ticked())
 
     def announce(self, upstream, born_ms, sequence):
@@ -124,7 +127,9 @@
 
     def test_packets_and_reports_are_as_before_with_placement_by_flows(self):
         agent = Agent(by_cost=False)
+        agent.wait(0.9)
         agent.serve(0.08)
+        self.assertAlmostEqual(agent.core.report_load(agent.now).work_ms, 80, delta=4)
         for number, mark in ((2, MARK_ADMITTED), (3, MARK_ADMITTED), (4, MARK_QUEUED)):
             notice = agent.offer(number, 0)
             expected = make_notice(notice, mark, agent.core._own_host)
@@ -157,7 +162,9 @@
                 agent.offer(2)
                 agent.request(2)
                 agent.wait(0.1)
-                self.assertEqual(agent.offer(3).mark, MARK_ADMITTED)
+                notice = agent.offer(3)
+                self.assertEqual(notice.mark, MARK_ADMITTED)
+                self.assertEqual(parse_load_report(notice).wait_ms, 0)
                 agent.wait(0.3)
                 self.assertEqual(agent.offer(4).mark, mark)
 
--- a/fulmarshore/direct/servicetimes.py
+++ b/fulmarshore/direct/servicetimes.py
@@ -12,7 +12,7 @@
 """Time after which a mean has mostly forgotten older samples."""
 HISTOGRAM_SAMPLES = 512
 """Samples that a histogram retains: with fewer, the weight of a tail of 3 in 100 would
-at times fall below 1 in 100, and its requests would count as overdue."""
+at times fall below 1 in 100, and the 99th percentile would miss it."""
 HISTOGRAM_RETENTION_S = 60.0
 """Time that a histogram retains samples: on the known platforms, an upstream with one
 slot serves some hundred requests in it."""
@@ -53,11 +53,11 @@
         "_count",
     )
 
-    def __init__(self, mean_s: float = 0.0) -> None:
-        self.mean_s = mean_s
+    def __init__(self) -> None:
+        self.mean_s = 0.0
         self.is_sampled = False
-        self._weight = 1.0 if mean_s else 0.0
-        self._square = mean_s * mean_s
+        self._weight = 0.0
+        self._square = 0.0
         self._at = 0.0
         self._sample_weight = 1.0
         self._counts = [0.0] * (len(BUCKET_BOUNDS_S) + 1)
--- a/fulmarshore/direct/workmodel.py
+++ b/fulmarshore/direct/workmodel.py
@@ -28,7 +28,7 @@
 has gone without a word."""
 MAX_SIMULATED = 32
 """Slots and waiting requests that an estimate takes one by one; it is made for each
-opening, and takes up to 30 us with this many."""
+opening, and takes up to 80 us with this many."""
 UTILIZATION_WINDOW_S = 3.0
 CHECKPOINT_INTERVAL_S = 0.25
 """Interval of the values that the utilization is computed from."""
@@ -257,7 +257,7 @@
         """Return the figures of a route, and mark it as the last one used."""
         times = self._routes.pop(address, None)
         if times is None:
-            times = ServiceTimes(self.work_s)
+            times = ServiceTimes()
             if len(self._routes) >= MAX_ROUTES:
                 del self._routes[next(iter(self._routes))]
         self._routes[address] = times
--- a/fulmarshore/direct/workmodel_test.py
+++ b/fulmarshore/direct/workmodel_test.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from fulmarshore.direct.servicetimes import ServiceTimes
 from fulmarshore.direct.workmodel import MAX_ROUTES, WorkModel
 
 TICK_S = 0.1
@@ -148,6 +149,7 @@
     def test_new_routes_start_from_the_mean_of_the_upstream_and_are_bounded(self):
         model = WorkModel()
         now = serve(model, 0.04)
+        kept = model._routes[SMALL]
         for number in range(MAX_ROUTES + 40):
             model.begin("other", b"%06d" % number, now)
             self.assertAlmostEqual(model.estimate_wait(now), 0.04, delta=0.02)
@@ -155,7 +157,7 @@
             model.begin("kept", SMALL, now)
             model.abandon("kept", now)
         self.assertLessEqual(len(model._routes), MAX_ROUTES)
-        self.assertIn(SMALL, model._routes)
+        self.assertIs(model._routes[SMALL], kept)
 
     def test_changed_service_times_are_forgotten(self):
         # Guards against a mean over all samples, and against one without decay in time.
@@ -163,6 +165,7 @@
             (0.02, 0.06, 0.0, 100),
             (0.06, 0.02, 0.0, 200),
             (0.02, 0.2, 60.0, 5),
+            (0.02, 0.2, 1e6, 5),
         ):
             with self.subTest(old_s=old_s, new_s=new_s, idle_s=idle_s):
                 model = WorkModel()
@@ -186,6 +189,48 @@
         self.assertEqual(model.estimate_wait(now + 0.32), 0.0)
         self.assertAlmostEqual(model.work_s, 0.02, delta=0.01)
 
+    def test_request_that_is_overtaken_for_long_holds_no_slot(self):
+        # Guards against a limit that outlives its cause: its caller has gone.
+        model = WorkModel()
+        now = serve(model, 0.02)
+        model.begin("gone", SMALL, now)
+        for number in range(40):
+            now += 0.1
+            model.begin(number, SMALL, now)
+            model.end(number, now + 0.02)
+        self.assertEqual(model.estimate_wait(now + 0.02), 0.0)
+
+    def test_requests_answered_in_another_order_are_measured(self):
+        # Guards against counting the time that a request waited as service time.
+        model = WorkModel()
+        for flow in "abc":
+            model.begin(flow, SMALL, 0.0)
+        for number, flow in enumerate("acb", 1):
+            model.end(flow, number * 0.02)
+        self.assertAlmostEqual(model.work_s, 0.02)
+
+    def test_overdue_request_is_not_expected_to_end_like_very_rare_ones(self):
+        model = WorkModel()
+        now = serve(model, 0.45, 5)
+        now = serve(model, 0.02, 700, now)
+        model.begin("hanging", SMALL, now)
+        self.assertAlmostEqual(model.estimate_wait(now + 0.3), 0.3, delta=0.01)
+
+    def test_fewer_slots_than_requests_at_the_upstream(self):
+        model = WorkModel()
+        now = serve(model, 0.02)
+        model.set_slots(2, now)
+        model.begin("one", SMALL, now)
+        model.begin("two", SMALL, now + 0.01)
+        model.set_slots(1, now + 0.01)
+        self.assertAlmostEqual(model.estimate_wait(now + 0.01), 0.02, delta=0.005)
+
+    def test_figures_of_seldom_used_routes_stay_finite(self):
+        times = ServiceTimes()
+        for number in range(100):
+            times.observe(0.02, number * 600.0)
+        self.assertAlmostEqual(times.estimate_remaining(0.0), 0.02)
+
     def test_long_request_of_a_known_tail_is_not_overdue(self):
         # Guards against a 99th percentile that loses the tail between its samples.
         model = WorkModel()
@@ -249,6 +294,11 @@
         for (one_at, one), (other_at, other) in zip(changes, changes[1:]):
             self.assertGreaterEqual(other_at - one_at, 2.0)
             self.assertGreaterEqual(abs(one - other), 2)
+        model = WorkModel()
+        model.set_slots(10, 0.0)
+        model.begin("one of ten slots", SMALL, 0.0)
+        levels = [model.update_level(step * TICK_S) for step in range(50)]
+        self.assertEqual(set(levels), {0})
 
 
 if __name__ == "__main__":
