--- a/fulmarshore/direct/transfersteps_test.py
+++ b/fulmarshore/direct/transfersteps_test.py
@@ -49,9 +49,13 @@
 
     def test_caller_with_many_uploads_does_not_keep_out_one_with_none(self):
         limiter = UploadLimiter(3 * NARROW)
-        for number in range(limiter.limit + 1):
+        for number in range(limiter.limit):
             limiter.handle_opening(self.make(number, SYN), ROUTES[0], 0.0)
-        self.assertEqual(limiter.waiting_count, 1)
+            for _ in range(30):  # Most of the upload is sent, so that others may wait.
+                packet = self.make(number, ACK, bytes(MAX_DATA_BYTES))
+                limiter.record_packet(packet, 0.0)
+        own = limiter.handle_opening(self.make(98, SYN), ROUTES[0], 0.0)
+        self.assertEqual(own.verdict, "waiting")
         later = make_flow(99, UPLOAD_PORT)
         opening = parse_packet(
             make_packet(OTHER_CALLER + later[4:6], later[6:], SYN, 1, 0)
