Notify callers of kept flows whose upstream has ended

Cause: a flow kept open between requests is lost with its upstream and agent, and its caller learns of that only through the next request, which must not run twice.

Change: agents register flows of non-repeatable routes from the second request on with two voters; control hosts hold the records in memory and in the file keptflows, and send a reset after a report of a later incarnation or of the end of the upstream. A flow is registered only once its incarnation has announced itself again after the request, since an agent learns of a restart afterwards. The end of an upstream has to be reported for 2.5 s, since a late departure may name a run that lives. Reports and messages of a process share one sequence of numbers, and an incarnation that another has followed does not return. The disk writer writes cache files on a thread of their own, when no write of the log is queued; before, they delayed queued writes.

--- a/fulmarshore/adapters/disk.py
+++ b/fulmarshore/adapters/disk.py
@@ -197,23 +197,44 @@
         self._next_slot = 0
         self._log: int | None = None
         self._mark: int | None = None
-        self._queue: queue.SimpleQueue[Store | CacheFile | None] = queue.SimpleQueue()
+        self._queue: queue.SimpleQueue[Store | None] = queue.SimpleQueue()
+        self._changed = threading.Condition()
+        self._unsynced = 0
+        self._caches: dict[str, CacheFile] = {}
+        self._has_ended = False
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
         self._thread.start()
+        self._cache_thread = threading.Thread(
+            target=self._run_caches, name="cache", daemon=True
+        )
+        self._cache_thread.start()
 
     def submit(self, store: Store) -> None:
         """Queue a write."""
+        with self._changed:
+            self._unsynced += 1
         self._queue.put(store)
 
     def write_cache(self, cache_file: CacheFile) -> None:
-        """Queue a cache file; its completion is not reported."""
-        self._queue.put(cache_file)
+        """Queue a cache file; its completion is not reported.
+
+        Cache files wait while a write of the log is queued, and are written on another
+        thread, so that they never delay one. Of several with the same name only the
+        newest is kept, so that a stalled disk does not accumulate them.
+        """
+        with self._changed:
+            self._caches[cache_file.name] = cache_file
+            self._changed.notify_all()
 
     def close(self) -> None:
         """Finish the queued writes, without retries, and end the thread."""
         self._is_closing = True
         self._queue.put(None)
         self._thread.join()
+        with self._changed:
+            self._has_ended = True
+            self._changed.notify_all()
+        self._cache_thread.join()
         for descriptor in (self._log, self._mark):
             if descriptor is not None:
                 os.close(descriptor)
@@ -227,6 +248,9 @@
                 batch, is_last = self._collect_batch()
                 if batch:
                     self._write(batch)
+                    with self._changed:
+                        self._unsynced -= len(batch)
+                        self._changed.notify_all()
                     self._on_synced(batch[-1].sequence)
                 if is_last:
                     return
@@ -238,15 +262,24 @@
         item = self._queue.get()
         batch = []
         while item is not None:
-            if isinstance(item, CacheFile):
-                self._write_cache_file(item)
-            else:
-                batch.append(item)
+            batch.append(item)
             if self._queue.empty():
                 return batch, False
             item = self._queue.get()
         return batch, True
 
+    def _run_caches(self) -> None:
+        while True:
+            with self._changed:
+                self._changed.wait_for(
+                    lambda: self._has_ended or (self._caches and not self._unsynced)
+                )
+                if not self._caches:
+                    return
+                name = next(iter(self._caches))
+                cache_file = self._caches.pop(name)
+            self._write_cache_file(cache_file)
+
     def _write_cache_file(self, cache_file: CacheFile) -> None:
         try:
             self._replace_file(cache_file.name, cache_file.content)
--- a/fulmarshore/adapters/disk_test.py
+++ b/fulmarshore/adapters/disk_test.py
@@ -7,6 +7,7 @@
 from unittest.mock import patch
 
 from fulmarshore.adapters.disk import CacheFile, DataFolder, DiskWriter
+from fulmarshore.adapters.files import FileSystem
 from fulmarshore.agreement.storage import MARK_SLOT_BYTES, read_mark
 from fulmarshore.core.records import (
     DamagedFile,
@@ -163,6 +164,32 @@
         self.assertEqual(len(self.folder.read().entries), 0)
         self.assertNotEqual(self.folder.read().generation, 0)
 
+    def test_stalled_cache_file_delays_no_write_of_the_log(self):
+        """The log acknowledges orders; a cache file may wait or be lost."""
+        stalled, done = threading.Event(), threading.Event()
+
+        class StallingFiles(FileSystem):
+            def sync_with_metadata(self, descriptor):
+                name = Path(f"/proc/self/fd/{descriptor}").readlink().name
+                if name.startswith("keptflows"):
+                    stalled.set()
+                    assert done.wait(WAIT_TIMEOUT_S)
+                super().sync_with_metadata(descriptor)
+
+        disk = DiskWriter(
+            self.path,
+            self.folder.read(),
+            lambda sequence: done.set(),
+            self.errors.append,
+            file_system=StallingFiles(),
+        )
+        disk.write_cache(CacheFile("keptflows", b"first"))
+        self.assertTrue(stalled.wait(WAIT_TIMEOUT_S))
+        disk.submit(Store(1, self.make_first_records(), True))
+        self.assertTrue(done.wait(WAIT_TIMEOUT_S / 2), "the log waits")
+        disk.close()
+        self.assertEqual((self.path / "keptflows").read_bytes(), b"first")
+
     def test_folder_is_locked(self):
         other = DataFolder(self.path, "c0")
         self.assertEqual(other.open().detail, "another process uses it")
--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -8,12 +8,13 @@
 
 from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse, Respond
 from fulmarshore.adapters.messages import open_datagram_socket
-from fulmarshore.daemons.direct import LoadSettings, SubscribedDaemon
+from fulmarshore.daemons.direct import LoadSettings, SubscribedDaemon, encode
 from fulmarshore.direct.agent import AgentCore
 from fulmarshore.direct.latency import LatencyHistogram
 from fulmarshore.direct.packets import MAX_PACKET_BYTES
 from fulmarshore.direct.records import (
     CallerPacket,
+    SendKeptFlows,
     SendPoll,
     SendToAgent,
     SendToCaller,
@@ -27,7 +28,12 @@
     UpstreamPacket,
     UpstreamReplaced,
 )
-from fulmarshore.direct.settings import AGENT_OFFSET, RETURN_OFFSET, HostSettings
+from fulmarshore.direct.settings import (
+    AGENT_OFFSET,
+    CONTROL_OFFSET,
+    RETURN_OFFSET,
+    HostSettings,
+)
 
 ReadAnnouncement = Callable[
     [HttpRequest], "UpstreamAnnounced | UpstreamDeparted | str | None"
@@ -71,6 +77,7 @@
             settings.upstreams,
             settings.grace_s,
             settings.placement,
+            settings.notifies_lost_flows,
         )
         self._read_announcement = read_announcement
         self._upstream: socket.socket | None = None
@@ -159,6 +166,9 @@
                 self.send_packet(self._packets, content, host, settings.packet_port)
             case SendPoll():
                 self.send_poll(effect)
+            case SendKeptFlows(message=message, host=host):
+                port = settings.internal_port + CONTROL_OFFSET
+                self._messages.send(encode(message), host, port)
             case _:
                 raise TypeError(f"unexpected effect {effect!r}")
 
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import socket
 import time
 from collections.abc import Callable
 from http import HTTPStatus
@@ -21,7 +22,7 @@
 )
 from fulmarshore.adapters.files import FileSystem
 from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse, Respond
-from fulmarshore.adapters.messages import MessageSocket
+from fulmarshore.adapters.messages import MessageSocket, open_datagram_socket
 from fulmarshore.agreement.replica import Replica
 from fulmarshore.core.records import (
     AppendReply,
@@ -53,14 +54,23 @@
     ReadResult,
     RedirectToLeader,
     SendUpdate,
+    StoreKeptFlows,
     StoreSubscribers,
 )
+from fulmarshore.direct.keptflowsfile import (
+    FILE_NAME,
+    StoredGroup,
+    decode_file,
+    encode_file,
+)
 from fulmarshore.direct.latency import LatencyHistogram
 from fulmarshore.direct.orders import OrderState
 from fulmarshore.direct.records import (
     Decision,
+    KeptFlows,
     Poll,
     SendPoll,
+    SendToCaller,
     Table,
     Update,
     UpdateReceived,
@@ -82,6 +92,7 @@
 """File that lists the subscribers, for use after a restart; may be lost or torn."""
 
 Message = Union[
+    KeptFlows,
     Poll,
     Update,
     VoteRequest,
@@ -154,6 +165,7 @@
             self._handle_message,
             self.counters,
         )
+        self._notices = open_datagram_socket(settings.local_host, 0)
         if settings.data_folder:
             self.core = self._open_log()
         else:
@@ -188,7 +200,10 @@
             settings.lost_disks,
             self._make_table,
             self._read_subscribers(folder.path / SUBSCRIBERS_FILE),
+            settings.notifies_lost_flows,
         )
+        stored = self._read_kept_flows(folder.path / FILE_NAME)
+        core.lost_flows.restore(stored, time.monotonic())
         detail = (
             f"group {replica.group or 'none'}, disk {replica.identity.disk}, "
             f"term {replica.term}, entries up to {replica.log.last_index}"
@@ -267,6 +282,14 @@
             case StoreSubscribers(subscribers=subscribers):
                 content = msgspec.json.encode(subscribers)
                 self._disk.write_cache(CacheFile(SUBSCRIBERS_FILE, content))
+            case StoreKeptFlows(groups=groups):
+                content = encode_file(groups, time.time())
+                self._disk.write_cache(CacheFile(FILE_NAME, content))
+            case SendToCaller(content=content, host=host):
+                caller = socket.inet_ntoa(host)
+                self.send_packet(
+                    self._notices, content, caller, self.settings.packet_port
+                )
             case OrderAccepted(request=request):
                 self._respond(request, HttpResponse(200, b"{}"))
             case ReadResult(request=request, state=state):
@@ -306,6 +329,9 @@
         except (msgspec.MsgspecError, ValueError):
             self.counters["messages_malformed"] += 1
             return
+        if isinstance(message, KeptFlows):
+            self.dispatch(message)
+            return
         if isinstance(message, Poll):
             self.dispatch(PollReceived(host, port, message))
             return
@@ -326,6 +352,16 @@
             self.log_decision(Decision("subscribers_unreadable", str(error)))
             return ()
 
+    def _read_kept_flows(self, path: Path) -> list[StoredGroup]:
+        """Return the kept flows stored before a restart; none if they are not valid."""
+        if not path.exists():
+            return []
+        try:
+            return decode_file(path.read_bytes(), time.time())
+        except (OSError, ValueError) as error:
+            self.log_decision(Decision("kept_flows_ignored", str(error)))
+            return []
+
     def _recover(self, folder: DataFolder) -> Recovered:
         outcome = folder.read()
         if isinstance(outcome, DamagedFile):
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -18,6 +18,7 @@
 )
 from fulmarshore.direct.agentopenings import AgentOpenings
 from fulmarshore.direct.gate import Gate, UpstreamBounds
+from fulmarshore.direct.keptflows import KeptFlowTracker
 from fulmarshore.direct.latency import LatencyHistogram
 from fulmarshore.direct.outliers import OutlierDetector
 from fulmarshore.direct.packets import (
@@ -93,6 +94,8 @@
         Seconds between the stop signal and the kill of the process.
     placement : str
         What new flows are placed by, one of ``settings.PLACEMENTS``.
+    notifies_lost_flows : bool
+        Whether to register flows whose callers are notified if they are lost.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         bounds: UpstreamBounds,
         grace_s: float = 6.0,
         placement: str = "auto",
+        notifies_lost_flows: bool = True,
     ) -> None:
         self.host = host
         self.counters: Counter[str] = Counter()
@@ -115,7 +119,8 @@
         self._process = process
         self._own_host = socket.inet_aton(host)
         self._searches = SearchCoordinator(self._own_host)
-        self._flows = AgentFlows()
+        self._kept = KeptFlowTracker(host, process, notifies_lost_flows, self.counters)
+        self._flows = AgentFlows(self._kept)
         self.work_time = LatencyHistogram()
         self.outliers = OutlierDetector()
         self._openings = AgentOpenings(
@@ -220,11 +225,15 @@
                 effects.append(self._make_held_notice(packet))
             else:
                 flow.searching_host = packet.return_host
-        self._flows.record_caller_data(flow, packet, now)
+        if self._flows.record_caller_data(flow, packet, now):
+            route = self.tables.find_route(packet.service_address)
+            if route is not None and not route.is_repeatable:
+                self._kept.record_request(packet.flow, flow, now)
         if packet.flags & RST:
             self._flows.discard(packet.flow)
         elif packet.flags & FIN:
             flow.ended_sides |= CALLER_ENDED
+            self._kept.end(packet.flow)
             self._flows.end_request(flow)
         return effects
 
@@ -288,6 +297,7 @@
                 effects += self._openings.record_request_outcome(True, now)
         if packet.flags & FIN:
             flow.ended_sides |= UPSTREAM_ENDED
+            self._kept.end(packet.flow)
         return effects
 
     def _handle_bounced(self, packet: Packet, now: float) -> Effects:
@@ -354,6 +364,7 @@
         if outcome == "late":
             self.counters["announcements_late"] += 1
             return []
+        self._kept.record_announcement(announced, now)
         effects: Effects = []
         if outcome == "new":
             # An upstream gets flows only after an announcement, so an agent that
@@ -435,6 +446,9 @@
             self.subscription.expire_unresponsive(now)
             for _ in range(self._flows.sweep(self.tables.table.idle_timeout_s, now)):
                 effects += self._openings.record_request_outcome(False, now)
+        if self._kept.is_due(self.subscription.voters, now):
+            self._revision += 1
+            effects += self._kept.make_messages(self._revision, now)
         if self._stop_at is not None and self._can_stop(now):
             effects.append(StopCompleted())
         return effects
@@ -474,6 +488,7 @@
             self._flows.busy,
             self._stop_at is not None and self.gate.is_gone,
             self.gate.is_gone,
+            f"{upstream.upstream}@{upstream.born_ms}" if upstream is not None else "",
         )
         index = self.tables.table.index
         return [
--- a/fulmarshore/direct/agentflows.py
+++ b/fulmarshore/direct/agentflows.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 
+from fulmarshore.direct.keptflows import KeptFlowTracker
 from fulmarshore.direct.packets import NO_HOST, Packet
 
 MAX_FLOWS = 20_000
@@ -94,16 +95,22 @@
 class AgentFlows:
     """The tracked flows of one upstream.
 
+    Parameters
+    ----------
+    kept : KeptFlowTracker, optional
+        Gets the keys of flows that end.
+
     Attributes
     ----------
     busy : int
         Flows with a request in progress.
     """
 
-    __slots__ = ("busy", "_flows", "_openings")
+    __slots__ = ("busy", "_flows", "_kept", "_openings")
 
-    def __init__(self) -> None:
+    def __init__(self, kept: KeptFlowTracker | None = None) -> None:
         self.busy = 0
+        self._kept = kept if kept is not None else KeptFlowTracker()
         self._flows: dict[bytes, AgentFlow] = {}
         self._openings: deque[tuple[float, AgentFlow]] = deque()
 
@@ -132,10 +139,20 @@
         flow = self._flows[key] = AgentFlow(now, True)
         return flow
 
-    def record_caller_data(self, flow: AgentFlow, packet: Packet, now: float) -> None:
-        """Record a caller's packet; new data starts a request."""
-        if flow.record_data(packet) and flow.ended_sides == 0:
-            self._begin_request(flow, now)
+    def record_caller_data(self, flow: AgentFlow, packet: Packet, now: float) -> bool:
+        """Record a caller's packet; new data starts a request.
+
+        Returns
+        -------
+        is_later : bool
+            Whether it starts a request that is not the first one seen on the flow.
+        """
+        is_first = flow.received_end is None
+        if not flow.record_data(packet) or flow.ended_sides:
+            return False
+        is_later = not is_first and not flow.is_busy
+        self._begin_request(flow, now)
+        return is_later
 
     def record_response(self, flow: AgentFlow, now: float) -> float | None:
         """Record data of the upstream; return the seconds its request took, if any."""
@@ -154,6 +171,7 @@
         """Remove a flow, if it is tracked."""
         flow = self._flows.pop(key, None)
         if flow is not None:
+            self._kept.end(key)
             self.end_request(flow)
 
     def pop_all(self) -> list[tuple[bytes, AgentFlow]]:
@@ -161,6 +179,7 @@
         flows = list(self._flows.items())
         self._flows.clear()
         self._openings.clear()
+        self._kept.end_all()
         self.busy = 0
         return flows
 
--- a/fulmarshore/direct/agentflows_test.py
+++ b/fulmarshore/direct/agentflows_test.py
@@ -88,6 +88,19 @@
         self.assertAlmostEqual(flows.record_response(flow, 1.05), 0.05)
         self.assertIsNone(flows.record_response(flow, 1.06))
 
+    def test_only_a_request_after_an_answered_one_is_a_later_one(self):
+        """A flow that is used once is not registered as kept."""
+        flows = AgentFlows()
+        flow = flows.add_open(KEY, 1.0)
+        found = [
+            flows.record_caller_data(flow, make_data(at), 1.0) for at in (100, 107)
+        ]
+        flows.record_response(flow, 1.1)
+        found += [
+            flows.record_caller_data(flow, make_data(at), 1.2) for at in (107, 114)
+        ]
+        self.assertEqual(found, [False, False, False, True])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -40,6 +40,7 @@
     StoreSubscribers,
 )
 from fulmarshore.direct.directory import AgentDirectory
+from fulmarshore.direct.lostflows import LostFlowNotifier
 from fulmarshore.direct.orders import (
     OrderState,
     apply_order,
@@ -49,6 +50,7 @@
 from fulmarshore.direct.records import (
     AgentReport,
     Decision,
+    KeptFlows,
     Poll,
     StopCompleted,
     Stopping,
@@ -162,6 +164,8 @@
         Builds the table of a state.
     known_subscribers : tuple of KnownSubscriber
         Processes that polled this host before its restart.
+    notifies_lost_flows : bool
+        Whether callers are notified of kept flows whose upstream has ended.
     """
 
     def __init__(
@@ -171,10 +175,12 @@
         lost_disks: int,
         make_table: Callable[[OrderState], Table],
         known_subscribers: tuple[KnownSubscriber, ...] = (),
+        notifies_lost_flows: bool = True,
     ) -> None:
         self.replica = replica
         self.state = OrderState()
         self.counters: Counter[str] = Counter()
+        self.lost_flows = LostFlowNotifier(self.counters, notifies_lost_flows)
         self.directory = AgentDirectory(process)
         self._lost_disks = lost_disks
         self._make_table = make_table
@@ -220,6 +226,9 @@
                 return self._apply_effects(self.replica.handle(event, now), now)
             case Stored():
                 return self._apply_effects(self.replica.handle(event, now), now)
+            case KeptFlows():
+                self.lost_flows.handle_kept_flows(event, now)
+                return []
             case UpdateReceived(update=update):
                 for host in update.controls:
                     self._add_peer(host)
@@ -442,6 +451,8 @@
                 f"accepting {report.is_accepting}, cold {report.is_cold}"
             )
             effects.append(Decision("agent_reported", detail))
+        if report is not None:
+            effects += self.lost_flows.handle_report(report, now)
         return effects
 
     def _make_update(
@@ -477,6 +488,7 @@
         effects += self._push_directory(now)
         effects += self._announce_voters(now)
         effects += self._store_subscribers(now)
+        effects += self.lost_flows.handle_tick(now)
         if now - self._last_expiry_at >= EXPIRY_SCAN_INTERVAL_S:
             self._last_expiry_at = now
             expired = self.directory.expire(now)
--- a/fulmarshore/direct/controlrecords.py
+++ b/fulmarshore/direct/controlrecords.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from fulmarshore.core.records import Command
+from fulmarshore.direct.keptflowsfile import StoredGroup
 from fulmarshore.direct.orders import OrderState
 from fulmarshore.direct.records import Poll, Update
 
@@ -81,3 +82,9 @@
     """Effect: store the processes that poll, for use after a restart."""
 
     subscribers: tuple[KnownSubscriber, ...]
+
+
+class StoreKeptFlows(Struct, frozen=True):
+    """Effect: store the register of kept flows, for use after a restart."""
+
+    groups: list[StoredGroup]
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import zlib
+from typing import Annotated
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 
 class Record(Struct, frozen=True, array_like=True, tag=True):
@@ -215,6 +216,41 @@
     number: int = 0
 
 
+FlowKey = Annotated[bytes, Meta(min_length=12, max_length=12)]
+"""Key of a flow: the caller's address and port, then the service's."""
+Position = Annotated[int, Meta(ge=0, lt=1 << 32)]
+"""Position in a byte stream."""
+
+
+class KeptFlows(Record, frozen=True):
+    """Flows that an agent registers with a control host, for a notice of their loss.
+
+    Parameters
+    ----------
+    host : str
+        Address of the agent's host.
+    process, number : int
+        Random number of the agent's process, and number of the message. Reports of
+        the process are numbered in the same sequence.
+    incarnation : str
+        The incarnation of the upstream that holds the flows, ``ID@BORN_MS``.
+    is_complete : bool
+        Whether ``kept`` lists all flows that the process has registered.
+    kept : tuple of (bytes, int)
+        Keys, and the positions that the callers last acknowledged.
+    ended : tuple of bytes
+        Keys of flows that have ended.
+    """
+
+    host: str
+    process: int
+    incarnation: str
+    number: int
+    is_complete: bool
+    kept: tuple[tuple[FlowKey, Position], ...] = ()
+    ended: tuple[FlowKey, ...] = ()
+
+
 class Update(Record, frozen=True):
     """State of a control host, sent in reply to a poll or when it changes.
 
@@ -402,6 +438,13 @@
     host: str
 
 
+class SendKeptFlows(Struct, frozen=True):
+    """Effect: send a register message to a control host."""
+
+    message: KeptFlows
+    host: str
+
+
 class Decision(Struct, frozen=True):
     """Effect: a line of the log.
 
--- a/fulmarshore/standins/directends.py
+++ b/fulmarshore/standins/directends.py
@@ -29,6 +29,8 @@
 SYN_LIMIT_S = 1.4
 FIRST_REPEAT_S = 0.2
 LONGEST_REPEAT_S = 1.6
+RESET_DISTANCE = 76_800
+"""Farthest position from its own at which a caller accepts a reset of an open flow."""
 CHECKSUM_SEED = 77
 MAX_FIRST_SEQUENCE = 0x7FFFFFFF
 """Initial sequence numbers are below 2**31, so they do not wrap in a test."""
@@ -270,6 +272,9 @@
             self.forged.append(content)
             return
         if packet.flags & RST:
+            distance = abs(packet.sequence - self._acknowledged)
+            if self.is_open and distance > RESET_DISTANCE:
+                return
             self.is_reset = True
             self.is_open = False
             if self._pending_call is not None:
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -43,17 +43,21 @@
     ReadResult,
     RedirectToLeader,
     SendUpdate,
+    StoreKeptFlows,
     StoreSubscribers,
 )
 from fulmarshore.direct.entry import EntryCore
 from fulmarshore.direct.gate import UpstreamBounds
+from fulmarshore.direct.keptflowsfile import decode_file, encode_file
 from fulmarshore.direct.orders import OrderState
+from fulmarshore.direct.packets import RST
 from fulmarshore.direct.records import (
     Backend,
     CallerPacket,
     Decision,
     ReturnedPacket,
     Route,
+    SendKeptFlows,
     SendPoll,
     SendToAgent,
     SendToCaller,
@@ -85,6 +89,8 @@
 ORDER_TIMEOUT_S = 1.0
 """How long an operator waits for a reply before it tries another host."""
 MAX_REDIRECTS = 2
+KEPT_PORT = 8443
+"""Port of the route whose requests must not run twice."""
 FABRIC = "fabric"
 """Sender of callers' packets, in every availability zone."""
 
@@ -103,7 +109,8 @@
     services: dict[str, None] = {}
     for port, backends in found:
         address = socket.inet_aton("198.18.0.1") + port.to_bytes(2)
-        routes.append(Route(address, tuple(Backend(*held) for held in backends)))
+        found = tuple(Backend(*held) for held in backends)
+        routes.append(Route(address, found, is_repeatable=port != KEPT_PORT))
         services.update(dict.fromkeys(name for name, _ in backends))
     policies = tuple(ServicePolicy(name, 2000, 0.0) for name in services)
     return Table(
@@ -144,6 +151,8 @@
         Indexes of the control hosts that are seeds; by default the first three.
     probe_lag_s : float
         How long the fabric keeps using an entry host that is not ready any more.
+    notifies_lost_flows : bool
+        Whether callers are notified of kept flows whose upstream has ended.
     """
 
     def __init__(
@@ -157,11 +166,13 @@
         diskless: int = 0,
         seeds: list[int] | None = None,
         probe_lag_s: float = 0.0,
+        notifies_lost_flows: bool = True,
     ) -> None:
         self.random = Random(seed)
         self.now = 0.0
         self.loss = loss
         self.lost_disks = lost_disks
+        self.notifies_lost_flows = notifies_lost_flows
         self._probe_lag_s = probe_lag_s
         self._ready_at: dict[str, float] = {}
         self.cores: dict[str, EntryCore | AgentCore | ControlCore] = {}
@@ -186,6 +197,9 @@
         self._numbers = count()
         self._incarnations: dict[str, int] = {}
         self._stored_subscribers: dict[str, tuple[KnownSubscriber, ...]] = {}
+        self._kept_flows_files: dict[str, bytes] = {}
+        self.notices: list[tuple[float, bytes]] = []
+        self.live_resets: list[tuple[float, bytes]] = []
         self._requests: dict[int, OrderCall | tuple[float, Callable]] = {}
         self._announcement_counts: dict[str, int] = {}
         self.control_hosts = [f"10.0.0.{number + 1}" for number in range(controls)]
@@ -256,7 +270,20 @@
             replica.bootstrap_wait_s = NO_SEED_WAIT_S
         process = self.random.getrandbits(63)
         subscribers = self._stored_subscribers.get(host, ())
-        core = ControlCore(replica, process, self.lost_disks, make_table, subscribers)
+        core = ControlCore(
+            replica,
+            process,
+            self.lost_disks,
+            make_table,
+            subscribers,
+            self.notifies_lost_flows,
+        )
+        try:
+            stored = decode_file(self._kept_flows_files.get(host, b""), self.now)
+            core.lost_flows.restore(stored, self.now)
+        except ValueError as error:
+            ignored = Decision("kept_flows_ignored", str(error))
+            self.decisions.append((self.now, host, ignored))
         self._start(host, core)
 
     def start_relay(self, host: str) -> None:
@@ -273,7 +300,14 @@
         """Start an agent."""
         zone = self._zones.setdefault(host, "zone-0")
         process = self.random.getrandbits(63)
-        core = AgentCore(host, zone, list(self.seeds), process, UpstreamBounds(1.5, 5))
+        core = AgentCore(
+            host,
+            zone,
+            list(self.seeds),
+            process,
+            UpstreamBounds(1.5, 5),
+            notifies_lost_flows=self.notifies_lost_flows,
+        )
         self._start(host, core)
         self._check_upstream(host)
 
@@ -356,6 +390,7 @@
         """Crash a control host and empty its disk."""
         self.crash(host, loses_power=True)
         self.disks[host].wipe()
+        self._kept_flows_files.pop(host, None)
 
     def stop(self, host: str) -> None:
         """Begin the planned stop of a process."""
@@ -531,6 +566,8 @@
                 target = socket.inet_ntoa(entry)
                 self._deliver(host, target, ReturnedPacket(content, host))
             case SendToCaller(content=content):
+                if host in self.control_hosts:
+                    self.notices.append((self.now, content[6:12] + content[:6]))
                 self._deliver_caller(content)
             case SendToUpstream(content=content):
                 upstream = self.upstreams.get(host)
@@ -538,6 +575,8 @@
                     self.call_later(0.0001, lambda: upstream.handle_packet(content))
             case SendPoll(poll=poll, host=control):
                 self._deliver(host, control, PollReceived(host, 1, poll))
+            case SendKeptFlows(message=message, host=control):
+                self._deliver(host, control, message)
             case SendUpdate(update=update, host=subscriber):
                 self.tables_sent[subscriber] += bool(update.table)
                 received = UpdateReceived(host, update, decode_table(update.table))
@@ -550,6 +589,8 @@
                 self._store(host, effect)
             case StoreSubscribers(subscribers=subscribers):
                 self._stored_subscribers[host] = subscribers
+            case StoreKeptFlows(groups=groups):
+                self._kept_flows_files[host] = encode_file(groups, self.now)
             case Wake(after_s=after_s):
                 self._wake(host, after_s)
             case OrderAccepted() | ReadResult() | RedirectToLeader():
@@ -601,7 +642,20 @@
             return
         if caller is not None and self.random.random() >= self.loss:
             delay = self.random.uniform(*DELAY_S) + self.delay_to_callers_s
-            self.call_later(delay, lambda: caller.handle_packet(content))
+            self.call_later(delay, lambda: self._hand_over(caller, content))
+
+    def _hand_over(self, caller: Caller, content: bytes) -> None:
+        """Let a caller process a packet; record a reset of a flow that is held."""
+        was_open = caller.is_open
+        caller.handle_packet(content)
+        if not was_open or not caller.is_reset or not content[18] & RST:
+            return
+        is_held = (
+            upstream.is_alive and caller.flow in upstream.flows
+            for upstream in (*self.upstreams.values(), *self.former_upstreams)
+        )
+        if any(is_held):
+            self.live_resets.append((self.now, caller.flow))
 
     def _deliver_outbound(self, host: str, content: bytes) -> None:
         if host in self.cores and host not in self.frozen:
