--- a/fulmarshore/direct/agentflows.py
+++ b/fulmarshore/direct/agentflows.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 
+from fulmarshore.direct.keptflows import KeptFlowTracker
 from fulmarshore.direct.packets import NO_HOST, Packet
 from fulmarshore.direct.workmodel import WorkModel
 
@@ -95,6 +96,11 @@
 class AgentFlows:
     """The tracked flows of one upstream.
 
+    Parameters
+    ----------
+    kept : KeptFlowTracker, optional
+        Gets the keys of flows that end.
+
     Attributes
     ----------
     busy : int
@@ -103,11 +109,12 @@
         Model of the work at the upstream.
     """
 
-    __slots__ = ("busy", "work", "_flows", "_openings")
+    __slots__ = ("busy", "work", "_flows", "_kept", "_openings")
 
-    def __init__(self) -> None:
+    def __init__(self, kept: KeptFlowTracker | None = None) -> None:
         self.busy = 0
         self.work = WorkModel()
+        self._kept = kept if kept is not None else KeptFlowTracker()
         self._flows: dict[bytes, AgentFlow] = {}
         self._openings: deque[tuple[float, AgentFlow]] = deque()
 
@@ -137,14 +144,22 @@
         flow = self._flows[key] = AgentFlow(now, True)
         return flow
 
-    def record_caller_data(self, flow: AgentFlow, packet: Packet, now: float) -> None:
-        """Record a caller's packet; new data starts a request."""
+    def record_caller_data(self, flow: AgentFlow, packet: Packet, now: float) -> bool:
+        """Record a caller's packet; new data starts a request.
+
+        Returns
+        -------
+        is_later : bool
+            Whether it starts a request that is not the first one seen on the flow.
+        """
         is_first = flow.received_end is None
         if not flow.record_data(packet) or flow.ended_sides:
-            return
-        if is_first or not flow.is_busy:
+            return False
+        is_later = not is_first and not flow.is_busy
+        if is_first or is_later:
             self._count_request(flow, now)
             self.work.begin(flow, packet.service_address, now)
+        return is_later
 
     def record_response(self, flow: AgentFlow, now: float) -> float | None:
         """Record data of the upstream; return the seconds its request took, if any."""
@@ -166,6 +181,7 @@
         """Remove a flow, if it is tracked."""
         flow = self._flows.pop(key, None)
         if flow is not None:
+            self._kept.end(key)
             self.end_request(flow, now)
 
     def pop_all(self) -> list[tuple[bytes, AgentFlow]]:
@@ -173,6 +189,7 @@
         flows = list(self._flows.items())
         self._flows.clear()
         self._openings.clear()
+        self._kept.end_all()
         self.busy = 0
         self.work.drop_requests()
         return flows
