Placement lists the ranked agents of a service

The command that explains a placement needs the order without an offer. RankedCandidate has the terms of the cost, which are 0 while placement is by flows; list_ranked draws no random number and changes no state.

--- a/fulmarshore/direct/placement.py
+++ b/fulmarshore/direct/placement.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from random import Random
 
+from fulmarshore.direct.costs import RankedCandidate
 from fulmarshore.direct.records import AgentReport
 
 UNRESPONSIVE_S = 1.0
@@ -21,6 +22,9 @@
 """Load per slot added to agents of other availability zones: staying in the zone
 saves a hop, which costs less than waiting for a slot."""
 
+INELIGIBLE = ("not accepting", "zone out")
+"""Reasons for which an agent is not offered a flow at all."""
+
 
 class Candidate:
     """An agent, with what an entry host observed of it.
@@ -152,6 +156,38 @@
                 best, best_rank = host, rank
         return best
 
+    def list_ranked(
+        self, service: str, now: float, is_zone_out: Callable[[str], bool]
+    ) -> list[RankedCandidate]:
+        """Return all agents of a service, the one to be offered a flow first.
+
+        Nothing changes, and no random number is drawn.
+        """
+        ranked = []
+        for host, candidate in self._services.get(service, {}).items():
+            behind = self._find_reason(candidate, now, is_zone_out)
+            cost = self._compute_cost(candidate, now)
+            zone = candidate.report.zone
+            entry = RankedCandidate(host, zone, service, 0, 0, 0, 0, None, 0, behind)
+            ranked.append((behind in INELIGIBLE, cost, host, entry))
+        return [entry for *_, entry in sorted(ranked, key=lambda item: item[:3])]
+
+    @staticmethod
+    def _find_reason(
+        candidate: Candidate, now: float, is_zone_out: Callable[[str], bool]
+    ) -> str:
+        """Return why an agent ranks behind the others; empty if it does not."""
+        report = candidate.report
+        if not report.is_accepting:
+            return "not accepting"
+        if is_zone_out(report.zone):
+            return "zone out"
+        if candidate.refusing_until > now:
+            return "refusing"
+        if candidate.unresponsive_until > now:
+            return "unresponsive"
+        return "cold" if report.is_cold else ""
+
     def record_opened(self, host: str) -> None:
         """Count a flow placed on an agent."""
         candidate = self._candidates.get(host)
