Placement by expected completion at the entry host

The load that agents tell in notices and replies to offers ranks them, where the table places by cost; otherwise packets and random draws are as before. Services of a route keep their weights on average although flows are diverted. Not measured yet.

--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -54,7 +54,11 @@
 
     def read_gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
-        return {**super().read_gauges(), "agents": len(self.core.agents)}
+        return {
+            **super().read_gauges(),
+            **self.core.read_cost_gauges(),
+            "agents": len(self.core.agents),
+        }
 
     def carry_out(self, effect: object) -> None:
         """Send a packet or a poll, or set a timer."""
--- /dev/null
+++ b/fulmarshore/direct/candidates.py
@@ -0,0 +1,235 @@
+"""Agents that an entry host may offer flows to, and the cheapest of a sample."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+from statistics import median
+
+from msgspec import Struct, field
+
+from fulmarshore.direct.costs import (
+    FIRST_WORK_S,
+    AgentLoad,
+    Choice,
+    CostModel,
+    RankedCandidate,
+)
+from fulmarshore.direct.records import AgentReport
+
+UNRESPONSIVE_COST_S = 1_000.0
+REFUSAL_COST_S = 10_000.0
+COLD_COST_S = 100.0
+"""Added to the cost of agents that rank behind: more than any wait."""
+TOLERANCE_S = 0.002
+TOLERANCE_SHARE = 0.1
+"""Costs that differ by less than this, or by less than this share of the work time,
+are equal: many entry hosts see the same free upstream."""
+BEHIND_COSTS_S = {
+    "cold": COLD_COST_S,
+    "unresponsive": UNRESPONSIVE_COST_S,
+    "refusing": REFUSAL_COST_S,
+}
+MAX_EVALUATED = 32
+"""Agents evaluated for a flow: one of 32 is free unless nearly all are busy."""
+MAX_OWN_ZONE = 24
+"""Agents of the own zone among them; the rest shows what other zones would cost."""
+MEDIAN_INTERVAL_S = 1.0
+"""The median work time of a service is computed at most this often."""
+
+
+class Candidate:
+    """An agent, with what an entry host observed of it.
+
+    Parameters
+    ----------
+    report : AgentReport
+        Newest report of the agent.
+
+    Attributes
+    ----------
+    load : AgentLoad
+        What the agent told of its load.
+    """
+
+    __slots__ = ("report", "load", "open_flows", "unresponsive_until", "refusing_until")
+
+    def __init__(self, report: AgentReport) -> None:
+        self.report = report
+        self.load = AgentLoad()
+        self.open_flows = 0
+        self.unresponsive_until = float("-inf")
+        self.refusing_until = float("-inf")
+
+
+class ServicePool(Struct):
+    """The accepting agents of a service, in lists that can be sampled.
+
+    Parameters
+    ----------
+    own_zone, others : list of Candidate
+        Agents of the entry host's zone, and of other zones.
+    median_s : float
+        Median of the known work times, seconds.
+    median_at : float
+        When it was computed.
+    """
+
+    own_zone: list[Candidate] = field(default_factory=list)
+    others: list[Candidate] = field(default_factory=list)
+    median_s: float = FIRST_WORK_S
+    median_at: float = float("-inf")
+
+    @classmethod
+    def build(cls, candidates: Iterable[Candidate], zone: str) -> ServicePool:
+        """Return the pool of the candidates that accept flows.
+
+        Parameters
+        ----------
+        candidates : iterable of Candidate
+            All agents of a service.
+        zone : str
+            Availability zone of the entry host.
+        """
+        pool = cls()
+        for candidate in candidates:
+            if not candidate.report.is_accepting:
+                continue
+            is_own = candidate.report.zone == zone
+            (pool.own_zone if is_own else pool.others).append(candidate)
+        return pool
+
+    def update_median(self, candidates: Iterable[Candidate], now: float) -> None:
+        """Compute the median work time again if it is outdated."""
+        if now - self.median_at < MEDIAN_INTERVAL_S:
+            return
+        self.median_at = now
+        works = [load.work_s for c in candidates if (load := c.load).work_s]
+        self.median_s = median(works) if works else FIRST_WORK_S
+
+    def draw(
+        self,
+        tried: list[str],
+        is_zone_out: Callable[[str], bool],
+        random: Random,
+    ) -> list[Candidate]:
+        """Return the agents to evaluate for a flow, in random order."""
+        arguments = (tried, is_zone_out, random)
+        drawn = draw_candidates(self.own_zone, MAX_OWN_ZONE, *arguments)
+        return drawn + draw_candidates(
+            self.others, MAX_EVALUATED - len(drawn), *arguments
+        )
+
+
+def draw_candidates(
+    candidates: list[Candidate],
+    count: int,
+    tried: list[str],
+    is_zone_out: Callable[[str], bool],
+    random: Random,
+) -> list[Candidate]:
+    """Draw up to ``count`` candidates that may be offered the flow."""
+    if not candidates:
+        return []
+    # Only so many are out that a second draw from all is rarely needed.
+    size = min(len(candidates), count + len(tried))
+    drawn = _draw_some(candidates, size, tried, is_zone_out, random)
+    if len(drawn) < count and size < len(candidates):
+        drawn = _draw_some(candidates, len(candidates), tried, is_zone_out, random)
+    return drawn[:count]
+
+
+def _draw_some(
+    candidates: list[Candidate],
+    size: int,
+    tried: list[str],
+    is_zone_out: Callable[[str], bool],
+    random: Random,
+) -> list[Candidate]:
+    sample = random.sample(candidates, size)
+    zones_out: dict[str, bool] = {}
+    drawn = []
+    for candidate in sample:
+        zone = candidate.report.zone
+        is_out = zones_out.get(zone)
+        if is_out is None:
+            is_out = zones_out[zone] = is_zone_out(zone)
+        if is_out or candidate.report.host in tried:
+            continue
+        drawn.append(candidate)
+    return drawn
+
+
+def choose_cheapest(
+    costs: CostModel,
+    candidates: list[Candidate],
+    median_s: float,
+    now: float,
+    tolerance_s: float | None = None,
+) -> Choice | None:
+    """Return one of the candidates with the lowest cost, up to the tolerance.
+
+    Of several, the one with the fewest open flows of this host per slot is
+    chosen; the order of ``candidates``, which is random, breaks ties.
+    """
+    if not candidates:
+        return None
+    estimate = costs.estimate
+    hops = costs.hops
+    totals = []
+    for candidate in candidates:
+        wait, work, standing = estimate(candidate.load, median_s, now)
+        cost = wait + work + standing
+        zone = candidate.report.zone
+        cost += hops[zone] if zone in hops else costs.get_hop(zone)
+        if candidate.report.is_cold:
+            cost += COLD_COST_S
+        if candidate.unresponsive_until > now:
+            cost += UNRESPONSIVE_COST_S
+        if candidate.refusing_until > now:
+            cost += REFUSAL_COST_S
+        totals.append(cost)
+    lowest = min(totals)
+    if tolerance_s is None:
+        best = candidates[totals.index(lowest)]
+        work = estimate(best.load, median_s, now)[1]
+        tolerance_s = max(TOLERANCE_S, work * TOLERANCE_SHARE)
+    chosen, fewest, second = -1, float("inf"), -1
+    limit = lowest + tolerance_s
+    for number, cost in enumerate(totals):
+        if cost >= limit and cost > lowest:
+            continue
+        candidate = candidates[number]
+        flows = candidate.open_flows / candidate.load.slots
+        if flows < fewest:
+            chosen, fewest = number, flows
+    for number, cost in enumerate(totals):
+        if number != chosen and (second < 0 or cost < totals[second]):
+            second = number
+    choice = Choice(describe_candidate(costs, candidates[chosen], median_s, now, ""))
+    if second >= 0:
+        choice.next_host = candidates[second].report.host
+        choice.next_cost_s = totals[second]
+    return choice
+
+
+def describe_candidate(
+    costs: CostModel, candidate: Candidate, median_s: float, now: float, behind: str
+) -> RankedCandidate:
+    """Return a candidate with the terms of its cost."""
+    report, load = candidate.report, candidate.load
+    wait, work, standing = costs.estimate(load, median_s, now)
+    hop = costs.get_hop(report.zone)
+    told_at = max(load.heard_at, load.work_at)
+    return RankedCandidate(
+        report.host,
+        report.zone,
+        report.service,
+        wait,
+        work,
+        standing,
+        hop,
+        None if told_at == float("-inf") else now - told_at,
+        wait + work + standing + hop,
+        behind,
+    )
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -99,7 +99,7 @@
         self.subscription = Subscription(seeds, random.getrandbits(48) + 1)
         self._stop_wait_s = min(STOP_WAIT_S, grace_s * STOP_GRACE_SHARE)
         self._return_host = socket.inet_aton(host)
-        self._placement = Placement(zone, random)
+        self._placement = Placement(zone, random, self.tables)
         self._flows = FlowCache(self._placement, self.counters)
         shared = (self._flows, self._placement, self.tables, self.counters)
         self._uploads = UploadLimiter(upload_bytes_per_s)
@@ -121,6 +121,13 @@
         """Number of cached flows."""
         return len(self._flows)
 
+    def read_cost_gauges(self) -> dict[str, float]:
+        """Return the estimates of placement by cost for the metrics."""
+        return {
+            "hop_ms": 1000 * max(self._placement.costs.hops.values()),
+            "flows_owed": self._openings.owed_count,
+        }
+
     def handle(self, event: object, now: float) -> Effects:
         """Process one event and return its effects."""
         match event:
@@ -193,15 +200,11 @@
             return self._lookups.handle_not_held(packet, flow, host, now)
         if packet.mark == MARK_NOT_FOUND:
             return self._lookups.handle_not_found(flow, host, now)
-        if packet.mark == MARK_ADMITTED:
-            self._openings.record_reply(packet.flow, host)
-            return []
-        if packet.mark == MARK_QUEUED:
-            self._openings.record_reply(packet.flow, host)
-            flow.is_queued = True
+        if packet.mark in (MARK_ADMITTED, MARK_QUEUED):
+            self._openings.handle_notice(packet, flow, host, now)
             return []
         if packet.mark == MARK_QUEUE_FAILED:
-            return self._openings.handle_queue_failure(packet, flow, host)
+            return self._openings.handle_queue_failure(packet, flow, host, now)
         if packet.mark in REFUSAL_MARKS:
             return self._openings.handle_refusal(packet, flow, host, now)
         self.counters["packets_malformed"] += 1
@@ -225,16 +228,16 @@
         ):
             effects.append(self._make_poll(host, wants_table=True))
         for change in self.agents.apply_update(host, update):
-            effects.append(self._apply_agent_change(change))
+            effects.append(self._apply_agent_change(change, now))
         self._ended_hosts.update(update.ended)
         effects += self._lookups.handle_update(host, update, now)
         return effects + self._openings.retry_parked(now)
 
-    def _apply_agent_change(self, change: AgentReport | str) -> Decision:
+    def _apply_agent_change(self, change: AgentReport | str, now: float) -> Decision:
         if isinstance(change, str):
             self._placement.remove(change)
             return Decision("agent_gone", change)
-        self._placement.record_report(change)
+        self._placement.record_report(change, now)
         self._ended_hosts.discard(change.host)
         detail = (
             f"{change.host}, service {change.service or 'unknown'}, "
@@ -250,7 +253,7 @@
             effects.append(Decision("control_silent", host))
             self._lookups.discard_control(host)
             for change in self.agents.discard_control(host):
-                effects.append(self._apply_agent_change(change))
+                effects.append(self._apply_agent_change(change, now))
         effects += self._openings.retry_parked(now)
         if self.tables.has_uploads:
             self._uploads.measure(now)
--- a/fulmarshore/direct/flows.py
+++ b/fulmarshore/direct/flows.py
@@ -56,6 +56,10 @@
         Load that each declining agent reported, in requests.
     is_queued : bool
         Whether an agent has queued the opening.
+    service : str
+        Service that the flow was last offered to, where placement is by cost.
+    service_changes : int
+        How often that service has changed.
     """
 
     __slots__ = (
@@ -71,6 +75,8 @@
         "suspects",
         "loads",
         "is_queued",
+        "service",
+        "service_changes",
     )
 
     def __init__(self, stage: Stage, now: float) -> None:
@@ -86,6 +92,8 @@
         self.suspects: list[str] = []
         self.loads: dict[str, int] = {}
         self.is_queued = False
+        self.service = ""
+        self.service_changes = 0
 
 
 class FlowCache:
--- a/fulmarshore/direct/openings.py
+++ b/fulmarshore/direct/openings.py
@@ -11,25 +11,25 @@
 from collections import Counter
 
 from msgspec import Struct
-from xxhash import xxh3_64_intdigest
 
 from fulmarshore.direct.flows import Flow, FlowCache, Stage, make_rejection
 from fulmarshore.direct.packets import (
     MARK_BUSY,
     MARK_OFFER,
+    MARK_QUEUED,
     MARK_REFUSED_CLOSED,
     NO_MARK,
     Packet,
     mark_packet,
+    parse_load_report,
 )
 from fulmarshore.direct.placement import Placement
 from fulmarshore.direct.records import Decision, Route, SendToAgent, Wake
+from fulmarshore.direct.services import MAX_BUSY_OFFERS, ServiceChooser
+from fulmarshore.direct.shares import choose_service
 from fulmarshore.direct.tables import TableIndex
 from fulmarshore.direct.transfers import UploadLimiter
 
-MAX_BUSY_OFFERS = 3
-"""Agents that may decline a flow for lack of a free slot before the least busy of
-them gets it: with half of the agents busy, one in eight flows meets only these."""
 MAX_OPEN_OFFERS = 3
 """Agents that may have an offer of the same flow at the same time."""
 MAX_OFFERS_WITH_UNANSWERED = 6
@@ -44,6 +44,7 @@
 half of the 1.4 s that a caller waits for an answer."""
 MAX_PARKED = 2000
 
+
 Effects = list
 
 
@@ -59,6 +60,7 @@
 
     packet: Packet
     deadline: float
+    offered_at: float
 
 
 class EntryOpenings:
@@ -89,6 +91,7 @@
         "_uploads",
         "_parked",
         "_pending_offers",
+        "_services",
         "_is_wake_scheduled",
     )
 
@@ -109,8 +112,14 @@
         self._uploads = uploads
         self._parked: dict[bytes, ParkedOpening] = {}
         self._pending_offers: dict[tuple[bytes, str], PendingOffer] = {}
+        self._services = ServiceChooser(placement, tables, counters)
         self._is_wake_scheduled = False
 
+    @property
+    def owed_count(self) -> int:
+        """Number of flows that services are owed by others of their routes."""
+        return self._services.owed_count
+
     def handle_opening(self, packet: Packet, flow: Flow | None, now: float) -> Effects:
         """Offer a first opening; forward a repeated one to the agents that have it."""
         route = self._tables.find_route(packet.service_address)
@@ -189,12 +198,14 @@
         self, packet: Packet, flow: Flow, host: str, now: float
     ) -> Effects:
         """Offer an opening that an agent refused to the next agent."""
-        self.record_reply(packet.flow, host)
+        self._record_reply(packet.flow, host, now)
         self._counters["offers_refused"] += 1
         if packet.mark == MARK_REFUSED_CLOSED:
             self._placement.record_refusal(host, now)
         if packet.mark == MARK_BUSY:
             flow.loads[host] = packet.load
+            if self._tables.places_by_cost:
+                self._placement.record_decline(host, packet.load / 1000, now)
         if host in flow.agents:
             flow.agents.remove(host)
         if flow.stage is not Stage.OPENING:
@@ -205,9 +216,23 @@
             return make_rejection(packet, "no_route", self._counters)
         return self._offer(packet, flow, route, now)
 
-    def record_reply(self, key: bytes, host: str) -> None:
+    def handle_notice(self, packet: Packet, flow: Flow, host: str, now: float) -> None:
+        """Record that an agent has admitted or queued an opening."""
+        is_queued = packet.mark == MARK_QUEUED
+        if is_queued:
+            flow.is_queued = True
+        self._record_reply(packet.flow, host, now)
+        if self._tables.places_by_cost:
+            report = parse_load_report(packet)
+            self._placement.record_notice(host, report, is_queued, now)
+
+    def _record_reply(self, key: bytes, host: str, now: float) -> None:
         """Record that an agent has replied to an offer."""
-        self._pending_offers.pop((key, host), None)
+        offer = self._pending_offers.pop((key, host), None)
+        if offer is None:
+            return
+        self._placement.record_offer_ended(host)
+        self._placement.record_reply_time(host, now - offer.offered_at)
 
     def handle_wake(self, now: float) -> Effects:
         """Offer each opening whose reply is overdue to another agent as well."""
@@ -218,6 +243,7 @@
             if now < offer.deadline:
                 break
             del self._pending_offers[key, host]
+            self._placement.record_offer_ended(host)
             effects += self._offer_to_another(offer.packet, host, now)
         return effects + self._schedule_wake(now)
 
@@ -240,12 +266,14 @@
             return []
         return self._offer(packet, flow, route, now)
 
-    def handle_queue_failure(self, packet: Packet, flow: Flow, host: str) -> Effects:
+    def handle_queue_failure(
+        self, packet: Packet, flow: Flow, host: str, now: float
+    ) -> Effects:
         """Reject an opening that an agent could not queue or serve in time.
 
         The flow stays open while another agent still has an offer of it.
         """
-        self.record_reply(packet.flow, host)
+        self._record_reply(packet.flow, host, now)
         if host in flow.agents:
             flow.agents.remove(host)
         if flow.stage is not Stage.OPENING or flow.agents:
@@ -278,6 +306,8 @@
 
     def _offer(self, packet: Packet, flow: Flow, route: Route, now: float) -> Effects:
         """Offer a flow to one more agent; park the opening if there is none."""
+        if self._tables.places_by_cost:
+            return self._offer_by_cost(packet, flow, route, now)
         service = choose_service(route, packet.flow)
         host = None
         if service is not None and len(flow.loads) < MAX_BUSY_OFFERS:
@@ -291,14 +321,47 @@
             mark = NO_MARK
         if host is None:
             return [] if flow.agents else self._park(packet, now)
+        detail = f"{host} of {service}"
+        return self._send_offer(packet, flow, host, mark, detail, now)
+
+    def _offer_by_cost(
+        self, packet: Packet, flow: Flow, route: Route, now: float
+    ) -> Effects:
+        """Offer a flow to the agent with the earliest expected completion."""
+        choice = self._services.choose(packet, flow, route, now)
+        mark = MARK_OFFER if packet.acknowledged == 0 else NO_MARK
+        if choice is None and flow.loads and not flow.agents:
+            choice = self._placement.choose_declined(
+                flow.service, flow.loads, now, self._tables.is_zone_out
+            )
+            flow.loads.clear()
+            mark = NO_MARK
+        if choice is None:
+            return [] if flow.agents else self._park(packet, now)
+        host = choice.best.host
+        detail = f"{host} of {flow.service}, {choice.describe()}"
+        return self._send_offer(packet, flow, host, mark, detail, now)
+
+    def _send_offer(
+        self,
+        packet: Packet,
+        flow: Flow,
+        host: str,
+        mark: int,
+        detail: str,
+        now: float,
+    ) -> Effects:
+        """Send an offer to an agent, and await its reply."""
         flow.agents.append(host)
         flow.tried.append(host)
         self._flows.assign(flow, host)
         self._counters["flows_offered"] += 1
+        if (packet.flow, host) not in self._pending_offers:
+            self._placement.record_offer(host)
         self._pending_offers[packet.flow, host] = PendingOffer(
-            packet, now + REPLY_TIMEOUT_S
+            packet, now + REPLY_TIMEOUT_S, now
         )
-        detail = f"{host} of {service}, number {len(flow.tried)} asked"
+        detail += f", number {len(flow.tried)} asked"
         return [
             SendToAgent(mark_packet(packet, mark, self._return_host), host),
             Decision("flow_offered", detail, packet.flow),
@@ -319,19 +382,3 @@
         self._flows.discard(packet.flow)
         self._uploads.discard(packet.flow)
         return make_rejection(packet, "no_agent", self._counters)
-
-
-def choose_service(route: Route, flow: bytes) -> str | None:
-    """Return the service of a new flow; None if all weights are 0.
-
-    A hash of the flow chooses it, in proportion to the weights.
-    """
-    total = sum(backend.weight for backend in route.backends)
-    if total <= 0:
-        return None
-    point = xxh3_64_intdigest(flow) % total
-    for backend in route.backends:
-        if point < backend.weight:
-            return backend.service
-        point -= backend.weight
-    raise AssertionError("the weights add up to the total")
