--- a/fulmarshore/direct/candidates.py
+++ b/fulmarshore/direct/candidates.py
@@ -30,6 +30,8 @@
     "unresponsive": UNRESPONSIVE_COST_S,
     "refusing": REFUSAL_COST_S,
 }
+INELIGIBLE = ("not accepting", "zone out")
+"""Reasons for which an agent is not offered a flow at all."""
 MAX_EVALUATED = 32
 """Agents evaluated for a flow: one of 32 is free unless nearly all are busy."""
 MAX_OWN_ZONE = 24
@@ -165,6 +167,7 @@
     candidates: list[Candidate],
     median_s: float,
     now: float,
+    is_kept: bool,
     tolerance_s: float | None = None,
 ) -> Choice | None:
     """Return one of the candidates with the lowest cost, up to the tolerance.
@@ -178,7 +181,7 @@
     hops = costs.hops
     totals = []
     for candidate in candidates:
-        wait, work, standing = estimate(candidate.load, median_s, now)
+        wait, work, standing = estimate(candidate.load, median_s, now, is_kept)
         cost = wait + work + standing
         zone = candidate.report.zone
         cost += hops[zone] if zone in hops else costs.get_hop(zone)
@@ -206,19 +209,43 @@
     for number, cost in enumerate(totals):
         if number != chosen and (second < 0 or cost < totals[second]):
             second = number
-    choice = Choice(describe_candidate(costs, candidates[chosen], median_s, now, ""))
+    behind = find_reason(candidates[chosen], now, lambda zone: False)
+    choice = Choice(
+        describe_candidate(costs, candidates[chosen], median_s, now, behind, is_kept)
+    )
     if second >= 0:
         choice.next_host = candidates[second].report.host
         choice.next_cost_s = totals[second]
     return choice
 
 
+def find_reason(
+    candidate: Candidate, now: float, is_zone_out: Callable[[str], bool]
+) -> str:
+    """Return why an agent ranks behind the others; empty if it does not."""
+    report = candidate.report
+    if not report.is_accepting:
+        return "not accepting"
+    if is_zone_out(report.zone):
+        return "zone out"
+    if candidate.refusing_until > now:
+        return "refusing"
+    if candidate.unresponsive_until > now:
+        return "unresponsive"
+    return "cold" if report.is_cold else ""
+
+
 def describe_candidate(
-    costs: CostModel, candidate: Candidate, median_s: float, now: float, behind: str
+    costs: CostModel,
+    candidate: Candidate,
+    median_s: float,
+    now: float,
+    behind: str,
+    is_kept: bool = True,
 ) -> RankedCandidate:
     """Return a candidate with the terms of its cost."""
     report, load = candidate.report, candidate.load
-    wait, work, standing = costs.estimate(load, median_s, now)
+    wait, work, standing = costs.estimate(load, median_s, now, is_kept)
     hop = costs.get_hop(report.zone)
     told_at = max(load.heard_at, load.work_at)
     return RankedCandidate(
--- a/fulmarshore/direct/costs.py
+++ b/fulmarshore/direct/costs.py
@@ -13,11 +13,9 @@
 from fulmarshore.direct.records import AgentReport
 
 TRUSTED_S = 5.0
-"""A reported wait and an excess of work time are not trusted beyond this age: demand
-moves between zones in seconds."""
-RELEARN_S = 5.0
-"""The excess of an old work time over the median halves in this time, so that a slow
-upstream gets a few flows that show whether it has recovered."""
+"""A wait, and a work time above the median, are not trusted beyond this age: demand
+moves between zones in seconds, and a slow upstream needs flows to show that it has
+recovered."""
 FIRST_WORK_S = 0.05
 """Work time assumed before any agent of a service has reported one, seconds."""
 MAX_UTILIZATION = 0.95
@@ -93,6 +91,11 @@
     next_host: str = ""
     next_cost_s: float = 0.0
 
+    def starts_within(self, wait_s: float) -> bool:
+        """Whether the agent is expected to start the flow within some seconds."""
+        is_reachable = self.best.behind not in ("refusing", "unresponsive")
+        return is_reachable and self.best.wait_s <= wait_s
+
     def describe(self) -> str:
         """Return what led to the choice as a part of a log line."""
         terms = self.best.describe()
@@ -211,7 +214,7 @@
 
     @staticmethod
     def estimate(
-        load: AgentLoad, median_s: float, now: float
+        load: AgentLoad, median_s: float, now: float, is_kept: bool = True
     ) -> tuple[float, float, float]:
         """Return the wait, work and standing terms of an agent, seconds.
 
@@ -223,6 +226,8 @@
             Median work time of its service, seconds.
         now : float
             Monotonic time in seconds.
+        is_kept : bool
+            Whether callers keep the flow for later requests, which wait as well.
         """
         slots = load.slots
         work = load.work_s
@@ -231,9 +236,8 @@
             work = median_s
         else:
             utilization = load.utilization
-            excess = work - median_s
-            if excess > 0 and (age := now - load.work_at) > TRUSTED_S:
-                work = median_s + excess * 0.5 ** ((age - TRUSTED_S) / RELEARN_S)
+            if work > median_s and now - load.work_at > TRUSTED_S:
+                work = median_s
         age = now - load.heard_at
         if age <= TRUSTED_S:
             wait = load.wait_s - age
@@ -249,7 +253,7 @@
             wait += placed
             if load.work_s:
                 utilization += placed / UTILIZATION_WINDOW_S
-        if not utilization:
+        if not utilization or not is_kept:
             return wait, work, 0.0
         if utilization > MAX_UTILIZATION:
             utilization = MAX_UTILIZATION
--- a/fulmarshore/direct/openings.py
+++ b/fulmarshore/direct/openings.py
@@ -331,8 +331,10 @@
         choice = self._services.choose(packet, flow, route, now)
         mark = MARK_OFFER if packet.acknowledged == 0 else NO_MARK
         if choice is None and flow.loads and not flow.agents:
+            # A wait of 0 contradicts the decline, so it ranks behind the others.
+            declined = [host for host, wait_ms in flow.loads.items() if wait_ms]
             choice = self._placement.choose_declined(
-                flow.service, flow.loads, now, self._tables.is_zone_out
+                flow.service, declined or flow.loads, now, self._tables.is_zone_out
             )
             flow.loads.clear()
             mark = NO_MARK
--- a/fulmarshore/direct/placement.py
+++ b/fulmarshore/direct/placement.py
@@ -13,10 +13,12 @@
 
 from fulmarshore.direct.candidates import (
     BEHIND_COSTS_S,
+    INELIGIBLE,
     Candidate,
     ServicePool,
     choose_cheapest,
     describe_candidate,
+    find_reason,
 )
 from fulmarshore.direct.costs import Choice, CostModel, RankedCandidate
 from fulmarshore.direct.packets import LoadReport
@@ -30,8 +32,6 @@
 REMOTE_ZONE_LOAD = 0.4
 """Load per slot added to agents of other availability zones: staying in the zone
 saves a hop, which costs less than waiting for a slot."""
-INELIGIBLE = ("not accepting", "zone out")
-"""Reasons for which an agent is not offered a flow at all."""
 
 
 class Placement:
@@ -182,14 +182,16 @@
         tried: list[str],
         now: float,
         is_zone_out: Callable[[str], bool],
+        is_kept: bool = False,
     ) -> Choice | None:
         """Return the agent with the earliest expected completion; None if none is left.
 
-        The parameters are those of ``choose``.
+        The parameters are those of ``choose``; ``is_kept`` tells whether callers
+        keep the flow for later requests.
         """
         pool = self._get_pool(service, now)
         candidates = pool.draw(tried, is_zone_out, self._random)
-        return choose_cheapest(self.costs, candidates, pool.median_s, now)
+        return choose_cheapest(self.costs, candidates, pool.median_s, now, is_kept)
 
     def choose_declined(
         self,
@@ -198,16 +200,16 @@
         now: float,
         is_zone_out: Callable[[str], bool],
     ) -> Choice | None:
-        """Return the best of the agents that declined, as ``choose_by_cost`` does."""
+        """Return the declining agent with the earliest expected completion."""
         known = self._services.get(service, {})
         candidates = [
             candidate
             for host in hosts
             if (candidate := known.get(host)) is not None
-            and self._find_reason(candidate, now, is_zone_out) not in INELIGIBLE
+            and find_reason(candidate, now, is_zone_out) not in INELIGIBLE
         ]
         median_s = self._get_pool(service, now).median_s
-        return choose_cheapest(self.costs, candidates, median_s, now, 0.0)
+        return choose_cheapest(self.costs, candidates, median_s, now, False, 0.0)
 
     def estimate_start(
         self,
@@ -299,7 +301,7 @@
         median_s = self._get_pool(service, now).median_s
         ranked = []
         for host, candidate in self._services.get(service, {}).items():
-            behind = self._find_reason(candidate, now, is_zone_out)
+            behind = find_reason(candidate, now, is_zone_out)
             if by_cost:
                 entry = describe_candidate(self.costs, candidate, median_s, now, behind)
                 rank = entry.cost_s + BEHIND_COSTS_S.get(behind, 0.0)
@@ -311,22 +313,6 @@
             ranked.append((behind in INELIGIBLE, rank, host, entry))
         return [entry for *_, entry in sorted(ranked, key=lambda item: item[:3])]
 
-    @staticmethod
-    def _find_reason(
-        candidate: Candidate, now: float, is_zone_out: Callable[[str], bool]
-    ) -> str:
-        """Return why an agent ranks behind the others; empty if it does not."""
-        report = candidate.report
-        if not report.is_accepting:
-            return "not accepting"
-        if is_zone_out(report.zone):
-            return "zone out"
-        if candidate.refusing_until > now:
-            return "refusing"
-        if candidate.unresponsive_until > now:
-            return "unresponsive"
-        return "cold" if report.is_cold else ""
-
     def record_opened(self, host: str) -> None:
         """Count a flow placed on an agent."""
         candidate = self._candidates.get(host)
--- a/fulmarshore/direct/services.py
+++ b/fulmarshore/direct/services.py
@@ -66,15 +66,17 @@
             flow.loads.clear()
             self._compensate(flow, route, now)
         is_zone_out = self._tables.is_zone_out
+        # Callers keep flows open for requests that must not run twice.
+        is_kept = not route.is_repeatable and not route.is_upload
         choice = None
         if len(flow.loads) < MAX_BUSY_OFFERS:
             choice = self._placement.choose_by_cost(
-                flow.service, flow.tried, now, is_zone_out
+                flow.service, flow.tried, now, is_zone_out, is_kept
             )
         objective_s = route.urgency.objective_s
         if (
             len(weighted) < 2
-            or (choice is not None and choice.best.wait_s <= objective_s)
+            or (choice is not None and choice.starts_within(objective_s))
             or flow.service_changes >= MAX_SERVICE_CHANGES
             or self._estimate_start(flow, flow.service, now) <= objective_s
         ):
@@ -83,7 +85,7 @@
             if self._estimate_start(flow, service, now) > objective_s:
                 continue
             diverted = self._placement.choose_by_cost(
-                service, flow.tried, now, is_zone_out
+                service, flow.tried, now, is_zone_out, is_kept
             )
             if diverted is None:
                 continue
