--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -58,7 +58,11 @@
 
     def read_gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
-        return {**super().read_gauges(), "agents": len(self.core.agents)}
+        return {
+            **super().read_gauges(),
+            **self.core.read_cost_gauges(),
+            "agents": len(self.core.agents),
+        }
 
     def handle_http(self, request: HttpRequest, respond: Respond) -> None:
         """Answer where a new flow would be placed; imported on the first request."""
