Placement by cost: noise of mean service times, own open flows

Cause: every entry host followed the agents whose mean service time was lowest by chance, and forgot the flows that it had open itself once an agent's answer was some ms old. Change: differences of up to three tenths from the median count as noise, also as the tolerance among costs; the wait is at least the work of the own open flows; listing the ranking changes nothing.

--- a/fulmarshore/direct/candidates.py
+++ b/fulmarshore/direct/candidates.py
@@ -22,7 +22,7 @@
 COLD_COST_S = 100.0
 """Added to the cost of agents that rank behind: more than any wait."""
 TOLERANCE_S = 0.002
-TOLERANCE_SHARE = 0.1
+TOLERANCE_SHARE = 0.3
 """Costs that differ by less than this, or by less than this share of the work time,
 are equal: many entry hosts see the same free upstream."""
 BEHIND_COSTS_S = {
@@ -75,12 +75,15 @@
         Median of the known work times, seconds.
     median_at : float
         When it was computed.
+    activity : float
+        Mean number of requests in progress on an open flow, by the reports of agents.
     """
 
     own_zone: list[Candidate] = field(default_factory=list)
     others: list[Candidate] = field(default_factory=list)
     median_s: float = FIRST_WORK_S
     median_at: float = float("-inf")
+    activity: float = 1.0
 
     @classmethod
     def build(cls, candidates: Iterable[Candidate], zone: str) -> ServicePool:
@@ -101,13 +104,20 @@
             (pool.own_zone if is_own else pool.others).append(candidate)
         return pool
 
-    def update_median(self, candidates: Iterable[Candidate], now: float) -> None:
-        """Compute the median work time again if it is outdated."""
+    def update(self, candidates: Iterable[Candidate], now: float) -> None:
+        """Compute median work time and activity again if they are outdated."""
         if now - self.median_at < MEDIAN_INTERVAL_S:
             return
         self.median_at = now
-        works = [load.work_s for c in candidates if (load := c.load).work_s]
+        works = []
+        busy = flows = 0
+        for candidate in candidates:
+            if candidate.load.work_s:
+                works.append(candidate.load.work_s)
+            busy += candidate.report.busy
+            flows += candidate.report.flows
         self.median_s = median(works) if works else FIRST_WORK_S
+        self.activity = busy / flows if flows else 1.0
 
     def draw(
         self,
@@ -165,7 +175,7 @@
 def choose_cheapest(
     costs: CostModel,
     candidates: list[Candidate],
-    median_s: float,
+    pool: ServicePool,
     now: float,
     is_kept: bool,
     tolerance_s: float | None = None,
@@ -179,9 +189,13 @@
         return None
     estimate = costs.estimate
     hops = costs.hops
+    median_s, activity = pool.median_s, pool.activity
     totals = []
     for candidate in candidates:
-        wait, work, standing = estimate(candidate.load, median_s, now, is_kept)
+        requests = candidate.open_flows * activity
+        wait, work, standing = estimate(
+            candidate.load, median_s, now, is_kept, requests
+        )
         cost = wait + work + standing
         zone = candidate.report.zone
         cost += hops[zone] if zone in hops else costs.get_hop(zone)
@@ -211,7 +225,7 @@
             second = number
     behind = find_reason(candidates[chosen], now, lambda zone: False)
     choice = Choice(
-        describe_candidate(costs, candidates[chosen], median_s, now, behind, is_kept)
+        describe_candidate(costs, candidates[chosen], pool, now, behind, is_kept)
     )
     if second >= 0:
         choice.next_host = candidates[second].report.host
@@ -238,14 +252,15 @@
 def describe_candidate(
     costs: CostModel,
     candidate: Candidate,
-    median_s: float,
+    pool: ServicePool,
     now: float,
     behind: str,
     is_kept: bool = True,
 ) -> RankedCandidate:
     """Return a candidate with the terms of its cost."""
     report, load = candidate.report, candidate.load
-    wait, work, standing = costs.estimate(load, median_s, now, is_kept)
+    requests = candidate.open_flows * pool.activity
+    wait, work, standing = costs.estimate(load, pool.median_s, now, is_kept, requests)
     hop = costs.get_hop(report.zone)
     told_at = max(load.heard_at, load.work_at)
     return RankedCandidate(
--- a/fulmarshore/direct/costs.py
+++ b/fulmarshore/direct/costs.py
@@ -16,6 +16,10 @@
 """A wait, and a work time above the median, are not trusted beyond this age: demand
 moves between zones in seconds, and a slow upstream needs flows to show that it has
 recovered."""
+NOISE_SHARE = 0.3
+"""A mean service time that differs from the median by up to this share says nothing
+about the upstream: where 3 of 100 requests take seven times as long, the standard error
+of a mean of 64 is a tenth, and every entry host would prefer the same agents."""
 FIRST_WORK_S = 0.05
 """Work time assumed before any agent of a service has reported one, seconds."""
 MAX_UTILIZATION = 0.95
@@ -214,7 +218,11 @@
 
     @staticmethod
     def estimate(
-        load: AgentLoad, median_s: float, now: float, is_kept: bool = True
+        load: AgentLoad,
+        median_s: float,
+        now: float,
+        is_kept: bool = True,
+        requests: float = 0.0,
     ) -> tuple[float, float, float]:
         """Return the wait, work and standing terms of an agent, seconds.
 
@@ -248,6 +256,10 @@
             # after a share of the work time.
             utilization = load.reported_utilization
             wait = work / slots * utilization**slots
+        # The flows that this host knows to be open are the least that is ahead.
+        own = requests * work / slots
+        if own > wait:
+            wait = own
         if load.offers:
             placed = load.offers * work / slots
             wait += placed
--- a/fulmarshore/direct/placement.py
+++ b/fulmarshore/direct/placement.py
@@ -191,7 +191,7 @@
         """
         pool = self._get_pool(service, now)
         candidates = pool.draw(tried, is_zone_out, self._random)
-        return choose_cheapest(self.costs, candidates, pool.median_s, now, is_kept)
+        return choose_cheapest(self.costs, candidates, pool, now, is_kept)
 
     def choose_declined(
         self,
@@ -208,8 +208,8 @@
             if (candidate := known.get(host)) is not None
             and find_reason(candidate, now, is_zone_out) not in INELIGIBLE
         ]
-        median_s = self._get_pool(service, now).median_s
-        return choose_cheapest(self.costs, candidates, median_s, now, False, 0.0)
+        pool = self._get_pool(service, now)
+        return choose_cheapest(self.costs, candidates, pool, now, False, 0.0)
 
     def estimate_start(
         self,
@@ -287,7 +287,7 @@
             pool = ServicePool.build(known.values(), self._zone)
             if known:
                 self._pools[service] = pool
-        pool.update_median(known.values(), now)
+        pool.update(known.values(), now)
         return pool
 
     def list_ranked(
@@ -298,12 +298,15 @@
         Nothing that decides a placement changes, and no random number is drawn.
         """
         by_cost = self._tables.places_by_cost
-        median_s = self._get_pool(service, now).median_s
+        known = self._services.get(service, {})
+        # A pool of its own, since one of ``_get_pool`` is kept.
+        pool = ServicePool.build(known.values(), self._zone)
+        pool.update(known.values(), now)
         ranked = []
-        for host, candidate in self._services.get(service, {}).items():
+        for host, candidate in known.items():
             behind = find_reason(candidate, now, is_zone_out)
             if by_cost:
-                entry = describe_candidate(self.costs, candidate, median_s, now, behind)
+                entry = describe_candidate(self.costs, candidate, pool, now, behind)
                 rank = entry.cost_s + BEHIND_COSTS_S.get(behind, 0.0)
             else:
                 zone = candidate.report.zone
