--- a/fulmarshore/direct/candidates.py
+++ b/fulmarshore/direct/candidates.py
@@ -36,6 +36,12 @@
 """Agents evaluated for a flow: one of 32 is free unless nearly all are busy."""
 MAX_OWN_ZONE = 24
 """Agents of the own zone among them; the rest shows what other zones would cost."""
+REMOTE_ZONE_LOAD = 0.4
+"""Load per slot added to agents of other availability zones: staying in the zone
+saves a hop, which costs less than waiting for a slot."""
+KEPT_ACTIVITY = 0.5
+"""Flows with fewer requests in progress than this on average are mostly idle: callers
+keep them for later requests."""
 MEDIAN_INTERVAL_S = 1.0
 """The median work time of a service is computed at most this often."""
 
@@ -104,6 +110,11 @@
             (pool.own_zone if is_own else pool.others).append(candidate)
         return pool
 
+    @property
+    def keeps_flows(self) -> bool:
+        """Whether callers keep most flows open for later requests."""
+        return self.activity < KEPT_ACTIVITY
+
     def update(self, candidates: Iterable[Candidate], now: float) -> None:
         """Compute median work time and activity again if they are outdated."""
         if now - self.median_at < MEDIAN_INTERVAL_S:
@@ -177,13 +188,12 @@
     candidates: list[Candidate],
     pool: ServicePool,
     now: float,
-    is_kept: bool,
     tolerance_s: float | None = None,
 ) -> Choice | None:
     """Return one of the candidates with the lowest cost, up to the tolerance.
 
-    Of several, the one with the fewest open flows of this host per slot is
-    chosen; the order of ``candidates``, which is random, breaks ties.
+    Of several, the one that placement by flows ranks first is chosen; the order of
+    ``candidates``, which is random, breaks ties.
     """
     if not candidates:
         return None
@@ -194,7 +204,7 @@
     for candidate in candidates:
         requests = candidate.open_flows * activity
         wait, work, standing = estimate(
-            candidate.load, median_s, now, is_kept, requests
+            candidate.load, median_s, now, pool.keeps_flows, requests
         )
         cost = wait + work + standing
         zone = candidate.report.zone
@@ -211,22 +221,22 @@
         best = candidates[totals.index(lowest)]
         work = estimate(best.load, median_s, now)[1]
         tolerance_s = max(TOLERANCE_S, work * TOLERANCE_SHARE)
-    chosen, fewest, second = -1, float("inf"), -1
+    chosen, lowest_load, second = -1, float("inf"), -1
     limit = lowest + tolerance_s
     for number, cost in enumerate(totals):
         if cost >= limit and cost > lowest:
             continue
         candidate = candidates[number]
-        flows = candidate.open_flows / candidate.load.slots
-        if flows < fewest:
-            chosen, fewest = number, flows
+        load = candidate.open_flows / candidate.load.slots
+        if costs.is_remote(candidate.report.zone):
+            load += REMOTE_ZONE_LOAD
+        if load < lowest_load:
+            chosen, lowest_load = number, load
     for number, cost in enumerate(totals):
         if number != chosen and (second < 0 or cost < totals[second]):
             second = number
     behind = find_reason(candidates[chosen], now, lambda zone: False)
-    choice = Choice(
-        describe_candidate(costs, candidates[chosen], pool, now, behind, is_kept)
-    )
+    choice = Choice(describe_candidate(costs, candidates[chosen], pool, now, behind))
     if second >= 0:
         choice.next_host = candidates[second].report.host
         choice.next_cost_s = totals[second]
@@ -255,12 +265,13 @@
     pool: ServicePool,
     now: float,
     behind: str,
-    is_kept: bool = True,
 ) -> RankedCandidate:
     """Return a candidate with the terms of its cost."""
     report, load = candidate.report, candidate.load
     requests = candidate.open_flows * pool.activity
-    wait, work, standing = costs.estimate(load, pool.median_s, now, is_kept, requests)
+    wait, work, standing = costs.estimate(
+        load, pool.median_s, now, pool.keeps_flows, requests
+    )
     hop = costs.get_hop(report.zone)
     told_at = max(load.heard_at, load.work_at)
     return RankedCandidate(
--- a/fulmarshore/direct/costs.py
+++ b/fulmarshore/direct/costs.py
@@ -197,6 +197,10 @@
         """Measured cost of a flow to each zone, seconds."""
         return self._hops
 
+    def is_remote(self, zone: str) -> bool:
+        """Return whether a zone is another one than the entry host's."""
+        return zone != self._zone
+
     def get_hop(self, zone: str) -> float:
         """Return the cost of a flow to an agent of a zone, seconds."""
         return self._hops.get(zone, ASSUMED_HOP_S)
--- a/fulmarshore/direct/placement.py
+++ b/fulmarshore/direct/placement.py
@@ -14,6 +14,7 @@
 from fulmarshore.direct.candidates import (
     BEHIND_COSTS_S,
     INELIGIBLE,
+    REMOTE_ZONE_LOAD,
     Candidate,
     ServicePool,
     choose_cheapest,
@@ -29,9 +30,6 @@
 """An agent that did not reply to an offer ranks behind others for this long."""
 REFUSAL_S = 0.5
 """An agent that refused ranks last until its next report is due."""
-REMOTE_ZONE_LOAD = 0.4
-"""Load per slot added to agents of other availability zones: staying in the zone
-saves a hop, which costs less than waiting for a slot."""
 
 
 class Placement:
@@ -182,16 +180,14 @@
         tried: list[str],
         now: float,
         is_zone_out: Callable[[str], bool],
-        is_kept: bool = False,
     ) -> Choice | None:
         """Return the agent with the earliest expected completion; None if none is left.
 
-        The parameters are those of ``choose``; ``is_kept`` tells whether callers
-        keep the flow for later requests.
+        The parameters are those of ``choose``.
         """
         pool = self._get_pool(service, now)
         candidates = pool.draw(tried, is_zone_out, self._random)
-        return choose_cheapest(self.costs, candidates, pool, now, is_kept)
+        return choose_cheapest(self.costs, candidates, pool, now)
 
     def choose_declined(
         self,
@@ -209,7 +205,7 @@
             and find_reason(candidate, now, is_zone_out) not in INELIGIBLE
         ]
         pool = self._get_pool(service, now)
-        return choose_cheapest(self.costs, candidates, pool, now, False, 0.0)
+        return choose_cheapest(self.costs, candidates, pool, now, 0.0)
 
     def estimate_start(
         self,
--- a/fulmarshore/direct/services.py
+++ b/fulmarshore/direct/services.py
@@ -66,12 +66,10 @@
             flow.loads.clear()
             self._compensate(flow, route, now)
         is_zone_out = self._tables.is_zone_out
-        # Callers keep flows open for requests that must not run twice.
-        is_kept = not route.is_repeatable and not route.is_upload
         choice = None
         if len(flow.loads) < MAX_BUSY_OFFERS:
             choice = self._placement.choose_by_cost(
-                flow.service, flow.tried, now, is_zone_out, is_kept
+                flow.service, flow.tried, now, is_zone_out
             )
         objective_s = route.urgency.objective_s
         if (
@@ -85,7 +83,7 @@
             if self._estimate_start(flow, service, now) > objective_s:
                 continue
             diverted = self._placement.choose_by_cost(
-                service, flow.tried, now, is_zone_out, is_kept
+                service, flow.tried, now, is_zone_out
             )
             if diverted is None:
                 continue
