--- a/fulmarshore/direct/candidates.py
+++ b/fulmarshore/direct/candidates.py
@@ -9,6 +9,7 @@
 from msgspec import Struct, field
 
 from fulmarshore.direct.costs import (
+    ASSUMED_HOP_S,
     FIRST_WORK_S,
     AgentLoad,
     Choice,
@@ -37,8 +38,9 @@
 MAX_OWN_ZONE = 24
 """Agents of the own zone among them; the rest shows what other zones would cost."""
 REMOTE_ZONE_LOAD = 0.4
-"""Load per slot added to agents of other availability zones: staying in the zone
-saves a hop, which costs less than waiting for a slot."""
+"""Load per slot added to agents of other availability zones, and with placement by cost
+the least cost of a hop, in service times over the slots: traffic between zones is
+priced, and a shorter wait than this is not worth it."""
 KEPT_ACTIVITY = 0.5
 """Flows with fewer requests in progress than this on average are mostly idle: callers
 keep them for later requests."""
@@ -198,7 +200,7 @@
     if not candidates:
         return None
     estimate = costs.estimate
-    hops = costs.hops
+    hops, own_zone = costs.hops, costs.zone
     median_s, activity = pool.median_s, pool.activity
     totals = []
     for candidate in candidates:
@@ -208,7 +210,9 @@
         )
         cost = wait + work + standing
         zone = candidate.report.zone
-        cost += hops[zone] if zone in hops else costs.get_hop(zone)
+        if zone != own_zone:
+            hop = hops.get(zone, ASSUMED_HOP_S)
+            cost += max(hop, REMOTE_ZONE_LOAD * work / candidate.load.slots)
         if candidate.report.is_cold:
             cost += COLD_COST_S
         if candidate.unresponsive_until > now:
@@ -228,7 +232,7 @@
             continue
         candidate = candidates[number]
         load = candidate.open_flows / candidate.load.slots
-        if costs.is_remote(candidate.report.zone):
+        if candidate.report.zone != own_zone:
             load += REMOTE_ZONE_LOAD
         if load < lowest_load:
             chosen, lowest_load = number, load
@@ -272,7 +276,9 @@
     wait, work, standing = costs.estimate(
         load, pool.median_s, now, pool.keeps_flows, requests
     )
-    hop = costs.get_hop(report.zone)
+    hop = 0.0
+    if report.zone != costs.zone:
+        hop = max(costs.get_hop(report.zone), REMOTE_ZONE_LOAD * work / load.slots)
     told_at = max(load.heard_at, load.work_at)
     return RankedCandidate(
         report.host,
--- a/fulmarshore/direct/costs.py
+++ b/fulmarshore/direct/costs.py
@@ -185,10 +185,10 @@
         Availability zone of the entry host.
     """
 
-    __slots__ = ("_zone", "_reply_times", "_hops")
+    __slots__ = ("zone", "_reply_times", "_hops")
 
     def __init__(self, zone: str) -> None:
-        self._zone = zone
+        self.zone = zone
         self._reply_times: dict[str, float] = {}
         self._hops: dict[str, float] = {zone: 0.0}
 
@@ -197,10 +197,6 @@
         """Measured cost of a flow to each zone, seconds."""
         return self._hops
 
-    def is_remote(self, zone: str) -> bool:
-        """Return whether a zone is another one than the entry host's."""
-        return zone != self._zone
-
     def get_hop(self, zone: str) -> float:
         """Return the cost of a flow to an agent of a zone, seconds."""
         return self._hops.get(zone, ASSUMED_HOP_S)
@@ -213,11 +209,11 @@
                 return
             mean = reply_s
         self._reply_times[zone] = mean + REPLY_WEIGHT * (reply_s - mean)
-        own = self._reply_times.get(self._zone)
+        own = self._reply_times.get(self.zone)
         if own is None:
             return
         for other, reply_time in self._reply_times.items():
-            if other != self._zone:
+            if other != self.zone:
                 self._hops[other] = max(LEAST_HOP_S, reply_time - own)
 
     @staticmethod
