--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -79,6 +79,7 @@
             settings.grace_s,
             settings.placement,
             settings.notifies_lost_flows,
+            settings.packet_port,
         )
         self._read_announcement = read_announcement
         self._upstream: socket.socket | None = None
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -150,6 +150,7 @@
         self._requests = 0
         self._files = OS_FILE_SYSTEM
         self._disk: DiskWriter | None = None
+        self._packet_port = settings.packet_port
 
     def use_files(self, files: FileSystem) -> None:
         """Use another file system; call it before the log is opened."""
@@ -287,9 +288,7 @@
                 self._disk.write_cache(CacheFile(FILE_NAME, content))
             case SendToCaller(content=content, host=host):
                 caller = socket.inet_ntoa(host)
-                self.send_packet(
-                    self._notices, content, caller, self.settings.packet_port
-                )
+                self.send_packet(self._notices, content, caller, self._packet_port)
             case OrderAccepted(request=request):
                 self._respond(request, HttpResponse(200, b"{}"))
             case ReadResult(request=request, state=state):
@@ -333,6 +332,8 @@
             self.dispatch(message)
             return
         if isinstance(message, Poll):
+            if message.report is not None and message.report.packet_port:
+                self._packet_port = message.report.packet_port
             self.dispatch(PollReceived(host, port, message))
             return
         if isinstance(message, Update):
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -97,6 +97,8 @@
         What new flows are placed by, one of ``settings.PLACEMENTS``.
     notifies_lost_flows : bool
         Whether to register flows whose callers are notified if they are lost.
+    packet_port : int
+        Port for packets on every host, for reports.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         grace_s: float = 6.0,
         placement: str = "auto",
         notifies_lost_flows: bool = True,
+        packet_port: int = 0,
     ) -> None:
         self.host = host
         self.counters: Counter[str] = Counter()
@@ -118,6 +121,7 @@
         self._zone = zone
         self._stop_wait_s = grace_s * STOP_GRACE_SHARE
         self._process = process
+        self._packet_port = packet_port
         self._own_host = socket.inet_aton(host)
         self._searches = SearchCoordinator(self._own_host)
         self._kept = KeptFlowTracker(host, process, notifies_lost_flows, self.counters)
@@ -503,6 +507,7 @@
             self.gate.is_gone,
             self.gate.incarnation,
             *self._summarize_work(now),
+            self._packet_port,
         )
         index = self.tables.table.index
         return [
--- a/fulmarshore/platform/processes_test.py
+++ b/fulmarshore/platform/processes_test.py
@@ -12,7 +12,8 @@
 import unittest
 from pathlib import Path
 
-from fulmarshore.direct.packets import ACK, SYN, parse_answer, parse_packet
+from fulmarshore.direct.keptflows import MESSAGE_INTERVAL_S
+from fulmarshore.direct.packets import ACK, RST, SYN, parse_answer, parse_packet
 from fulmarshore.platform.configuration_test import VALID
 from fulmarshore.platform.settings import SETTINGS_PATH_VARIABLE
 from fulmarshore.standins.directends import make_packet
@@ -244,6 +245,71 @@
             self.processes[host].send_signal(signal.SIGTERM)
             self.assertEqual(self.processes[host].wait(TIMEOUT_S), 0)
 
+    def announce(self, upstream, sequence, born):
+        """Send a heartbeat of an upstream to the agent until it is accepted."""
+        heartbeat = {
+            "service": "desk",
+            "address": f"{AGENT}:{self.upstream_port}",
+            "zone": "a",
+            "slots": 1,
+            "state": "ready",
+            "sequence": sequence,
+            "born": born,
+        }
+        body = json.dumps(heartbeat).encode()
+        path = f"/v1/instances/{upstream}"
+        arguments = (AGENT, self.control_port, "PUT", path, body)
+        self.wait_for(lambda: self.send_request(*arguments)[0] == 200)
+
+    def test_caller_of_a_lost_kept_flow_gets_a_reset_from_a_control_host(self):
+        """Guards against control hosts that do not know the port of callers."""
+        for host in CONTROLS:
+            self.start("control", host)
+        self.start("agent", AGENT)
+        self.put_version(7)
+        upstream = self.open_udp(AGENT, self.upstream_port)
+        caller = self.open_udp(CALLER, self.packet_port)
+        self.announce("i-1", 1, 5)
+        source = socket.inet_aton(CALLER) + (40001).to_bytes(2)
+        address = socket.inet_aton(SERVICE) + (8080).to_bytes(2)
+
+        def exchange(flags, sequence, answer_flags, answer_sequence, data=b""):
+            packet = make_packet(
+                source, address, flags, sequence, answer_sequence, data
+            )
+            answer = make_packet(
+                address, source, answer_flags, answer_sequence, sequence, data
+            )
+            self.receive(
+                upstream, lambda: caller.sendto(packet, (AGENT, self.packet_port))
+            )
+            self.receive(
+                caller, lambda: upstream.sendto(answer, (AGENT, self.outbound_port))
+            )
+
+        exchange(SYN, 1, SYN | ACK, 0)
+        exchange(ACK, 2, ACK, 70, b"first")
+        exchange(ACK, 7, ACK, 80, b"second")
+        sequences = iter(range(2, 1000))
+
+        def is_registered():
+            self.announce("i-1", next(sequences), 5)
+            metrics = self.send_request(AGENT, self.control_port, "GET", "/metrics")[1]
+            return b'flows_kept_total{role="agent"} 1.0' in metrics
+
+        self.wait_for(is_registered)
+        time.sleep(2 * MESSAGE_INTERVAL_S)
+        self.processes[AGENT].kill()
+        self.processes[AGENT].wait()
+        self.start("agent", AGENT)
+        self.announce("i-2", 1, 9)
+        received = iter(lambda: self.receive(caller, lambda: None), b"")
+        reset = next(
+            packet for packet in map(parse_answer, received) if packet.flags & RST
+        )
+        self.assertEqual(reset.flow, source + address)
+        self.assertEqual(reset.sequence, 80)
+
     def hold_start(self, role, host, number):
         """Start a process, signal it while it reads its settings, and return it."""
         self.start(role, host)
