--- a/fulmarshore/direct/transfers.py
+++ b/fulmarshore/direct/transfers.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct
 
-from fulmarshore.direct.packets import MAX_PACKET_BYTES, Packet
+from fulmarshore.direct.packets import FIN, MAX_PACKET_BYTES, Packet
 from fulmarshore.direct.records import Route
 
 WINDOW_BYTES = 16 * MAX_PACKET_BYTES
@@ -41,6 +41,11 @@
 caller would have repeated a packet by then."""
 MAX_TRANSFERS = 4096
 """Uploads that are tracked; the oldest is dropped beyond this."""
+MAX_WAITING = 1024
+"""Openings that wait; more are rejected. A link of 1 Gbit/s passes 400 uploads of the
+first size in the longest wait."""
+MAX_ROUTES = 1024
+"""Routes whose mean size is kept; the one learned first is dropped beyond this."""
 RATE_WEIGHT = 0.2
 """Weight of the newest tick in the rate of the other traffic."""
 
@@ -207,7 +212,8 @@
             verdict, wait_s = "admitted", 0.0
         else:
             wait_s = self._estimate_wait(active, ahead)
-            verdict = "waiting" if wait_s <= allowed_s else "rejected"
+            has_room = wait_s <= allowed_s and len(self._waiting) < MAX_WAITING
+            verdict = "waiting" if has_room else "rejected"
         return UploadDecision(
             verdict, len(active), self.limit, len(self._waiting), wait_s, allowed_s
         )
@@ -255,10 +261,12 @@
         transfer = self._transfers.get(packet.flow)
         if packet.is_ending:
             self._waiting.pop(packet.flow, None)
-            if transfer is not None:
+            if transfer is None:
+                return False
+            if packet.flags & FIN:
                 self._record_size(transfer)
-                del self._transfers[packet.flow]
-            return transfer is not None
+            del self._transfers[packet.flow]
+            return True
         if transfer is None:
             if not packet.length:
                 # A caller acknowledges the answer after the end of its upload.
@@ -303,6 +311,8 @@
         mean = self._get_mean_size(transfer.address)
         mean += SIZE_WEIGHT * (transfer.sent - mean)
         self._mean_sizes[transfer.address] = mean
+        if len(self._mean_sizes) > MAX_ROUTES:
+            del self._mean_sizes[next(iter(self._mean_sizes))]
 
     def _get_mean_size(self, address: bytes) -> float:
         return self._mean_sizes.get(address, FIRST_SIZE_BYTES)
--- a/fulmarshore/direct/transfersteps_test.py
+++ b/fulmarshore/direct/transfersteps_test.py
@@ -1,7 +1,9 @@
 """What occupies the link in the eyes of the limit on uploads."""
 
 import unittest
+from unittest.mock import patch
 
+from fulmarshore.direct import transfers
 from fulmarshore.direct.packets import ACK, FIN, MAX_DATA_BYTES, RST, SYN, parse_packet
 from fulmarshore.direct.transfers import UploadLimiter
 from fulmarshore.direct.transfers_test import NARROW, ROUTES, UPLOAD_PORT
@@ -72,6 +74,29 @@
         self.limiter.record_packet(self.make(1, ACK, b"data"), 0.0)
         self.assertEqual(self.open(2, 0.1).verdict, "waiting")
 
+    def test_memory_is_bounded(self):
+        limiter = UploadLimiter(1000 * NARROW)
+        with patch.multiple(transfers, MAX_TRANSFERS=3, MAX_WAITING=2, MAX_ROUTES=2):
+            limiter.limit = 3
+            for number in range(9):
+                limiter.handle_opening(self.make(number, SYN), ROUTES[0], 0.0)
+            self.assertEqual(limiter.waiting_count, 2)
+            for port in range(1, 9):
+                for flags, data in ((ACK, b"data"), (FIN | ACK, b"")):
+                    flow = make_flow(1, port)
+                    packet = make_packet(flow[:6], flow[6:], flags, 1, 1, data)
+                    limiter.record_packet(parse_packet(packet), 0.0)
+            self.assertEqual(len(limiter._mean_sizes), 2)
+
+    def test_sizes_are_learned_from_uploads_that_were_completed(self):
+        for flags, expected in ((RST, 40_000), (FIN | ACK, 38_065)):
+            with self.subTest(flags=flags):
+                limiter = UploadLimiter(NARROW)
+                limiter.record_packet(self.make(1, ACK, bytes(MAX_DATA_BYTES)), 0.0)
+                limiter.record_packet(self.make(1, flags), 0.1)
+                mean = limiter._get_mean_size(ROUTES[0].address)
+                self.assertAlmostEqual(mean, expected, delta=5)
+
     def test_caller_that_gives_up_waits_no_longer(self):
         self.open(1, 0.0)
         self.open(2, 0.0)
