--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -72,6 +72,9 @@
 """Share of the grace period that a planned stop waits for requests in progress."""
 MAX_FIRST_NUMBER = 1 << 48
 """Limit of the random number of the first poll, which is counted up from there."""
+KEPT_IDLE_S = 1.0
+"""A flow that is still open this long after its first request is kept for later ones: a
+caller that opens a flow for each request closes it with the response."""
 MIN_STOP_S = 0.3
 """Shortest planned stop: flows offered before entry hosts learn of it still arrive."""
 
@@ -463,6 +466,7 @@
             self.subscription.expire_unresponsive(now)
             for _ in range(self._flows.sweep(self.tables.table.idle_timeout_s, now)):
                 effects += self._openings.record_request_outcome(False, now)
+            self._register_idle_flows(now)
         if self._kept.is_due(self.subscription.voters, now):
             self._revision += 1
             effects += self._kept.make_messages(self._revision, now)
@@ -470,6 +474,13 @@
             effects.append(StopCompleted())
         return effects
 
+    def _register_idle_flows(self, now: float) -> None:
+        """Register flows that callers keep open after their first request."""
+        for key, flow in self._flows.list_idle(KEPT_IDLE_S, now):
+            route = self.tables.find_route(key[6:])
+            if route is not None and not route.is_repeatable:
+                self._kept.record_request(key, flow, now)
+
     def _can_stop(self, now: float) -> bool:
         if now - self._stopping_since < MIN_STOP_S:
             return False
--- a/fulmarshore/direct/agentflows.py
+++ b/fulmarshore/direct/agentflows.py
@@ -201,6 +201,18 @@
             if flow.received_end is None:
                 self.end_request(flow, now)
 
+    def list_idle(self, idle_s: float, now: float) -> list[tuple[bytes, AgentFlow]]:
+        """Return the open flows without a request for ``idle_s`` after the last one."""
+        return [
+            (key, flow)
+            for key, flow in self._flows.items()
+            if flow.is_open
+            and not flow.is_busy
+            and flow.ended_sides == 0
+            and flow.received_end is not None
+            and now - flow.last_packet_at >= idle_s
+        ]
+
     def sweep(self, idle_s: float, now: float) -> int:
         """Remove flows that ended, and those idle for longer than ``idle_s``.
 
