Findings of the review: waiting uploads, lost flows of a former incarnation, overdue requests

Two readers who had not written the parts found, and showed by scripts: - A waiting opening whose flow another entry host had opened was rejected later, which resets a live flow. Any packet of the flow ends the wait; a flow that is known is left. - Flows of a former incarnation were registered again for the next one. - With several slots, one request without an answer made an agent decline all offers until the idle timeout; it counts for 3 s now, and only on a route with samples. - Activity was computed over flows that had ended (0.014 for about 1). - A weighted route without an objective was never diverted. - A notice without a load counted as a wait of 0; loads below 256 are encoded as before. - Requests of untracked flows, and of flows that were admitted twice, leaked. - Openings expire after those that there is room for; partial uploads are no sizes. - An incomplete cache file is removed, as a full disk would keep the log from its space. - Tables formatted for soaks keep the kind of a route (formatting_test was red).

--- a/fulmarshore/adapters/disk.py
+++ b/fulmarshore/adapters/disk.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -286,6 +287,9 @@
         except OSError as error:
             if self._on_write_error is not None:
                 self._on_write_error(error)
+            # On a full disk the incomplete file would keep the log from being written.
+            with suppress(OSError):
+                (self._folder / f"{cache_file.name}.new").unlink(missing_ok=True)
 
     def _write(self, batch: list[Store]) -> None:
         frames = b""
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -332,7 +332,7 @@
             self.dispatch(message)
             return
         if isinstance(message, Poll):
-            if message.report is not None and message.report.packet_port:
+            if message.report is not None and 0 < message.report.packet_port < 65536:
                 self._packet_port = message.report.packet_port
             self.dispatch(PollReceived(host, port, message))
             return
--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -227,12 +227,14 @@
         flow = self._flows.get(packet.flow)
         if packet.is_opening:
             return self._openings.handle_opening(packet, flow, now)
+        is_tracked = True
         if flow is None:
             if self._has_all_flows:
                 return self._notify_not_held(packet, packet.mark == MARK_PROBE)
             # After a restart of the agent only the upstream knows the flow.
             self.counters["flows_asked_for"] += 1
             flow = self._flows.add_unconfirmed(packet.flow, now)
+            is_tracked = self._flows.get(packet.flow) is flow
         flow.last_packet_at = now
         flow.acknowledged = packet.acknowledged
         effects: Effects = [SendToUpstream(packet.content)]
@@ -241,10 +243,10 @@
                 effects.append(self._make_held_notice(packet))
             else:
                 flow.searching_host = packet.return_host
-        if self._flows.record_caller_data(flow, packet, now):
+        if is_tracked and self._flows.record_caller_data(flow, packet, now):
             route = self.tables.find_route(packet.service_address)
             if route is not None and not route.is_repeatable:
-                self._kept.record_request(packet.flow, flow, now)
+                self._kept.add_candidate(packet.flow, flow, now)
         if packet.flags & RST:
             self._flows.discard(packet.flow, now)
         elif packet.flags & FIN:
@@ -479,7 +481,7 @@
         for key, flow in self._flows.list_idle(KEPT_IDLE_S, now):
             route = self.tables.find_route(key[6:])
             if route is not None and not route.is_repeatable:
-                self._kept.record_request(key, flow, now)
+                self._kept.add_candidate(key, flow, now)
 
     def _can_stop(self, now: float) -> bool:
         if now - self._stopping_since < MIN_STOP_S:
@@ -526,12 +528,13 @@
             for host, number in zip(due, numbers, strict=True)
         ]
 
-    def _summarize_work(self, now: float) -> tuple[int, int]:
-        """Return load level and mean service time for the report."""
+    def _summarize_work(self, now: float) -> tuple[int, int, int]:
+        """Return load level, mean service time and open flows for the report."""
         if not self.tables.places_by_cost:
-            return 0, 0
+            return 0, 0, 0
         work = self._flows.work
-        return work.update_level(now), work.compute_work_ms()
+        level = work.update_level(now)
+        return level, work.compute_work_ms(), self._flows.count_open()
 
     def _summarize(self, now: float) -> tuple:
         """Return the state whose changes are reported to control hosts at once."""
--- a/fulmarshore/direct/agentflows.py
+++ b/fulmarshore/direct/agentflows.py
@@ -127,6 +127,7 @@
 
     def admit(self, key: bytes, now: float) -> None:
         """Track a flow whose opening was admitted."""
+        self.discard(key, now)
         flow = self._flows[key] = AgentFlow(now, False)
         self._count_request(flow, now)
         self.work.expect(flow, key[6:])
@@ -201,8 +202,12 @@
             if flow.received_end is None:
                 self.end_request(flow, now)
 
+    def count_open(self) -> int:
+        """Return the number of flows that neither side has ended."""
+        return sum(not flow.ended_sides for flow in self._flows.values())
+
     def list_idle(self, idle_s: float, now: float) -> list[tuple[bytes, AgentFlow]]:
-        """Return the open flows without a request for ``idle_s`` after the last one."""
+        """Return the open flows without a packet for ``idle_s`` after a request."""
         return [
             (key, flow)
             for key, flow in self._flows.items()
--- a/fulmarshore/direct/candidates.py
+++ b/fulmarshore/direct/candidates.py
@@ -128,7 +128,7 @@
             if candidate.load.work_s:
                 works.append(candidate.load.work_s)
             busy += candidate.report.busy
-            flows += candidate.report.flows
+            flows += candidate.report.open_flows
         self.median_s = median(works) if works else FIRST_WORK_S
         self.activity = busy / flows if flows else 1.0
 
@@ -242,8 +242,10 @@
     behind = find_reason(candidates[chosen], now, lambda zone: False)
     choice = Choice(describe_candidate(costs, candidates[chosen], pool, now, behind))
     if second >= 0:
-        choice.next_host = candidates[second].report.host
-        choice.next_cost_s = totals[second]
+        behind = find_reason(candidates[second], now, lambda zone: False)
+        choice.runner_up = describe_candidate(
+            costs, candidates[second], pool, now, behind
+        )
     return choice
 
 
--- a/fulmarshore/direct/costs.py
+++ b/fulmarshore/direct/costs.py
@@ -16,10 +16,6 @@
 """A wait, and a work time above the median, are not trusted beyond this age: demand
 moves between zones in seconds, and a slow upstream needs flows to show that it has
 recovered."""
-NOISE_SHARE = 0.3
-"""A mean service time that differs from the median by up to this share says nothing
-about the upstream: where 3 of 100 requests take seven times as long, the standard error
-of a mean of 64 is a tenth, and every entry host would prefer the same agents."""
 FIRST_WORK_S = 0.05
 """Work time assumed before any agent of a service has reported one, seconds."""
 MAX_UTILIZATION = 0.95
@@ -85,15 +81,12 @@
     ----------
     best : RankedCandidate
         The agent.
-    next_host : str
-        The runner-up; empty if there is none.
-    next_cost_s : float
-        Its cost, seconds.
+    runner_up : RankedCandidate or None
+        The one that would be next.
     """
 
     best: RankedCandidate
-    next_host: str = ""
-    next_cost_s: float = 0.0
+    runner_up: RankedCandidate | None = None
 
     def starts_within(self, wait_s: float) -> bool:
         """Whether the agent is expected to start the flow within some seconds."""
@@ -103,9 +96,11 @@
     def describe(self) -> str:
         """Return what led to the choice as a part of a log line."""
         terms = self.best.describe()
-        if not self.next_host:
+        other = self.runner_up
+        if other is None:
             return f"{terms}, no other"
-        return f"{terms}, next {self.next_host} at {self.next_cost_s * 1000:.0f} ms"
+        behind = f", {other.behind}" if other.behind else ""
+        return f"{terms}, next {other.host} at {other.cost_s * MS_PER_S:.0f} ms{behind}"
 
 
 class AgentLoad:
--- a/fulmarshore/direct/costs_test.py
+++ b/fulmarshore/direct/costs_test.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from collections import Counter
 from random import Random
 
 from fulmarshore.direct.costs import (
@@ -11,11 +12,29 @@
     AgentLoad,
     CostModel,
 )
-from fulmarshore.direct.packets import LoadReport
+from fulmarshore.direct.entry import EntryCore
+from fulmarshore.direct.flows import Flow, Stage
+from fulmarshore.direct.packets import (
+    MARK_ADMITTED,
+    SYN,
+    LoadReport,
+    make_notice,
+    parse_packet,
+)
 from fulmarshore.direct.placement import Placement
-from fulmarshore.direct.records import AgentReport, Backend, Route
+from fulmarshore.direct.records import (
+    AgentReport,
+    Backend,
+    CallerPacket,
+    ReturnedPacket,
+    Route,
+    Table,
+    Urgency,
+)
+from fulmarshore.direct.services import ServiceChooser
 from fulmarshore.direct.shares import ServiceShares, choose_service
 from fulmarshore.direct.tables import TableIndex
+from fulmarshore.standins.directends import make_flow, make_packet
 
 MEDIAN_S = 0.04
 WAIT_CASES = [
@@ -145,5 +164,37 @@
         self.assertLess(ratio, 1.0)
 
 
+class ServiceChoiceTest(unittest.TestCase):
+    def test_service_without_agents_gives_way_also_without_an_objective(self):
+        for objective_s in (0.1, float("inf")):
+            with self.subTest(objective_s=objective_s):
+                agents = make_placement(3, work_ms=40)
+                urgency = Urgency(0, objective_s)
+                backends = (Backend("gone", 3), Backend("desk", 1))
+                route = Route(b"\1" * 6, backends, urgency)
+                tables = TableIndex("cost")
+                chooser = ServiceChooser(agents, tables, Counter())
+                for number in range(20):
+                    caller = make_flow(number, 443)
+                    opening = make_packet(caller[:6], caller[6:], SYN, 1, 0)
+                    packet = parse_packet(opening)
+                    flow = Flow(Stage.OPENING, 0.0)
+                    self.assertIsNotNone(chooser.choose(packet, flow, route, 0.0))
+
+    def test_notice_without_a_load_is_no_knowledge(self):
+        entry = EntryCore("10.0.1.1", "a", [], Random(1), placement="cost")
+        report = make_report(1, work_ms=40)
+        entry.placement.record_report(report, 0.0)
+        flow = make_flow(1, 443)
+        opening = parse_packet(make_packet(flow[:6], flow[6:], SYN, 1, 0))
+        route = Route(flow[6:], (Backend("desk", 1),))
+        entry.tables.replace(Table(1, 1, (route,)))
+        entry.handle(CallerPacket(opening.content), 1.0)
+        notice = make_notice(opening, MARK_ADMITTED, bytes(4))
+        entry.handle(ReturnedPacket(notice, report.host), 1.1)
+        ranked = entry.placement.list_ranked("desk", 1.1, lambda zone: False)
+        self.assertAlmostEqual(ranked[0].age_s, 1.1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fulmarshore/direct/entry.py
+++ b/fulmarshore/direct/entry.py
@@ -265,7 +265,7 @@
             for change in self.agents.discard_control(host):
                 effects.append(self._apply_agent_change(change, now))
         effects += self._openings.retry_parked(now)
-        if self.tables.has_uploads:
+        if self.tables.has_uploads or self._uploads.waiting_count:
             self._uploads.measure(now)
             effects += self._openings.open_waiting(now)
         if now - self._last_sweep_at >= SWEEP_INTERVAL_S:
--- a/fulmarshore/direct/explanation.py
+++ b/fulmarshore/direct/explanation.py
@@ -222,7 +222,10 @@
     first = eligible[0]
     measure = "fewest flows for its slots, its own zone preferred"
     if placement == "cost":
-        measure = f"cost {first.cost_ms:.1f} ms, the lowest of those not behind"
+        measure = (
+            f"cost {first.cost_ms:.1f} ms, the lowest of those not behind; another of "
+            "nearly the same cost may get it"
+        )
     reason = f"{first.host} of {len(eligible)} agents that take flows: {measure}"
     return "offered", f"{reason}; behind as {first.behind}" if first.behind else reason
 
--- a/fulmarshore/direct/keptflows.py
+++ b/fulmarshore/direct/keptflows.py
@@ -39,6 +39,9 @@
 """A record that was neither made nor renewed for this long is dropped: its agent is
 out of reach, and the caller may have used its address and port again."""
 
+MAX_START_DIGITS = 20
+"""Digits of a start time in milliseconds; more are not a time."""
+
 _POSITIONS = 1 << 32
 
 
@@ -50,7 +53,7 @@
 def parse_start(incarnation: str) -> int | None:
     """Return the start time of an incarnation in milliseconds; None if not stated."""
     _, separator, born_ms = incarnation.rpartition("@")
-    if not separator or not born_ms.isdecimal():
+    if not separator or len(born_ms) > MAX_START_DIGITS or not born_ms.isdecimal():
         return None
     return int(born_ms) or None
 
@@ -93,8 +96,8 @@
 class KeptFlowTracker:
     """Selects the flows that an agent registers, and the changes to send.
 
-    A flow is registered for an incarnation once that has announced itself after a
-    second request was seen. An agent learns of a restart of its upstream only
+    A flow is registered for an incarnation once that has announced itself after the
+    flow was found to be kept. An agent learns of a restart of its upstream only
     afterwards; without this rule, a flow that the next incarnation has accepted
     before its first announcement would be registered for the former one.
 
@@ -116,6 +119,7 @@
         "_is_enabled",
         "_counters",
         "_incarnation",
+        "_announced_at",
         "_unconfirmed",
         "_kept",
         "_ended",
@@ -137,6 +141,7 @@
         self._is_enabled = is_enabled
         self._counters = counters if counters is not None else Counter()
         self._incarnation = ""
+        self._announced_at = float("-inf")
         self._unconfirmed: dict[bytes, tuple[float, AgentFlow]] = {}
         self._kept: dict[bytes, KeptFlow] = {}
         self._ended: dict[bytes, None] = {}
@@ -145,10 +150,16 @@
         self._sent_at = float("-inf")
         self._completed_at = float("inf")
 
-    def record_request(self, key: bytes, flow: AgentFlow, now: float) -> None:
-        """Record a later request of a flow whose requests must not run twice."""
+    def add_candidate(self, key: bytes, flow: AgentFlow, now: float) -> None:
+        """Add a flow that its caller keeps open, and whose requests must not run twice.
+
+        A flow without a packet since the incarnation announced itself may be one of the
+        former incarnation.
+        """
         if not self._is_enabled or not flow.is_open or key in self._kept:
             return
+        if flow.last_packet_at < self._announced_at:
+            return
         self._unconfirmed.setdefault(key, (now, flow))
 
     def record_announcement(self, announced: UpstreamAnnounced, now: float) -> None:
@@ -159,6 +170,7 @@
         incarnation = name_incarnation(announced)
         if incarnation != self._incarnation:
             self._incarnation = incarnation
+            self._announced_at = now
             self._unconfirmed.clear()
             self._kept.clear()
             return
--- a/fulmarshore/direct/keptflows_test.py
+++ b/fulmarshore/direct/keptflows_test.py
@@ -92,7 +92,7 @@
                         case bytes() | ("shut", _):
                             key = step if isinstance(step, bytes) else step[1]
                             flows[key] = AgentFlow(now, isinstance(step, bytes))
-                            tracker.record_request(key, flows[key], now)
+                            tracker.add_candidate(key, flows[key], now)
                         case seconds:
                             now += seconds
                             if tracker.is_due(VOTERS, now):
@@ -109,7 +109,7 @@
         """Return a tracker that has registered a flow at 2.1 s."""
         tracker = KeptFlowTracker("h", 1, True)
         tracker.record_announcement(announce("u1", 1), 1.0)
-        tracker.record_request(A, AgentFlow(1.0, True), 1.0)
+        tracker.add_candidate(A, AgentFlow(1.0, True), 1.0)
         tracker.record_announcement(announce("u1", 1), 2.0)
         self.assertTrue(tracker.is_due(VOTERS, 2.1))
         tracker.make_messages(1, 2.1)
@@ -131,7 +131,7 @@
         tracker = KeptFlowTracker("h", 1, True)
         tracker.record_announcement(announce("u1", 1), 1.0)
         for number in range(MAX_ENDED + 1):
-            tracker.record_request(make_flow(number, 80), AgentFlow(1.0, True), 1.0)
+            tracker.add_candidate(make_flow(number, 80), AgentFlow(1.0, True), 1.0)
         tracker.record_announcement(announce("u1", 1), 2.0)
         self.assertTrue(tracker.is_due(VOTERS, 2.1))
         tracker.make_messages(1, 2.1)
--- a/fulmarshore/direct/lostworld_test.py
+++ b/fulmarshore/direct/lostworld_test.py
@@ -202,6 +202,21 @@
         self.assertTrue(all(caller.is_reset for caller in held))
         self.assertEqual(world.live_resets, [])
 
+    def test_lost_flow_is_not_registered_for_the_next_incarnation(self):
+        """Its agent still tracks it when the next incarnation announces itself."""
+        world = make_world()
+        callers = open_idle(world, range(6))
+        host = find_holder(world, callers[0])
+        for _ in range(2):
+            world.upstreams[host].crash()
+            world.start_upstream(host, "desk")
+            world.run(6.0)
+            notified = len(world.notices)
+        world.upstreams[host].crash()
+        world.start_upstream(host, "desk")
+        world.run(6.0)
+        self.assertEqual(len(world.notices), notified)
+
     def test_flow_with_the_address_of_a_lost_one_is_not_reset(self):
         """The former host returns only then; the position tells the two apart."""
         world = make_world()
--- a/fulmarshore/direct/openings.py
+++ b/fulmarshore/direct/openings.py
@@ -18,6 +18,7 @@
     MARK_OFFER,
     MARK_QUEUED,
     MARK_REFUSED_CLOSED,
+    NO_LOAD_REPORT,
     NO_MARK,
     Packet,
     mark_packet,
@@ -171,11 +172,11 @@
     def open_waiting(self, now: float) -> Effects:
         """Open the uploads that the link has room for; reject those past their time."""
         effects: Effects = []
-        for packet in self._uploads.pop_expired(now):
-            effects += self._reject_upload(
-                packet, "waited for the longest time allowed"
-            )
         for packet in self._uploads.pop_ready(now):
+            if self._flows.get(packet.flow) is not None:
+                # The flow was opened otherwise while its first opening waited.
+                self._uploads.discard(packet.flow)
+                continue
             route = self._tables.find_route(packet.service_address)
             if route is None:
                 effects += make_rejection(packet, "no_route", self._counters)
@@ -183,6 +184,10 @@
                 continue
             self._counters["uploads_admitted"] += 1
             effects += self._open(packet, route, now)
+        for packet, waited_s in self._uploads.pop_expired(now):
+            if self._flows.get(packet.flow) is None:
+                detail = f"has waited for {waited_s * 1000:.0f} ms without room"
+                effects += self._reject_upload(packet, detail)
         return effects
 
     def _reject_upload(self, packet: Packet, detail: str) -> Effects:
@@ -222,8 +227,10 @@
         if is_queued:
             flow.is_queued = True
         self._record_reply(packet.flow, host, now)
-        if self._tables.places_by_cost:
-            report = parse_load_report(packet)
+        if not self._tables.places_by_cost:
+            return
+        report = parse_load_report(packet)
+        if is_queued or report != NO_LOAD_REPORT:
             self._placement.record_notice(host, report, is_queued, now)
 
     def _record_reply(self, key: bytes, host: str, now: float) -> None:
--- a/fulmarshore/direct/packets.py
+++ b/fulmarshore/direct/packets.py
@@ -56,7 +56,7 @@
 MAX_LOAD = 0xFFFF
 """Largest number that the header's field for the load holds."""
 
-_HEADER = Layout(">4s2s4s2sH4sBBH4sII")
+_HEADER = Layout(">4s2s4s2sH4sBBBB4sII")
 _FLAGS_AT = 18
 _MARK_AT = 19
 _RETURN_AT = 22
@@ -159,10 +159,10 @@
         content[:12],
         fields[6],
         fields[7],
-        fields[8],
-        fields[9],
+        fields[8] | fields[9] << 8,
         fields[10],
         fields[11],
+        fields[12],
         fields[4],
     )
 
@@ -183,10 +183,18 @@
     """Return the packet with mark, return host and load set, as hosts send it."""
     content = packet.content
     flags = packet.flags & ~BOUNCED
-    marks = bytes((flags, mark)) + min(load, MAX_LOAD).to_bytes(2) + return_host
+    marks = bytes((flags, mark)) + _encode_load(load) + return_host
     return content[:_FLAGS_AT] + marks + content[_SEQUENCE_AT:]
 
 
+def _encode_load(load: int) -> bytes:
+    """Return the two bytes of a load, the low one first.
+
+    A load below 256 is encoded as by earlier versions, which know only the first byte.
+    """
+    return min(load, MAX_LOAD).to_bytes(2, "little")
+
+
 def make_notice(
     packet: Packet, mark: int, host: bytes, load_report: LoadReport = NO_LOAD_REPORT
 ) -> bytes:
--- a/fulmarshore/direct/packets_test.py
+++ b/fulmarshore/direct/packets_test.py
@@ -58,6 +58,8 @@
                 notice = make_notice(opening, MARK_ADMITTED, bytes(4), report)
                 parsed = parse_load_report(parse_packet(notice))
                 self.assertEqual(parsed, LoadReport(expected, expected, 4))
+        former = mark_packet(opening, MARK_BUSY, bytes(4), 7)[18:26]
+        self.assertEqual(former, bytes((SYN, MARK_BUSY, 7, 0)) + bytes(4))
         plain = parse_packet(make_notice(opening, MARK_ADMITTED, bytes(4)))
         self.assertEqual(parse_load_report(plain), NO_LOAD_REPORT)
 
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -167,6 +167,8 @@
         Utilization of the upstream in tenths.
     work_ms : int
         Mean service time, milliseconds; 0 if not known.
+    open_flows : int
+        Flows that neither side has ended; 0 if not known.
     packet_port : int
         Port for packets on every host, also of callers: control hosts may have no
         setting for it.
@@ -187,6 +189,7 @@
     incarnation: str = ""
     load_level: int = 0
     work_ms: int = 0
+    open_flows: int = 0
     packet_port: int = 0
 
 
--- a/fulmarshore/direct/services.py
+++ b/fulmarshore/direct/services.py
@@ -17,6 +17,9 @@
 them gets it: with half of the agents busy, one in eight flows meets only these."""
 MAX_SERVICE_CHANGES = 2
 """Changes of the service of one opening: away from the drawn one, and back."""
+MAX_START_S = 10.0
+"""Longest wait for the drawn service on a route without an objective: longer than a
+caller waits for any answer on the known platforms but for large downloads."""
 FREE_WAIT_S = 0.002
 """Longest expected wait of a service with free capacity: the tolerance of costs."""
 
@@ -71,16 +74,17 @@
             choice = self._placement.choose_by_cost(
                 flow.service, flow.tried, now, is_zone_out
             )
-        objective_s = route.urgency.objective_s
+        # A route may have no objective; a service without any agent is infinitely slow.
+        longest_s = min(route.urgency.objective_s, MAX_START_S)
         if (
             len(weighted) < 2
-            or (choice is not None and choice.starts_within(objective_s))
+            or (choice is not None and choice.starts_within(longest_s))
             or flow.service_changes >= MAX_SERVICE_CHANGES
-            or self._estimate_start(flow, flow.service, now) <= objective_s
+            or self._estimate_start(flow, flow.service, now) <= longest_s
         ):
             return choice
         for service in self._shares.list_others(route, flow.service):
-            if self._estimate_start(flow, service, now) > objective_s:
+            if self._estimate_start(flow, service, now) > longest_s:
                 continue
             diverted = self._placement.choose_by_cost(
                 service, flow.tried, now, is_zone_out
--- a/fulmarshore/direct/transfers.py
+++ b/fulmarshore/direct/transfers.py
@@ -25,8 +25,8 @@
 """Share of the route's latency objective that an opening may wait: the rest is needed
 for the transfer, or for another try at another entry host."""
 MAX_WAIT_S = 0.25
-"""Longest wait on a route without an objective: the quarter of a second after which
-a person notices a delay."""
+"""Longest wait on any route, seconds: a caller repeats its opening twice in 0.6 s, and
+gives up after 1.4 s."""
 CHECK_INTERVAL_S = 0.1
 """Longest time between two checks of the waiting openings: the interval of ticks."""
 FIRST_SIZE_BYTES = 40_000
@@ -59,12 +59,15 @@
         Address and port of the service, which name the route.
     active_at : float
         When its caller sent the last packet.
+    is_whole : bool
+        Whether this host has seen it from the start.
     sent : int
         Bytes that its caller has sent, headers and repetitions included.
     """
 
     address: bytes
     active_at: float
+    is_whole: bool = True
     sent: int = 0
 
 
@@ -129,7 +132,7 @@
 
 
 class UploadLimiter:
-    """Admits uploads as far as the link of the entry host bears them.
+    """Admits uploads as far as the link of the entry host has capacity for them.
 
     Parameters
     ----------
@@ -237,20 +240,22 @@
             room -= 1
         return ready
 
-    def pop_expired(self, now: float) -> list[Packet]:
+    def pop_expired(self, now: float) -> list[tuple[Packet, float]]:
         """Remove and return the openings that have waited for too long.
 
+        Each comes with its wait in seconds.
+
         None is removed while there is room, since ``pop_ready`` returns it then. One
         that would have waited for too long at the next check is removed now.
         """
         if not self._waiting or len(self._list_active(now)) < self.limit:
             return []
         expired = [
-            waiting.packet
+            (waiting.packet, now - waiting.arrived_at)
             for waiting in self._waiting.values()
             if now + CHECK_INTERVAL_S > waiting.expires_at
         ]
-        for packet in expired:
+        for packet, _ in expired:
             del self._waiting[packet.flow]
         return expired
 
@@ -259,11 +264,12 @@
     def record_packet(self, packet: Packet, now: float) -> bool:
         """Record a packet of an upload; return whether it ends the upload."""
         transfer = self._transfers.get(packet.flow)
+        # The caller has given up, or another entry host has opened the flow.
+        self._waiting.pop(packet.flow, None)
         if packet.is_ending:
-            self._waiting.pop(packet.flow, None)
             if transfer is None:
                 return False
-            if packet.flags & FIN:
+            if packet.flags & FIN and transfer.is_whole:
                 self._record_size(transfer)
             del self._transfers[packet.flow]
             return True
@@ -272,7 +278,7 @@
                 # A caller acknowledges the answer after the end of its upload.
                 return False
             # Another entry host, or a former process, admitted it.
-            transfer = self._track(packet.flow, now)
+            transfer = self._track(packet.flow, now, is_whole=False)
         transfer.active_at = now
         transfer.sent += len(packet.content)
         return False
@@ -299,8 +305,8 @@
             if now - transfer.active_at > idle_s:
                 del self._transfers[key]
 
-    def _track(self, key: bytes, now: float) -> Transfer:
-        transfer = self._transfers[key] = Transfer(key[6:], now)
+    def _track(self, key: bytes, now: float, is_whole: bool = True) -> Transfer:
+        transfer = self._transfers[key] = Transfer(key[6:], now, is_whole)
         if len(self._transfers) > MAX_TRANSFERS:
             del self._transfers[next(iter(self._transfers))]
         return transfer
--- a/fulmarshore/direct/transfersteps_test.py
+++ b/fulmarshore/direct/transfersteps_test.py
@@ -6,7 +6,12 @@
 from fulmarshore.direct import transfers
 from fulmarshore.direct.packets import ACK, FIN, MAX_DATA_BYTES, RST, SYN, parse_packet
 from fulmarshore.direct.transfers import UploadLimiter
-from fulmarshore.direct.transfers_test import NARROW, ROUTES, UPLOAD_PORT
+from fulmarshore.direct.transfers_test import (
+    NARROW,
+    ROUTES,
+    UPLOAD_PORT,
+    make_route,
+)
 from fulmarshore.standins.directends import make_flow, make_packet
 
 CALLER = make_flow(0, UPLOAD_PORT)[:4]
@@ -81,17 +86,26 @@
             for number in range(9):
                 limiter.handle_opening(self.make(number, SYN), ROUTES[0], 0.0)
             self.assertEqual(limiter.waiting_count, 2)
+            for number in range(20, 29):
+                limiter.record_packet(self.make(number, ACK, b"data"), 0.0)
+            self.assertEqual(len(limiter._transfers), 3)
             for port in range(1, 9):
-                for flags, data in ((ACK, b"data"), (FIN | ACK, b"")):
-                    flow = make_flow(1, port)
-                    packet = make_packet(flow[:6], flow[6:], flags, 1, 1, data)
-                    limiter.record_packet(parse_packet(packet), 0.0)
+                flow = make_flow(1, port)
+                for flags, data in ((SYN, b""), (ACK, b"data"), (FIN | ACK, b"")):
+                    packet = parse_packet(
+                        make_packet(flow[:6], flow[6:], flags, 1, 1, data)
+                    )
+                    if packet.is_opening:
+                        limiter.handle_opening(packet, make_route(port), 10.0 + port)
+                    else:
+                        limiter.record_packet(packet, 10.0 + port)
             self.assertEqual(len(limiter._mean_sizes), 2)
 
     def test_sizes_are_learned_from_uploads_that_were_completed(self):
         for flags, expected in ((RST, 40_000), (FIN | ACK, 38_065)):
             with self.subTest(flags=flags):
                 limiter = UploadLimiter(NARROW)
+                limiter.handle_opening(self.make(1, SYN), ROUTES[0], 0.0)
                 limiter.record_packet(self.make(1, ACK, bytes(MAX_DATA_BYTES)), 0.0)
                 limiter.record_packet(self.make(1, flags), 0.1)
                 mean = limiter._get_mean_size(ROUTES[0].address)
@@ -99,10 +113,18 @@
 
     def test_caller_that_gives_up_waits_no_longer(self):
         self.open(1, 0.0)
-        self.open(2, 0.0)
+        self.assertEqual(self.open(2, 0.0).verdict, "waiting")
         self.limiter.record_packet(self.make(2, RST), 0.1)
         self.assertEqual(self.limiter.pop_ready(0.35), [])
 
+    def test_opening_whose_flow_sends_data_waits_no_longer(self):
+        """Another entry host has opened it; a rejection would reset a live flow."""
+        self.open(1, 0.0)
+        self.assertEqual(self.open(2, 0.0).verdict, "waiting")
+        self.limiter.record_packet(self.make(2, ACK, b"data"), 0.1)
+        self.assertEqual(self.limiter.pop_expired(0.29), [])
+        self.assertEqual(self.limiter.pop_ready(1.0), [])
+
     def test_expired_opening_goes_ahead_if_there_is_room(self):
         self.open(1, 0.0)
         opening = self.make(2, SYN)
--- a/fulmarshore/direct/workmodel.py
+++ b/fulmarshore/direct/workmodel.py
@@ -24,8 +24,9 @@
 """A request is overdue after this time and OVERDUE_FACTOR times the 99th percentile of
 its route."""
 MAX_OVERTAKEN_S = 3.0
-"""A request that later ones overtake for this long holds no slot any more: its caller
-has gone without a word."""
+"""A request that later ones overtake for this long holds no slot any more, and one that
+has run for this long no longer counts as overdue: its caller may have left without
+closing the flow."""
 MAX_SIMULATED = 32
 """Slots and waiting requests that an estimate takes one by one; it is made for each
 opening, and takes up to 80 us with this many."""
@@ -212,7 +213,12 @@
     def has_overdue(self, now: float) -> bool:
         """Return whether a request at the upstream is overdue."""
         for request in self._running.values():
-            if now - request.started_at <= MIN_OVERDUE_S:
+            elapsed_s = now - request.started_at
+            if elapsed_s > MAX_OVERTAKEN_S:
+                # Its caller may have left without closing the flow: the upstream must
+                # not stay without new flows for it.
+                continue
+            if elapsed_s <= MIN_OVERDUE_S:
                 break  # The requests are in order of their start.
             if self._is_overdue(request, now):
                 return True
@@ -288,7 +294,7 @@
 
     def _is_overdue(self, request: Request, now: float) -> bool:
         elapsed_s = now - request.started_at
-        if elapsed_s <= MIN_OVERDUE_S:
+        if elapsed_s <= MIN_OVERDUE_S or not request.times.is_sampled:
             return False
         p99_s = self._choose_times(request).compute_p99()
         return 0 < OVERDUE_FACTOR * p99_s < elapsed_s
--- a/fulmarshore/direct/workmodel_test.py
+++ b/fulmarshore/direct/workmodel_test.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from fulmarshore.direct.servicetimes import ServiceTimes
-from fulmarshore.direct.workmodel import MAX_ROUTES, WorkModel
+from fulmarshore.direct.workmodel import MAX_OVERTAKEN_S, MAX_ROUTES, WorkModel
 
 TICK_S = 0.1
 SMALL, LARGE = b"small.", b"large."
@@ -301,5 +301,29 @@
         self.assertEqual(set(levels), {0})
 
 
+class OverdueTest(unittest.TestCase):
+    def make_model(self, slots, address):
+        model = WorkModel()
+        model.set_slots(slots, 0.0)
+        for number in range(50):
+            model.begin(number, address, number * 0.1)
+            model.end(number, number * 0.1 + 0.01)
+        return model
+
+    def test_request_whose_caller_has_left_is_overdue_for_a_limited_time(self):
+        """Guards against an agent that declines every offer until the idle timeout."""
+        for slots in (1, 3):
+            with self.subTest(slots=slots):
+                model = self.make_model(slots, b"a")
+                model.begin("left", b"a", 10.0)
+                self.assertTrue(model.has_overdue(11.0))
+                self.assertFalse(model.has_overdue(10.0 + MAX_OVERTAKEN_S + 0.1))
+
+    def test_request_of_an_unknown_route_is_not_overdue(self):
+        model = self.make_model(3, b"a")
+        model.begin("first", b"b", 10.0)
+        self.assertFalse(model.has_overdue(11.0))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -76,6 +76,7 @@
 REPEATABLE_KINDS = ("safe", "download")
 """Kinds of requests that may run twice; those of all other kinds run once at most."""
 UPLOAD_KIND = "upload"
+NON_IDEMPOTENT_KIND = "non_idempotent"
 
 _decoder = msgspec.json.Decoder(ConfigurationBody)
 
--- a/fulmarshore/platform/formatting.py
+++ b/fulmarshore/platform/formatting.py
@@ -6,8 +6,13 @@
 
 import msgspec
 
-from fulmarshore.direct.records import Table, UpstreamAnnounced
+from fulmarshore.direct.records import Route, Table, UpstreamAnnounced
 from fulmarshore.direct.settings import INTERNAL_PORTS, Endpoint, HostSettings
+from fulmarshore.platform.configuration import (
+    NON_IDEMPOTENT_KIND,
+    REPEATABLE_KINDS,
+    UPLOAD_KIND,
+)
 
 
 def format_settings(settings: HostSettings) -> bytes:
@@ -58,6 +63,7 @@
                 "name": f"r-{number}",
                 "hostname": socket.inet_ntoa(route.address[:4]),
                 "pathPrefix": f"/{int.from_bytes(route.address[4:])}/",
+                "type": _format_kind(route),
                 "timeoutMs": 3000,
                 "service": route.backends[0].service,
             }
@@ -75,6 +81,12 @@
     return msgspec.json.encode({**fields, "limits": limits})
 
 
+def _format_kind(route: Route) -> str:
+    if route.is_upload:
+        return UPLOAD_KIND
+    return REPEATABLE_KINDS[0] if route.is_repeatable else NON_IDEMPOTENT_KIND
+
+
 def format_announcement(announced: UpstreamAnnounced, endpoint: Endpoint) -> bytes:
     """Return the heartbeat body that is read back as this announcement."""
     fields = {
