File system of the soak bears two threads; explanations tested with both placements

A lock; its test failed with FileNotFoundError before. The stand-in for a ranking that exists now is removed, and all cases run with placement by cost too.

--- a/fulmarshore/direct/explanation_test.py
+++ b/fulmarshore/direct/explanation_test.py
@@ -5,16 +5,13 @@
 import socket
 import unittest
 from dataclasses import dataclass, field
+from itertools import product
 from random import Random
-from unittest.mock import patch
-
-from msgspec import Struct
 
 from fulmarshore.direct.entry import EntryCore
 from fulmarshore.direct.explanation import answer_query, explain_placement
 from fulmarshore.direct.openings import choose_service
 from fulmarshore.direct.packets import SYN
-from fulmarshore.direct.placement import Placement
 from fulmarshore.direct.records import (
     AgentReport,
     Backend,
@@ -33,35 +30,6 @@
 NARROW = 331_250.0  # Bytes a second, 2.65 Mbit/s: one upload at a time.
 
 
-class StandInCandidate(Struct):
-    """The fields that the explanation reads."""
-
-    host: str
-    zone: str
-    service: str
-    wait_s: float
-    work_s: float
-    standing_s: float
-    hop_s: float
-    age_s: float | None
-    cost_s: float
-    behind: str
-
-
-def list_ranked(placement, service, now, is_zone_out):
-    """Stand in for a ``Placement`` that does not list its ranking."""
-    ranked = []
-    for host, candidate in placement._services.get(service, {}).items():
-        report, behind = candidate.report, ""
-        if not report.is_accepting:
-            behind = "not accepting"
-        elif is_zone_out(report.zone):
-            behind = "zone out"
-        times = (0.0, 0.0, 0.0, 0.0, None, 0.0)
-        ranked.append(StandInCandidate(host, report.zone, service, *times, behind))
-    return sorted(ranked, key=lambda entry: (bool(entry.behind), entry.host))
-
-
 def get_address(port):
     """Return the address of a route, six bytes."""
     return make_flow(0, port)[6:]
@@ -82,10 +50,21 @@
 )
 
 
-def make_core(link_bytes_per_s=0.0, zones_out=(), accepts=True, routes=ROUTES):
+def make_core(
+    link_bytes_per_s=0.0,
+    zones_out=(),
+    accepts=True,
+    routes=ROUTES,
+    placement="flows",
+):
     """Return an entry host with agents in two zones; without routes it has no table."""
     core = EntryCore(
-        "10.0.0.5", "a", [], Random(1), upload_bytes_per_s=link_bytes_per_s
+        "10.0.0.5",
+        "a",
+        [],
+        Random(1),
+        placement=placement,
+        upload_bytes_per_s=link_bytes_per_s,
     )
     reports = tuple(
         AgentReport(host, 1, 1, zone, service, accepts, False, 2, 0, 0)
@@ -140,16 +119,10 @@
 
 
 class ExplanationTest(unittest.TestCase):
-    def setUp(self):
-        if not hasattr(Placement, "list_ranked"):
-            patcher = patch.object(Placement, "list_ranked", list_ranked, create=True)
-            patcher.start()
-            self.addCleanup(patcher.stop)
-
     def test_outcomes(self):
-        for case in CASES:
-            with self.subTest(case.name):
-                core = make_core(**case.options)
+        for case, placement in product(CASES, ("flows", "cost")):
+            with self.subTest(case.name, placement=placement):
+                core = make_core(**case.options, placement=placement)
                 for number in range(case.opened):
                     open_flow(core, number, UPLOAD)
                 address = get_address(case.port)
--- a/fulmarshore/soak/storage.py
+++ b/fulmarshore/soak/storage.py
@@ -9,6 +9,7 @@
 
 import errno
 import os
+import threading
 import time
 from pathlib import Path
 from random import Random
@@ -71,28 +72,32 @@
         File that records the unsynced part of each file.
     """
 
-    __slots__ = ("_faults_path", "_unsynced_path", "_unsynced")
+    __slots__ = ("_faults_path", "_unsynced_path", "_unsynced", "_lock")
 
     def __init__(self, faults_path: Path, unsynced_path: Path) -> None:
         self._faults_path = faults_path
         self._unsynced_path = unsynced_path
         self._unsynced: dict[str, Unsynced] = {}
+        # The log and cache files are written on threads of their own.
+        self._lock = threading.RLock()
 
     def append(self, descriptor: int, content: bytes) -> None:
         """Append, or fail with ENOSPC if the disk is full."""
         self._apply_delay()
         self._refuse_if_full()
-        self._get_unsynced(descriptor)
-        self._write_unsynced()
+        with self._lock:
+            self._get_unsynced(descriptor)
+            self._write_unsynced()
         super().append(descriptor, content)
 
     def write_at(self, descriptor: int, content: bytes, offset: int) -> None:
         """Write at an offset, or fail with ENOSPC if the disk is full."""
         self._apply_delay()
         self._refuse_if_full()
-        unsynced = self._get_unsynced(descriptor)
-        unsynced.places = [*unsynced.places, (offset, offset + len(content))]
-        self._write_unsynced()
+        with self._lock:
+            unsynced = self._get_unsynced(descriptor)
+            unsynced.places = [*unsynced.places, (offset, offset + len(content))]
+            self._write_unsynced()
         super().write_at(descriptor, content, offset)
 
     def sync(self, descriptor: int) -> None:
@@ -110,8 +115,9 @@
     def rename(self, source: Path, path: Path) -> None:
         """Rename a file, and keep its record of unsynced data."""
         super().rename(source, path)
-        self._unsynced[path.name] = self._unsynced.pop(source.name, Unsynced())
-        self._write_unsynced()
+        with self._lock:
+            self._unsynced[path.name] = self._unsynced.pop(source.name, Unsynced())
+            self._write_unsynced()
 
     def _apply_delay(self) -> None:
         while (faults := read_faults(self._faults_path)).is_stalled:
@@ -131,10 +137,11 @@
         return unsynced
 
     def _record_synced(self, descriptor: int) -> None:
-        unsynced = self._get_unsynced(descriptor)
-        unsynced.synced = os.fstat(descriptor).st_size
-        unsynced.places = []
-        self._write_unsynced()
+        with self._lock:
+            unsynced = self._get_unsynced(descriptor)
+            unsynced.synced = os.fstat(descriptor).st_size
+            unsynced.places = []
+            self._write_unsynced()
 
     def _write_unsynced(self) -> None:
         content = msgspec.json.encode(self._unsynced)
--- a/fulmarshore/soak/storage_test.py
+++ b/fulmarshore/soak/storage_test.py
@@ -1,6 +1,7 @@
 import os
 import tempfile
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from random import Random
 
@@ -48,6 +49,21 @@
                 lengths.add(len(content))
         self.assertGreater(len(lengths), 3)
 
+    def test_two_threads_write_different_files(self):
+        """A record renamed by the other thread failed the write, and so the process."""
+        other = os.open(self.folder / "cache", os.O_RDWR | os.O_CREAT | os.O_APPEND)
+        self.addCleanup(os.close, other)
+
+        def write(descriptor):
+            for _ in range(200):
+                self.files.append(descriptor, b"x")
+                self.files.sync(descriptor)
+
+        with ThreadPoolExecutor(2) as pool:
+            for written in [pool.submit(write, held) for held in (self.log, other)]:
+                written.result()
+        self.assertEqual((self.folder / "log").stat().st_size, 200)
+
     def test_overwritten_bytes_may_be_torn_until_synced(self):
         mark = os.open(self.folder / "mark", os.O_RDWR | os.O_CREAT)
         self.addCleanup(os.close, mark)
