--- a/fulmarshore/direct/candidates.py
+++ b/fulmarshore/direct/candidates.py
@@ -33,9 +33,10 @@
 }
 INELIGIBLE = ("not accepting", "zone out")
 """Reasons for which an agent is not offered a flow at all."""
-MAX_EVALUATED = 32
-"""Agents evaluated for a flow: one of 32 is free unless nearly all are busy."""
-MAX_OWN_ZONE = 24
+MAX_EVALUATED = 24
+"""Agents evaluated for a flow: one of 24 is free unless nearly all are busy; 32 took as
+long as all of 100 by flows."""
+MAX_OWN_ZONE = 18
 """Agents of the own zone among them; the rest shows what other zones would cost."""
 REMOTE_ZONE_LOAD = 0.4
 """Load per slot added to agents of other availability zones, and with placement by cost
@@ -59,7 +60,7 @@
     Attributes
     ----------
     load : AgentLoad
-        What the agent told of its load.
+        What the agent reported of its load.
     """
 
     __slots__ = ("report", "load", "open_flows", "unresponsive_until", "refusing_until")
@@ -156,7 +157,8 @@
     """Draw up to ``count`` candidates that may be offered the flow."""
     if not candidates:
         return []
-    # Only so many are out that a second draw from all is rarely needed.
+    # The sample is larger than needed by the agents already tried. If agents of zones
+    # out leave too few of it, all candidates are drawn from.
     size = min(len(candidates), count + len(tried))
     drawn = _draw_some(candidates, size, tried, is_zone_out, random)
     if len(drawn) < count and size < len(candidates):
@@ -196,24 +198,37 @@
 
     Of several, the one that placement by flows ranks first is chosen; the order of
     ``candidates``, which is random, breaks ties.
+
+    Parameters
+    ----------
+    costs : CostModel
+        Estimates the terms of the cost.
+    candidates : list of Candidate
+        Agents that may be offered the flow.
+    pool : ServicePool
+        All agents of the service.
+    now : float
+        Monotonic time in seconds.
+    tolerance_s : float, optional
+        Difference of costs that does not count, seconds; by default the larger of
+        ``TOLERANCE_S`` and ``TOLERANCE_SHARE`` of the work time.
     """
     if not candidates:
         return None
     estimate = costs.estimate
     hops, own_zone = costs.hops, costs.zone
-    median_s, activity = pool.median_s, pool.activity
+    median_s, activity, keeps_flows = pool.median_s, pool.activity, pool.keeps_flows
     totals = []
     for candidate in candidates:
+        load, report = candidate.load, candidate.report
         requests = candidate.open_flows * activity
-        wait, work, standing = estimate(
-            candidate.load, median_s, now, pool.keeps_flows, requests
-        )
+        wait, work, standing = estimate(load, median_s, now, keeps_flows, requests)
         cost = wait + work + standing
-        zone = candidate.report.zone
-        if zone != own_zone:
-            hop = hops.get(zone, ASSUMED_HOP_S)
-            cost += max(hop, REMOTE_ZONE_LOAD * work / candidate.load.slots)
-        if candidate.report.is_cold:
+        if report.zone != own_zone:
+            hop = hops.get(report.zone, ASSUMED_HOP_S)
+            least = REMOTE_ZONE_LOAD * work / load.slots
+            cost += least if least > hop else hop
+        if report.is_cold:
             cost += COLD_COST_S
         if candidate.unresponsive_until > now:
             cost += UNRESPONSIVE_COST_S
@@ -225,27 +240,24 @@
         best = candidates[totals.index(lowest)]
         work = estimate(best.load, median_s, now)[1]
         tolerance_s = max(TOLERANCE_S, work * TOLERANCE_SHARE)
-    chosen, lowest_load, second = -1, float("inf"), -1
+    chosen, lowest_load = -1, float("inf")
     limit = lowest + tolerance_s
     for number, cost in enumerate(totals):
         if cost >= limit and cost > lowest:
             continue
         candidate = candidates[number]
-        load = candidate.open_flows / candidate.load.slots
+        flows = candidate.open_flows / candidate.load.slots
         if candidate.report.zone != own_zone:
-            load += REMOTE_ZONE_LOAD
-        if load < lowest_load:
-            chosen, lowest_load = number, load
-    for number, cost in enumerate(totals):
-        if number != chosen and (second < 0 or cost < totals[second]):
-            second = number
+            flows += REMOTE_ZONE_LOAD
+        if flows < lowest_load:
+            chosen, lowest_load = number, flows
     behind = find_reason(candidates[chosen], now, lambda zone: False)
     choice = Choice(describe_candidate(costs, candidates[chosen], pool, now, behind))
-    if second >= 0:
-        behind = find_reason(candidates[second], now, lambda zone: False)
-        choice.runner_up = describe_candidate(
-            costs, candidates[second], pool, now, behind
-        )
+    if len(candidates) > 1:
+        totals[chosen] = float("inf")
+        second = candidates[totals.index(min(totals))]
+        behind = find_reason(second, now, lambda zone: False)
+        choice.runner_up = describe_candidate(costs, second, pool, now, behind)
     return choice
 
 
@@ -281,7 +293,7 @@
     hop = 0.0
     if report.zone != costs.zone:
         hop = max(costs.get_hop(report.zone), REMOTE_ZONE_LOAD * work / load.slots)
-    told_at = max(load.heard_at, load.work_at)
+    reported_at = max(load.heard_at, load.work_at)
     return RankedCandidate(
         report.host,
         report.zone,
@@ -290,7 +302,7 @@
         work,
         standing,
         hop,
-        None if told_at == float("-inf") else now - told_at,
+        None if reported_at == float("-inf") else now - reported_at,
         wait + work + standing + hop,
         behind,
     )
--- a/fulmarshore/direct/costs.py
+++ b/fulmarshore/direct/costs.py
@@ -1,6 +1,6 @@
 """Expected completion of a new flow at each agent, as an entry host estimates it.
 
-Agents tell their load in notices and in replies to offers, so an entry host knows
+Agents report their load in notices and in replies to offers, so an entry host knows
 best those that it has offered flows to lately. Reports of control hosts, which are
 coarser, stand in for the others.
 """
@@ -45,7 +45,7 @@
     wait_s, work_s, standing_s, hop_s : float
         Terms of the cost, seconds; 0 where placement is by flows.
     age_s : float or None
-        Seconds since the agent last told its load; None if nothing is known.
+        Seconds since the agent last reported its load; None if nothing is known.
     cost_s : float
         Sum of the terms, seconds.
     behind : str
@@ -111,9 +111,9 @@
     slots : int
         Requests that the upstream serves at the same time.
     wait_s, heard_at : float
-        Wait that the agent told last, and when.
+        Wait that the agent reported last, and when.
     work_s, work_at : float
-        Mean service time, 0 if not known, and when it was told.
+        Mean service time, 0 if not known, and when it was reported.
     utilization : float
         Newest utilization of the upstream.
     reported_utilization : float
@@ -139,7 +139,7 @@
         self.reset(1)
 
     def reset(self, slots: int) -> None:
-        """Forget what was told, as another process or incarnation runs."""
+        """Discard the load, as another process or incarnation runs."""
         self.slots = max(1, slots)
         self.wait_s = 0.0
         self.heard_at = float("-inf")
@@ -158,7 +158,7 @@
         self.utilization = self.reported_utilization = report.load_level / LEVELS
 
     def record_wait(self, wait_s: float, now: float) -> None:
-        """Record the expected wait that the agent told."""
+        """Record the expected wait that the agent reported."""
         self.wait_s = wait_s
         self.heard_at = now
 
--- a/fulmarshore/direct/explanation.py
+++ b/fulmarshore/direct/explanation.py
@@ -14,14 +14,13 @@
 import msgspec
 from msgspec import Struct
 
+from fulmarshore.direct.candidates import INELIGIBLE
 from fulmarshore.direct.entry import EntryCore
 from fulmarshore.direct.openings import choose_service
 from fulmarshore.direct.packets import NO_HOST
 from fulmarshore.direct.records import Route
 from fulmarshore.direct.settings import SettingsProblem
 
-INELIGIBLE = ("not accepting", "zone out")
-"""Why an agent is offered no flow at all; other reasons only put it behind."""
 MS_PER_S = 1000.0
 MAX_PORT = 65_535
 PORT_PATTERN = re.compile(r"[0-9]{1,5}")
@@ -30,7 +29,7 @@
 
 
 class RankedAgent(Struct, frozen=True):
-    """An agent in the order in which it would be offered the flow.
+    """An agent, in the order of the cost of offering it the flow.
 
     Parameters
     ----------
@@ -93,7 +92,7 @@
     placement : str
         ``cost`` or ``flows``.
     ranking : list of RankedAgent
-        The agents of the services, the one that is offered the flow first.
+        The agents of the services, in the order of their cost.
     upload : UploadState or None
         State of the upload limit; None if the route is not an upload route.
     """
--- a/fulmarshore/direct/flows.py
+++ b/fulmarshore/direct/flows.py
@@ -53,7 +53,8 @@
     suspects : list of str
         Agents of the last search, if that had no result: one of them was silent.
     loads : dict of str to int
-        Load that each declining agent reported, in requests.
+        Load that each declining agent reported: requests, or with placement by cost its
+        expected wait in milliseconds.
     is_queued : bool
         Whether an agent has queued the opening.
     service : str
--- a/fulmarshore/direct/loads_test.py
+++ b/fulmarshore/direct/loads_test.py
@@ -63,7 +63,9 @@
     utilization: float = 0.65
     tail: float = 0.0
     moves: bool = False
+    # The first upstream answers nothing from the first time to the second one.
     hang: tuple = (0.0, 0.0)
+    # Number of an upstream whose agent always reports that it has no wait.
     liar: int = -1
     report_age_s: float = 0.0
     duration_s: float = 15.0
--- a/fulmarshore/direct/placement.py
+++ b/fulmarshore/direct/placement.py
@@ -246,7 +246,7 @@
             self.costs.record_reply_time(candidate.report.zone, reply_s)
 
     def record_decline(self, host: str, wait_s: float, now: float) -> None:
-        """Record the expected wait that an agent declined an offer with, in seconds."""
+        """Record the expected wait, seconds, with which an agent declined."""
         self._record_wait(host, wait_s, not wait_s, now)
 
     def record_notice(
@@ -289,7 +289,7 @@
     def list_ranked(
         self, service: str, now: float, is_zone_out: Callable[[str], bool]
     ) -> list[RankedCandidate]:
-        """Return all agents of a service, the one to be offered a flow first.
+        """Return all agents of a service, in the order of their cost.
 
         Nothing that decides a placement changes, and no random number is drawn.
         """
--- a/fulmarshore/direct/services.py
+++ b/fulmarshore/direct/services.py
@@ -13,8 +13,9 @@
 from fulmarshore.direct.tables import TableIndex
 
 MAX_BUSY_OFFERS = 3
-"""Agents that may decline a flow for lack of a free slot before the least busy of
-them gets it: with half of the agents busy, one in eight flows meets only these."""
+"""Agents that may decline a flow for lack of a free slot before the one with the
+earliest expected completion gets it: with half of the agents busy, one in eight flows
+meets only busy ones."""
 MAX_SERVICE_CHANGES = 2
 """Changes of the service of one opening: away from the drawn one, and back."""
 MAX_START_S = 10.0
@@ -112,7 +113,7 @@
     def _estimate_start(self, flow: Flow, service: str, now: float) -> float:
         """Return the expected wait of a flow at a service; infinite if none is left.
 
-        Agents that declined it count with the wait that they told.
+        Agents that declined it count with the wait that they reported.
         """
         refused = [host for host in flow.tried if host not in flow.loads]
         return self._placement.estimate_start(
