--- a/fulmarshore/commands/explanations_test.py
+++ b/fulmarshore/commands/explanations_test.py
@@ -7,7 +7,6 @@
 from collections import Counter
 from types import SimpleNamespace
 from unittest import TestCase
-from unittest.mock import patch
 
 from click.testing import CliRunner
 
@@ -15,8 +14,7 @@
 from fulmarshore.adapters.httpserver import HttpResponse, HttpServer
 from fulmarshore.commands.main import cli
 from fulmarshore.daemons.directentry import EntryDaemon
-from fulmarshore.direct.explanation_test import NARROW, list_ranked, make_core
-from fulmarshore.direct.placement import Placement
+from fulmarshore.direct.explanation_test import NARROW, make_core
 
 ROUTE, UPLOAD_ROUTE, MIXED_ROUTE = (f"198.18.0.1:{port}" for port in (443, 444, 445))
 LAZY_MODULE = "fulmarshore.direct.explanation"
@@ -24,10 +22,6 @@
 
 class PlacementCommandTest(TestCase):
     def setUp(self):
-        if not hasattr(Placement, "list_ranked"):
-            patcher = patch.object(Placement, "list_ranked", list_ranked, create=True)
-            patcher.start()
-            self.addCleanup(patcher.stop)
         self.daemon = SimpleNamespace(core=make_core(NARROW))
         self.serve(lambda *args: EntryDaemon.handle_http(self.daemon, *args))
 
