--- a/fulmarshore/direct/agentflows_test.py
+++ b/fulmarshore/direct/agentflows_test.py
@@ -4,7 +4,12 @@
 import unittest
 from dataclasses import dataclass
 
-from fulmarshore.direct.agentflows import ENDED_LINGER_S, OPENING_TIMEOUT_S, AgentFlows
+from fulmarshore.direct.agentflows import (
+    BOTH_ENDED,
+    ENDED_LINGER_S,
+    OPENING_TIMEOUT_S,
+    AgentFlows,
+)
 from fulmarshore.direct.packets import ACK, parse_packet
 
 KEY = (
@@ -108,5 +113,24 @@
         self.assertEqual(found, [False, False, False, True])
 
 
+class TrackedRequestsTest(unittest.TestCase):
+    def test_flow_admitted_twice_counts_one_request(self):
+        """The first request stayed counted for ever, and took a slot."""
+        flows = AgentFlows()
+        flows.admit(KEY, 0.0)
+        flows.admit(KEY, 0.1)
+        self.assertEqual(flows.busy, 1)
+        flows.discard(KEY, 0.2)
+        self.assertEqual(flows.busy, 0)
+
+    def test_ended_flows_that_are_still_tracked_are_not_open(self):
+        """Counted as open, they made flows of single requests look like kept ones."""
+        flows = AgentFlows()
+        flows.add_open(KEY, 0.0)
+        self.assertEqual(flows.count_open(), 1)
+        flows.get(KEY).ended_sides = BOTH_ENDED
+        self.assertEqual(flows.count_open(), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
