A lost disk right after a planned replacement no longer ends the control plane

Cause: the successor is a fourth voter, so three votes are needed. The host that left stayed a voter for 3 s of silence, and the lost disk comes back without a vote. Two of four voters elect nobody, and only a leader could remove the two that are gone.

Change: a host that stops hands its vote over first, if the group can spare it. A host that answers for a former disk reports it as lost, and of an even number of voters half then suffice; agreement/quorums.py has the argument. A change of the voters is committed by a quorum of the former and of the new ones, and confirmed by a second entry. Silent extra voters are removed after 1.5 s, formerly 3 s.

--- a/fulmarshore/agreement/election.py
+++ b/fulmarshore/agreement/election.py
@@ -43,7 +43,9 @@
     _clear_leader(replica)
     replica.role = Role.PRE_CANDIDATE
     replica.votes = {replica.identity}
-    if len(replica.votes) >= replica.majority:
+    replica.confirming_votes = {replica.identity}
+    replica.lost_in_election = replica.list_lost()
+    if _has_quorum(replica):
         start_election(replica, now)
         return
     for request in _make_requests(replica, replica.term + 1, pre_vote=True):
@@ -67,7 +69,14 @@
     else:
         granted = _grant_vote(replica, request, now)
     term = request.term if granted else replica.term
-    reply = VoteReply(replica.group, replica.identity, term, granted, request.pre_vote)
+    reply = VoteReply(
+        replica.group,
+        replica.identity,
+        term,
+        granted,
+        request.pre_vote,
+        replica.lost_voters.issuperset(request.lost),
+    )
     replica.emit_when_synced(SendLink(peer, reply))
 
 
@@ -77,18 +86,19 @@
         if reply.term > replica.term:
             replica.step_down(reply.term)
         return
-    if reply.sender not in replica.current_voters:
+    if not any(reply.sender in voters for voters in replica.configurations):
         return
     if reply.pre_vote:
         if replica.role != Role.PRE_CANDIDATE or reply.term != replica.term + 1:
             return
-        replica.votes.add(reply.sender)
-        if len(replica.votes) >= replica.majority:
+        _add_vote(replica, reply)
+        if _has_quorum(replica):
             start_election(replica, now)
         return
     if replica.role != Role.CANDIDATE or reply.term != replica.term:
         return
-    _record_vote(replica, reply.sender, now)
+    _add_vote(replica, reply)
+    _finish_election(replica, now)
 
 
 def handle_synced(replica: Replica, term: int, now: float) -> None:
@@ -97,7 +107,9 @@
         return
     for request in _make_requests(replica, term, False, replica.is_transfer_election):
         replica.emit(request)
-    _record_vote(replica, replica.identity, now)
+    replica.votes.add(replica.identity)
+    replica.confirming_votes.add(replica.identity)
+    _finish_election(replica, now)
 
 
 def start_election(replica: Replica, now: float, for_transfer: bool = False) -> None:
@@ -112,17 +124,30 @@
     replica.term += 1
     replica.vote = replica.identity
     replica.votes = set()
+    replica.confirming_votes = set()
+    replica.lost_in_election = replica.list_lost()
     replica.write_term()
     replica.emit_when_synced(OwnVoteSynced(replica.term))
     replica.counters["elections"] += 1
     reset_timeout(replica, now)
 
 
-def _record_vote(replica: Replica, voter: object, now: float) -> None:
-    replica.votes.add(voter)
+def _add_vote(replica: Replica, reply: VoteReply) -> None:
+    replica.votes.add(reply.sender)
+    if reply.confirms_lost:
+        replica.confirming_votes.add(reply.sender)
+
+
+def _has_quorum(replica: Replica) -> bool:
+    return replica.has_quorum(
+        replica.votes, replica.confirming_votes, replica.lost_in_election
+    )
+
+
+def _finish_election(replica: Replica, now: float) -> None:
     if replica.identity not in replica.votes:
         return
-    if len(replica.votes) >= replica.majority:
+    if _has_quorum(replica):
         replication.become_leader(replica, now)
 
 
@@ -155,7 +180,8 @@
     replica: Replica, term: int, pre_vote: bool, for_transfer: bool = False
 ) -> list[SendLink]:
     requests = []
-    for voter in replica.current_voters:
+    voters = dict.fromkeys(voter for held in replica.configurations for voter in held)
+    for voter in voters:
         if voter == replica.identity:
             continue
         request = VoteRequest(
@@ -167,6 +193,7 @@
             replica.log.last_term,
             pre_vote,
             for_transfer,
+            tuple(replica.lost_in_election),
         )
         requests.append(SendLink(voter.name, request))
     return requests
--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -4,14 +4,18 @@
 receives entries but does not vote, and promotes it to a voter once it holds every
 committed entry. Each log entry changes the voters by one replica. A new disk of
 a host replaces the host's previous one, which is removed first, by an entry of
-its own, and only once it is unresponsive.
+its own, and only once it is unresponsive or known to be lost.
+
+Each change takes two entries with the same voters: the first is committed by a
+quorum of the former and of the new voters, and the second shows, to whoever holds it,
+that the first is committed.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from fulmarshore.agreement import election, replication
+from fulmarshore.agreement import election, leaving, replication
 from fulmarshore.agreement.progress import Progress
 from fulmarshore.core.records import (
     JoinReply,
@@ -38,8 +42,10 @@
 """A learner without contact for this long is dropped."""
 REJOIN_TIMEOUT_S = 1.0
 """A voter without contact to a leader for this long asks to join again."""
-EXTRA_VOTER_TIMEOUT_S = 3.0
-"""A voter beyond ``min_voters`` is removed after this long without contact."""
+EXTRA_VOTER_TIMEOUT_S = 1.5
+"""A voter beyond ``min_voters`` is removed after this long without contact: until
+then it is missing from the quorum as well as the next host that is lost. It is
+longer than any election."""
 RECOVERY_GAP_ENTRIES = 10_000
 """Empty entries that a recovery appends, to exceed any version of the lost disks."""
 
@@ -56,7 +62,9 @@
     replica.vote = None
     for _ in range(RECOVERY_GAP_ENTRIES):
         _append_entry(replica, Noop())
-    _append_entry(replica, Voters([replica.identity]))
+    # The second entry makes the former voters irrelevant, as any confirmation does.
+    for _ in range(2):
+        _append_entry(replica, Voters([replica.identity]))
     replica.rewrite_log_file()
     replica.record_event("group_recovered", detail=replica.group)
 
@@ -122,6 +130,9 @@
 
 def tick_leader(replica: Replica, now: float) -> None:
     """Promote learners that have caught up; remove unresponsive replicas."""
+    if _can_change_voters(replica) and _needs_confirmation(replica):
+        _confirm_change(replica)
+        return
     for learner in _list_learners(replica):
         if now - replica.progress[learner].last_contact > LEARNER_TIMEOUT_S:
             del replica.progress[learner]
@@ -136,6 +147,7 @@
         replaced_progress = replica.progress.get(replaced)
         if (
             replaced_progress is not None
+            and replaced not in replica.lost_voters
             and now - replaced_progress.last_contact < REPLACED_VOTER_TIMEOUT_S
         ):
             replica.counters["learners_refused_name_in_use"] += 1
@@ -150,7 +162,6 @@
 def _remove_voter(replica: Replica, removed: ReplicaId) -> None:
     voters = [voter for voter in replica.current_voters if voter != removed]
     _change_voters(replica, voters)
-    replica.progress.pop(removed, None)
     replica.record_event("voter_removed", peer=removed.name, detail=removed.disk)
 
 
@@ -167,11 +178,28 @@
     The previous change has to be committed, and so has an entry of the leader's
     own term.
     """
-    if replica.voter_configs[-1][0] > replica.commit:
+    if replica.is_change_pending:
         return False
     return replica.log.find_term(replica.commit) == replica.term
 
 
+def _needs_confirmation(replica: Replica) -> bool:
+    """Return whether the newest change has no second entry yet."""
+    if len(replica.voter_configs) == 1:
+        return False
+    former, newest = (held.replicas for _, held in replica.voter_configs[-2:])
+    return former != newest
+
+
+def _confirm_change(replica: Replica) -> None:
+    """Append the second entry of a change; replicate no more to a removed voter."""
+    former, newest = (held.replicas for _, held in replica.voter_configs[-2:])
+    for removed in set(former) - set(newest):
+        replica.progress.pop(removed, None)
+        replica.leaving -= {removed}
+    replication.append_command(replica, Voters(list(newest)))
+
+
 def _should_rejoin(replica: Replica, now: float) -> bool:
     """Return whether this voter should ask to join again.
 
@@ -184,7 +212,10 @@
 
 
 def _find_extra_voter(replica: Replica, now: float) -> ReplicaId | None:
-    """Return an unresponsive voter that the group does not need, or None."""
+    """Return a voter that the group does not need, or None.
+
+    It is unresponsive, or it is about to stop.
+    """
     minimum = replica.min_voters
     if minimum is None or len(replica.current_voters) <= minimum:
         return None
@@ -194,7 +225,7 @@
             continue
         if now - voter_progress.last_contact > EXTRA_VOTER_TIMEOUT_S:
             return voter
-    return None
+    return leaving.find_spare_voter(replica, now)
 
 
 def _change_voters(replica: Replica, voters: list[ReplicaId]) -> None:
@@ -212,7 +243,7 @@
 
 
 def _list_learners(replica: Replica) -> list[ReplicaId]:
-    voters = replica.current_voters
+    voters = [voter for held in replica.configurations for voter in held]
     return [identity for identity in replica.progress if identity not in voters]
 
 
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -8,10 +8,19 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Collection
 from copy import copy
 from random import Random
 
-from fulmarshore.agreement import election, joining, replication, snapshots, transfer
+from fulmarshore.agreement import (
+    election,
+    joining,
+    leaving,
+    lostdisks,
+    replication,
+    snapshots,
+    transfer,
+)
 from fulmarshore.agreement.diskqueue import DeferredEffect, DiskQueue
 from fulmarshore.agreement.log import Log
 from fulmarshore.agreement.progress import (
@@ -20,6 +29,7 @@
     Progress,
     Role,
 )
+from fulmarshore.agreement.quorums import has_quorum
 from fulmarshore.core.records import (
     AppendReply,
     AppendRequest,
@@ -28,12 +38,15 @@
     Command,
     ControlMessage,
     DiskRecord,
+    DiskReplaced,
     Effect,
     Event,
     FileHeader,
     Freshness,
     JoinReply,
     JoinRequest,
+    LeaveGroup,
+    LeaveGroupReply,
     LinkMessage,
     LogBase,
     LogEntry,
@@ -78,6 +91,9 @@
         host that was replaced under a new name; None never removes any.
     starts_fast : bool
         Whether election timeouts are short until the first contact with a leader.
+    names_are_addresses : bool
+        Whether names of hosts are network addresses, so that no two disks can
+        answer under one name at the same time.
     """
 
     def __init__(
@@ -89,11 +105,13 @@
         region: str = "",
         min_voters: int | None = None,
         starts_fast: bool = False,
+        names_are_addresses: bool = False,
     ) -> None:
         self.identity = recovered.replica
         self.region = region
         self.min_voters = min_voters
         self.starts_fast = starts_fast
+        self.names_are_addresses = names_are_addresses
         self.bootstrap_wait_s = joining.BOOTSTRAP_WAIT_S
         self.peers = list(peers)
         self.random = random
@@ -112,6 +130,13 @@
         self.voter_configs = self._list_voters()
         self.progress: dict[ReplicaId, Progress] = {}
         self.votes: set[ReplicaId] = set()
+        self.confirming_votes: set[ReplicaId] = set()
+        self.lost_voters: frozenset[ReplicaId] = frozenset()
+        self.lost_in_election: frozenset[ReplicaId] = frozenset()
+        self.lost_round = 0
+        self.leaving: frozenset[ReplicaId] = frozenset()
+        self.is_leaving = False
+        self.has_left = False
         self.election_at: float | None = None
         self.leader_last_contact = float("-inf")
         self.is_caught_up = False
@@ -144,6 +169,36 @@
         """The voters of the newest voter configuration in the log."""
         return self.voter_configs[-1][1].replicas
 
+    @property
+    def is_change_pending(self) -> bool:
+        """Whether the newest change of the voters is not known to be committed."""
+        return self.voter_configs[-1][0] > self.commit
+
+    @property
+    def configurations(self) -> list[list[ReplicaId]]:
+        """The voters, and the former ones while a change is pending."""
+        if not self.is_change_pending or len(self.voter_configs) == 1:
+            return [self.current_voters]
+        former = self.voter_configs[-2][1].replicas
+        return [self.current_voters, former] if former else [self.current_voters]
+
+    def list_lost(self) -> frozenset[ReplicaId]:
+        """Return the voters whose disk is lost."""
+        voters = [voter for held in self.configurations for voter in held]
+        return self.lost_voters.intersection(voters)
+
+    def has_quorum(
+        self,
+        members: Collection[ReplicaId],
+        confirmed: Collection[ReplicaId],
+        lost: Collection[ReplicaId],
+    ) -> bool:
+        """Return whether replicas make up a quorum; see the module ``quorums``."""
+        return all(
+            has_quorum(voters, members, confirmed, lost)
+            for voters in self.configurations
+        )
+
     @property
     def is_voter(self) -> bool:
         """Whether the replica can vote and be elected."""
@@ -179,6 +234,12 @@
         transfer.begin(self, now)
         return self.take_effects(now)
 
+    def leave(self, now: float) -> list[Effect]:
+        """Prepare to stop: hand over leadership, and the vote if it can be spared."""
+        self.is_leaving = True
+        self.has_left = not self.is_voter
+        return self.transfer_leadership(now)
+
     def compact(self, state: bytes, retained_entries: int, now: float) -> list[Effect]:
         """Take a snapshot at the last applied entry and compact the log.
 
@@ -203,6 +264,7 @@
             name: copy(peer_progress) for name, peer_progress in self.progress.items()
         }
         clone.votes = set(self.votes)
+        clone.confirming_votes = set(self.confirming_votes)
         clone.counters = Counter(self.counters)
         clone._effects = list(self._effects)
         clone._disk = self._disk.copy()
@@ -232,6 +294,10 @@
             tuple((entry.term, entry.command) for entry in self.log.entries),
             progress,
             frozenset(self.votes),
+            frozenset(self.confirming_votes),
+            self.lost_voters,
+            self.lost_in_election,
+            self.lost_round,
             None if self.transfer is None else self.transfer.target,
             self.is_transfer_election,
         )
@@ -297,6 +363,8 @@
         self.transfer = None
         self.progress = {}
         self.votes = set()
+        self.confirming_votes = set()
+        self.leaving = frozenset()
 
     def follow(self, leader: ReplicaId, now: float) -> None:
         """Accept a replica as the leader of the current term."""
@@ -383,7 +451,10 @@
         if self.is_leader:
             replication.tick_leader(self, now)
             return
-        joining.tick(self, now)
+        if self.is_leaving:
+            leaving.tick(self)
+        else:
+            joining.tick(self, now)
         election.tick(self, now)
 
     def _handle_message(self, peer: str, message: ControlMessage, now: float) -> None:
@@ -393,13 +464,19 @@
         if isinstance(message, JoinReply):
             joining.handle_reply(self, message, now)
             return
-        if not self._is_for_this_replica(message):
+        if not self._is_for_this_replica(peer, message):
             return
         match message:
             case VoteRequest():
                 election.handle_vote_request(self, peer, message, now)
             case VoteReply():
                 election.handle_vote_reply(self, message, now)
+            case DiskReplaced():
+                lostdisks.handle_replaced(self, peer, message)
+            case LeaveGroup():
+                leaving.handle_request(self, peer, message)
+            case LeaveGroupReply():
+                leaving.handle_reply(self)
             case TimeoutNow():
                 transfer.handle_timeout_now(self, message, now)
             case AppendRequest():
@@ -411,7 +488,7 @@
             case ChunkReply():
                 snapshots.handle_reply(self, message, now)
 
-    def _is_for_this_replica(self, message: ControlMessage) -> bool:
+    def _is_for_this_replica(self, peer: str, message: ControlMessage) -> bool:
         """Return whether a message is for this group and this disk.
 
         A replica without a group adopts that of a leader.
@@ -421,6 +498,7 @@
         )
         if request and message.target != self.identity:
             self.counters["dropped_other_disk"] += 1
+            lostdisks.report_replaced(self, peer, message)
             return False
         if message.group == self.group:
             return True
--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -41,11 +41,12 @@
     replica.role = Role.LEADER
     replica.leader = replica.identity
     replica.heartbeat_round = 0
+    replica.lost_round = 0
     replica.record_event("leader_elected", detail=f"term {replica.term}")
     replica.progress = {}
-    for voter in replica.current_voters:
-        progress = Progress(replica.log.last_index + 1, now)
-        replica.progress[voter] = progress
+    for voters in replica.configurations:
+        for voter in voters:
+            replica.progress[voter] = Progress(replica.log.last_index + 1, now)
     append_command(replica, Noop())
     broadcast_heartbeat(replica, now)
 
@@ -59,8 +60,8 @@
 
 
 def tick_leader(replica: Replica, now: float) -> None:
-    """Send heartbeats; step down after losing contact with a majority."""
-    if now - find_majority_contact(replica, now) > MIN_ELECTION_TIMEOUT_S:
+    """Send heartbeats; step down after losing contact with a quorum."""
+    if not _is_in_contact(replica, now):
         replica.counters["stepped_down_no_majority"] += 1
         replica.step_down(replica.term)
         return
@@ -79,16 +80,13 @@
         _send(replica, target, progress)
 
 
-def find_majority_contact(replica: Replica, now: float) -> float:
-    """Return when a majority, this replica included, was last in contact."""
-    times = []
-    for voter in replica.current_voters:
-        if voter == replica.identity:
-            times.append(now)
-            continue
-        progress = replica.progress.get(voter)
-        times.append(progress.last_contact if progress else float("-inf"))
-    return sorted(times, reverse=True)[replica.majority - 1]
+def _is_in_contact(replica: Replica, now: float) -> bool:
+    """Return whether a quorum, this replica included, was in contact lately."""
+    members = {replica.identity}
+    for identity, progress in replica.progress.items():
+        if now - progress.last_contact <= MIN_ELECTION_TIMEOUT_S:
+            members.add(identity)
+    return replica.has_quorum(members, members, replica.lost_voters)
 
 
 def handle_append_request(
@@ -155,7 +153,7 @@
 ) -> Progress | None:
     """Record a reply of this term; return the replica's progress, or None.
 
-    Freshness advances to the newest heartbeat round that a majority answered.
+    Freshness advances to the newest heartbeat round that a quorum answered.
     """
     progress = replica.progress.get(sender)
     if not replica.is_leader or term != replica.term or progress is None:
@@ -163,17 +161,25 @@
     progress.last_contact = now
     progress.is_awaiting_reply = False
     progress.heartbeat_round = max(progress.heartbeat_round, heartbeat_round)
-    rounds = []
-    for voter in replica.current_voters:
-        if voter == replica.identity:
-            rounds.append(replica.heartbeat_round)
-            continue
-        voter_progress = replica.progress.get(voter)
-        rounds.append(voter_progress.heartbeat_round if voter_progress else 0)
-    renew_freshness(replica, sorted(rounds, reverse=True)[replica.majority - 1])
+    renew_freshness(replica, _find_quorum_round(replica))
     return progress
 
 
+def _find_quorum_round(replica: Replica) -> int:
+    """Return the newest heartbeat round that a quorum answered, or 0."""
+    rounds = {
+        identity: progress.heartbeat_round
+        for identity, progress in replica.progress.items()
+    }
+    rounds[replica.identity] = replica.heartbeat_round
+    for newest in sorted(set(rounds.values()), reverse=True):
+        members = {identity for identity, held in rounds.items() if held >= newest}
+        confirmed = members if newest > replica.lost_round else ()
+        if replica.has_quorum(members, confirmed, replica.lost_voters):
+            return newest
+    return 0
+
+
 def renew_freshness(replica: Replica, stamp: int) -> None:
     """Advance the freshness stamp, unless the stamp is not newer."""
     current = (replica.freshness.term, replica.freshness.stamp)
@@ -237,16 +243,12 @@
 
 
 def _advance_commit(replica: Replica, now: float) -> None:
-    """Commit what a majority has synced.
+    """Commit what a quorum has synced.
 
     An entry of an earlier term is committed only by a later one of the current
     term (section 5.4.2 of the Raft paper).
     """
-    matches = []
-    for voter in replica.current_voters:
-        progress = replica.progress.get(voter)
-        matches.append(progress.match if progress else 0)
-    index = sorted(matches, reverse=True)[replica.majority - 1]
+    index = _find_quorum_match(replica)
     if index <= replica.commit or replica.log.find_term(index) != replica.term:
         return
     replica.advance_commit(index)
@@ -256,6 +258,30 @@
     send_new_entries(replica, now)
 
 
+def _find_quorum_match(replica: Replica) -> int:
+    """Return the newest index that a quorum has synced, or the commit index."""
+    matches = {
+        identity: progress.match for identity, progress in replica.progress.items()
+    }
+    for index in sorted(set(matches.values()), reverse=True):
+        if index <= replica.commit:
+            break
+        members = {identity for identity, match in matches.items() if match >= index}
+        confirmed = {
+            identity for identity in members if _knows_of_losses(replica, identity)
+        }
+        if replica.has_quorum(members, confirmed, replica.lost_voters):
+            return index
+    return replica.commit
+
+
+def _knows_of_losses(replica: Replica, identity: ReplicaId) -> bool:
+    """Return whether a replica answered after this leader knew of all lost disks."""
+    if identity == replica.identity:
+        return True
+    return replica.progress[identity].heartbeat_round > replica.lost_round
+
+
 def _store_entry(replica: Replica, entry: LogEntry) -> None:
     log = replica.log
     if entry.index <= log.base.index:
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -1369,7 +1369,8 @@
     """Asks a voter for its vote, or with ``pre_vote`` whether it would grant it.
 
     With ``for_transfer`` the leader itself has asked the candidate to start
-    the election, so that contact with the leader is no reason to refuse.
+    the election, so that contact with the leader is no reason to refuse. The
+    disks of the voters in ``lost`` are lost, as far as the sender knows.
     """
 
     group: str
@@ -1380,16 +1381,48 @@
     last_term: int
     pre_vote: bool
     for_transfer: bool = False
+    lost: tuple[ReplicaId, ...] = ()
 
 
 class VoteReply(Record, frozen=True):
-    """Answer to a `VoteRequest`; ``term`` is the requested one if granted."""
+    """Answer to a `VoteRequest`; ``term`` is the requested one if granted.
+
+    With ``confirms_lost`` the sender itself knew of all losses that the request
+    names.
+    """
 
     group: str
     sender: ReplicaId
     term: int
     granted: bool
     pre_vote: bool
+    confirms_lost: bool = False
+
+
+class DiskReplaced(Record, frozen=True):
+    """Answer to a request for a disk that the sender's host no longer has.
+
+    It stays true however late it arrives: requests for a disk exist only once it
+    is in use, so a host that answers one with another disk has lost it since.
+    """
+
+    group: str
+    sender: ReplicaId
+    lost: ReplicaId
+
+
+class LeaveGroup(Record, frozen=True):
+    """Tells the leader that a voter stops, perhaps for good."""
+
+    group: str
+    sender: ReplicaId
+
+
+class LeaveGroupReply(Record, frozen=True):
+    """The voter may stop: it does not vote any more, or the group needs its vote."""
+
+    group: str
+    sender: ReplicaId
 
 
 class TimeoutNow(Record, frozen=True, tag="StandNow"):
@@ -1557,6 +1590,9 @@
     StatusReply,
     VoteRequest,
     VoteReply,
+    DiskReplaced,
+    LeaveGroup,
+    LeaveGroupReply,
     TimeoutNow,
     AppendRequest,
     AppendReply,
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -30,8 +30,11 @@
     ChunkReply,
     Command,
     DamagedFile,
+    DiskReplaced,
     JoinReply,
     JoinRequest,
+    LeaveGroup,
+    LeaveGroupReply,
     LinkMessage,
     Recovered,
     SendLink,
@@ -97,6 +100,9 @@
     Update,
     VoteRequest,
     VoteReply,
+    DiskReplaced,
+    LeaveGroup,
+    LeaveGroupReply,
     TimeoutNow,
     AppendRequest,
     AppendReply,
@@ -191,6 +197,7 @@
             settings.bootstrap,
             min_voters=2 * settings.lost_disks + 1,
             starts_fast=True,
+            names_are_addresses=True,
         )
         replica.chunk_bytes = SNAPSHOT_CHUNK_BYTES
         if settings.host not in settings.seeds:
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -90,7 +90,7 @@
 """The same interval after an upstream has ended: until that is stored, a restart takes
 its agent for a missing one, and flows that nobody holds are left without an answer."""
 STOP_TIMEOUT_S = 1.5
-"""How long a planned stop waits for the transfer of leadership."""
+"""How long a planned stop waits for the transfer of leadership and of the vote."""
 
 
 class Subscriber(Struct):
@@ -243,9 +243,7 @@
                 if self._stop_at is not None:
                     return []
                 self._stop_at = now + STOP_TIMEOUT_S
-                effects = self._apply_effects(
-                    self.replica.transfer_leadership(now), now
-                )
+                effects = self._apply_effects(self.replica.leave(now), now)
                 return [Decision("stopping"), *effects]
         raise TypeError(f"unexpected event {event!r}")
 
@@ -560,7 +558,8 @@
     def _can_stop(self, now: float) -> bool:
         if now >= self._stop_at:
             return True
-        return not self.replica.is_leader and not self._pending
+        replica = self.replica
+        return not replica.is_leader and replica.has_left and not self._pending
 
 
 def _may_hold_flows(report: AgentReport | None) -> bool:
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -264,6 +264,7 @@
             bootstrap,
             min_voters=2 * self.lost_disks + 1,
             starts_fast=True,
+            names_are_addresses=True,
         )
         replica.chunk_bytes = SNAPSHOT_CHUNK_BYTES
         if host not in self.seeds:
