Values of any size, in any field, end no process

Cause: the body is stored in the log before its numbers are turned into a table, whose encoding holds 64 bits. The error left the event loop; the entry is applied at each start.

Change: core/ranges.py states the ranges of values as types, which decoders of records and heartbeats check. Limits, weights and rates of a configuration beyond what a host can reach are accepted and lowered in the table; a version that messages cannot hold is refused with field and value. An entry that cannot be read leaves the former table in force. The same cause is mended for ports of many digits, weights of 1e308, settings, slots of a heartbeat, addresses and load levels in agents' reports, terms of voters.

--- a/fulmarshore/agreement/snapshots.py
+++ b/fulmarshore/agreement/snapshots.py
@@ -9,6 +9,7 @@
 from fulmarshore.agreement import replication
 from fulmarshore.agreement.progress import Progress
 from fulmarshore.core.codec import encode
+from fulmarshore.core.ranges import DECODE_ERRORS
 from fulmarshore.core.records import (
     AppendReply,
     ChunkReply,
@@ -95,7 +96,13 @@
         _reply(replica, peer, chunk, len(incoming.data))
         return
     replica.incoming = None
-    replica.install_snapshot(_decoder.decode(bytes(incoming.data)))
+    try:
+        snapshot = _decoder.decode(bytes(incoming.data))
+    except DECODE_ERRORS:
+        replica.counters["snapshots_malformed"] += 1
+        _reply(replica, peer, chunk, 0)
+        return
+    replica.install_snapshot(snapshot)
     replica.counters["snapshots_installed"] += 1
     _reply_installed(replica, peer, chunk)
 
--- a/fulmarshore/agreement/storage.py
+++ b/fulmarshore/agreement/storage.py
@@ -15,6 +15,7 @@
 from xxhash import xxh3_64_intdigest
 
 from fulmarshore.core.codec import encode
+from fulmarshore.core.ranges import DECODE_ERRORS
 from fulmarshore.core.records import (
     DamagedFile,
     DiskRecord,
@@ -119,7 +120,7 @@
             return records, offset, "checksum differs"
         try:
             records.append(_decoder.decode(body))
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return records, offset, str(error)
         offset = start + length
     return records, offset, ""
--- a/fulmarshore/core/codec.py
+++ b/fulmarshore/core/codec.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from fulmarshore.core.hashing import FLOW_BYTES
+from fulmarshore.core.ranges import DECODE_ERRORS
 from fulmarshore.core.records import (
     Answer,
     Command,
@@ -34,7 +35,6 @@
 
 For datagrams from a socket, whose size is bounded already.
 """
-DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 _control_decoder = msgspec.msgpack.Decoder(ControlMessage)
 _stream_decoder = msgspec.msgpack.Decoder(StreamMessage)
 _request_decoder = msgspec.msgpack.Decoder(RequestMessage)
--- a/fulmarshore/core/records.py
+++ b/fulmarshore/core/records.py
@@ -22,6 +22,8 @@
 
 from msgspec import Struct
 
+from fulmarshore.core.ranges import Number
+
 # --------------------------------------------------------------------------
 # Identities
 # --------------------------------------------------------------------------
@@ -1376,9 +1378,9 @@
     group: str
     sender: ReplicaId
     target: ReplicaId
-    term: int
-    last_index: int
-    last_term: int
+    term: Number
+    last_index: Number
+    last_term: Number
     pre_vote: bool
     for_transfer: bool = False
     lost: tuple[ReplicaId, ...] = ()
@@ -1393,7 +1395,7 @@
 
     group: str
     sender: ReplicaId
-    term: int
+    term: Number
     granted: bool
     pre_vote: bool
     confirms_lost: bool = False
@@ -1431,7 +1433,7 @@
     group: str
     sender: ReplicaId
     target: ReplicaId
-    term: int
+    term: Number
 
 
 class AppendRequest(Record, frozen=True):
@@ -1444,13 +1446,13 @@
     group: str
     sender: ReplicaId
     target: ReplicaId
-    term: int
-    previous_index: int
-    previous_term: int
+    term: Number
+    previous_index: Number
+    previous_term: Number
     entries: list[LogEntry]
-    commit: int
-    stamp: int
-    heartbeat_round: int
+    commit: Number
+    stamp: Number
+    heartbeat_round: Number
 
 
 class AppendReply(Record, frozen=True):
@@ -1462,10 +1464,10 @@
 
     group: str
     sender: ReplicaId
-    term: int
+    term: Number
     success: bool
-    match: int
-    heartbeat_round: int
+    match: Number
+    heartbeat_round: Number
 
 
 class SnapshotChunk(Record, frozen=True):
@@ -1474,12 +1476,12 @@
     group: str
     sender: ReplicaId
     target: ReplicaId
-    term: int
-    index: int
-    offset: int
-    total: int
+    term: Number
+    index: Number
+    offset: Number
+    total: Number
     data: bytes
-    heartbeat_round: int
+    heartbeat_round: Number
 
 
 class ChunkReply(Record, frozen=True):
@@ -1487,10 +1489,10 @@
 
     group: str
     sender: ReplicaId
-    term: int
-    index: int
-    offset: int
-    heartbeat_round: int
+    term: Number
+    index: Number
+    offset: Number
+    heartbeat_round: Number
 
 
 class JoinRequest(Record, frozen=True):
--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -28,6 +28,7 @@
     open_datagram_socket,
 )
 from fulmarshore.adapters.signals import deliver_signals
+from fulmarshore.core.ranges import DECODE_ERRORS
 from fulmarshore.direct.latency import LatencyHistogram
 from fulmarshore.direct.records import (
     Decision,
@@ -333,7 +334,7 @@
         try:
             update = _update_decoder.decode(content)
             table = decode_table(update.table)
-        except (msgspec.MsgspecError, ValueError):
+        except DECODE_ERRORS:
             self.counters["messages_malformed"] += 1
             return
         self.dispatch(UpdateReceived(host, update, table))
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -24,6 +24,7 @@
 from fulmarshore.adapters.httpserver import HttpRequest, HttpResponse, Respond
 from fulmarshore.adapters.messages import MessageSocket, open_datagram_socket
 from fulmarshore.agreement.replica import Replica
+from fulmarshore.core.ranges import DECODE_ERRORS
 from fulmarshore.core.records import (
     AppendReply,
     AppendRequest,
@@ -111,7 +112,8 @@
     JoinRequest,
     JoinReply,
 ]
-_decoder = msgspec.msgpack.Decoder(Message)
+decode_message = msgspec.msgpack.Decoder(Message).decode
+"""Decodes a message of another host; raises ``DECODE_ERRORS``."""
 
 ReadOrder = Callable[[HttpRequest], "Command | ReadNewest | HttpResponse"]
 
@@ -316,7 +318,14 @@
         if not state.version:
             self._respond(request, HttpResponse(503, b'{"error":"none yet"}'))
             return
-        self._respond(request, HttpResponse(200, self._format_newest(state)))
+        try:
+            content = self._format_newest(state)
+        except ValueError as error:
+            self.log_decision(Decision("configuration_unreadable", str(error)))
+            body = b'{"error":"the stored configuration is not readable"}'
+            self._respond(request, HttpResponse(503, body))
+            return
+        self._respond(request, HttpResponse(200, content))
 
     def _redirect(self, request: int, leader: str) -> None:
         _, path, _ = self._responses[request]
@@ -331,15 +340,15 @@
 
     def _handle_message(self, content: bytes, host: str, port: int) -> None:
         try:
-            message = _decoder.decode(content)
-        except (msgspec.MsgspecError, ValueError):
+            message = decode_message(content)
+        except DECODE_ERRORS:
             self.counters["messages_malformed"] += 1
             return
         if isinstance(message, KeptFlows):
             self.dispatch(message)
             return
         if isinstance(message, Poll):
-            if message.report is not None and 0 < message.report.packet_port < 65536:
+            if message.report is not None and message.report.packet_port:
                 self._packet_port = message.report.packet_port
             self.dispatch(PollReceived(host, port, message))
             return
@@ -356,7 +365,7 @@
             return msgspec.json.decode(
                 path.read_bytes(), type=tuple[KnownSubscriber, ...]
             )
-        except (OSError, msgspec.MsgspecError, ValueError) as error:
+        except (OSError, *DECODE_ERRORS) as error:
             self.log_decision(Decision("subscribers_unreadable", str(error)))
             return ()
 
--- a/fulmarshore/direct/control.py
+++ b/fulmarshore/direct/control.py
@@ -161,7 +161,8 @@
         Disks that may be lost at once; orders are accepted only while a majority
         of the group is larger.
     make_table : callable
-        Builds the table of a state.
+        Builds the table of a state; raises ``ValueError`` if its content is not
+        readable.
     known_subscribers : tuple of KnownSubscriber
         Processes that polled this host before its restart.
     notifies_lost_flows : bool
@@ -386,7 +387,15 @@
         self._is_table_due = False
         if self.state.index <= self._table.index:
             return []
-        table = self._table = self._make_table(self.state)
+        try:
+            table = self._make_table(self.state)
+        except ValueError as error:
+            # Another version of the program may have accepted the entry. It stays in
+            # the log, so applying it must not end the process.
+            self.counters["tables_unreadable"] += 1
+            detail = f"version {self.state.version}: {error}"
+            return [Decision("table_unreadable", detail)]
+        self._table = table
         self._encoded = encode_table(table)
         detail = (
             f"version {table.version}, index {table.index}, out {table.zones_out}, "
--- a/fulmarshore/direct/controlrecords.py
+++ b/fulmarshore/direct/controlrecords.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from fulmarshore.core.ranges import Address, Port
 from fulmarshore.core.records import Command
 from fulmarshore.direct.keptflowsfile import StoredGroup
 from fulmarshore.direct.orders import OrderState
@@ -73,8 +74,8 @@
         Whether it reported an upstream that may hold flows.
     """
 
-    host: str
-    port: int
+    host: Address
+    port: Port
     is_agent: bool
 
 
--- a/fulmarshore/direct/costs.py
+++ b/fulmarshore/direct/costs.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from fulmarshore.direct.packets import LoadReport
+from fulmarshore.direct.packets import MAX_LOAD_LEVEL, LoadReport
 from fulmarshore.direct.records import AgentReport
 
 TRUSTED_S = 5.0
@@ -20,8 +20,6 @@
 """Work time assumed before any agent of a service has reported one, seconds."""
 MAX_UTILIZATION = 0.95
 """Most utilization that counts: the wait of later requests grows without bound."""
-LEVELS = 10
-"""Load level of a full upstream."""
 UTILIZATION_WINDOW_S = 3.0
 """Time that agents measure the utilization over."""
 ASSUMED_HOP_S = 0.002
@@ -155,7 +153,9 @@
             return
         self.work_s = report.work_ms / MS_PER_S
         self.work_at = now
-        self.utilization = self.reported_utilization = report.load_level / LEVELS
+        self.utilization = self.reported_utilization = (
+            report.load_level / MAX_LOAD_LEVEL
+        )
 
     def record_wait(self, wait_s: float, now: float) -> None:
         """Record the expected wait that the agent reported."""
@@ -168,7 +168,7 @@
             return
         self.work_s = report.work_ms / MS_PER_S
         self.work_at = now
-        self.utilization = report.load_level / LEVELS
+        self.utilization = report.load_level / MAX_LOAD_LEVEL
 
 
 class CostModel:
--- a/fulmarshore/direct/keptflowsfile.py
+++ b/fulmarshore/direct/keptflowsfile.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 from xxhash import xxh3_64_intdigest
 
+from fulmarshore.core.ranges import DECODE_ERRORS, Number, Text
 from fulmarshore.direct.records import FlowKey, Position
 
 FILE_NAME = "keptflows"
@@ -35,9 +36,9 @@
         Key, position, process, and age in seconds of each record.
     """
 
-    host: str
-    incarnation: str
-    flows: list[tuple[FlowKey, Position, int, float]]
+    host: Text
+    incarnation: Text
+    flows: list[tuple[FlowKey, Position, Number, float]]
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -74,7 +75,7 @@
         raise ValueError(f"written {age_s:.1f} s ago")
     try:
         groups = _decoder.decode(content)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"records are not valid: {error}") from error
     return [
         StoredGroup(
--- a/fulmarshore/direct/packets.py
+++ b/fulmarshore/direct/packets.py
@@ -53,6 +53,8 @@
 """Notice of an agent: it has admitted the opening."""
 
 NO_HOST = b"\0\0\0\0"
+MAX_LOAD_LEVEL = 10
+"""Load level of an upstream whose slots are in use all the time."""
 MAX_LOAD = 0xFFFF
 """Largest number that the header's field for the load holds."""
 
@@ -211,7 +213,8 @@
 
 def parse_load_report(notice: Packet) -> LoadReport:
     """Return the load report of a notice; ``NO_LOAD_REPORT`` if it has none."""
-    return LoadReport(*_LOAD_REPORT.unpack_from(notice.content, _SEQUENCE_AT))
+    wait_ms, work_ms, level = _LOAD_REPORT.unpack_from(notice.content, _SEQUENCE_AT)
+    return LoadReport(wait_ms, work_ms, min(level, MAX_LOAD_LEVEL))
 
 
 def make_reset(flow: bytes, sequence: int) -> bytes:
--- a/fulmarshore/direct/records.py
+++ b/fulmarshore/direct/records.py
@@ -8,6 +8,17 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from fulmarshore.core.ranges import (
+    DECODE_ERRORS,
+    Address,
+    Count,
+    Number,
+    OptionalAddress,
+    Port,
+    Text,
+)
+from fulmarshore.direct.packets import MAX_LOAD_LEVEL
+
 
 class Record(Struct, frozen=True, array_like=True, tag=True):
     """Base of the records that are sent: arrays whose first item is the class name."""
@@ -17,7 +28,7 @@
     """A service that gets the flows of a route, in proportion to its weight."""
 
     service: str
-    weight: int
+    weight: Count
 
 
 class Urgency(Record, frozen=True):
@@ -31,7 +42,7 @@
         Latency objective in seconds.
     """
 
-    priority: int = 0
+    priority: Count = 0
     objective_s: float = float("inf")
 
 
@@ -76,7 +87,7 @@
     """
 
     name: str
-    max_flows: int
+    max_flows: Count
     cold_per_s: float
 
 
@@ -101,7 +112,7 @@
         Whether new flows are placed by their expected completion.
     """
 
-    index: int = 0
+    index: Number = 0
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[ServicePolicy, ...] = ()
@@ -131,10 +142,14 @@
         return None
     try:
         return _table_decoder.decode(zlib.decompress(content))
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         raise ValueError(f"update carries no valid table: {error}") from error
 
 
+Level = Annotated[int, Meta(ge=0, le=MAX_LOAD_LEVEL)]
+"""Utilization in tenths."""
+
+
 class AgentReport(Record, frozen=True):
     """State of an agent and its upstream, as sent to control hosts.
 
@@ -174,23 +189,23 @@
         setting for it.
     """
 
-    host: str
-    process: int
-    revision: int
-    zone: str
-    service: str
+    host: Address
+    process: Number
+    revision: Number
+    zone: Text
+    service: Text
     is_accepting: bool
     is_cold: bool
-    slots: int
-    flows: int
-    busy: int
+    slots: Count
+    flows: Count
+    busy: Count
     is_ended: bool = False
     is_empty: bool = False
-    incarnation: str = ""
-    load_level: int = 0
-    work_ms: int = 0
-    open_flows: int = 0
-    packet_port: int = 0
+    incarnation: Text = ""
+    load_level: Level = 0
+    work_ms: Count = 0
+    open_flows: Count = 0
+    packet_port: Port = 0
 
 
 class Poll(Record, frozen=True):
@@ -214,13 +229,13 @@
         Number of the poll; 0 for one whose receipt need not be confirmed.
     """
 
-    index: int
-    directory: int
-    revision: int
+    index: Number
+    directory: Number
+    revision: Number
     wants_directory: bool
     wants_table: bool = False
     report: AgentReport | None = None
-    number: int = 0
+    number: Number = 0
 
 
 FlowKey = Annotated[bytes, Meta(min_length=12, max_length=12)]
@@ -249,10 +264,10 @@
         Keys of flows that have ended.
     """
 
-    host: str
-    process: int
-    incarnation: str
-    number: int
+    host: Address
+    process: Number
+    incarnation: Text
+    number: Number
     is_complete: bool
     kept: tuple[tuple[FlowKey, Position], ...] = ()
     ended: tuple[FlowKey, ...] = ()
@@ -293,19 +308,19 @@
         process: the update was made after it.
     """
 
-    controls: tuple[str, ...]
-    leader: str
-    index: int
+    controls: tuple[Address, ...]
+    leader: OptionalAddress
+    index: Number
     table: bytes
-    directory: int
-    revision: int
+    directory: Number
+    revision: Number
     age_s: float
     missing_s: float
     is_complete: bool = False
     reports: tuple[AgentReport, ...] = ()
-    gone: tuple[str, ...] = ()
-    ended: tuple[str, ...] = ()
-    poll: int = 0
+    gone: tuple[Address, ...] = ()
+    ended: tuple[Address, ...] = ()
+    poll: Number = 0
 
 
 # --------------------------------------------------------------------------
--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -8,6 +8,13 @@
 import msgspec
 from msgspec import Struct, field
 
+from fulmarshore.core.ranges import (
+    DECODE_ERRORS,
+    MAX_COUNT,
+    MAX_NUMBER,
+    parse_port,
+    saturate,
+)
 from fulmarshore.core.records import PutConfiguration
 from fulmarshore.direct.orders import OrderState
 from fulmarshore.direct.records import (
@@ -17,6 +24,7 @@
     Table,
     Urgency,
 )
+from fulmarshore.platform.problems import describe_decode_error
 
 
 class RouteBackend(Struct, frozen=True):
@@ -85,8 +93,8 @@
     """Return the command of a valid body, or a list of its problems."""
     try:
         configuration = _decoder.decode(body)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return [f"not readable: {error}"]
+    except DECODE_ERRORS as error:
+        return [f"not readable: {describe_decode_error(body, error)}"]
     problems = check_configuration(configuration)
     if problems:
         return problems
@@ -96,23 +104,26 @@
 def check_configuration(configuration: ConfigurationBody) -> list[str]:
     """Return the problems of a configuration, each with field and value."""
     problems = []
-    if configuration.version < 1:
-        problems.append(f"version: {configuration.version}, needs 1 or more")
+    version = configuration.version
+    if not 1 <= version <= MAX_NUMBER:
+        problems.append(f"version: {version}, needs 1 to {MAX_NUMBER}")
     services = {service.name for service in configuration.services}
     if len(services) < len(configuration.services):
         problems.append("services: two have the same name")
-    routes_by_endpoint: dict[tuple[str, str], str] = {}
+    routes_by_endpoint: dict[object, str] = {}
     for route in configuration.routes:
         where = f"route {route.name}"
-        endpoint = (route.address, route.port.strip("/"))
+        text = (route.address, route.port.strip("/"))
+        address = encode_address(route)
+        endpoint = address or text
         if endpoint in routes_by_endpoint:
             problems.append(
                 f"{where}: same address and port as {routes_by_endpoint[endpoint]}"
             )
         routes_by_endpoint[endpoint] = route.name
-        if encode_address(route) is None:
+        if address is None:
             problems.append(
-                f"{where}: {endpoint} is not an IPv4 address and a port between slashes"
+                f"{where}: {text} is not an IPv4 address and a port between slashes"
             )
         if not route.timeout_ms > 0:
             problems.append(f"{where}.timeoutMs: {route.timeout_ms}, needs more than 0")
@@ -126,22 +137,27 @@
         address = socket.inet_pton(socket.AF_INET, route.address)
     except (OSError, ValueError):
         return None
-    port = route.port.strip("/")
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        return None
-    return address + int(port).to_bytes(2)
+    port = parse_port(route.port.strip("/"))
+    return address + port.to_bytes(2) if port is not None else None
 
 
 def list_backends(route: RouteBody) -> tuple[Backend, ...]:
     """Return the services of a route with their weights."""
     if route.backends:
         return tuple(
-            Backend(backend.service, round(backend.weight * WEIGHT_SCALE))
+            Backend(backend.service, _scale_weight(backend.weight))
             for backend in route.backends
         )
     return (Backend(route.service, 1),) if route.service else ()
 
 
+def _scale_weight(weight: float) -> int:
+    """Return a weight in thousandths; the smallest one is not rounded to 0."""
+    if weight <= 0:
+        return 0
+    return max(1, round(saturate(weight, MAX_COUNT // WEIGHT_SCALE) * WEIGHT_SCALE))
+
+
 def make_urgency(route: RouteBody) -> Urgency:
     """Return the priority and target latency of a route's new flows."""
     priority = int(min(max(route.priority, 0), LOWEST_PRIORITY))
@@ -151,10 +167,22 @@
 
 
 def make_table(state: OrderState) -> Table:
-    """Return the table that a replicated state describes."""
+    """Return the table that a replicated state describes.
+
+    Limits beyond any that a host could reach are lowered to the largest one that a
+    table holds, which has the same effect.
+
+    Raises
+    ------
+    ValueError
+        If the content is not a readable configuration.
+    """
     if not state.version:
         return Table(index=state.index, zones_out=state.zones_out)
-    configuration = _decoder.decode(zlib.decompress(state.content))
+    try:
+        configuration = _decoder.decode(decompress_configuration(state))
+    except DECODE_ERRORS as error:
+        raise ValueError(f"configuration is not readable: {error}") from error
     routes = tuple(
         Route(
             encode_address(route),
@@ -166,7 +194,11 @@
         for route in configuration.routes
     )
     services = tuple(
-        ServicePolicy(service.name, service.max_flows, service.cold_per_s)
+        ServicePolicy(
+            service.name,
+            saturate(service.max_flows),
+            float(saturate(service.cold_per_s)),
+        )
         for service in configuration.services
     )
     return Table(
@@ -174,7 +206,7 @@
         state.version,
         routes,
         services,
-        configuration.limits.idle_timeout_ms / 1000,
+        max(0.0, configuration.limits.idle_timeout_ms / 1000),
         state.zones_out,
         any(calls_for_placement_by_cost(route) for route in routes),
     )
@@ -191,8 +223,17 @@
 
 
 def decompress_configuration(state: OrderState) -> bytes:
-    """Return the body of the newest configuration as the operator sent it."""
-    return zlib.decompress(state.content)
+    """Return the body of the newest configuration as the operator sent it.
+
+    Raises
+    ------
+    ValueError
+        If the stored content is damaged.
+    """
+    try:
+        return zlib.decompress(state.content)
+    except zlib.error as error:
+        raise ValueError(f"content is damaged: {error}") from error
 
 
 def _check_backends(route: RouteBody, services: set[str]) -> list[str]:
@@ -204,6 +245,7 @@
     for backend in backends:
         if backend.service not in services:
             problems.append(f"{where}.service: {backend.service} is not known")
+    for backend in route.backends or []:
         if backend.weight < 0:
             problems.append(f"{where}.weight: {backend.weight}, needs 0 or more")
     if backends and not any(backend.weight > 0 for backend in backends):
--- a/fulmarshore/platform/heartbeats.py
+++ b/fulmarshore/platform/heartbeats.py
@@ -9,24 +9,28 @@
 from msgspec import Meta, Struct, field
 
 from fulmarshore.adapters.httpserver import HttpRequest
+from fulmarshore.core.ranges import DECODE_ERRORS, MAX_COUNT, MAX_TEXT, Number, Text
 from fulmarshore.direct.records import UpstreamAnnounced, UpstreamDeparted
+from fulmarshore.platform.problems import describe_decode_error
 
 UPSTREAM_PATH = "/v1/instances/"
+MAX_ID = MAX_TEXT // 2
+"""Longest identity of an upstream, so that it and a start time are a ``Text``."""
 
 
 class Heartbeat(Struct, frozen=True):
     """The body of a heartbeat that an upstream sends to its agent."""
 
-    service: str
+    service: Text
     # Required but not used: the upstream's endpoint is part of the agent's settings.
     address: str
-    zone: str
-    slots: Annotated[int, Meta(ge=1)]
+    zone: Text
+    slots: Annotated[int, Meta(ge=1, le=MAX_COUNT)]
     state: Literal["ready", "draining"]
-    sequence: int
+    sequence: Number
     cold_ms: float = field(default=0.0, name="coldRemainingMs")
     # Start of the upstream, milliseconds since the epoch; older platforms omit it.
-    born: int = 0
+    born: Number = 0
 
 
 _decoder = msgspec.json.Decoder(Heartbeat)
@@ -41,14 +45,17 @@
     upstream = unquote(request.path[len(UPSTREAM_PATH) :])
     if not upstream:
         return '{"error":"no id in the path"}'
+    if len(upstream) > MAX_ID:
+        return f'{{"error":"id in the path: {len(upstream)} characters"}}'
     if request.method == "DELETE":
         return UpstreamDeparted(upstream)
     if request.method != "PUT":
         return '{"error":"method is not PUT or DELETE"}'
     try:
         heartbeat = _decoder.decode(request.body)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return msgspec.json.encode({"error": str(error)}).decode()
+    except DECODE_ERRORS as error:
+        problem = describe_decode_error(request.body, error)
+        return msgspec.json.encode({"error": problem}).decode()
     return UpstreamAnnounced(
         upstream,
         heartbeat.born,
--- a/fulmarshore/platform/settings.py
+++ b/fulmarshore/platform/settings.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from fulmarshore.core.ranges import DECODE_ERRORS, MAX_COUNT, Count, Port, parse_port
 from fulmarshore.direct.gate import UpstreamBounds
 from fulmarshore.direct.settings import (
     INTERNAL_PORTS,
@@ -19,6 +20,7 @@
     HostSettings,
     SettingsProblem,
 )
+from fulmarshore.platform.problems import describe_decode_error
 
 SETTINGS_PATH_VARIABLE = "FULMARSHORE_CONFIG"
 BIND_HOST_VARIABLE = "FULMARSHORE_BIND_HOST"
@@ -49,7 +51,7 @@
     """Failures that must be survived at the same time."""
 
     # Hosts that may lose their disks.
-    machines: int = 0
+    machines: Count = 0
 
 
 class Bounds(Struct, frozen=True):
@@ -80,7 +82,7 @@
     listen: Listen
     # Endpoints of control hosts.
     seeds: list[str]
-    internal_ports: tuple[int, int] = field(name="internalPorts")
+    internal_ports: tuple[Port, Port] = field(name="internalPorts")
     # Region of each availability zone.
     zones: dict[str, str] = {}
     bootstrap: bool = False
@@ -125,8 +127,9 @@
     """
     try:
         file = msgspec.json.decode(content, type=SettingsFile)
-    except (msgspec.MsgspecError, ValueError) as error:
-        return [SettingsProblem("settings", str(error), "the documented fields")]
+    except DECODE_ERRORS as error:
+        problem = describe_decode_error(content, error)
+        return [SettingsProblem("settings", problem, "the documented fields")]
     problems: list[SettingsProblem] = []
     packets = _parse_endpoint("listen.udpListen", file.listen.packets, problems)
     control = _parse_endpoint("listen.control", file.listen.control, problems)
@@ -135,28 +138,36 @@
     upstream = _parse_endpoint("app", file.app or "", problems)
     seeds = [_parse_endpoint("seeds", seed, problems) for seed in file.seeds]
     first, last = file.internal_ports
-    if last - first + 1 < INTERNAL_PORTS:
+    if not first or last - first + 1 < INTERNAL_PORTS:
         allowed = f"{INTERNAL_PORTS} ports or more"
         problems.append(SettingsProblem("internalPorts", f"{first} to {last}", allowed))
     if not _is_ipv4_address(file.ip):
         problems.append(SettingsProblem("ip", repr(file.ip), "an IPv4 address"))
-    if not file.heartbeat_ms > 0:
+    if not 0 < file.heartbeat_ms <= MAX_COUNT:
         value = str(file.heartbeat_ms)
-        problems.append(SettingsProblem("heartbeatMs", value, "more than 0"))
+        allowed = f"more than 0, at most {MAX_COUNT}"
+        problems.append(SettingsProblem("heartbeatMs", value, allowed))
     bind_host = environment.get(BIND_HOST_VARIABLE, "")
     if bind_host and not _is_ipv4_address(bind_host):
         problems.append(
             SettingsProblem(BIND_HOST_VARIABLE, bind_host, "an IPv4 address")
         )
     metrics_port = environment.get(METRICS_PORT_VARIABLE) or "0"
-    if not (
-        metrics_port.isascii() and metrics_port.isdigit() and int(metrics_port) < 65536
-    ):
+    if metrics_port != "0" and parse_port(metrics_port) is None:
         allowed = "a port, or 0 for none"
         problems.append(SettingsProblem(METRICS_PORT_VARIABLE, metrics_port, allowed))
-    if file.limits.link_mbps < 0:
-        value = str(file.limits.link_mbps)
-        problems.append(SettingsProblem("limits.linkMbps", value, "0 or more"))
+    if "\0" in (file.data_dir or ""):
+        value = repr(file.data_dir)
+        problems.append(SettingsProblem("dataDir", value, "a path without NUL"))
+    for name, value in (
+        ("bounds.coldOvershoot", file.bounds.cold_overshoot),
+        ("bounds.coldSlack", file.bounds.cold_slack),
+        ("bounds.graceS", file.bounds.grace_s),
+        ("bounds.addrReuseS", file.bounds.reuse_s),
+        ("limits.linkMbps", file.limits.link_mbps),
+    ):
+        if not 0 <= value <= MAX_COUNT:
+            problems.append(SettingsProblem(name, str(value), f"0 to {MAX_COUNT}"))
     placement = _read_choice(environment, PLACEMENT_VARIABLE, PLACEMENTS, problems)
     upload_limit = _read_choice(
         environment, UPLOAD_LIMIT_VARIABLE, SWITCH_VALUES, problems
@@ -241,8 +252,8 @@
     if not text:
         return None
     host, _, port = text.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) < 65536
-    if not is_port or not _is_ipv4_address(host):
+    number = parse_port(port)
+    if number is None or not _is_ipv4_address(host):
         problems.append(SettingsProblem(name, repr(text), "ADDRESS:PORT"))
         return None
-    return Endpoint(host, int(port))
+    return Endpoint(host, number)
