Tests of the quorums of changed voters

Cause: random walks did not meet the two guards of a change of the voters. Change: a voter removed by half of the former voters, and a restart of all hosts with one that stays down.

--- a/fulmarshore/direct/replacement_test.py
+++ b/fulmarshore/direct/replacement_test.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from fulmarshore.agreement.joining import EXTRA_VOTER_TIMEOUT_S
 from fulmarshore.direct.control import ControlCore
 from fulmarshore.direct.world_test import ROUTES, make_world
 
@@ -116,6 +117,48 @@
                     voters = world.cores[leader].replica.current_voters
                     self.assertNotIn(host, [voter.name for voter in voters])
 
+    def test_half_of_the_voters_does_not_overrule_the_other_half(self):
+        """A change of the voters needs a quorum of the former ones, too."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                world = make_world(seed=seed)
+                world.control_hosts.append("10.0.0.9")
+                world.start_control("10.0.0.9")
+                world.run(SUCCESSOR_RUNS_S)
+                leader = world.find_leader()
+                others = [host for host in world.control_hosts if host != leader]
+                second, silent, late = world.random.sample(others, 3)
+                world.cut([silent], [leader, second])
+                world.run(EXTRA_VOTER_TIMEOUT_S - 0.3)
+                # The leader begins to remove the silent one, and loses the late one.
+                world.cut([late], [leader, second])
+                world.run(0.6)
+                call = world.put(NEWEST, ROUTES, leader)
+                world.run(4.0)
+                world.wipe(second)
+                world.crash(leader, loses_power=True)
+                world.heal()
+                world.start_control(second)
+                world.run(4.0)
+                world.start_control(leader)
+                world.run(2.0)
+                accepted = NEWEST if call.is_accepted else 1
+                self.assertGreaterEqual(read_newest(world), accepted)
+
+    def test_former_voters_are_not_asked_after_a_restart_of_all(self):
+        for seed in range(4):
+            for is_killed in (False, True):
+                with self.subTest(seed=seed, is_killed=is_killed):
+                    world = make_world(seed=seed)
+                    host = choose_host(world, "follower", [])
+                    replace_host(world, host, "10.0.0.9", is_killed)
+                    world.run(4.0)
+                    for control in world.control_hosts:
+                        world.crash(control)
+                    for control in world.control_hosts[1:]:
+                        world.start_control(control)
+                    self.assertEqual(read_newest(world), 1)
+
     def play(self, case, seed):
         """Replace hosts, lose disks, then kill everything; nothing may be lost."""
         world = make_world(
