Foreign text in requests ends no process

Cause: the log line cuts the answer at 300 bytes and decodes it strictly; the error left the event loop before the answer was sent.

Change: text is cut by characters, logs replace what cannot be encoded, locations are percent-encoded. A fault in the reader of a request, a function of the request alone, is logged, counted and answered with 500; faults in cores still end the process. Found on the same paths: requests in one segment that exceed the stack, targets of any length, clients that do not read.

--- a/fulmarshore/adapters/httpserver.py
+++ b/fulmarshore/adapters/httpserver.py
@@ -6,6 +6,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 from http import HTTPStatus
+from urllib.parse import quote
 
 import httptools
 from msgspec import Struct
@@ -17,8 +18,16 @@
 """A further connection closes the least recently used one. Otherwise a peer that
 vanished without closing its connection would hold it forever."""
 READ_BYTES = 65_536
+URL_CHARACTERS = "!#$%&'()*+,/:;=?@[]~"
+"""Characters of a URL that need no encoding, or that are encoding already."""
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Sixteen times the largest configuration of the known platforms."""
+MAX_URL_BYTES = 8 * 1024
+"""Longest target of a request; names of zones and upstreams have at most 1 KB."""
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+"""Answers that a client may leave unread: two bodies of the largest size."""
+MAX_PENDING_REQUESTS = 64
+"""Requests on one connection that wait for the answer to an earlier one."""
 
 
 class HttpRequest(Struct, frozen=True):
@@ -136,10 +145,11 @@
         "_body",
         "_pending",
         "_is_handling",
+        "_is_in_turn",
         "_is_closing",
         "_unsent",
         "_is_closed",
-        "_is_too_large",
+        "_too_large",
     )
 
     def __init__(self, server: HttpServer, accepted: socket.socket) -> None:
@@ -148,11 +158,12 @@
         self._parser = httptools.HttpRequestParser(self)
         self._path = b""
         self._body = bytearray()
-        self._pending: list[HttpRequest] = []
+        self._pending: list[HttpRequest | HttpResponse] = []
         self._is_handling = False
+        self._is_in_turn = False
         self._is_closing = False
         self._is_closed = False
-        self._is_too_large = False
+        self._too_large: HTTPStatus | None = None
         self._unsent = b""
         server.loop.watch(accepted, self._handle_ready)
 
@@ -171,16 +182,19 @@
         """Start a request."""
         self._path = b""
         self._body = bytearray()
-        self._is_too_large = False
+        self._too_large = None
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the path."""
+        if len(self._path) + len(url) > MAX_URL_BYTES:
+            self._too_large = HTTPStatus.REQUEST_URI_TOO_LONG
+            return
         self._path += url
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         if len(self._body) + len(body) > MAX_BODY_BYTES:
-            self._is_too_large = True
+            self._too_large = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             return
         self._body += body
 
@@ -191,8 +205,9 @@
         if not self._parser.should_keep_alive():
             self._is_closing = True
         body = bytes(self._body)
-        if self._is_too_large:
-            method = "TOO-LARGE"
+        if self._too_large is not None:
+            self._pending.append(HttpResponse(self._too_large))
+            return
         self._pending.append(HttpRequest(method, path, body))
 
     def _handle_ready(self) -> None:
@@ -219,15 +234,24 @@
             self._send(HttpResponse(HTTPStatus.BAD_REQUEST, b'{"error":"not HTTP"}'))
             return
         self._handle_next()
+        if len(self._pending) > MAX_PENDING_REQUESTS:
+            self._close_slow()
 
     def _handle_next(self) -> None:
-        if self._is_handling or not self._pending or self._is_closed:
-            return
-        request = self._pending.pop(0)
-        if request.method == "TOO-LARGE":
-            self._send(HttpResponse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE))
+        """Handle the requests that wait, until one is not answered at once."""
+        if self._is_in_turn:
             return
-        self._is_handling = True
+        self._is_in_turn = True
+        while self._pending and not self._is_handling and not self._is_closed:
+            request = self._pending.pop(0)
+            if isinstance(request, HttpResponse):
+                self._send(request)
+                continue
+            self._is_handling = True
+            self._server.handle(request, self._make_respond())
+        self._is_in_turn = False
+
+    def _make_respond(self) -> Respond:
         is_answered = False
 
         def respond(response: HttpResponse) -> None:
@@ -237,15 +261,24 @@
             self._is_handling = False
             self._send(response)
 
-        self._server.handle(request, respond)
+        return respond
 
     def _send(self, response: HttpResponse) -> None:
         if self._is_closed:
             return
         self._unsent += encode_response(response, self._is_closing)
         self._flush()
+        if len(self._unsent) > MAX_UNSENT_BYTES:
+            self._close_slow()
+            return
         self._handle_next()
 
+    def _close_slow(self) -> None:
+        """Close the connection of a client that sends faster than it reads."""
+        if not self._is_closed:
+            self._server.counters["http_connections_closed_slow"] += 1
+        self.close()
+
     def _flush(self) -> None:
         try:
             sent = self._socket.send(self._unsent)
@@ -263,14 +296,14 @@
 
 
 def encode_response(response: HttpResponse, is_closing: bool) -> bytes:
-    """Encode a response with its headers."""
+    """Encode a response with its headers; a location is percent-encoded."""
     status = HTTPStatus(response.status)
     lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
     if response.body:
         lines.append(f"Content-Type: {response.content_type}")
     lines.append(f"Content-Length: {len(response.body)}")
     if response.location:
-        lines.append(f"Location: {response.location}")
+        lines.append(f"Location: {quote(response.location, safe=URL_CHARACTERS)}")
     if response.retry_after_s:
         lines.append(f"Retry-After: {response.retry_after_s}")
     if is_closing:
--- a/fulmarshore/adapters/logs.py
+++ b/fulmarshore/adapters/logs.py
@@ -108,7 +108,12 @@
             self._write_chunk(chunk)
 
     def _queue(self, fields: dict) -> None:
-        self._unwritten.append(msgspec.json.encode(fields) + b"\n")
+        try:
+            line = msgspec.json.encode(fields)
+        except UnicodeEncodeError:
+            # Names of files and variables of the environment need not be valid text.
+            line = msgspec.json.encode(replace_surrogates(fields))
+        self._unwritten.append(line + b"\n")
 
     def _write_chunk(self, chunk: list[bytes]) -> None:
         try:
@@ -117,6 +122,16 @@
             self._counters["lines_lost"] += len(chunk)
 
 
+def replace_surrogates(fields: dict) -> dict:
+    """Return the fields of a line with escapes in place of unpaired surrogates."""
+    return {
+        name: value.encode("utf-8", "backslashreplace").decode()
+        if isinstance(value, str)
+        else value
+        for name, value in fields.items()
+    }
+
+
 def get_line_budget(kind: str) -> int:
     """Return the limit of lines a second of a kind."""
     return ROUTINE_LINES_PER_S if kind in ROUTINE_KINDS else MAX_LINES_PER_S
--- a/fulmarshore/daemons/direct.py
+++ b/fulmarshore/daemons/direct.py
@@ -69,6 +69,8 @@
 
 
 LoadSettings = Callable[[], "HostSettings | list[SettingsProblem] | None"]
+MAX_LOGGED_CHARACTERS = 300
+"""Longest text of a stranger in a line of the log."""
 
 
 class DirectDaemon(ABC):
@@ -139,6 +141,22 @@
         """Answer an HTTP request other than for readiness or metrics."""
         respond(HttpResponse(404))
 
+    def read_request(self, read: Callable, request: HttpRequest) -> object:
+        """Return what a reader makes of a request, or an error response if it fails.
+
+        Readers are functions of the request alone, so that a fault in one concerns
+        this request only: it is logged, counted and answered. A fault in a core may
+        leave it in a wrong state, and ends the process.
+        """
+        try:
+            return read(request)
+        except Exception as error:
+            self.counters["requests_failed"] += 1
+            detail = f"{request.method} {request.path[:MAX_LOGGED_CHARACTERS]}: "
+            detail += f"{type(error).__name__}: {error}"
+            self.log_decision(Decision("request_failed", detail))
+            return HttpResponse(500, b'{"error":"the request could not be read"}')
+
     def run(self) -> int:
         """Run until a planned stop is complete; return the exit code."""
         self.open()
--- a/fulmarshore/daemons/directagent.py
+++ b/fulmarshore/daemons/directagent.py
@@ -143,10 +143,13 @@
 
     def handle_http(self, request: HttpRequest, respond: Respond) -> None:
         """Handle an announcement of the upstream."""
-        announcement = self._read_announcement(request)
+        announcement = self.read_request(self._read_announcement, request)
         if announcement is None:
             respond(HttpResponse(404))
             return
+        if isinstance(announcement, HttpResponse):
+            respond(announcement)
+            return
         if isinstance(announcement, str):
             self.counters["announcements_malformed"] += 1
             respond(HttpResponse(400, announcement.encode()))
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -46,7 +46,12 @@
     VoteReply,
     VoteRequest,
 )
-from fulmarshore.daemons.direct import DirectDaemon, LoadSettings, encode
+from fulmarshore.daemons.direct import (
+    MAX_LOGGED_CHARACTERS,
+    DirectDaemon,
+    LoadSettings,
+    encode,
+)
 from fulmarshore.direct.control import ControlCore
 from fulmarshore.direct.controlrecords import (
     CONTROL_PORT,
@@ -261,11 +266,13 @@
 
     def handle_http(self, request: HttpRequest, respond: Respond) -> None:
         """Handle an order or a read."""
-        order = self._read_order(request)
+        order = self.read_request(self._read_order, request)
         if isinstance(order, HttpResponse):
             self.counters[f"orders_answered_{order.status}"] += 1
             if order.status >= 400:
-                detail = f"{request.method} {request.path}: {order.body[:300].decode()}"
+                reason = order.body.decode("utf-8", "replace")[:MAX_LOGGED_CHARACTERS]
+                path = request.path[:MAX_LOGGED_CHARACTERS]
+                detail = f"{request.method} {path}: {reason}"
                 self.log_decision(Decision("order_refused", detail))
             respond(order)
             return
@@ -332,7 +339,8 @@
         if not leader or leader == self.settings.host:
             body = b'{"error":"no leader is known"}'
             response = HttpResponse(503, body, retry_after_s=RETRY_AFTER_S)
-            self.log_decision(Decision("order_unanswered", path))
+            detail = path[:MAX_LOGGED_CHARACTERS]
+            self.log_decision(Decision("order_unanswered", detail))
             self._respond(request, response)
             return
         location = f"http://{leader}:{self.settings.control_port}{path}"
--- a/fulmarshore/daemons/directentry.py
+++ b/fulmarshore/daemons/directentry.py
@@ -75,8 +75,10 @@
             return
         from fulmarshore.direct.explanation import answer_query
 
-        status, body = answer_query(self.core, query, time.monotonic())
-        respond(HttpResponse(status, body))
+        def read(_: HttpRequest) -> HttpResponse:
+            return HttpResponse(*answer_query(self.core, query, time.monotonic()))
+
+        respond(self.read_request(read, request))
 
     def carry_out(self, effect: object) -> None:
         """Send a packet or a poll, or set a timer."""
