A flow is open once its caller acknowledges its upstream's answer

Cause: only packets of the upstream counted as a proof that a flow is open, and the end of the handshake brings none. The agent forgot the flow after 3 s, denied it, and the entry host reset it. A repeated answer to an opening, on the other hand, counted as a proof, so an agent took a flow of another upstream for its own and reset it.

Change: the agent records the position of its upstream's answer; a caller's packet that acknowledges this position opens the flow there. Answers to openings prove nothing.

--- a/fulmarshore/direct/agent.py
+++ b/fulmarshore/direct/agent.py
@@ -236,7 +236,7 @@
             flow = self._flows.add_unconfirmed(packet.flow, now)
             is_tracked = self._flows.get(packet.flow) is flow
         flow.last_packet_at = now
-        flow.acknowledged = packet.acknowledged
+        flow.record_acknowledgement(packet)
         effects: Effects = [SendToUpstream(packet.content)]
         if packet.mark == MARK_PROBE:
             if flow.is_open:
@@ -293,11 +293,15 @@
         reverse_packet(packet)
         flow = self._flows.get(packet.flow)
         effects: Effects = [SendToCaller(content, packet.caller_host)]
+        if packet.flags & (SYN | ACK) == SYN | ACK:
+            if flow is None:
+                flow = self._flows.add_unconfirmed(packet.flow, now)
+            flow.last_packet_at = now
+            flow.record_answer(packet)
+            return effects
         if flow is None:
             flow = self._flows.add_open(packet.flow, now)
         flow.last_packet_at = now
-        if packet.flags & (SYN | ACK) == SYN | ACK:
-            return effects
         if packet.flags & RST:
             if flow.is_busy:
                 effects += self._openings.record_request_outcome(False, now)
--- a/fulmarshore/direct/agentflows.py
+++ b/fulmarshore/direct/agentflows.py
@@ -10,7 +10,7 @@
 from collections import deque
 
 from fulmarshore.direct.keptflows import KeptFlowTracker
-from fulmarshore.direct.packets import NO_HOST, Packet
+from fulmarshore.direct.packets import ACK, NO_HOST, RST, Packet
 from fulmarshore.direct.workmodel import WorkModel
 
 MAX_FLOWS = 20_000
@@ -39,7 +39,9 @@
     now : float
         Time of its first packet at this agent.
     is_open : bool
-        Whether the upstream is known to hold the flow.
+        Whether the upstream is known to hold the flow: it has sent a packet of the
+        flow other than an answer to the opening, or the caller has acknowledged that
+        answer. An answer alone opens nothing; other upstreams may have sent one too.
 
     Attributes
     ----------
@@ -55,6 +57,9 @@
         Position after the newest data of the caller; None before any.
     acknowledged : int
         Position that the caller last acknowledged, for a reset.
+    answered : int or None
+        Position that a caller acknowledges which takes the upstream's answer to the
+        opening; None before that answer.
     """
 
     __slots__ = (
@@ -67,6 +72,7 @@
         "searching_host",
         "received_end",
         "acknowledged",
+        "answered",
     )
 
     def __init__(self, now: float, is_open: bool) -> None:
@@ -79,6 +85,17 @@
         self.searching_host = NO_HOST
         self.received_end: int | None = None
         self.acknowledged = 0
+        self.answered: int | None = None
+
+    def record_answer(self, packet: Packet) -> None:
+        """Record the upstream's answer to the opening."""
+        self.answered = (packet.sequence + 1) % _SEQUENCE_SPACE
+
+    def record_acknowledgement(self, packet: Packet) -> None:
+        """Record what a caller's packet acknowledges: it may end the handshake."""
+        self.acknowledged = packet.acknowledged
+        if packet.flags & (ACK | RST) == ACK and packet.acknowledged == self.answered:
+            self.is_open = True
 
     def record_data(self, packet: Packet) -> bool:
         """Record the data of a caller's packet; return whether any of it is new."""
@@ -134,7 +151,7 @@
         self._openings.append((now + OPENING_TIMEOUT_S, flow))
 
     def add_unconfirmed(self, key: bytes, now: float) -> AgentFlow:
-        """Return a new flow of which only the upstream knows whether it exists."""
+        """Return a new flow of which only the upstream knows whether it is open."""
         flow = AgentFlow(now, False)
         if len(self._flows) < MAX_FLOWS:
             self._flows[key] = flow
--- a/fulmarshore/standins/directends.py
+++ b/fulmarshore/standins/directends.py
@@ -29,6 +29,8 @@
 SYN_LIMIT_S = 1.4
 FIRST_REPEAT_S = 0.2
 LONGEST_REPEAT_S = 1.6
+MAX_REPEATS = 8
+"""Times that an upstream repeats a packet that nobody acknowledges."""
 RESET_DISTANCE = 76_800
 """Farthest position from its own at which a caller accepts a reset of an open flow."""
 CHECKSUM_SEED = 77
@@ -84,6 +86,8 @@
     ----------
     is_failing : bool
         Whether it resets each flow that brings a request.
+    repeats_answers : bool
+        Whether it repeats the answer to an opening that no caller has acknowledged.
     """
 
     def __init__(
@@ -108,6 +112,7 @@
         self.forged: list[bytes] = []
         self.asked: int = 0
         self.is_failing = False
+        self.repeats_answers = False
         self._send = send
         self._call_later = call_later
         self._numbers = 0
@@ -158,10 +163,22 @@
         # caller's ACK opens the flow at every upstream whose number matches.
         drawn = xxh32_intdigest(f"{self.name} {self._numbers}".encode())
         sequence = drawn & MAX_FIRST_SEQUENCE
+        is_first = packet.flow not in self.half_open
         held = self.half_open.setdefault(packet.flow, sequence)
         source, destination = packet.flow[6:], packet.flow[:6]
         answer = make_packet(source, destination, SYN | ACK, held, packet.sequence + 1)
         self._send(answer)
+        if is_first and self.repeats_answers:
+            self._call_later(
+                FIRST_REPEAT_S, lambda: self._repeat_answer(packet.flow, answer, 1)
+            )
+
+    def _repeat_answer(self, flow: bytes, answer: bytes, number: int) -> None:
+        if not self.is_alive or flow not in self.half_open or number > MAX_REPEATS:
+            return
+        self._send(answer)
+        delay = min(FIRST_REPEAT_S * 2**number, LONGEST_REPEAT_S)
+        self._call_later(delay, lambda: self._repeat_answer(flow, answer, number + 1))
 
     def _bounce(self, content: bytes) -> None:
         self.asked += 1
@@ -254,11 +271,15 @@
         if self.is_open:
             self._send_request(call, FIRST_REPEAT_S)
             return call
+        self.open()
+        return call
+
+    def open(self) -> None:
+        """Open the flow; the end of the handshake carries no data without a request."""
         self._send(self._make_packet(SYN, self._sequence, 0))
         for number, delay in enumerate(SYN_REPEATS_S, 1):
             self._call_later(delay, lambda number=number: self._repeat_opening(number))
         self._call_later(SYN_LIMIT_S, self._give_up_opening)
-        return call
 
     def finish(self) -> None:
         """Close the flow."""
@@ -298,6 +319,8 @@
         self._acknowledged = packet.sequence + 1
         if self._pending_call is not None:
             self._send_request(self._pending_call, FIRST_REPEAT_S)
+            return
+        self._send(self._make_packet(ACK, self._sequence, self._acknowledged))
 
     def _send_request(self, call: Call, delay: float) -> None:
         if call.outcome or not self.is_open:
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -445,6 +445,12 @@
 
     def call(self, number: int, port: int, deadline_s: float = 3.0) -> Caller:
         """Open a flow of a new caller and send a request on it."""
+        caller = self.add_caller(number, port)
+        caller.request(b"request-%d-0" % number, deadline_s)
+        return caller
+
+    def add_caller(self, number: int, port: int) -> Caller:
+        """Add a caller whose flow is not open yet."""
         flow = make_flow(number, port)
         caller = Caller(
             flow,
@@ -453,7 +459,6 @@
             lambda: self.now,
         )
         self.callers[flow] = caller
-        caller.request(b"request-%d-0" % number, deadline_s)
         return caller
 
     def get_zone(self, host: str) -> str:
