--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -130,9 +130,7 @@
 
 def tick_leader(replica: Replica, now: float) -> None:
     """Promote learners that have caught up; remove unresponsive replicas."""
-    if _can_change_voters(replica) and _needs_confirmation(replica):
-        _confirm_change(replica)
-        return
+    confirm_change(replica)
     for learner in _list_learners(replica):
         if now - replica.progress[learner].last_contact > LEARNER_TIMEOUT_S:
             del replica.progress[learner]
@@ -191,8 +189,13 @@
     return former != newest
 
 
-def _confirm_change(replica: Replica) -> None:
-    """Append the second entry of a change; replicate no more to a removed voter."""
+def confirm_change(replica: Replica) -> None:
+    """Append the second entry of a change that is committed, unless it is there.
+
+    A removed voter gets no further entries.
+    """
+    if not _can_change_voters(replica) or not _needs_confirmation(replica):
+        return
     former, newest = (held.replicas for _, held in replica.voter_configs[-2:])
     for removed in set(former) - set(newest):
         replica.progress.pop(removed, None)
--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -256,6 +256,7 @@
     if not replica.is_voter:
         replica.step_down(replica.term)
         return
+    joining.confirm_change(replica)
     send_new_entries(replica, now)
 
 
