A refused write neither damages the log nor silences the host

Report of operators: disks full one after another, changes unanswered long after.

Cause, found by refusing each operation in turn: records were appended to a new log file before its mark, so that a torn append counted as damage; errors of the writer's own ended its thread without a word; the mark was opened again at each retry.

Change: the mark follows a new file at once, any end of the writer ends the process with its cause, files are opened once.

--- a/fulmarshore/adapters/disk.py
+++ b/fulmarshore/adapters/disk.py
@@ -50,6 +50,7 @@
 
 OnSynced = Callable[[int], None]
 OnError = Callable[[OSError], None]
+OnFailure = Callable[[Exception], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +120,9 @@
             return make_new_replica(self.name)
         outcome = read_log(content, marked, self.name)
         if isinstance(outcome, Recovered) and outcome.dropped_bytes:
-            os.truncate(log, outcome.size)
+            # A full disk may refuse this; the writer truncates before it appends.
+            with suppress(OSError):
+                os.truncate(log, outcome.size)
         return outcome
 
     def quarantine_files(self) -> str:
@@ -168,8 +171,8 @@
     on_synced : callable
         Called on the thread with the sequence of the newest write synced.
     on_failure : callable
-        Called on the thread with the error that ended it; nothing is written
-        afterwards.
+        Called on the thread with the error that ended it, of the disk or of the
+        writer itself; nothing is written afterwards.
     on_write_error : callable, optional
         Called on the thread with the error of a write that is retried, or of a
         cache file. No later write is reported as synced before the retry
@@ -183,7 +186,7 @@
         folder: Path,
         recovered: Recovered,
         on_synced: OnSynced,
-        on_failure: OnError,
+        on_failure: OnFailure,
         on_write_error: OnError | None = None,
         file_system: FileSystem = OS_FILE_SYSTEM,
     ) -> None:
@@ -244,7 +247,7 @@
         try:
             self._retry_until_written(self._open_mark)
             if self._generation:
-                self._log = self._open(LOG_FILE, os.O_APPEND)
+                self._retry_until_written(self._open_log)
             while True:
                 batch, is_last = self._collect_batch()
                 if batch:
@@ -255,9 +258,13 @@
                     self._on_synced(batch[-1].sequence)
                 if is_last:
                     return
-        except OSError as error:
+        except Exception as error:
+            # Without this thread the host would stay silent while its process runs.
             self._on_failure(error)
 
+    def _open_log(self) -> None:
+        self._log = self._open(LOG_FILE, os.O_APPEND)
+
     def _collect_batch(self) -> tuple[list[Store], bool]:
         """Wait for a write and return all queued ones: they share one sync."""
         item = self._queue.get()
@@ -300,10 +307,13 @@
                 continue
             frames = b""
             self._retry_until_written(partial(self._replace_log, store, content))
+            # Until it is marked, the new file counts as synced to its end, so that a
+            # torn append would count as damage.
+            self._retry_until_written(self._write_mark)
         if frames:
             self._retry_until_written(partial(self._append_frames, frames))
             self._size += len(frames)
-        self._retry_until_written(self._write_mark)
+            self._retry_until_written(self._write_mark)
 
     def _retry_until_written(self, step: Callable[[], None]) -> None:
         """Repeat an idempotent step until the disk accepts it."""
@@ -329,9 +339,9 @@
         header = store.records[0]
         assert isinstance(header, FileHeader), "a file starts with its header"
         self._replace_file(LOG_FILE, content)
-        if self._log is not None:
-            os.close(self._log)
-        self._log = self._open(LOG_FILE, os.O_APPEND)
+        former, self._log = self._log, self._open(LOG_FILE, os.O_APPEND)
+        if former is not None:
+            os.close(former)
         self._generation = header.generation
         self._size = len(content)
 
@@ -354,7 +364,8 @@
         self._next_slot = 1 - self._next_slot
 
     def _open_mark(self) -> None:
-        self._mark = self._open(MARK_FILE, 0)
+        if self._mark is None:
+            self._mark = self._open(MARK_FILE, 0)
         if os.fstat(self._mark).st_size >= 2 * MARK_SLOT_BYTES:
             self._next_slot = self._find_older_slot()
             return
--- a/fulmarshore/adapters/disk_test.py
+++ b/fulmarshore/adapters/disk_test.py
@@ -1,6 +1,7 @@
 import errno
 import os
 import threading
+import time
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from unittest import TestCase
@@ -193,3 +194,179 @@
     def test_folder_is_locked(self):
         other = DataFolder(self.path, "c0")
         self.assertEqual(other.open().detail, "another process uses it")
+
+
+LAST_WRITE = 5
+
+
+class HeldFiles(FileSystem):
+    """Works until it is holding; then waits, and passes the rest to other files."""
+
+    def __init__(self, held, files):
+        self.held = held
+        self.files = files
+        self.is_holding = False
+
+    def __getattribute__(self, name):
+        if name.startswith("__") or name in ("held", "files", "is_holding"):
+            return object.__getattribute__(self, name)
+        if not self.is_holding:
+            return object.__getattribute__(self, name)
+        self.held.wait(WAIT_TIMEOUT_S)
+        return getattr(self.files, name)
+
+
+class RefusingFiles(FileSystem):
+    """Refuses one operation, half done, and all later ones."""
+
+    __slots__ = ("left", "error")
+
+    def __init__(self, left, error):
+        self.left = left
+        self.error = error
+
+    def _refuse(self):
+        self.left -= 1
+        if self.left < 0:
+            raise OSError(self.error, "refused")
+
+    def append(self, descriptor, content):
+        if self.left == 0:
+            os.write(descriptor, content[: len(content) // 2 + 3])
+        self._refuse()
+        super().append(descriptor, content)
+
+    def write_at(self, descriptor, content, offset):
+        self._refuse()
+        super().write_at(descriptor, content, offset)
+
+    def truncate(self, descriptor, size):
+        self._refuse()
+        super().truncate(descriptor, size)
+
+    def sync(self, descriptor):
+        self._refuse()
+        super().sync(descriptor)
+
+    def sync_with_metadata(self, descriptor):
+        self._refuse()
+        super().sync_with_metadata(descriptor)
+
+    def rename(self, source, path):
+        self._refuse()
+        super().rename(source, path)
+
+    def sync_folder(self, folder):
+        self._refuse()
+        super().sync_folder(folder)
+
+
+class RefusedWritesTest(TestCase):
+    """A host that is killed at any operation that a full disk refuses.
+
+    Guards against a log that counts as damaged, so that the host loses its disk.
+    """
+
+    def write(self, path, files):
+        """Write as a host does; return the sequences reported as synced."""
+        folder = DataFolder(path, "c0")
+        self.assertIsNone(folder.open())
+        recovered = folder.read()
+        ended, held = threading.Event(), threading.Event()
+        synced = []
+
+        def on_synced(sequence):
+            synced.append(sequence)
+            if sequence in (1, LAST_WRITE):
+                ended.set()
+
+        def on_failure(error):
+            self.assertEqual(error.errno, errno.EROFS)
+            ended.set()
+
+        term_vote = TermVote("g", 1, None)
+        entries = [LogEntry(index, 1, Noop()) for index in range(1, 5)]
+        first, second = (
+            [FileHeader(recovered.replica, generation), term_vote, LogBase(0, 0)]
+            for generation in (1, 2)
+        )
+        gate = HeldFiles(held, files)
+        disk = DiskWriter(path, recovered, on_synced, on_failure, None, gate)
+        disk.submit(Store(1, first + entries[:1], True))
+        self.assertTrue(ended.wait(WAIT_TIMEOUT_S))
+        ended.clear()
+        # The others are queued before the first of them begins, and share a batch.
+        gate.is_holding = True
+        for number, (records, replace) in enumerate(
+            [
+                ([entries[1]], False),
+                (second + entries[:2], True),
+                ([entries[2]], False),
+                ([entries[3]], False),
+            ],
+            2,
+        ):
+            disk.submit(Store(number, records, replace))
+        held.set()
+        self.assertTrue(ended.wait(WAIT_TIMEOUT_S))
+        disk.close()
+        folder.close()
+        return synced
+
+    def test_log_is_never_damaged(self):
+        operations = 0
+        while True:
+            with self.subTest(operations=operations), TemporaryDirectory() as name:
+                path = Path(name) / "data"
+                files = RefusingFiles(operations, errno.EROFS)
+                synced = self.write(path, files)
+                outcome = DataFolder(path, "c0").read()
+                self.assertIsInstance(outcome, Recovered)
+                expected = 4 if LAST_WRITE in synced else 1
+                self.assertGreaterEqual(len(outcome.entries), expected)
+            if files.left >= 0:
+                break
+            operations += 1
+        self.assertGreaterEqual(operations, 8)
+
+    def test_descriptors_do_not_leak_while_the_mark_is_refused(self):
+        with TemporaryDirectory() as name:
+            path = Path(name) / "data"
+            folder = DataFolder(path, "c0")
+            self.assertIsNone(folder.open())
+            self.addCleanup(folder.close)
+            files = RefusingFiles(0, errno.ENOSPC)
+            refused = []
+            with patch("fulmarshore.adapters.disk.RETRY_INTERVAL_S", 0.001):
+                disk = DiskWriter(
+                    path, folder.read(), print, print, refused.append, files
+                )
+                while len(refused) < 50:
+                    time.sleep(0.001)
+                held = sum(
+                    Path(f"/proc/self/fd/{number}").resolve().name == "mark"
+                    for number in os.listdir("/proc/self/fd")
+                )
+                files.left = 10**6
+                disk.close()
+            self.assertLessEqual(held, 1)
+
+    def test_fault_of_the_writer_itself_is_reported(self):
+        """Otherwise the host stays silent for good while its process runs."""
+        with TemporaryDirectory() as name:
+            path = Path(name) / "data"
+            folder = DataFolder(path, "c0")
+            self.assertIsNone(folder.open())
+            self.addCleanup(folder.close)
+            failed = threading.Event()
+            errors = []
+
+            def on_failure(error):
+                errors.append(error)
+                failed.set()
+
+            disk = DiskWriter(path, folder.read(), print, on_failure)
+            disk.submit(Store(1, [LogEntry(1, 1, Noop())], True))
+            self.assertTrue(failed.wait(WAIT_TIMEOUT_S))
+            disk.close()
+            self.assertIsInstance(errors[0], AssertionError)
--- a/fulmarshore/daemons/directcontrol.py
+++ b/fulmarshore/daemons/directcontrol.py
@@ -405,10 +405,11 @@
         decision = Decision("disk_refused_write", str(error))
         self.loop.call_from_thread(lambda: self.log_decision(decision))
 
-    def _report_failure(self, error: OSError) -> None:
+    def _report_failure(self, error: Exception) -> None:
         self.loop.call_from_thread(lambda: self._stop_after_disk_failure(error))
 
-    def _stop_after_disk_failure(self, error: OSError) -> None:
-        self.log_decision(Decision("disk_failed", str(error)))
+    def _stop_after_disk_failure(self, error: Exception) -> None:
+        detail = f"{type(error).__name__}: {error}"
+        self.log_decision(Decision("disk_failed", detail))
         self.exit_code = 1
         self.loop.stop()
--- a/fulmarshore/standins/directworld.py
+++ b/fulmarshore/standins/directworld.py
@@ -181,6 +181,7 @@
         self.former_upstreams: list[Upstream] = []
         self.callers: dict[bytes, Caller] = {}
         self.frozen: set[str] = set()
+        self.full: set[str] = set()
         self.cuts: set[tuple[str, str]] = set()
         self.decisions: list[tuple[float, str, Decision]] = []
         self.reads: list[tuple[float, float, int]] = []
@@ -413,6 +414,11 @@
         self.frozen.add(host)
         self.call_later(seconds, lambda: self.frozen.discard(host))
 
+    def fill_disk(self, host: str, seconds: float) -> None:
+        """Let a disk refuse all writes for some seconds; they are retried."""
+        self.full.add(host)
+        self.call_later(seconds, lambda: self.full.discard(host))
+
     def cut(self, first: list[str], second: list[str]) -> None:
         """Drop all messages between two groups of hosts."""
         for one in first:
@@ -675,7 +681,7 @@
         def sync() -> None:
             if self._incarnations.get(host, 0) != incarnation:
                 return
-            if host in self.frozen:
+            if host in self.frozen or host in self.full:
                 self.call_later(0.05, sync)
                 return
             sequence = disk.sync()
