Odd entries of other writers are refused, and their readers go on

Report of operators: one odd entry among those of the endpoints ended its readers, or kept them from the others.

Nobody here reads a list of upstreams.

Change: a heartbeat needs an address with a port in range. Evidence: platform/ranges_test.py and StrangeMessagesTest in foreigntext_test.py: odd and deeply nested heartbeats, reports and tables are counted, and the next one is handled.

--- a/fulmarshore/core/ranges.py
+++ b/fulmarshore/core/ranges.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -28,6 +29,7 @@
 _IPV4 = rf"{_BYTE}(\.{_BYTE}){{3}}"
 Address = Annotated[str, Meta(pattern=rf"\A{_IPV4}\Z")]
 """An IPv4 address in text form."""
+_ADDRESS_PATTERN = re.compile(_IPV4)
 OptionalAddress = Annotated[str, Meta(pattern=rf"\A({_IPV4})?\Z")]
 
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
@@ -35,6 +37,12 @@
 ``RecursionError``."""
 
 
+def is_endpoint(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port, ``ADDRESS:PORT``."""
+    host, _, port = text.rpartition(":")
+    return parse_port(port) is not None and _ADDRESS_PATTERN.fullmatch(host) is not None
+
+
 def saturate(value: float, limit: int = MAX_COUNT) -> float:
     """Return a value within 0 and a limit that no real quantity exceeds."""
     return min(max(value, 0), limit)
--- a/fulmarshore/platform/foreigntext_test.py
+++ b/fulmarshore/platform/foreigntext_test.py
@@ -10,12 +10,21 @@
 import tempfile
 import threading
 import unittest
+import zlib
 from collections import Counter
 from unittest.mock import patch
 
+import msgspec
+
 from fulmarshore.adapters.httpserver import MAX_URL_BYTES, HttpResponse
 from fulmarshore.adapters.logs import DecisionLog
-from fulmarshore.direct.records import Decision, Update, UpdateReceived
+from fulmarshore.direct.records import (
+    AgentReport,
+    Decision,
+    Poll,
+    Update,
+    UpdateReceived,
+)
 from fulmarshore.direct.relay import RelayCore
 from fulmarshore.direct.settings import Endpoint
 from fulmarshore.platform.configuration_test import VALID
@@ -202,6 +211,45 @@
                 self.assertEqual(closed, int(is_closed))
 
 
+class StrangeMessagesTest(DaemonTest):
+    def test_odd_messages_are_counted_and_the_next_one_is_handled(self):
+        """One odd report must not end its readers, nor keep them from the others."""
+        good = AgentReport("10.0.2.1", 7, 1, "a", "desk", True, False, 3, 0, 0)
+        odd = [
+            msgspec.structs.replace(good, slots=2**64 - 1),
+            msgspec.structs.replace(good, packet_port=70_000),
+            msgspec.structs.replace(good, host="10.0.2.1:80"),
+        ]
+        encode = msgspec.msgpack.encode
+        nested = [b"\x91" * 60_000, b"\x81\xa1a" * 20_000, b"\x93\xa6Update" * 5000]
+        for role in ROLES:
+            with self.subTest(role):
+                daemon = self.make_daemon(role)
+                handled = []
+                daemon.dispatch = handled.append
+                polls = [Poll(0, 0, 0, False, False, report) for report in odd]
+                updates = [
+                    Update(("10.0.0.1",), "", 0, b"", 1, 1, 1.0, 1.0, True, (report,))
+                    for report in odd
+                ]
+                messages = [*nested, *map(encode, polls), *map(encode, updates)]
+                messages.append(
+                    encode(Update((), "", 1, zlib.compress(nested[0]), 1, 1, 1.0, 1.0))
+                )
+                for message in messages:
+                    daemon._handle_message(message, "10.0.0.1", 9)
+                expected = len(messages)
+                if role == "control":
+                    # Control hosts do not read the tables of others.
+                    expected -= 1
+                    handled.pop()
+                self.assertEqual(handled, [])
+                self.assertEqual(daemon.counters["messages_malformed"], expected)
+                update = Update((), "", 1, b"", 1, 1, 1.0, 1.0, True, (good,))
+                daemon._handle_message(encode(update), "10.0.0.1", 9)
+                self.assertEqual(len(handled), 1)
+
+
 class DecisionLogTest(unittest.TestCase):
     def test_text_that_cannot_be_encoded_is_replaced(self):
         details = ["\ud800", "a\udcffb", os.fsdecode(b"/tmp/\xff"), "\0\n\x1b[2J"]
--- a/fulmarshore/platform/heartbeats.py
+++ b/fulmarshore/platform/heartbeats.py
@@ -9,7 +9,14 @@
 from msgspec import Meta, Struct, field
 
 from fulmarshore.adapters.httpserver import HttpRequest
-from fulmarshore.core.ranges import DECODE_ERRORS, MAX_COUNT, MAX_TEXT, Number, Text
+from fulmarshore.core.ranges import (
+    DECODE_ERRORS,
+    MAX_COUNT,
+    MAX_TEXT,
+    Number,
+    Text,
+    is_endpoint,
+)
 from fulmarshore.direct.records import UpstreamAnnounced, UpstreamDeparted
 from fulmarshore.platform.problems import describe_decode_error
 
@@ -22,7 +29,8 @@
     """The body of a heartbeat that an upstream sends to its agent."""
 
     service: Text
-    # Required but not used: the upstream's endpoint is part of the agent's settings.
+    # Not used, as the upstream's endpoint is part of the agent's settings; one that is
+    # none shows that something else wrote the body.
     address: str
     zone: Text
     slots: Annotated[int, Meta(ge=1, le=MAX_COUNT)]
@@ -36,6 +44,10 @@
 _decoder = msgspec.json.Decoder(Heartbeat)
 
 
+def _format_problem(problem: str) -> str:
+    return msgspec.json.encode({"error": problem}).decode()
+
+
 def read_heartbeat(
     request: HttpRequest,
 ) -> UpstreamAnnounced | UpstreamDeparted | str | None:
@@ -54,8 +66,9 @@
     try:
         heartbeat = _decoder.decode(request.body)
     except DECODE_ERRORS as error:
-        problem = describe_decode_error(request.body, error)
-        return msgspec.json.encode({"error": problem}).decode()
+        return _format_problem(describe_decode_error(request.body, error))
+    if not is_endpoint(heartbeat.address):
+        return _format_problem(f"address: {heartbeat.address!r}, needs ADDRESS:PORT")
     return UpstreamAnnounced(
         upstream,
         heartbeat.born,
--- a/fulmarshore/platform/ranges_test.py
+++ b/fulmarshore/platform/ranges_test.py
@@ -170,6 +170,30 @@
         self.assertIn("slots", found)
         self.assertIn(str(HUGE), found)
 
+    def test_entry_of_another_writer_is_refused(self):
+        """One odd entry among those of upstreams; the others hold."""
+        odd = [
+            {"address": "10.0.0.1:65536"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:-1"},
+            {"address": "10.0.0.1:" + "9" * 5000},
+            {"address": "10.0.0.1"},
+            {"address": "desk.example:80"},
+            {"address": "10.0.0.256:80"},
+            {"state": "resting"},
+            {"slots": 0},
+            {"slots": HUGE},
+            {"sequence": -1},
+            {"born": 0.5},
+            {"zone": None},
+        ]
+        for fields in odd:
+            with self.subTest(fields):
+                body = json.dumps({**HEARTBEAT, **fields}).encode()
+                found = read_heartbeat(HttpRequest("PUT", "/v1/instances/i-1", body))
+                self.assertIsInstance(found, str)
+                self.assertIn(next(iter(fields)), found)
+
     def test_longest_name_of_an_upstream(self):
         body = json.dumps(HEARTBEAT).encode()
         for size, is_accepted in ((200, True), (100_000, False)):
