Half of the voters suffice only in a group larger than the smallest one

Cause: with two losses allowed, half of four voters is two copies of an entry, which is no more than may be lost. Change: lost disks lower the quorum only above min_voters, where half is one copy more. Result: quorums_test.py has the numbers, and that any two quorums share a replica with its disk; replacement_test passes.

--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -193,9 +193,16 @@
         confirmed: Collection[ReplicaId],
         lost: Collection[ReplicaId],
     ) -> bool:
-        """Return whether replicas make up a quorum; see the module ``quorums``."""
+        """Return whether replicas make up a quorum; see the module ``quorums``.
+
+        Half of the voters suffice only in a group larger than ``min_voters``: half of
+        a smaller one is no more copies of an entry than may be lost.
+        """
+        minimum = self.min_voters or 0
         return all(
-            has_quorum(voters, members, confirmed, lost)
+            has_quorum(
+                voters, members, confirmed, lost if len(voters) > minimum else ()
+            )
             for voters in self.configurations
         )
 
