--- a/fulmarshore/agreement/quorums.py
+++ b/fulmarshore/agreement/quorums.py
@@ -4,13 +4,12 @@
 the disk of another voter is known to be lost. Any two quorums then still share a
 replica that has its disk:
 
-- A majority and a half of the same voters always share one; if only a lost disk
-  made up the majority, it was not part of the half, and the rest of the majority
-  is one more than what the half leaves out.
-- Two halves without a common replica would each contain a disk that the other half
-  knew to be lost. A replica counts towards a half only by a message that it sent
-  after it, or the leader that counts it, knew of the loss. Each of the two disks
-  would have been lost before the other one sent its message.
+- A majority is N/2 + 1 of N voters. Of those that are not lost, it has at least one
+  more than a half leaves out.
+- Two halves without a common replica would make up all voters, so each would hold a
+  disk that the other one knew to be lost. A replica counts towards a half only by a
+  message that it sent after it, or the leader that counts it, knew of the loss. So
+  each of the two disks would have been lost before the other one's message.
 
 A change of the voters is committed, and a leader is elected while it may not be
 committed, by a quorum of the former and of the new voters.
