A request to leave counts only while it is repeated

Cause: a leader that could not spare a vote kept the request, and took the vote later, from a host that had stopped and was back. Result: agreement/leaving_test.py fails without the expiry in the case "the request is old", passes with it; replacement_test passes.

--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -199,7 +199,7 @@
     former, newest = (held.replicas for _, held in replica.voter_configs[-2:])
     for removed in set(former) - set(newest):
         replica.progress.pop(removed, None)
-        replica.leaving -= {removed}
+        replica.leaving.pop(removed, None)
     replication.append_command(replica, Voters(list(newest)))
 
 
--- a/fulmarshore/agreement/leaving.py
+++ b/fulmarshore/agreement/leaving.py
@@ -17,7 +17,8 @@
     from fulmarshore.agreement.replica import Replica
 
 CONTACT_TIMEOUT_S = 0.5
-"""A voter without contact for this long, five heartbeats, counts as silent."""
+"""A voter without contact for this long, five heartbeats, counts as silent; one that
+does not repeat its request for this long has stopped, and may be back already."""
 
 
 def tick(replica: Replica) -> None:
@@ -28,7 +29,9 @@
     replica.emit(SendLink(replica.leader.name, request))
 
 
-def handle_request(replica: Replica, peer: str, request: LeaveGroup) -> None:
+def handle_request(
+    replica: Replica, peer: str, request: LeaveGroup, now: float
+) -> None:
     """Reply if the voter may stop now; otherwise note that it leaves."""
     if not replica.is_leader:
         return
@@ -39,8 +42,9 @@
         and len(replica.current_voters) > replica.min_voters
     )
     if is_voter and (is_spare or replica.is_change_pending):
-        replica.leaving |= {sender}
+        replica.leaving[sender] = now
         return
+    replica.leaving.pop(sender, None)
     reply = LeaveGroupReply(replica.group, replica.identity)
     replica.emit(SendLink(peer, reply))
 
@@ -51,7 +55,8 @@
     for voter in replica.current_voters:
         if voter == replica.identity:
             continue
-        if voter in replica.leaving:
+        requested_at = replica.leaving.get(voter, float("-inf"))
+        if now - requested_at <= CONTACT_TIMEOUT_S:
             found = found or voter
             continue
         progress = replica.progress.get(voter)
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -134,7 +134,7 @@
         self.lost_voters: frozenset[ReplicaId] = frozenset()
         self.lost_in_election: frozenset[ReplicaId] = frozenset()
         self.lost_round = 0
-        self.leaving: frozenset[ReplicaId] = frozenset()
+        self.leaving: dict[ReplicaId, float] = {}
         self.is_leaving = False
         self.has_left = False
         self.election_at: float | None = None
@@ -272,6 +272,7 @@
         }
         clone.votes = set(self.votes)
         clone.confirming_votes = set(self.confirming_votes)
+        clone.leaving = dict(self.leaving)
         clone.counters = Counter(self.counters)
         clone._effects = list(self._effects)
         clone._disk = self._disk.copy()
@@ -371,7 +372,7 @@
         self.progress = {}
         self.votes = set()
         self.confirming_votes = set()
-        self.leaving = frozenset()
+        self.leaving = {}
 
     def follow(self, leader: ReplicaId, now: float) -> None:
         """Accept a replica as the leader of the current term."""
@@ -481,7 +482,7 @@
             case DiskReplaced():
                 lostdisks.handle_replaced(self, peer, message)
             case LeaveGroup():
-                leaving.handle_request(self, peer, message)
+                leaving.handle_request(self, peer, message, now)
             case LeaveGroupReply():
                 leaving.handle_reply(self)
             case TimeoutNow():
