An unknown service beside backends makes a route invalid

Change: all services that a route names are checked. Result: the new case of configuration_test.py failed before, passes now.

--- a/fulmarshore/platform/configuration.py
+++ b/fulmarshore/platform/configuration.py
@@ -242,9 +242,13 @@
     where = f"route {route.name}"
     if not backends:
         problems.append(f"{where}: no service")
-    for backend in backends:
-        if backend.service not in services:
-            problems.append(f"{where}.service: {backend.service} is not known")
+    named = [backend.service for backend in backends]
+    if route.service:
+        # Not in use beside backends, but named all the same.
+        named.append(route.service)
+    for name in dict.fromkeys(named):
+        if name not in services:
+            problems.append(f"{where}.service: {name} is not known")
     for backend in route.backends or []:
         if backend.weight < 0:
             problems.append(f"{where}.weight: {backend.weight}, needs 0 or more")
--- a/fulmarshore/platform/configuration_test.py
+++ b/fulmarshore/platform/configuration_test.py
@@ -59,6 +59,7 @@
 
 INVALID = [
     ("unknown service", ("routes", 1, "service"), "nobody", "nobody"),
+    ("unknown service beside backends", ("routes", 0, "service"), "nobody", "nobody"),
     ("same address and port", ("routes", 1, "pathPrefix"), "/8443/", "r-1"),
     ("no weight", ("routes", 0, "backends", 0, "weight"), "much", "not readable"),
     ("negative weight", ("routes", 0, "backends", 0, "weight"), -1, "-1"),
