The voters with those that a pending change removes are listed in one place

Cause: the same walk over the configurations stood in six modules of the log. Change: Replica.all_voters.

--- a/fulmarshore/agreement/election.py
+++ b/fulmarshore/agreement/election.py
@@ -86,7 +86,7 @@
         if reply.term > replica.term:
             replica.step_down(reply.term)
         return
-    if not any(reply.sender in voters for voters in replica.configurations):
+    if reply.sender not in replica.all_voters:
         return
     if reply.pre_vote:
         if replica.role != Role.PRE_CANDIDATE or reply.term != replica.term + 1:
@@ -180,8 +180,7 @@
     replica: Replica, term: int, pre_vote: bool, for_transfer: bool = False
 ) -> list[SendLink]:
     requests = []
-    voters = dict.fromkeys(voter for held in replica.configurations for voter in held)
-    for voter in voters:
+    for voter in replica.all_voters:
         if voter == replica.identity:
             continue
         request = VoteRequest(
--- a/fulmarshore/agreement/joining.py
+++ b/fulmarshore/agreement/joining.py
@@ -246,7 +246,7 @@
 
 
 def _list_learners(replica: Replica) -> list[ReplicaId]:
-    voters = [voter for held in replica.configurations for voter in held]
+    voters = replica.all_voters
     return [identity for identity in replica.progress if identity not in voters]
 
 
--- a/fulmarshore/agreement/leaving.py
+++ b/fulmarshore/agreement/leaving.py
@@ -52,7 +52,7 @@
     if not replica.is_leader:
         return
     sender = request.sender
-    is_voter = any(sender in voters for voters in replica.configurations)
+    is_voter = sender in replica.all_voters
     is_spare = (
         replica.min_voters is not None
         and len(replica.current_voters) > replica.min_voters
--- a/fulmarshore/agreement/lostdisks.py
+++ b/fulmarshore/agreement/lostdisks.py
@@ -39,7 +39,7 @@
     if not lost.name == report.sender.name == peer or lost == report.sender:
         replica.counters["reports_of_other_hosts"] += 1
         return
-    if not any(lost in voters for voters in replica.configurations):
+    if lost not in replica.all_voters:
         return
     replica.lost_voters |= {lost}
     replica.lost_round = replica.heartbeat_round
--- a/fulmarshore/agreement/replica.py
+++ b/fulmarshore/agreement/replica.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Collection
 from copy import copy
+from itertools import chain
 from random import Random
 
 from fulmarshore.agreement import (
@@ -182,10 +183,14 @@
         former = self.voter_configs[-2][1].replicas
         return [self.current_voters, former] if former else [self.current_voters]
 
+    @property
+    def all_voters(self) -> list[ReplicaId]:
+        """The voters, with those that a pending change removes."""
+        return list(dict.fromkeys(chain.from_iterable(self.configurations)))
+
     def list_lost(self) -> frozenset[ReplicaId]:
         """Return the voters whose disk is lost."""
-        voters = [voter for held in self.configurations for voter in held]
-        return self.lost_voters.intersection(voters)
+        return self.lost_voters.intersection(self.all_voters)
 
     def has_quorum(
         self,
--- a/fulmarshore/agreement/replication.py
+++ b/fulmarshore/agreement/replication.py
@@ -44,9 +44,8 @@
     replica.lost_round = 0
     replica.record_event("leader_elected", detail=f"term {replica.term}")
     replica.progress = {}
-    for voters in replica.configurations:
-        for voter in voters:
-            replica.progress[voter] = Progress(replica.log.last_index + 1, now)
+    for voter in replica.all_voters:
+        replica.progress[voter] = Progress(replica.log.last_index + 1, now)
     append_command(replica, Noop())
     broadcast_heartbeat(replica, now)
 
