--- a/fulmarshore/agreement/replica_test.py
+++ b/fulmarshore/agreement/replica_test.py
@@ -7,6 +7,7 @@
 from fulmarshore.core.records import (
     AppendReply,
     AppendRequest,
+    ChunkReply,
     JoinRequest,
     LinkMessage,
     LogBase,
@@ -16,6 +17,7 @@
     ReplicaId,
     SendLink,
     Snapshot,
+    SnapshotChunk,
     Store,
     Stored,
     TermVote,
@@ -220,6 +222,22 @@
         self.assertIn({A, B}, voters, "the previous disk is removed first")
         self.assertEqual(voters[-1], {A, B, new})
 
+    def test_values_out_of_range_end_no_replica(self):
+        harness = ReplicaHarness(make_replica())
+        harness.elect()
+        replica = harness.replica
+        beyond = replica.log.last_index + 7
+        harness.deliver(AppendReply("g", B, replica.term, True, beyond, 1))
+        self.assertEqual(replica.counters["replies_out_of_range"], 1)
+        self.assertEqual(replica.commit, 0)
+        follower = ReplicaHarness(make_replica())
+        for content in (b"", b"\xff", b"\x91" * 5000):
+            chunk = SnapshotChunk("g", B, A, 2, 9, 0, len(content), content, 1)
+            sent = follower.deliver(chunk)
+            self.assertEqual([type(reply) for reply in sent], [ChunkReply])
+            self.assertEqual(sent[0].offset, 0)
+        self.assertEqual(follower.replica.counters["snapshots_malformed"], 3)
+
     def test_responsive_disk_is_not_replaced(self):
         new = ReplicaId("c", "new")
         harness = ReplicaHarness(make_replica())
--- a/fulmarshore/platform/foreigntext_test.py
+++ b/fulmarshore/platform/foreigntext_test.py
@@ -33,6 +33,8 @@
 
 HOST = "127.0.0.1"
 LIMIT_S = 20.0
+REQUESTS_AT_ONCE = 2000
+"""Requests in one segment, more than the frames that a stack of Python holds."""
 NAMES = ["محطة", "é" * 40, "\U0001f600" * 20, "a\u2028b\x85c", "\x00\x1f\x7f"]
 RAW_TEXTS = [
     "محطة-مطرح".encode(),
@@ -94,7 +96,9 @@
         return found.partition(b"\r\n")[0]
 
 
-class DaemonTest(unittest.TestCase):
+class DaemonCase(unittest.TestCase):
+    """Daemons that serve HTTP in the test's own process."""
+
     def setUp(self):
         self.output = tempfile.TemporaryFile()
         self.addCleanup(self.output.close)
@@ -154,6 +158,8 @@
         self.output.seek(0)
         return [json.loads(line) for line in self.output.read().splitlines()]
 
+
+class RequestsTest(DaemonCase):
     def test_each_request_is_answered_and_none_ends_the_process(self):
         for role in ROLES:
             with self.subTest(role):
@@ -176,9 +182,9 @@
             if len(text) < MAX_URL_BYTES // 2
         ]
         answers = self.run_requests(daemon, requests)
-        self.assertEqual(
-            {answer.split()[1] for answer in answers if answer}, {b"307", b"400"}
-        )
+        self.assertEqual(len(answers), len(requests))
+        found = {answer.split()[1] for answer in answers}
+        self.assertEqual(found, {b"307", b"400"})
 
     def test_fault_in_a_reader_ends_its_request_only(self):
         daemon = self.make_daemon("control")
@@ -204,14 +210,22 @@
                 port = daemon._servers[0].port
                 request = b"GET /v1/config HTTP/1.1\r\n\r\n"
                 with socket.create_connection((HOST, port)) as connection:
-                    connection.sendall(request * 2000)
+                    connection.sendall(request * REQUESTS_AT_ONCE)
                     daemon.loop.call_later(1.0, daemon.loop.stop)
                     daemon.loop.run()
+                    if not is_closed:
+                        # The daemon runs no more: all answers were sent before.
+                        connection.settimeout(1.0)
+                        found = b""
+                        while found.count(b"HTTP/1.1 200") < REQUESTS_AT_ONCE:
+                            received = connection.recv(65_536)
+                            self.assertTrue(received)
+                            found += received
                 closed = daemon.counters["http_connections_closed_slow"]
                 self.assertEqual(closed, int(is_closed))
 
 
-class StrangeMessagesTest(DaemonTest):
+class StrangeMessagesTest(DaemonCase):
     def test_odd_messages_are_counted_and_the_next_one_is_handled(self):
         """One odd report must not end its readers, nor keep them from the others."""
         good = AgentReport("10.0.2.1", 7, 1, "a", "desk", True, False, 3, 0, 0)
--- a/fulmarshore/platform/ranges_test.py
+++ b/fulmarshore/platform/ranges_test.py
@@ -13,10 +13,17 @@
 import msgspec
 
 from fulmarshore.adapters.httpserver import HttpRequest
-from fulmarshore.core.ranges import DECODE_ERRORS
-from fulmarshore.core.records import PutConfiguration
+from fulmarshore.core.ranges import DECODE_ERRORS, MAX_COUNT
+from fulmarshore.core.records import (
+    PutConfiguration,
+    ReplicaId,
+    VoteReply,
+    VoteRequest,
+)
 from fulmarshore.daemons import directcontrol
+from fulmarshore.direct.agent import AgentCore
 from fulmarshore.direct.control import ControlCore
+from fulmarshore.direct.entry import EntryCore
 from fulmarshore.direct.orders import OrderState
 from fulmarshore.direct.records import (
     AgentReport,
@@ -203,10 +210,27 @@
 
 
 class SettingsRangesTest(unittest.TestCase):
-    def test_each_file_is_refused_or_read(self):
-        for path, body in list_variants(VALID_SETTINGS):
+    def test_each_file_is_refused_or_starts_a_host(self):
+        stated = {
+            **VALID_SETTINGS,
+            "bounds": {"coldOvershoot": 1.5, "coldSlack": 5, "addrReuseS": 2},
+            "limits": {"linkMbps": 1000.0},
+        }
+        accepted = 0
+        for path, body in list_variants(stated):
             with self.subTest(path, value=body[-60:]):
-                parse_settings(body, {})
+                settings = parse_settings(body, {})
+                if isinstance(settings, list):
+                    "; ".join(map(str, settings)).encode()
+                    continue
+                accepted += 1
+                settings.upstreams.count_cold_flows(MAX_COUNT)
+                common = (settings.host, settings.zone, list(settings.seeds))
+                EntryCore(
+                    *common, Random(1), upload_bytes_per_s=settings.link_bytes_per_s
+                )
+                AgentCore(*common, 1, settings.upstreams, settings.grace_s)
+        self.assertGreater(accepted, 100)
 
 
 class MessageRangesTest(unittest.TestCase):
@@ -234,6 +258,11 @@
             Poll(-1, 0, 0, False),
             KeptFlows("nowhere", 1, "", 1, True),
             KeptFlows("10.0.0.1", number, "", 1, True),
+            # A voter that grants the last term there is could not begin another.
+            VoteRequest(
+                "g", ReplicaId("a", "d"), ReplicaId("b", "d"), number, 1, 1, True
+            ),
+            VoteReply("g", ReplicaId("a", "d"), number, False, True),
         ]
         for message in messages:
             with self.subTest(message):
