--- a/review/6/run.py
+++ b/review/6/run.py
@@ -515,7 +515,12 @@
 
 
 if __name__ == "__main__":
-    code = main()
+    try:
+        code = main()
+    except Exception as error:
+        note(f"the case could not run: {error!r}")
+        code = 2
     note(f"exit code {code}")
     record.close()
+    sys.stdout.flush()
     os._exit(code)
